--- /dev/null
+++ b/model/src/main/kotlin/io/oriolehall/model/Ids.kt
@@ -0,0 +1,99 @@
+package io.oriolehall.model
+
+import kotlinx.serialization.Serializable
+
+/*
+ * Identifiers. Each is a value class over the text that appears on the wire and in settings, so that an endpoint's
+ * name cannot be passed where an instance's name is meant.
+ */
+
+/** Name of an entry instance from its settings. It stays the same when the instance is replaced. */
+@Serializable
+@JvmInline
+value class InstanceId(val value: String) : Comparable<InstanceId> {
+    override fun compareTo(other: InstanceId): Int = value.compareTo(other.value)
+
+    override fun toString(): String = value
+}
+
+/** Name of an availability zone. */
+@Serializable
+@JvmInline
+value class ZoneId(val value: String) : Comparable<ZoneId> {
+    override fun compareTo(other: ZoneId): Int = value.compareTo(other.value)
+
+    override fun toString(): String = value
+}
+
+/** Name of an organisation, which is also the user part of its credentials. */
+@Serializable
+@JvmInline
+value class OrganisationId(val value: String) {
+    override fun toString(): String = value
+}
+
+/** Name of an endpoint: a model engine, encoder, retriever, reranker or plain service. */
+@Serializable
+@JvmInline
+value class EndpointId(val value: String) : Comparable<EndpointId> {
+    override fun compareTo(other: EndpointId): Int = value.compareTo(other.value)
+
+    override fun toString(): String = value
+}
+
+/** Name of a pool: the endpoints that can run one kind of stage. */
+@Serializable
+@JvmInline
+value class PoolId(val value: String) {
+    override fun toString(): String = value
+}
+
+/** Name of a pipeline, which is the last part of its URL. */
+@Serializable
+@JvmInline
+value class PipelineId(val value: String) {
+    override fun toString(): String = value
+}
+
+/** Identifier of one request. For a non-idempotent request it is derived from the idempotency key. */
+@Serializable
+@JvmInline
+value class RequestId(val value: String) {
+    override fun toString(): String = value
+}
+
+/**
+ * One life of an instance's process.
+ *
+ * @property startedAtMs wall-clock time of the start, milliseconds since the epoch, by the instance's own clock.
+ * @property nonce random number that separates two processes which started in the same millisecond.
+ */
+@Serializable
+data class Incarnation(val startedAtMs: Long, val nonce: Int) : Comparable<Incarnation> {
+    override fun compareTo(other: Incarnation): Int =
+        compareValuesBy(this, other, Incarnation::startedAtMs, Incarnation::nonce)
+
+    override fun toString(): String = "$startedAtMs.${nonce.toUInt().toString(RADIX)}"
+
+    private companion object {
+        const val RADIX = 16
+    }
+}
+
+/** TCP address by IP number. */
+@Serializable
+data class NetworkAddress(val host: String, val port: Int) {
+    override fun toString(): String = "$host:$port"
+
+    companion object {
+        private const val MAX_PORT = 65_535
+
+        /** The address written as `host:port`, or null when [text] is not one. */
+        fun parse(text: String): NetworkAddress? {
+            val host = text.substringBeforeLast(':', missingDelimiterValue = "")
+            val port = text.substringAfterLast(':').toIntOrNull()
+            if (host.isEmpty() || port == null || port !in 1..MAX_PORT) return null
+            return NetworkAddress(host, port)
+        }
+    }
+}
--- /dev/null
+++ b/model/src/main/kotlin/io/oriolehall/model/settings/EntrySettings.kt
@@ -0,0 +1,48 @@
+package io.oriolehall.model.settings
+
+import io.oriolehall.model.InstanceId
+import io.oriolehall.model.NetworkAddress
+import io.oriolehall.model.ZoneId
+
+/*
+ * Settings of an entry instance. A section of the INI file becomes one class here; docs/operators/SETTINGS.md lists
+ * the keys, their units and defaults.
+ */
+
+/** All settings of an entry instance. */
+data class EntrySettings(
+    val instance: InstanceSettings,
+    val listen: ListenSettings,
+    val platform: PlatformSettings,
+    val tokens: TokenSettings,
+    val policy: PolicySettings = PolicySettings(),
+    val translate: Map<NetworkAddress, NetworkAddress> = emptyMap(),
+) {
+    /** The address to dial from here for one that the platform or a ticket publishes. */
+    fun dialled(published: NetworkAddress): NetworkAddress = translate[published] ?: published
+}
+
+/** Who the instance is: section `[instance]`. */
+data class InstanceSettings(val id: InstanceId, val zone: ZoneId)
+
+/** Where it listens: section `[listen]`. Port 0 takes a free port. */
+data class ListenSettings(
+    val callers: NetworkAddress,
+    val operators: NetworkAddress,
+    val peers: NetworkAddress,
+)
+
+/** Where the platform serves: section `[platform]`. */
+data class PlatformSettings(val configuration: NetworkAddress, val instances: NetworkAddress)
+
+/**
+ * Idempotency tokens: section `[tokens]`.
+ *
+ * @property secret key of the signature, the same on every instance; at least 16 characters.
+ */
+data class TokenSettings(val secret: String)
+
+/** Names of the policies in use: section `[policy]`. */
+data class PolicySettings(
+    val endpointChoice: String = "least-outstanding",
+)
--- /dev/null
+++ b/runtime/src/main/kotlin/io/oriolehall/runtime/AuditTrail.kt
@@ -0,0 +1,65 @@
+package io.oriolehall.runtime
+
+import kotlinx.serialization.Serializable
+
+/**
+ * One change that the instance made to what it does.
+ *
+ * @property atMs wall-clock time, milliseconds since the epoch.
+ * @property actor who or what caused it: an operator, a peer, a timer, the platform.
+ * @property subject what changed, such as an object's key.
+ * @property ticket number of the ticket behind the change, if any.
+ */
+@Serializable
+data class AuditRecord(
+    val atMs: Long,
+    val instance: String,
+    val actor: String,
+    val subject: String,
+    val cause: String,
+    val ticket: Long? = null,
+    val before: String? = null,
+    val after: String? = null,
+)
+
+/** The newest changes of this instance, kept in memory and written to the log. Safe for use by several threads. */
+class AuditTrail(
+    private val instance: String,
+    private val timers: TimerService,
+    private val log: EventLog,
+    private val capacity: Int = DEFAULT_CAPACITY,
+) {
+    private val records = ArrayDeque<AuditRecord>()
+
+    /** Adds a record; the oldest one goes when the trail is full. */
+    fun record(
+        actor: String,
+        subject: String,
+        cause: String,
+        ticket: Long? = null,
+        before: String? = null,
+        after: String? = null,
+    ) {
+        val record = AuditRecord(timers.wallClockMs(), instance, actor, subject, cause, ticket, before, after)
+        synchronized(records) {
+            if (records.size >= capacity) records.removeFirst()
+            records.addLast(record)
+        }
+        log.write(
+            Event.CHANGE_RECORDED,
+            "actor" to actor,
+            "subject" to subject,
+            "cause" to cause,
+            "ticket" to ticket,
+            "before" to before,
+            "after" to after,
+        )
+    }
+
+    /** The kept records, oldest first. */
+    fun records(): List<AuditRecord> = synchronized(records) { records.toList() }
+
+    private companion object {
+        const val DEFAULT_CAPACITY = 2_000
+    }
+}
--- /dev/null
+++ b/runtime/src/main/kotlin/io/oriolehall/runtime/Event.kt
@@ -0,0 +1,33 @@
+package io.oriolehall.runtime
+
+/** How loud an event is. */
+enum class EventLevel { DEBUG, INFO, WARN, ERROR }
+
+/**
+ * Events that the system logs. A number is never given to another event. docs/EVENTS.md is the catalogue.
+ *
+ * Ranges: 100 process, 200 configuration, 300 membership and peers, 400 requests and keys, 500 limits and routing,
+ * 600 orders to engines, 700 stand-ins and tools.
+ */
+enum class Event(val number: Int, val level: EventLevel, val text: String) {
+    INSTANCE_STARTED(101, EventLevel.INFO, "instance started"),
+    INSTANCE_STOPPING(102, EventLevel.INFO, "instance stopping"),
+    INSTANCE_STOPPED(103, EventLevel.INFO, "instance stopped"),
+    TIMER_ACTION_FAILED(104, EventLevel.ERROR, "periodic action failed"),
+    HTTP_HANDLER_FAILED(105, EventLevel.ERROR, "request handler failed"),
+    CHANGE_RECORDED(106, EventLevel.INFO, "change recorded"),
+
+    PLATFORM_UNREACHABLE(201, EventLevel.WARN, "configuration service cannot be read"),
+    PLATFORM_REACHED(202, EventLevel.INFO, "configuration service answers again"),
+    TICKET_IN_FORCE(203, EventLevel.INFO, "ticket in force"),
+    TICKET_REJECTED(204, EventLevel.WARN, "ticket rejected"),
+
+    PEER_FRAME_REJECTED(301, EventLevel.WARN, "frame from a peer rejected"),
+    PEER_CONNECTION_LOST(302, EventLevel.DEBUG, "connection to a peer lost"),
+
+    REQUEST_REFUSED(401, EventLevel.INFO, "request refused"),
+    REQUEST_SERVED(402, EventLevel.DEBUG, "request served"),
+    STAGE_ATTEMPT_FAILED(403, EventLevel.WARN, "stage attempt failed"),
+
+    STANDIN_STARTED(701, EventLevel.INFO, "stand-in started"),
+}
