--- /dev/null
+++ b/policy/src/main/kotlin/io/oriolehall/policy/limits/CreditHolder.kt
@@ -0,0 +1,129 @@
+package io.oriolehall.policy.limits
+
+import io.oriolehall.model.EndpointId
+import io.oriolehall.model.Incarnation
+import io.oriolehall.model.InstanceId
+
+/** A request and the owner it is for. */
+data class AddressedCreditRequest(val owner: InstanceId, val sentAtMs: Long, val request: CreditRequest)
+
+/**
+ * One instance's credits for one endpoint. Calls start only while the lease runs, by this instance's monotonic clock,
+ * counted from the sending of the request; a process that was paused finds its lease expired. A call counts until it
+ * ends, also when the lease has run out.
+ *
+ * Safe for use by several threads: traffic starts and ends calls, the control thread renews.
+ *
+ * @param startedAtMs monotonic time at which this instance's process started, milliseconds.
+ */
+class CreditHolder(
+    private val endpoint: EndpointId,
+    private val self: InstanceId,
+    private val incarnation: Incarnation,
+    private val timing: CreditTiming,
+    private val startedAtMs: Long,
+    private val role: HolderRole = HolderRole.MEMBER,
+) {
+    private var lease = NO_LEASE
+    private var following: InstanceId? = null
+    private var echo: CreditStamp? = null
+    private var freeFromMs = Long.MIN_VALUE
+    private var sequence = 0L
+    private var running = 0
+    private var waiting = 0
+    private var observed = WorkTally()
+
+    /** Calls of this instance that have not ended. */
+    val inFlight: Int @Synchronized get() = running
+
+    /** Credits of the present lease that are not in use; 0 when it has run out. */
+    @Synchronized
+    fun room(nowMs: Long): Int = if (nowMs < lease.usableUntilMs) maxOf(0, lease.credits - running) else 0
+
+    /** Takes a credit for a call that starts now; false when there is none. */
+    @Synchronized
+    fun tryStart(nowMs: Long): Boolean {
+        if (room(nowMs) == 0) return false
+        running++
+        return true
+    }
+
+    /** Notes that a call ended, with its time to the first output in milliseconds when it completed. */
+    @Synchronized
+    fun finish(result: CallResult, firstOutputMs: Double = 0.0) {
+        check(running > 0) { "a call to $endpoint ended that had not started; pair each finish with a tryStart" }
+        running--
+        observed.add(result, firstOutputMs)
+    }
+
+    /** Notes how many calls wait for this endpoint, which the owner sees as demand. */
+    @Synchronized
+    fun expectDemand(calls: Int) {
+        waiting = calls
+    }
+
+    /**
+     * The next request: to [desiredOwner], or to the owner that this instance still follows, so as to leave it.
+     *
+     * @param extraInFlight calls of others that this instance knows of from its own time as the endpoint's owner.
+     */
+    @Synchronized
+    fun nextRequest(desiredOwner: InstanceId, nowMs: Long, extraInFlight: Int = 0): AddressedCreditRequest {
+        val current = following
+        if (current == null || (current != desiredOwner && nowMs >= freeFromMs)) follow(desiredOwner)
+        val owner = following ?: desiredOwner
+        val leaving = owner != desiredOwner
+        if (leaving) lease = NO_LEASE
+        val request = CreditRequest(
+            endpoint = endpoint,
+            holder = self,
+            incarnation = incarnation,
+            sequence = ++sequence,
+            role = role,
+            echo = echo,
+            inFlight = running + extraInFlight,
+            wanted = running + waiting + 1,
+            ageMs = nowMs - startedAtMs,
+            release = leaving,
+            observed = observed.drain(),
+        )
+        return AddressedCreditRequest(owner, nowMs, request)
+    }
+
+    /** Takes in the owner's answer to [sent]. An answer that came out of order or from a former owner is dropped. */
+    @Synchronized
+    fun accept(sent: AddressedCreditRequest, answer: CreditAnswer, nowMs: Long) {
+        if (sent.owner != following) return
+        if (answer.released) {
+            leave(nowMs)
+            return
+        }
+        if (echo.isNewerThan(answer.stamp)) return
+        echo = answer.stamp
+        freeFromMs = nowMs + timing.unfollowMs
+        if (sent.request.release) return
+        lease = Lease(answer.credits, sent.sentAtMs + answer.leaseMs - timing.marginMs)
+    }
+
+    private fun CreditStamp?.isNewerThan(other: CreditStamp): Boolean =
+        this != null && owner == other.owner && serial >= other.serial
+
+    private fun follow(owner: InstanceId) {
+        lease = NO_LEASE
+        following = owner
+        echo = null
+    }
+
+    private fun leave(nowMs: Long) {
+        lease = NO_LEASE
+        following = null
+        echo = null
+        freeFromMs = nowMs
+    }
+
+    private class Lease(val credits: Int, val usableUntilMs: Long)
+
+    private companion object {
+        val NO_LEASE = Lease(0, Long.MIN_VALUE)
+    }
+}
