--- /dev/null
+++ b/entry/src/main/kotlin/io/oriolehall/entry/EntryInstance.kt
@@ -0,0 +1,153 @@
+package io.oriolehall.entry
+
+import io.ktor.client.HttpClient
+import io.ktor.client.engine.cio.CIO
+import io.ktor.client.engine.cio.endpoint
+import io.ktor.network.selector.SelectorManager
+import io.micrometer.prometheusmetrics.PrometheusConfig
+import io.micrometer.prometheusmetrics.PrometheusMeterRegistry
+import io.oriolehall.entry.answers.AnswerStore
+import io.oriolehall.entry.config.ConfigReader
+import io.oriolehall.entry.config.InstanceDirectory
+import io.oriolehall.entry.explain.RequestHistory
+import io.oriolehall.entry.http.CallerRoutes
+import io.oriolehall.entry.http.HttpListener
+import io.oriolehall.entry.http.OperatorRoutes
+import io.oriolehall.entry.http.RequestReader
+import io.oriolehall.entry.requests.AnswerRelay
+import io.oriolehall.entry.requests.KeylessGate
+import io.oriolehall.entry.requests.PipelineExecutor
+import io.oriolehall.entry.stages.EndpointClient
+import io.oriolehall.entry.stages.OutstandingCalls
+import io.oriolehall.entry.stages.StageRunner
+import io.oriolehall.model.Incarnation
+import io.oriolehall.model.settings.EntrySettings
+import io.oriolehall.peer.PeerClient
+import io.oriolehall.peer.PeerServer
+import io.oriolehall.policy.config.ConfigSnapshot
+import io.oriolehall.policy.routing.EndpointPolicy
+import io.oriolehall.policy.routing.LeastOutstandingPolicy
+import io.oriolehall.policy.routing.RoundRobinPolicy
+import io.oriolehall.runtime.AuditTrail
+import io.oriolehall.runtime.ControlThread
+import io.oriolehall.runtime.CoroutineTimerService
+import io.oriolehall.runtime.Event
+import io.oriolehall.runtime.StructuredEventLog
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Dispatchers
+import kotlinx.coroutines.SupervisorJob
+import kotlinx.coroutines.cancel
+import kotlin.random.Random
+
+/**
+ * An entry instance: takes callers' requests, runs them through their pipelines at the endpoints and streams the
+ * answers back. This class puts the parts together; each part lives in a package of its own.
+ */
+class EntryInstance(private val settings: EntrySettings) {
+    private val self = settings.instance
+    private val incarnation = Incarnation(System.currentTimeMillis(), Random.nextInt())
+    private val log = StructuredEventLog("oriolehall.${self.id}")
+
+    private val control = ControlThread()
+    private val controlScope = CoroutineScope(control.dispatcher + SupervisorJob())
+    private val trafficScope = CoroutineScope(Dispatchers.Default + SupervisorJob())
+    private val timers = CoroutineTimerService(controlScope, log)
+    private val audit = AuditTrail(self.id.value, timers, log)
+    private val metrics = PrometheusMeterRegistry(PrometheusConfig.DEFAULT)
+
+    private val http = HttpClient(CIO) {
+        expectSuccess = false
+        engine {
+            requestTimeout = 0
+            maxConnectionsCount = MAX_CONNECTIONS
+            endpoint {
+                connectTimeout = CONNECT_TIMEOUT_MS
+                maxConnectionsPerRoute = MAX_CONNECTIONS
+            }
+        }
+    }
+    private val selector = SelectorManager(Dispatchers.IO)
+    private val peerClient = PeerClient(selector, trafficScope)
+    private val peerServer = PeerServer(selector, trafficScope, log)
+
+    private val configReader =
+        ConfigReader(http, settings.dialled(settings.platform.configuration), controlScope, audit, log)
+    private val directory = InstanceDirectory(http, settings.dialled(settings.platform.instances), timers)
+    private val config: () -> ConfigSnapshot = { configReader.state.value.config }
+
+    private val answers = AnswerStore(timers)
+    private val history = RequestHistory()
+    private val stages = StageRunner(
+        zone = self.zone,
+        config = config,
+        policy = endpointPolicy(),
+        client = EndpointClient(http, settings::dialled),
+        outstanding = OutstandingCalls(),
+        history = history,
+        timers = timers,
+        log = log,
+    )
+    private val executor = PipelineExecutor(self.id, trafficScope, stages, answers, history, timers, log)
+    private val relay = AnswerRelay(self.id, peerClient) { id ->
+        directory.find(id)?.let { settings.dialled(it.peerAddress) }
+    }
+    private val callers = HttpListener(settings.listen.callers, log) { callerRoutes().install(this) }
+    private val operators = HttpListener(settings.listen.operators, log) { operatorRoutes().install(this) }
+
+    /** Starts all parts and listens. */
+    suspend fun start(): EntryAddresses {
+        AnswerRelay.serve(peerServer, answers)
+        val peers = peerServer.start(settings.listen.peers)
+        configReader.start()
+        directory.start()
+        val addresses = EntryAddresses(callers.start(), operators.start(), peers)
+        log.write(Event.INSTANCE_STARTED, "addresses" to addresses, "incarnation" to incarnation)
+        return addresses
+    }
+
+    /** Stops all parts. */
+    suspend fun stop() {
+        log.write(Event.INSTANCE_STOPPING, "unfinished" to answers.unfinished)
+        callers.stop()
+        operators.stop()
+        peerServer.close()
+        trafficScope.cancel()
+        controlScope.cancel()
+        http.close()
+        selector.close()
+        control.close()
+        log.write(Event.INSTANCE_STOPPED)
+    }
+
+    private fun callerRoutes() = CallerRoutes(
+        instance = self.id,
+        reader = RequestReader(config, timers),
+        gate = KeylessGate(executor),
+        answers = answers,
+        relay = relay,
+        ready = ::ready,
+    )
+
+    private fun operatorRoutes() = OperatorRoutes(::status, ::ready, metrics, audit, history)
+
+    private fun ready(): Boolean = config().highestTicket > 0
+
+    private fun status() = InstanceStatus(
+        id = self.id,
+        zone = self.zone,
+        incarnation = incarnation,
+        ready = ready(),
+        highestTicket = config().highestTicket,
+        unfinishedRequests = answers.unfinished,
+    )
+
+    private fun endpointPolicy(): EndpointPolicy = when (settings.policy.endpointChoice) {
+        "round-robin" -> RoundRobinPolicy()
+        else -> LeastOutstandingPolicy()
+    }
+
+    private companion object {
+        const val CONNECT_TIMEOUT_MS = 500L
+        const val MAX_CONNECTIONS = 2_000
+    }
+}
--- a/runtime/src/main/kotlin/io/oriolehall/runtime/Event.kt
+++ b/runtime/src/main/kotlin/io/oriolehall/runtime/Event.kt
@@ -25,6 +25,7 @@
     PEER_FRAME_REJECTED(301, EventLevel.WARN, "frame from a peer rejected"),
     PEER_CONNECTION_LOST(302, EventLevel.DEBUG, "connection to a peer lost"),
 
+    CALLER_CONNECTION_LOST(404, EventLevel.DEBUG, "connection to a caller lost"),
     REQUEST_REFUSED(401, EventLevel.INFO, "request refused"),
     REQUEST_SERVED(402, EventLevel.DEBUG, "request served"),
     STAGE_ATTEMPT_FAILED(403, EventLevel.WARN, "stage attempt failed"),
