--- a/policy/src/main/kotlin/io/oriolehall/policy/limits/CreditHolder.kt
+++ b/policy/src/main/kotlin/io/oriolehall/policy/limits/CreditHolder.kt
@@ -48,12 +48,16 @@
         return true
     }
 
-    /** Notes that a call ended, with its time to the first output in milliseconds when it completed. */
+    /**
+     * Notes that a call ended, with its time to the first output in milliseconds when it completed. After a declined
+     * call nothing starts until the owner has answered again.
+     */
     @Synchronized
     fun finish(result: CallResult, firstOutputMs: Double = 0.0) {
         check(running > 0) { "a call to $endpoint ended that had not started; pair each finish with a tryStart" }
         running--
         observed.add(result, firstOutputMs)
+        if (result == CallResult.DECLINED) lease = NO_LEASE
     }
 
     /** Notes how many calls wait for this endpoint, which the owner sees as demand. */
--- /dev/null
+++ b/policy/src/main/kotlin/io/oriolehall/policy/limits/ZoneMembers.kt
@@ -0,0 +1,42 @@
+package io.oriolehall.policy.limits
+
+import io.oriolehall.model.InstanceId
+
+/**
+ * The instances of a zone as one of them knows them. Those that are thought live can own endpoints; those that were
+ * heard of within [rememberMs] milliseconds count in the share of an owner that not all of them follow.
+ */
+class ZoneMembers(private val self: InstanceId, private val rememberMs: Long = DEFAULT_REMEMBER_MS) {
+    private val heardAtMs = mutableMapOf<InstanceId, Long>()
+    private var live = setOf(self)
+
+    /** Instances that may own endpoints. */
+    val owners: Set<InstanceId> get() = live
+
+    /** Notes the live instances of the newest list. */
+    fun onList(instances: Set<InstanceId>, nowMs: Long) {
+        live = instances + self
+        live.forEach { onContact(it, nowMs) }
+    }
+
+    /** Notes that [instance] was heard of. */
+    fun onContact(instance: InstanceId, nowMs: Long) {
+        heardAtMs[instance] = nowMs
+    }
+
+    /** Forgets an instance that has said that it stops and holds nothing. */
+    fun onGoodbye(instance: InstanceId) {
+        heardAtMs -= instance
+        live = live - instance + self
+    }
+
+    /** Every instance that may hold credits. */
+    fun known(nowMs: Long): Set<InstanceId> {
+        heardAtMs.values.removeIf { nowMs - it > rememberMs }
+        return heardAtMs.keys + self
+    }
+
+    private companion object {
+        const val DEFAULT_REMEMBER_MS = 15_000L
+    }
+}
