--- a/entry/src/main/kotlin/io/oriolehall/entry/EntryInstance.kt
+++ b/entry/src/main/kotlin/io/oriolehall/entry/EntryInstance.kt
@@ -14,16 +14,24 @@
 import io.oriolehall.entry.http.HttpListener
 import io.oriolehall.entry.http.OperatorRoutes
 import io.oriolehall.entry.http.RequestReader
+import io.oriolehall.entry.limits.ConcurrencyLimits
+import io.oriolehall.entry.limits.EqualSplitLimits
+import io.oriolehall.entry.limits.LeasedLimits
+import io.oriolehall.entry.limits.LoadReports
+import io.oriolehall.entry.limits.Unlimited
 import io.oriolehall.entry.requests.AnswerRelay
 import io.oriolehall.entry.requests.KeylessGate
 import io.oriolehall.entry.requests.PipelineExecutor
 import io.oriolehall.entry.stages.EndpointClient
-import io.oriolehall.entry.stages.OutstandingCalls
+import io.oriolehall.entry.stages.EndpointSlots
 import io.oriolehall.entry.stages.StageRunner
 import io.oriolehall.model.Incarnation
 import io.oriolehall.model.settings.EntrySettings
 import io.oriolehall.peer.PeerClient
 import io.oriolehall.peer.PeerServer
+import io.oriolehall.policy.admission.AdmissionPolicy
+import io.oriolehall.policy.admission.AdmitAll
+import io.oriolehall.policy.admission.DeadlineAdmission
 import io.oriolehall.policy.config.ConfigSnapshot
 import io.oriolehall.policy.routing.EndpointPolicy
 import io.oriolehall.policy.routing.LeastOutstandingPolicy
@@ -77,12 +85,19 @@
 
     private val answers = AnswerStore(timers)
     private val history = RequestHistory()
-    private val stages = StageRunner(
+    private val limits = limits()
+    private val slots = EndpointSlots(
         zone = self.zone,
         config = config,
         policy = endpointPolicy(),
+        limits = limits,
+        admission = admission(),
+        scope = trafficScope,
+        timers = timers,
+    )
+    private val stages = StageRunner(
+        slots = slots,
         client = EndpointClient(http, settings::dialled),
-        outstanding = OutstandingCalls(),
         history = history,
         timers = timers,
         log = log,
@@ -100,6 +115,7 @@
         val peers = peerServer.start(settings.listen.peers)
         configReader.start()
         directory.start()
+        slots.start()
         val addresses = EntryAddresses(callers.start(), operators.start(), peers)
         log.write(Event.INSTANCE_STARTED, "addresses" to addresses, "incarnation" to incarnation)
         return addresses
@@ -110,6 +126,7 @@
         log.write(Event.INSTANCE_STOPPING, "unfinished" to answers.unfinished)
         callers.stop()
         operators.stop()
+        limits.leave()
         peerServer.close()
         trafficScope.cancel()
         controlScope.cancel()
@@ -146,6 +163,38 @@
         else -> LeastOutstandingPolicy()
     }
 
+    private fun admission(): AdmissionPolicy = when (settings.policy.admission) {
+        "none" -> AdmitAll
+        else -> DeadlineAdmission
+    }
+
+    private fun endpoints() = config().endpointsByPool.values.flatten()
+
+    private fun limits(): ConcurrencyLimits = when (settings.policy.limits) {
+        "none" -> Unlimited
+
+        "equal-split" -> EqualSplitLimits(
+            scope = trafficScope,
+            endpoints = { endpoints() },
+            instances = { zone -> directory.instances.count { it.zone == zone } },
+            reports = LoadReports(http, settings::dialled),
+            timers = timers,
+        )
+
+        else -> LeasedLimits(
+            self = self,
+            incarnation = incarnation,
+            scope = controlScope,
+            endpoints = { endpoints() },
+            instances = { directory.instances },
+            dialled = settings::dialled,
+            peers = peerClient,
+            server = peerServer,
+            reports = LoadReports(http, settings::dialled),
+            timers = timers,
+        )
+    }
+
     private companion object {
         const val CONNECT_TIMEOUT_MS = 500L
         const val MAX_CONNECTIONS = 2_000
--- a/entry/src/main/kotlin/io/oriolehall/entry/stages/OutstandingCalls.kt
+++ b/entry/src/main/kotlin/io/oriolehall/entry/stages/OutstandingCalls.kt
@@ -10,14 +10,13 @@
 
     fun count(endpoint: EndpointId): Int = counts[endpoint]?.get() ?: 0
 
-    /** Runs [call] and counts it for as long. */
-    suspend fun <T> during(endpoint: EndpointId, call: suspend () -> T): T {
-        val counter = counts.computeIfAbsent(endpoint) { AtomicInteger() }
-        counter.incrementAndGet()
-        try {
-            return call()
-        } finally {
-            counter.decrementAndGet()
-        }
+    /** Counts a call that begins. */
+    fun begin(endpoint: EndpointId) {
+        counts.computeIfAbsent(endpoint) { AtomicInteger() }.incrementAndGet()
+    }
+
+    /** Counts a call that has ended. */
+    fun end(endpoint: EndpointId) {
+        counts[endpoint]?.decrementAndGet()
     }
 }
--- a/entry/src/main/kotlin/io/oriolehall/entry/stages/StageRunner.kt
+++ b/entry/src/main/kotlin/io/oriolehall/entry/stages/StageRunner.kt
@@ -15,11 +15,7 @@
 import io.oriolehall.model.StageKind
 import io.oriolehall.model.StageResult
 import io.oriolehall.model.Usage
-import io.oriolehall.model.ZoneId
-import io.oriolehall.policy.config.ConfigSnapshot
-import io.oriolehall.policy.routing.CallContext
-import io.oriolehall.policy.routing.Candidate
-import io.oriolehall.policy.routing.EndpointPolicy
+import io.oriolehall.policy.limits.CallResult
 import io.oriolehall.runtime.Event
 import io.oriolehall.runtime.EventLog
 import io.oriolehall.runtime.TimerService
@@ -29,11 +25,8 @@
  * have run is made again only if the stage is idempotent.
  */
 class StageRunner(
-    private val zone: ZoneId,
-    private val config: () -> ConfigSnapshot,
-    private val policy: EndpointPolicy,
+    private val slots: EndpointSlots,
     private val client: EndpointClient,
-    private val outstanding: OutstandingCalls,
     private val history: RequestHistory,
     private val timers: TimerService,
     private val log: EventLog,
@@ -48,10 +41,15 @@
         val tried = mutableSetOf<EndpointId>()
         var streamed = false
         while (true) {
-            val endpoint = choose(stage, input, context, tried) ?: return Err(noEndpoint(stage, context, tried))
-            val outcome = attempt(endpoint, stage, input, context) {
-                streamed = true
-                onText(it)
+            val slot = slots.acquire(stage, input, context, tried)
+            if (slot.isErr) return Err(noSlot(stage, context, tried, slot.error))
+            val endpoint = slot.value.endpoint
+            val outcome = inSlot(slot.value, stage) { onFirst ->
+                attempt(endpoint, stage, input, context) {
+                    onFirst()
+                    streamed = true
+                    onText(it)
+                }
             }
             if (outcome.isOk) return Ok(outcome.value.output)
             tried += endpoint.id
@@ -60,13 +58,29 @@
         }
     }
 
-    private fun choose(stage: Stage, input: String, context: StageContext, tried: Set<EndpointId>): Endpoint? {
-        val snapshot = config()
-        val candidates = snapshot.endpointsByPool[stage.pool].orEmpty()
-            .filter { it.id !in tried && snapshot.acceptsNewWork(it) }
-            .map { Candidate(it, outstanding.count(it.id)) }
-        val call = CallContext(context.request.organisation.id, zone, input)
-        return policy.choose(candidates, call)?.endpoint
+    /** Runs [call] and gives [slot] back with what was seen of the endpoint. */
+    private suspend fun inSlot(
+        slot: EndpointSlot,
+        stage: Stage,
+        call: suspend (onFirst: () -> Unit) -> Result<StageResult, StageFailure>,
+    ): Result<StageResult, StageFailure> {
+        var firstMs: Long? = null
+        var outcome: Result<StageResult, StageFailure>? = null
+        try {
+            return call { firstMs = firstMs ?: timers.nowMs() }.also { outcome = it }
+        } finally {
+            val first = ((firstMs ?: timers.nowMs()) - slot.startedMs).toDouble()
+            val failure = outcome?.takeIf { it.isErr }?.error
+            val lingers = outcome == null || failure is StageFailure.Lost
+            slots.finish(slot, stage, outcome.toCallResult(), first, lingers)
+        }
+    }
+
+    private fun Result<StageResult, StageFailure>?.toCallResult(): CallResult = when {
+        this == null -> CallResult.CANCELLED
+        isOk -> CallResult.COMPLETED
+        error is StageFailure.Declined -> CallResult.DECLINED
+        else -> CallResult.FAILED
     }
 
     private suspend fun attempt(
@@ -78,15 +92,11 @@
     ): Result<StageResult, StageFailure> {
         val start = timers.nowMs()
         val call = context.toCall(stage, input, remainingMs = context.request.deadlineMs - start)
-        val outcome = outstanding.during(endpoint.id) {
-            context.markSent()
-            if (stage.kind ==
-                StageKind.GENERATE
-            ) {
-                client.generate(endpoint, call, onText)
-            } else {
-                client.run(endpoint, call)
-            }
+        context.markSent()
+        val outcome = if (stage.kind == StageKind.GENERATE) {
+            client.generate(endpoint, call, onText)
+        } else {
+            client.run(endpoint, call)
         }
         record(endpoint, call, context, start, outcome)
         return outcome
@@ -133,12 +143,22 @@
         }
     }
 
-    private fun noEndpoint(stage: Stage, context: StageContext, tried: Set<EndpointId>): Refusal = Refusal(
-        kind = RefusalKind.NO_ENDPOINT,
-        detail = "no endpoint of pool ${stage.pool} takes stage ${stage.name}; tried $tried",
-        outcome = context.outcome(),
-        retryAfterMs = RETRY_AFTER_MS,
-    )
+    private fun noSlot(stage: Stage, context: StageContext, tried: Set<EndpointId>, why: SlotRefusal): Refusal =
+        when (why) {
+            SlotRefusal.NoEndpoint -> Refusal(
+                kind = RefusalKind.NO_ENDPOINT,
+                detail = "no endpoint of pool ${stage.pool} takes stage ${stage.name}; tried $tried",
+                outcome = context.outcome(),
+                retryAfterMs = RETRY_AFTER_MS,
+            )
+
+            is SlotRefusal.TooLate -> Refusal(
+                kind = RefusalKind.DEADLINE_UNREACHABLE,
+                detail = "stage ${stage.name} and what follows would take about ${why.expectedMs} ms",
+                outcome = context.outcome(),
+                retryAfterMs = why.retryAfterMs,
+            )
+        }
 
     private fun stageFailed(stage: Stage, context: StageContext, failure: StageFailure): Refusal = Refusal(
         kind = RefusalKind.STAGE_FAILED,
--- a/model/src/main/kotlin/io/oriolehall/model/settings/EntrySettings.kt
+++ b/model/src/main/kotlin/io/oriolehall/model/settings/EntrySettings.kt
@@ -42,7 +42,15 @@
  */
 data class TokenSettings(val secret: String)
 
-/** Names of the policies in use: section `[policy]`. */
+/**
+ * Names of the policies in use: section `[policy]`.
+ *
+ * @property endpointChoice `least-outstanding` or `round-robin`.
+ * @property limits how an endpoint's limit is kept over all instances: `leases`, `equal-split` or `none`.
+ * @property admission `deadline` or `none`.
+ */
 data class PolicySettings(
     val endpointChoice: String = "least-outstanding",
+    val limits: String = "leases",
+    val admission: String = "deadline",
 )
--- a/policy/src/main/kotlin/io/oriolehall/policy/admission/FairQueue.kt
+++ b/policy/src/main/kotlin/io/oriolehall/policy/admission/FairQueue.kt
@@ -26,8 +26,11 @@
 
     val size: Int get() = lines.values.sumOf { it.size }
 
-    /** Calls of [organisation] that wait. */
-    fun size(organisation: OrganisationId): Int = lines[organisation]?.size ?: 0
+    /** Calls that a new one of [organisation] would wait for, if every organisation keeps sending. */
+    fun sizeBefore(organisation: OrganisationId): Int {
+        val own = lines[organisation]?.size ?: 0
+        return lines.values.sumOf { minOf(it.size, own + 1) }
+    }
 
     fun add(call: WaitingCall<T>) {
         val line = lines.getOrPut(call.organisation) {
--- a/policy/src/main/kotlin/io/oriolehall/policy/limits/CallResult.kt
+++ b/policy/src/main/kotlin/io/oriolehall/policy/limits/CallResult.kt
@@ -25,8 +25,11 @@
                 completed = work.completed + 1,
                 meanMs = (work.meanMs * work.completed + firstOutputMs) / (work.completed + 1),
             )
+
             CallResult.DECLINED -> work.copy(declined = work.declined + 1)
+
             CallResult.FAILED -> work.copy(failed = work.failed + 1)
+
             CallResult.CANCELLED -> work
         }
     }
--- a/policy/src/main/kotlin/io/oriolehall/policy/limits/CreditLedger.kt
+++ b/policy/src/main/kotlin/io/oriolehall/policy/limits/CreditLedger.kt
@@ -26,9 +26,14 @@
     private val residues = mutableListOf<Residue>()
     private var serial = 0L
 
-    /** Ends the wait for young members: the endpoint has shown that it runs no calls but those of the followers. */
-    fun confirmNothingElseRuns(nowMs: Long) {
-        holders.values.forEach { it.trustedFromMs = minOf(it.trustedFromMs, nowMs) }
+    /**
+     * Ends the wait for young members: the endpoint has reported that it runs nothing. Only members that have been here
+     * for [reportLagMs] milliseconds are concerned, as the report may be as old as that.
+     */
+    fun confirmIdle(reportLagMs: Long, nowMs: Long) {
+        holders.values
+            .filter { nowMs - it.sinceMs >= reportLagMs }
+            .forEach { it.trustedFromMs = minOf(it.trustedFromMs, nowMs) }
     }
 
     /** Takes [request] in and answers it. [known] names the zone's members; [limit] is the endpoint's limit now. */
