--- /dev/null
+++ b/policy/src/test/kotlin/io/oriolehall/policy/admission/AdmissionTest.kt
@@ -0,0 +1,55 @@
+package io.oriolehall.policy.admission
+
+import io.oriolehall.model.OrganisationId
+import org.junit.jupiter.api.Test
+import strikt.api.expectThat
+import strikt.assertions.containsExactly
+import strikt.assertions.isA
+import strikt.assertions.isEqualTo
+
+class AdmissionTest {
+    private val queue = FairQueue<String>()
+
+    private fun add(organisation: String, item: String, share: Int = 1, priority: Int = 0, latest: Long = 100) =
+        queue.add(WaitingCall(OrganisationId(organisation), share, priority, latest, item))
+
+    private fun drain() = generateSequence { queue.pollFirst { true }?.item }.toList()
+
+    @Test
+    fun `one organisation's burst does not make the others wait`() {
+        repeat(4) { add("large", "l$it", latest = it.toLong()) }
+        add("small", "s0")
+        expectThat(drain().indexOf("s0")).isEqualTo(1)
+    }
+
+    @Test
+    fun `organisations are served in proportion to their shares`() {
+        repeat(6) { add("two", "two", share = 2) }
+        repeat(6) { add("one", "one") }
+        expectThat(drain().take(6).count { it == "two" }).isEqualTo(4)
+    }
+
+    @Test
+    fun `within an organisation priority goes first and then the least slack`() {
+        add("a", "later", latest = 90)
+        add("a", "sooner", latest = 10)
+        add("a", "urgent", priority = 1)
+        expectThat(drain()).containsExactly("urgent", "sooner", "later")
+    }
+
+    @Test
+    fun `calls that are too late leave the queue`() {
+        add("a", "late", latest = 5)
+        add("a", "in time", latest = 50)
+        expectThat(queue.removeLate(10).map { it.item }).containsExactly("late")
+        expectThat(drain()).containsExactly("in time")
+    }
+
+    @Test
+    fun `a request is admitted while queues and stages fit into its time`() {
+        val stages = listOf(StageForecast(waiting = 10, concurrency = 5, meanMs = 100.0, boundMs = 150.0))
+        expectThat(DeadlineAdmission.decide(350, stages)).isEqualTo(AdmissionDecision.Admit)
+        expectThat(DeadlineAdmission.decide(349, stages)).isA<AdmissionDecision.Refuse>()
+        expectThat(AdmitAll.decide(0, stages)).isEqualTo(AdmissionDecision.Admit)
+    }
+}
