--- a/entry/src/main/kotlin/io/oriolehall/entry/EntryInstance.kt
+++ b/entry/src/main/kotlin/io/oriolehall/entry/EntryInstance.kt
@@ -19,6 +19,8 @@
 import io.oriolehall.entry.limits.LeasedLimits
 import io.oriolehall.entry.limits.LoadReports
 import io.oriolehall.entry.limits.Unlimited
+import io.oriolehall.entry.quarantine.CrashProbe
+import io.oriolehall.entry.quarantine.Quarantine
 import io.oriolehall.entry.requests.AnswerRelay
 import io.oriolehall.entry.requests.KeylessGate
 import io.oriolehall.entry.requests.PipelineExecutor
@@ -33,6 +35,7 @@
 import io.oriolehall.policy.admission.AdmitAll
 import io.oriolehall.policy.admission.DeadlineAdmission
 import io.oriolehall.policy.config.ConfigSnapshot
+import io.oriolehall.policy.retry.RetryBudget
 import io.oriolehall.policy.routing.EndpointPolicy
 import io.oriolehall.policy.routing.LeastOutstandingPolicy
 import io.oriolehall.policy.routing.RoundRobinPolicy
@@ -95,8 +98,21 @@
         scope = trafficScope,
         timers = timers,
     )
+    private val quarantine = Quarantine(
+        self = self,
+        instances = { directory.instances },
+        dialled = settings::dialled,
+        peers = peerClient,
+        server = peerServer,
+        probe = CrashProbe(http, settings::dialled),
+        scope = trafficScope,
+        timers = timers,
+        audit = audit,
+    )
     private val stages = StageRunner(
         slots = slots,
+        quarantine = quarantine,
+        budget = RetryBudget(),
         client = EndpointClient(http, settings::dialled),
         history = history,
         timers = timers,
@@ -116,6 +132,7 @@
         configReader.start()
         directory.start()
         slots.start()
+        quarantine.start()
         val addresses = EntryAddresses(callers.start(), operators.start(), peers)
         log.write(Event.INSTANCE_STARTED, "addresses" to addresses, "incarnation" to incarnation)
         return addresses
@@ -145,7 +162,9 @@
         ready = ::ready,
     )
 
-    private fun operatorRoutes() = OperatorRoutes(::status, ::ready, metrics, audit, history)
+    private fun operatorRoutes() = OperatorRoutes(::status, ::ready, metrics, audit, history, limits::owned) {
+        quarantine.known
+    }
 
     private fun ready(): Boolean = config().highestTicket > 0
 
--- a/entry/src/main/kotlin/io/oriolehall/entry/http/OperatorRoutes.kt
+++ b/entry/src/main/kotlin/io/oriolehall/entry/http/OperatorRoutes.kt
@@ -10,6 +10,8 @@
 import io.oriolehall.entry.InstanceStatus
 import io.oriolehall.entry.explain.RequestHistory
 import io.oriolehall.entry.explain.RequestRecord
+import io.oriolehall.entry.limits.OwnedEndpoint
+import io.oriolehall.entry.quarantine.SharedLoss
 import io.oriolehall.model.RequestId
 import io.oriolehall.runtime.AuditRecord
 import io.oriolehall.runtime.AuditTrail
@@ -22,6 +24,8 @@
     private val metrics: PrometheusMeterRegistry,
     private val audit: AuditTrail,
     private val history: RequestHistory,
+    private val limits: () -> List<OwnedEndpoint>,
+    private val crashes: () -> List<SharedLoss>,
 ) {
     fun install(route: Route) {
         route.get("/health") { call.respondText("ok") }
@@ -29,6 +33,8 @@
         route.get("/metrics") { call.respondText(metrics.scrape(), ContentType.Text.Plain) }
         route.get("/status") { call.respondJson(InstanceStatus.serializer(), status()) }
         route.get("/audit") { call.respondJson(ListSerializer(AuditRecord.serializer()), audit.records()) }
+        route.get("/limits") { call.respondJson(ListSerializer(OwnedEndpoint.serializer()), limits()) }
+        route.get("/quarantine") { call.respondJson(ListSerializer(SharedLoss.serializer()), crashes()) }
         route.get("/explain") {
             call.respondJson(ListSerializer(RequestRecord.serializer()), history.newest(NEWEST_REQUESTS))
         }
--- a/entry/src/main/kotlin/io/oriolehall/entry/limits/LeasedLimits.kt
+++ b/entry/src/main/kotlin/io/oriolehall/entry/limits/LeasedLimits.kt
@@ -20,6 +20,7 @@
 import io.oriolehall.policy.limits.ZoneMembers
 import io.oriolehall.runtime.TimerService
 import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Job
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.withContext
 import kotlinx.coroutines.withTimeoutOrNull
@@ -46,6 +47,7 @@
     private val timers: TimerService,
     private val timing: CreditTiming = CreditTiming(),
 ) : ConcurrencyLimits {
+    private val control = scope.coroutineContext.minusKey(Job)
     private val startedAtMs = timers.nowMs()
     private val holders = ConcurrentHashMap<EndpointId, CreditHolder>()
     private val wantedAtMs = ConcurrentHashMap<EndpointId, Long>()
@@ -70,18 +72,18 @@
 
     override fun start(onRoom: () -> Unit) {
         this.onRoom = onRoom
-        server.answer(CREDITS) { batch -> withContext(scope.coroutineContext) { answer(batch) } }
+        server.answer(CREDITS) { batch -> withContext(control) { answer(batch) } }
         timers.every("credits", RENEW_MS, jitter = 0.1) { renew() }
     }
 
-    override suspend fun leave() = withContext(scope.coroutineContext) {
+    override suspend fun leave(): Unit = withContext(control) {
         leaving = true
+        if (holders.values.any { it.inFlight > 0 }) return@withContext
         withTimeoutOrNull(GOODBYE_TIMEOUT_MS) {
             for (other in zone(self.zone).filter { it.id != self.id }) {
                 peers.call(dialled(other.peerAddress), CREDITS, batch(goodbye = true), CALL_TIMEOUT_MS)
             }
         }
-        Unit
     }
 
     override fun owned(): List<OwnedEndpoint> = owners.describe()
--- a/entry/src/main/kotlin/io/oriolehall/entry/stages/StageRunner.kt
+++ b/entry/src/main/kotlin/io/oriolehall/entry/stages/StageRunner.kt
@@ -5,6 +5,7 @@
 import com.github.michaelbull.result.Result
 import io.oriolehall.entry.explain.AttemptRecord
 import io.oriolehall.entry.explain.RequestHistory
+import io.oriolehall.entry.quarantine.Quarantine
 import io.oriolehall.model.Endpoint
 import io.oriolehall.model.EndpointId
 import io.oriolehall.model.Refusal
@@ -16,9 +17,12 @@
 import io.oriolehall.model.StageResult
 import io.oriolehall.model.Usage
 import io.oriolehall.policy.limits.CallResult
+import io.oriolehall.policy.quarantine.Standing
+import io.oriolehall.policy.retry.RetryBudget
 import io.oriolehall.runtime.Event
 import io.oriolehall.runtime.EventLog
 import io.oriolehall.runtime.TimerService
+import kotlinx.coroutines.delay
 
 /**
  * Runs one stage of a request: chooses an endpoint, calls it, and calls another one when that is safe. A call that may
@@ -26,6 +30,8 @@
  */
 class StageRunner(
     private val slots: EndpointSlots,
+    private val quarantine: Quarantine,
+    private val budget: RetryBudget,
     private val client: EndpointClient,
     private val history: RequestHistory,
     private val timers: TimerService,
@@ -39,11 +45,21 @@
         onText: suspend (String) -> Unit,
     ): Result<String, Refusal> {
         val tried = mutableSetOf<EndpointId>()
+        var runs = 0
         var streamed = false
+        budget.onFirstCall()
         while (true) {
+            val standing = quarantine.standing(context.fingerprint)
+            if (standing == Standing.BLAMED) return Err(quarantined(context))
             val slot = slots.acquire(stage, input, context, tried)
             if (slot.isErr) return Err(noSlot(stage, context, tried, slot.error))
             val endpoint = slot.value.endpoint
+            val suspect = standing == Standing.SUSPECT
+            if (suspect && !quarantine.beginTrial(context.fingerprint, endpoint, context.remainingMs())) {
+                slots.finish(slot.value, stage, CallResult.CANCELLED, firstOutputMs = 0.0)
+                delay(TRIAL_WAIT_MS)
+                continue
+            }
             val outcome = inSlot(slot.value, stage) { onFirst ->
                 attempt(endpoint, stage, input, context) {
                     onFirst()
@@ -51,13 +67,23 @@
                     onText(it)
                 }
             }
+            if (suspect) quarantine.endTrial(context.fingerprint, endpoint)
             if (outcome.isOk) return Ok(outcome.value.output)
             tried += endpoint.id
-            val mayRepeat = !outcome.error.ran || (stage.idempotent && !streamed)
-            if (!mayRepeat || tried.size >= MAX_ATTEMPTS) return Err(stageFailed(stage, context, outcome.error))
+            if (outcome.error.ran) runs++
+            val mayRepeat = !outcome.error.ran || (stage.idempotent && !streamed && runs < MAX_RUNS)
+            if (!mayRepeat || !budget.tryTake()) return Err(stageFailed(stage, context, outcome.error))
         }
     }
 
+    private fun StageContext.remainingMs() = request.deadlineMs - timers.nowMs()
+
+    private fun quarantined(context: StageContext) = Refusal(
+        kind = RefusalKind.QUARANTINED,
+        detail = "two endpoints ended while they ran this input",
+        outcome = context.outcome(),
+    )
+
     /** Runs [call] and gives [slot] back with what was seen of the endpoint. */
     private suspend fun inSlot(
         slot: EndpointSlot,
@@ -92,6 +118,7 @@
     ): Result<StageResult, StageFailure> {
         val start = timers.nowMs()
         val call = context.toCall(stage, input, remainingMs = context.request.deadlineMs - start)
+        val calledAtMs = timers.wallClockMs()
         context.markSent()
         val outcome = if (stage.kind == StageKind.GENERATE) {
             client.generate(endpoint, call, onText)
@@ -99,6 +126,11 @@
             client.run(endpoint, call)
         }
         record(endpoint, call, context, start, outcome)
+        if (outcome.isOk) {
+            quarantine.onCompleted(context.fingerprint)
+        } else if (outcome.error is StageFailure.Lost) {
+            quarantine.onLostCall(context.fingerprint, endpoint, calledAtMs)
+        }
         return outcome
     }
 
@@ -170,7 +202,10 @@
     private fun StageContext.outcome() = if (anythingSent) RunOutcome.UNKNOWN else RunOutcome.NOT_RUN
 
     private companion object {
-        const val MAX_ATTEMPTS = 3
+        const val MAX_RUNS = 3
+
+        /** Wait before a suspect asks again for an endpoint to itself, milliseconds. */
+        const val TRIAL_WAIT_MS = 20L
         const val RETRY_AFTER_MS = 1_000L
     }
 }
--- a/policy/src/main/kotlin/io/oriolehall/policy/limits/ZoneMembers.kt
+++ b/policy/src/main/kotlin/io/oriolehall/policy/limits/ZoneMembers.kt
@@ -8,24 +8,27 @@
  */
 class ZoneMembers(private val self: InstanceId, private val rememberMs: Long = DEFAULT_REMEMBER_MS) {
     private val heardAtMs = mutableMapOf<InstanceId, Long>()
+    private val gone = mutableSetOf<InstanceId>()
     private var live = setOf(self)
 
     /** Instances that may own endpoints. */
     val owners: Set<InstanceId> get() = live
 
-    /** Notes the live instances of the newest list. */
+    /** Notes the live instances of the newest list, which may still name one that has said goodbye. */
     fun onList(instances: Set<InstanceId>, nowMs: Long) {
-        live = instances + self
-        live.forEach { onContact(it, nowMs) }
+        live = instances - gone + self
+        live.forEach { heardAtMs[it] = nowMs }
     }
 
-    /** Notes that [instance] was heard of. */
+    /** Notes that [instance] itself was heard, also after a goodbye: it has come back under its name. */
     fun onContact(instance: InstanceId, nowMs: Long) {
+        gone -= instance
         heardAtMs[instance] = nowMs
     }
 
     /** Forgets an instance that has said that it stops and holds nothing. */
     fun onGoodbye(instance: InstanceId) {
+        gone += instance
         heardAtMs -= instance
         live = live - instance + self
     }
--- a/policy/src/main/kotlin/io/oriolehall/policy/quarantine/Fingerprint.kt
+++ b/policy/src/main/kotlin/io/oriolehall/policy/quarantine/Fingerprint.kt
@@ -5,7 +5,10 @@
 import kotlinx.serialization.Serializable
 import java.security.MessageDigest
 
-/** What makes two requests the same as far as crashes go: lower-case hex SHA-256 over who sent what to which pipeline. */
+/**
+ * What makes two requests the same as far as crashes go: the lower-case hex SHA-256 over who sent what to which
+ * pipeline.
+ */
 @Serializable
 @JvmInline
 value class Fingerprint(val value: String) {
--- a/policy/src/test/kotlin/io/oriolehall/policy/limits/EndpointLimitTest.kt
+++ b/policy/src/test/kotlin/io/oriolehall/policy/limits/EndpointLimitTest.kt
@@ -18,8 +18,11 @@
 
     @Test
     fun `a cold endpoint keeps its cold limit and a warm one ramps up to the warm limit`() {
-        repeat(10) { limit.onReport(warm.copy(warm = false, limit = 2), it * 500L) }
-        expectThat(limit.limit(5_000)).isEqualTo(2)
+        repeat(10) {
+            limit.onReport(warm.copy(warm = false, limit = 2), now)
+            now += 500
+        }
+        expectThat(limit.limit(now)).isEqualTo(2)
         warmUp()
         expectThat(limit.limit(now)).isEqualTo(16)
     }
