--- a/standins/src/main/kotlin/io/oriolehall/standins/endpoint/EndpointCommand.kt
+++ b/standins/src/main/kotlin/io/oriolehall/standins/endpoint/EndpointCommand.kt
@@ -29,7 +29,7 @@
     private val kind by option(help = "what it does").choice(StageKind.entries.associateBy { it.name.lowercase() })
         .required()
     private val listen by option(help = "where it serves, host:port").listenAddress()
-    private val dataSet by option(help = "documents and stock").choice(*DataSet.Names.toTypedArray())
+    private val dataSet by option(help = "documents and stock").choice(DataSet.Names.associateWith { it })
         .default(DataSet.Names.first())
     private val serviceMs by option(help = "milliseconds of one call, or until an engine's first token").long()
         .default(Defaults.serviceMs)
