Fault proxy tells when a source has gone and when it refuses

The first cleared a cut before the proxy had read the source's end, so the connection was rightly relayed; the second connected while the selector still held the closed listener. Now the proxy counts sources that have gone (the test waits for that) and puts a refusal in force only when connections are refused. Ruled out: bytes reordered in the relay.

--- a/standins/src/main/kotlin/io/oriolehall/standins/faultproxy/Link.kt
+++ b/standins/src/main/kotlin/io/oriolehall/standins/faultproxy/Link.kt
@@ -23,6 +23,19 @@
 @Serializable
 data class LinkTarget(val target: String)
 
-/** A link as it stands: answer of `POST /links` and element of `GET /links`. */
+/**
+ * A link as it stands: answer of `POST /links` and element of `GET /links`.
+ *
+ * @property open connections that the proxy holds.
+ * @property endedBySource open connections whose source has closed them.
+ * @property accepted connections since the link was opened.
+ */
 @Serializable
-data class LinkStatus(val link: Link, val address: String, val mode: FaultMode, val open: Int, val accepted: Long)
+data class LinkStatus(
+    val link: Link,
+    val address: String,
+    val mode: FaultMode,
+    val open: Int,
+    val endedBySource: Int,
+    val accepted: Long,
+)
--- a/standins/src/main/kotlin/io/oriolehall/standins/faultproxy/LinkRelay.kt
+++ b/standins/src/main/kotlin/io/oriolehall/standins/faultproxy/LinkRelay.kt
@@ -6,8 +6,10 @@
 import io.ktor.network.sockets.aSocket
 import io.oriolehall.model.NetworkAddress
 import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.delay
 import kotlinx.coroutines.flow.MutableStateFlow
 import kotlinx.coroutines.launch
+import kotlinx.coroutines.withTimeoutOrNull
 import java.io.IOException
 import java.util.concurrent.ConcurrentHashMap
 import java.util.concurrent.atomic.AtomicLong
@@ -42,6 +44,7 @@
         if (next.mode == FaultMode.RESET) connections.forEach(RelayedConnection::close)
         if (next.mode == FaultMode.REFUSE) {
             stopListening()
+            awaitRefused()
         } else if (server == null) {
             start()
         }
@@ -52,13 +55,34 @@
         connections.forEach(RelayedConnection::close)
     }
 
-    fun status() = LinkStatus(link, address.toString(), fault.value.mode, connections.size, accepted.get())
+    fun status() = LinkStatus(
+        link = link,
+        address = address.toString(),
+        mode = fault.value.mode,
+        open = connections.size,
+        endedBySource = connections.count(RelayedConnection::endedBySource),
+        accepted = accepted.get(),
+    )
 
     private fun stopListening() {
         server?.close()
         server = null
     }
 
+    /** A closed listener takes connections until the selector has let go of it. */
+    private suspend fun awaitRefused() {
+        withTimeoutOrNull(REFUSE_TIMEOUT_MS) {
+            while (takesConnections()) delay(REFUSE_POLL_MS)
+        }
+    }
+
+    private suspend fun takesConnections(): Boolean = try {
+        aSocket(selector).tcp().connect(address.host, address.port).close()
+        true
+    } catch (e: IOException) {
+        false
+    }
+
     private suspend fun acceptLoop(server: ServerSocket) {
         while (true) {
             val source = try {
@@ -84,6 +108,8 @@
     }
 
     private companion object {
+        const val REFUSE_TIMEOUT_MS = 2_000L
+        const val REFUSE_POLL_MS = 5L
         const val MAX_PORT = 65_535
 
         fun parse(text: String): NetworkAddress {
--- a/standins/src/main/kotlin/io/oriolehall/standins/faultproxy/RelayedConnection.kt
+++ b/standins/src/main/kotlin/io/oriolehall/standins/faultproxy/RelayedConnection.kt
@@ -30,15 +30,19 @@
     private val selector: SelectorManager,
     private val fault: StateFlow<Fault>,
 ) {
+    private val fromSource = ByteChannel(autoFlush = true)
+
     @Volatile private var target: Socket? = null
 
+    /** True once the source has closed the connection, even if the target has not been told. */
+    val endedBySource: Boolean get() = fromSource.isClosedForWrite
+
     /** Relays both directions until either side ends. */
     suspend fun relay(address: NetworkAddress) {
-        val fromSource = ByteChannel(autoFlush = true)
         source.attachForReading(fromSource)
         try {
             fault.first { passesForward(it) && passesBack(it) }
-            if (fromSource.isClosedForWrite) return
+            if (endedBySource) return
             val connected = aSocket(selector).tcp().connect(address.host, address.port) { noDelay = true }
             target = connected
             val fromTarget = ByteChannel(autoFlush = true)
--- a/standins/src/test/kotlin/io/oriolehall/standins/faultproxy/FaultProxyTest.kt
+++ b/standins/src/test/kotlin/io/oriolehall/standins/faultproxy/FaultProxyTest.kt
@@ -64,7 +64,7 @@
     fun `a connection opened and given up during a cut never reaches the target`() {
         fault(Fault(mode = FaultMode.CUT))
         connect(link).apply { send("lost") }.close()
-        awaitThat { status("link").accepted == 1L }
+        awaitThat { status("link").endedBySource == 1 }
         clear()
         awaitThat { status("link").open == 0 }
         expectThat(connect(link).exchange("later")).isEqualTo("later")
