Model engine: batch by priority, prefix cache with events, weights; data sets of both deployments

Streams join the batch when a place is free, so tokens slow down with load instead of waiting for a batch to end. Cache events come late and some are lost. An engine reads a model's weights from the rate-limited store before it serves it.

--- a/model/src/main/kotlin/io/oriolehall/model/EndpointProtocol.kt
+++ b/model/src/main/kotlin/io/oriolehall/model/EndpointProtocol.kt
@@ -11,6 +11,8 @@
  *                             runs; 404 when the endpoint does not know it.
  *   DELETE /streams/{id}      stops the call; 204.
  *   GET  /load                a LoadReport, which may lag.
+ *   GET  /events?after=N      a CacheEventPage: what entered and left an engine's prefix cache after event N; events
+ *                             come late and some never.
  *   POST /orders              an EngineOrder; 200 with an OrderResult, or 409 when its fencing number is old.
  *
  * 429 and 503 on /run mean that the endpoint declined before it ran anything.
@@ -123,3 +125,17 @@
 /** Answer to an order: the fencing number that the engine now holds. */
 @Serializable
 data class OrderResult(val accepted: Boolean, val fence: Long)
+
+/**
+ * A change of an engine's prefix cache.
+ *
+ * @property number counts the engine's events from 1; a missing number is an event that was lost.
+ * @property stored true when the prefix entered the cache, false when it left.
+ * @property prefix digest of the prompt's words up to the end of a block.
+ */
+@Serializable
+data class CacheEvent(val number: Long, val stored: Boolean, val prefix: String)
+
+/** Published cache events; [next] is the number to ask after next. */
+@Serializable
+data class CacheEventPage(val events: List<CacheEvent>, val next: Long)
--- a/standins/src/main/kotlin/io/oriolehall/standins/Standins.kt
+++ b/standins/src/main/kotlin/io/oriolehall/standins/Standins.kt
@@ -6,6 +6,7 @@
 import io.oriolehall.standins.endpoint.EndpointCommand
 import io.oriolehall.standins.faultproxy.FaultProxyCommand
 import io.oriolehall.standins.platform.PlatformCommand
+import io.oriolehall.standins.weights.WeightStoreCommand
 
 /*
  * Small programs that take the place of the platform, of endpoints and of the network in tests and in the demo. Each
@@ -15,7 +16,7 @@
 /** Runs the stand-in that the first argument names. */
 fun main(args: Array<String>) {
     StandinsCommand()
-        .subcommands(PlatformCommand(), EndpointCommand(), FaultProxyCommand())
+        .subcommands(PlatformCommand(), WeightStoreCommand(), EndpointCommand(), FaultProxyCommand())
         .main(args)
 }
 
--- a/standins/src/main/kotlin/io/oriolehall/standins/endpoint/Capacity.kt
+++ b/standins/src/main/kotlin/io/oriolehall/standins/endpoint/Capacity.kt
@@ -7,11 +7,12 @@
 internal class Capacity(private val options: EndpointOptions, private val nowMs: () -> Long) {
     private val runningCalls = AtomicInteger()
     private val coldSinceMs = AtomicLong(nowMs())
+    private val callsSinceCold = AtomicInteger()
 
     /** Calls that run now. */
     val running: Int get() = runningCalls.get()
 
-    val warm: Boolean get() = nowMs() - coldSinceMs.get() >= options.coldMs
+    val warm: Boolean get() = nowMs() - coldSinceMs.get() >= options.coldMs || warmByCalls()
 
     /** Calls at once that the endpoint bears now. */
     val limit: Int get() = if (warm) options.warmLimit else options.coldLimit
@@ -23,12 +24,18 @@
     }
 
     /** Makes the endpoint cold again. */
-    fun turnCold() = coldSinceMs.set(nowMs())
+    fun turnCold() {
+        callsSinceCold.set(0)
+        coldSinceMs.set(nowMs())
+    }
 
     /** Counts a call in and returns how many run now. */
     fun enter(): Int = runningCalls.incrementAndGet()
 
     fun leave() {
         runningCalls.decrementAndGet()
+        callsSinceCold.incrementAndGet()
     }
+
+    private fun warmByCalls() = options.warmAfterCalls > 0 && callsSinceCold.get() >= options.warmAfterCalls
 }
--- a/standins/src/main/kotlin/io/oriolehall/standins/endpoint/EndpointCommand.kt
+++ b/standins/src/main/kotlin/io/oriolehall/standins/endpoint/EndpointCommand.kt
@@ -1,5 +1,6 @@
 package io.oriolehall.standins.endpoint
 
+import com.github.ajalt.clikt.core.UsageError
 import com.github.ajalt.clikt.parameters.options.convert
 import com.github.ajalt.clikt.parameters.options.default
 import com.github.ajalt.clikt.parameters.options.flag
@@ -11,6 +12,7 @@
 import com.github.ajalt.clikt.parameters.types.int
 import com.github.ajalt.clikt.parameters.types.long
 import io.oriolehall.model.EndpointId
+import io.oriolehall.model.NetworkAddress
 import io.oriolehall.model.StageKind
 import io.oriolehall.model.ZoneId
 import io.oriolehall.standins.ReadyLine
@@ -36,19 +38,29 @@
     private val coldLimit by option(help = "calls at once while cold").int().default(Defaults.coldLimit)
     private val warmLimit by option(help = "calls at once while warm").int().default(Defaults.warmLimit)
     private val coldMs by option(help = "milliseconds until it is warm").long().default(Defaults.coldMs)
+    private val warmAfterCalls by option(help = "ended calls until it is warm, 0 for by time only").int()
+        .default(Defaults.warmAfterCalls)
     private val coldFactor by option(help = "how many times slower it is while cold").double()
         .default(Defaults.coldFactor)
     private val tokensPerSecond by option(help = "tokens a second of one stream").double()
         .default(Defaults.tokensPerSecond)
+    private val batchSize by option(help = "streams that an engine generates at once").int()
+        .default(Defaults.batchSize)
+    private val cacheTokens by option(help = "tokens in an engine's prefix cache").int().default(Defaults.cacheTokens)
+    private val eventLagMs by option(help = "age of cache events, milliseconds").long().default(Defaults.eventLagMs)
+    private val eventGap by option(help = "share of cache events that are lost").double().default(Defaults.eventGap)
     private val overload by option(help = "what it does with more calls than it bears")
         .enum<OverloadReaction> { it.name.lowercase() }
         .default(Defaults.overload)
     private val loadLagMs by option(help = "age of load reports, milliseconds").long().default(Defaults.loadLagMs)
     private val fenced by option(help = "refuse orders with an old fencing number").flag()
     private val orderMs by option(help = "milliseconds to carry out an order").long().default(Defaults.orderMs)
+    private val weights by option(help = "weight store, host:port").convert { text ->
+        NetworkAddress.parse(text) ?: throw UsageError("$text is not host:port; write for example 127.0.0.1:8080")
+    }
     private val crashProbability by option(help = "share of calls that end the process").double()
         .default(Defaults.crashProbability)
-    private val crashOn by option(help = "end the process on a call whose input contains this text").convert { it }
+    private val crashOn by option(help = "end the process on a call whose input contains this text")
 
     override suspend fun start(): ReadyLine {
         val endpoint = EndpointServer(options(), CoroutineScope(SupervisorJob() + Dispatchers.Default))
@@ -66,12 +78,18 @@
         coldLimit = coldLimit,
         warmLimit = warmLimit,
         coldMs = coldMs,
+        warmAfterCalls = warmAfterCalls,
         coldFactor = coldFactor,
         tokensPerSecond = tokensPerSecond,
+        batchSize = batchSize,
+        cacheTokens = cacheTokens,
+        eventLagMs = eventLagMs,
+        eventGap = eventGap,
         overload = overload,
         loadLagMs = loadLagMs,
         fenced = fenced,
         orderMs = orderMs,
+        weights = weights,
         crashProbability = crashProbability,
         crashOn = crashOn,
     )
--- a/standins/src/main/kotlin/io/oriolehall/standins/endpoint/EndpointRoutes.kt
+++ b/standins/src/main/kotlin/io/oriolehall/standins/endpoint/EndpointRoutes.kt
@@ -12,6 +12,7 @@
 import io.ktor.server.routing.post
 import io.ktor.server.routing.put
 import io.ktor.utils.io.writeStringUtf8
+import io.oriolehall.model.CacheEventPage
 import io.oriolehall.model.EngineOrder
 import io.oriolehall.model.LoadReport
 import io.oriolehall.model.OrderResult
@@ -42,6 +43,10 @@
         call.respond(HttpStatusCode.NoContent)
     }
     get("/load") { call.respondJson(LoadReport.serializer(), endpoint.loadReport()) }
+    get("/events") {
+        val after = call.request.queryParameters["after"]?.toLongOrNull() ?: 0
+        call.respondJson(CacheEventPage.serializer(), endpoint.cacheEvents(after))
+    }
     post("/orders") {
         val order = call.receiveJson(EngineOrder.serializer()) ?: return@post
         val result = endpoint.order(order)
--- a/standins/src/main/kotlin/io/oriolehall/standins/endpoint/EndpointServer.kt
+++ b/standins/src/main/kotlin/io/oriolehall/standins/endpoint/EndpointServer.kt
@@ -1,5 +1,6 @@
 package io.oriolehall.standins.endpoint
 
+import io.oriolehall.model.CacheEventPage
 import io.oriolehall.model.EngineOrder
 import io.oriolehall.model.LoadReport
 import io.oriolehall.model.StageCall
@@ -9,6 +10,9 @@
 import io.oriolehall.standins.compute.DataSet
 import io.oriolehall.standins.compute.StageComputer
 import io.oriolehall.standins.compute.StageInputException
+import io.oriolehall.standins.engine.ModelEngine
+import io.oriolehall.standins.weights.WeightClient
+import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.async
 import kotlinx.coroutines.delay
@@ -44,8 +48,9 @@
     private val counters = EndpointCounters(options, startedAtMs)
     private val capacity = Capacity(options, ::monotonicMs)
     private val computer = StageComputer(DataSet.load(options.dataSet))
-    private val orders = EngineOrders(options, capacity)
-    private val load = LaggingLoad(options.loadLagMs, ::monotonicMs, ::currentLoad)
+    private val orders = EngineOrders(options, capacity, WeightClient(options.weights)::fetch)
+    private val engine = ModelEngine(options, capacity, computer, ::monotonicMs, random)
+    private val load: LaggingLoad = LaggingLoad(options.loadLagMs, ::monotonicMs, ::currentLoad)
 
     val streams = StreamRegistry(counters)
 
@@ -62,6 +67,8 @@
 
     suspend fun order(order: EngineOrder) = orders.obey(order)
 
+    fun cacheEvents(after: Long): CacheEventPage = engine.events(after)
+
     /** Runs [call]. */
     suspend fun run(call: StageCall): CallOutcome {
         counters.received(call, System.currentTimeMillis())
@@ -118,30 +125,18 @@
         val started = monotonicMs()
         try {
             begin(call)
-            val tokens = computer.generate(call.input, call.maxTokens)
-            val last = if (breakOff) tokens.size / 2 else tokens.size
-            var dueMs = monotonicMs().toDouble() + serviceMs()
-            for (index in 0 until last) {
-                delay((dueMs - monotonicMs()).toLong())
-                stream.append(tokens[index])
-                dueMs += MS_PER_SECOND / options.tokensPerSecond * capacity.slowdown * inForce.behaviour.slowFactor
-            }
-            delay(inForce.behaviour.pauseAfterRunMs)
-            if (!breakOff) stream.end(usageOf(call, tokens.size, started))
+            engine.generate(call, stream, inForce.behaviour, breakOff)
         } catch (e: StageInputException) {
             stream.breakOff()
+        } catch (e: CancellationException) {
+            counters.wasted((monotonicMs() - started).toDouble())
+            throw e
         } finally {
             if (!stream.ended) streams.forget(stream)
             finish(call, started)
         }
     }
 
-    private fun usageOf(call: StageCall, outputTokens: Int, startedMs: Long) = Usage(
-        busyMs = (monotonicMs() - startedMs).toDouble(),
-        promptTokens = call.input.count { it == ' ' } + 1,
-        outputTokens = outputTokens,
-    )
-
     private suspend fun begin(call: StageCall) {
         delay(inForce.behaviour.pauseBeforeRunMs)
         val crashTexts = listOfNotNull(options.crashOn, inForce.behaviour.crashOnInputContaining)
@@ -167,9 +162,9 @@
         else -> 1
     }
 
-    private fun currentLoad() = LoadReport(
+    private fun currentLoad(): LoadReport = LoadReport(
         running = capacity.running,
-        queued = (capacity.running - capacity.limit).coerceAtLeast(0),
+        queued = if (options.kind == StageKind.GENERATE) engine.queued else 0,
         limit = capacity.limit,
         warm = capacity.warm,
         startedAtMs = startedAtMs,
@@ -186,7 +181,6 @@
         const val FAILED = 500
         const val UNAVAILABLE = 503
         const val CRASH_STATUS = 70
-        const val MS_PER_SECOND = 1_000.0
 
         fun monotonicMs(): Long = TimeUnit.NANOSECONDS.toMillis(System.nanoTime())
     }
--- a/standins/src/main/kotlin/io/oriolehall/standins/endpoint/EngineOrders.kt
+++ b/standins/src/main/kotlin/io/oriolehall/standins/endpoint/EngineOrders.kt
@@ -11,7 +11,11 @@
  * What an engine was ordered to serve. Orders are carried out one after the other. A fenced engine refuses a number
  * below the highest one it has seen, others obey in the order of arrival.
  */
-internal class EngineOrders(private val options: EndpointOptions, private val capacity: Capacity) {
+internal class EngineOrders(
+    private val options: EndpointOptions,
+    private val capacity: Capacity,
+    private val loadWeights: suspend (EngineOrder) -> Unit = {},
+) {
     private val loading = Mutex()
 
     @Volatile private var serving: EngineOrder? = null
@@ -38,6 +42,7 @@
         if (options.fenced && order.fence < fence) return OrderResult(accepted = false, fence = fence)
         val changes = serving?.copy(fence = 0) != order.copy(fence = 0)
         if (changes) {
+            loadWeights(order)
             delay(options.orderMs)
             capacity.turnCold()
         }
--- a/standins/src/test/kotlin/io/oriolehall/standins/compute/StageComputerTest.kt
+++ b/standins/src/test/kotlin/io/oriolehall/standins/compute/StageComputerTest.kt
@@ -10,6 +10,7 @@
 import strikt.api.expectThrows
 import strikt.assertions.contains
 import strikt.assertions.isEqualTo
+import strikt.assertions.isGreaterThan
 import strikt.assertions.isNotEqualTo
 import strikt.assertions.startsWith
 
@@ -43,6 +44,7 @@
     fun `every data set has documents and stock to search`() {
         for (name in DataSet.Names) {
             val set = DataSet.load(name)
+            expectThat(set.documents.size).isGreaterThan(50)
             expectThat(set.documents.map { it.id }.toSet().size).isEqualTo(set.documents.size)
             expectThat(set.stock.all { it.quantity > 0 }).isEqualTo(true)
         }
