Answers whole: a broken stream is taken up again, then generated elsewhere if it agrees

A stream that breaks or falls silent is read on from its offset at the same endpoint. When that brings no progress the stage runs on another endpoint, whose beginning must have the digest of what was handed on; otherwise the caller is told that the answer cannot be finished. Lines of earlier attempts and repeated lines are dropped. A stream that is given up, also because the deadline passed or an idempotent request's caller has gone, is stopped at the endpoint.

--- a/entry/src/main/kotlin/io/oriolehall/entry/answers/Answer.kt
+++ b/entry/src/main/kotlin/io/oriolehall/entry/answers/Answer.kt
@@ -10,6 +10,7 @@
 import kotlinx.coroutines.flow.asStateFlow
 import kotlinx.coroutines.flow.first
 import kotlinx.coroutines.flow.update
+import kotlinx.coroutines.withTimeoutOrNull
 import java.security.MessageDigest
 
 /**
@@ -29,6 +30,7 @@
     )
 
     private val digest = MessageDigest.getInstance("SHA-256")
+    private val followers = MutableStateFlow(0)
     private val mutableState = MutableStateFlow(State())
 
     /** State as it changes. */
@@ -66,8 +68,25 @@
         mutableState.update { it.copy(ending = it.ending ?: AnswerItem.Refused(refusal.copy(requestId = requestId))) }
     }
 
+    /** Returns once nobody has followed the answer for [graceMs] milliseconds without a break. */
+    suspend fun awaitAbandoned(graceMs: Long) {
+        do {
+            followers.first { it == 0 }
+            val returned = withTimeoutOrNull(graceMs) { followers.first { it > 0 } }
+        } while (returned != null)
+    }
+
     /** Hands the answer from byte [offset] on to [onItem], waiting for what is to come, up to and with its ending. */
     suspend fun follow(offset: Long, onItem: suspend (AnswerItem) -> Unit) {
+        followers.update { it + 1 }
+        try {
+            handOn(offset, onItem)
+        } finally {
+            followers.update { it - 1 }
+        }
+    }
+
+    private suspend fun handOn(offset: Long, onItem: suspend (AnswerItem) -> Unit) {
         var next = 0
         while (true) {
             val seen = next
--- a/entry/src/main/kotlin/io/oriolehall/entry/requests/PipelineExecutor.kt
+++ b/entry/src/main/kotlin/io/oriolehall/entry/requests/PipelineExecutor.kt
@@ -18,6 +18,8 @@
 import io.oriolehall.runtime.TimerService
 import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.awaitCancellation
+import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.withTimeoutOrNull
 import java.util.UUID
@@ -59,7 +61,7 @@
     private suspend fun run(request: InboundRequest, answer: Answer) {
         val context = StageContext(request, answer.requestId)
         try {
-            val finished = withTimeoutOrNull(request.deadlineMs - timers.nowMs()) { runStages(context, answer) }
+            val finished = withTimeoutOrNull(request.deadlineMs - timers.nowMs()) { runFollowed(context, answer) }
             if (finished == null) answer.refuse(deadlineExceeded(context))
         } catch (e: CancellationException) {
             answer.refuse(Refusal(RefusalKind.STOPPING, "the instance stopped", context.outcome()))
@@ -72,6 +74,19 @@
         }
     }
 
+    /** Runs the stages; an idempotent request whose caller has gone and does not come back is stopped. */
+    private suspend fun runFollowed(context: StageContext, answer: Answer) = coroutineScope {
+        val work = launch { runStages(context, answer) }
+        val watch = launch {
+            if (!context.request.pipeline.idempotent) awaitCancellation()
+            answer.awaitAbandoned(ABANDONED_AFTER_MS)
+            answer.refuse(Refusal(RefusalKind.ABANDONED, "nobody read the answer", context.outcome()))
+            work.cancel()
+        }
+        work.join()
+        watch.cancel()
+    }
+
     private suspend fun runStages(context: StageContext, answer: Answer) {
         var input = context.request.body.input
         for (stage in context.request.pipeline.stages) {
@@ -111,4 +126,8 @@
             )
         }
     }
+
+    private companion object {
+        const val ABANDONED_AFTER_MS = 2_000L
+    }
 }
--- a/entry/src/main/kotlin/io/oriolehall/entry/stages/EndpointClient.kt
+++ b/entry/src/main/kotlin/io/oriolehall/entry/stages/EndpointClient.kt
@@ -7,27 +7,31 @@
 import io.ktor.client.network.sockets.ConnectTimeoutException
 import io.ktor.client.request.HttpRequestBuilder
 import io.ktor.client.request.delete
+import io.ktor.client.request.prepareGet
 import io.ktor.client.request.preparePost
 import io.ktor.client.request.setBody
 import io.ktor.client.statement.HttpResponse
+import io.ktor.client.statement.HttpStatement
 import io.ktor.client.statement.bodyAsChannel
 import io.ktor.client.statement.bodyAsText
 import io.ktor.http.ContentType
 import io.ktor.http.HttpStatusCode
 import io.ktor.http.contentType
-import io.ktor.utils.io.readUTF8Line
 import io.oriolehall.model.Endpoint
 import io.oriolehall.model.NetworkAddress
 import io.oriolehall.model.StageCall
 import io.oriolehall.model.StageResult
-import io.oriolehall.model.StreamEnd
-import io.oriolehall.model.StreamLine
 import io.oriolehall.model.WireJson
 import kotlinx.coroutines.CancellationException
+import kotlinx.coroutines.async
+import kotlinx.coroutines.coroutineScope
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.ensureActive
+import kotlinx.coroutines.launch
 import kotlinx.serialization.SerializationException
 import java.io.IOException
 import java.net.ConnectException
-import java.security.MessageDigest
+import kotlin.time.TimeSource
 
 /**
  * Calls endpoints over HTTP and turns every way in which a call can end into a result or a typed failure.
@@ -37,6 +41,7 @@
 class EndpointClient(
     private val http: HttpClient,
     private val dialled: (NetworkAddress) -> NetworkAddress,
+    private val timeouts: StreamTimeouts = StreamTimeouts(),
 ) {
     /** Runs [call] at [endpoint], whose answer comes whole. */
     suspend fun run(endpoint: Endpoint, call: StageCall): Result<StageResult, StageFailure> =
@@ -49,20 +54,70 @@
             }
         }
 
-    /** Runs [call] at the generating [endpoint] and hands each piece of text to [onText], in order and without gaps. */
+    /**
+     * Runs [call] at the generating [endpoint] and adds what it streams to [text]. When the connection breaks or falls
+     * silent, the stream is taken up again at the same endpoint for as long as that brings it forward. A stream that is
+     * given up is stopped at the endpoint.
+     */
     suspend fun generate(
         endpoint: Endpoint,
         call: StageCall,
-        onText: suspend (String) -> Unit,
-    ): Result<StageResult, StageFailure> = post(endpoint, call) { response ->
-        val reader = StreamReader(endpoint, call, onText)
-        val body = response.bodyAsChannel()
-        var outcome: Result<StageResult, StageFailure>? = null
-        while (outcome == null) {
-            val line = body.readUTF8Line() ?: return@post Err(reader.cut())
-            outcome = reader.take(WireJson.decodeFromString(StreamLine.serializer(), line))
+        text: GeneratedText,
+        onFirstLine: () -> Unit = {},
+    ): Result<StageResult, StageFailure> {
+        val reader = StreamReader(endpoint.id, call, text, onFirstLine)
+        var whole = false
+        try {
+            var outcome =
+                watched(reader, firstLineMs(call)) { post(endpoint, call) { reader.read(it.bodyAsChannel()) } }
+            var resumedFrom = -1L
+            while (outcome.isErr && outcome.error is StageFailure.Lost && reader.position > resumedFrom) {
+                resumedFrom = reader.position
+                outcome = watched(reader, timeouts.idleMs) { resume(endpoint, call, reader) }
+            }
+            whole = outcome.isOk || !outcome.error.ran
+            return outcome
+        } finally {
+            if (!whole) http.launch { cancel(endpoint, call) }
+        }
+    }
+
+    private suspend fun resume(
+        endpoint: Endpoint,
+        call: StageCall,
+        reader: StreamReader,
+    ): Result<StageResult, StageFailure> {
+        val path = "/streams/${call.requestId}.${call.attempt}?offset=${reader.position}"
+        val outcome = exchange(endpoint, { http.prepareGet(url(endpoint, path)) }) { reader.read(it.bodyAsChannel()) }
+        if (outcome.isErr && !outcome.error.ran) return Err(StageFailure.Lost(outcome.error.message))
+        return outcome
+    }
+
+    private fun firstLineMs(call: StageCall) = (call.remainingMs * timeouts.firstLineShare).toLong()
+
+    /** Runs [exchange] and gives it up as lost when [reader] gets no line for too long. */
+    private suspend fun watched(
+        reader: StreamReader,
+        firstLineMs: Long,
+        exchange: suspend () -> Result<StageResult, StageFailure>,
+    ): Result<StageResult, StageFailure> = coroutineScope {
+        val begun = TimeSource.Monotonic.markNow()
+        val work = async { exchange() }
+        val watch = launch {
+            while (true) {
+                delay(WATCH_PERIOD_MS)
+                val silentMs = minOf(begun.elapsedNow(), reader.lastLineAt.elapsedNow()).inWholeMilliseconds
+                if (silentMs > if (reader.started) timeouts.idleMs else firstLineMs) work.cancel()
+            }
+        }
+        try {
+            work.await()
+        } catch (e: CancellationException) {
+            ensureActive()
+            Err(StageFailure.Lost("the stream fell silent at byte ${reader.position}"))
+        } finally {
+            watch.cancel()
         }
-        outcome
     }
 
     /** Asks [endpoint] to stop the call [attempt] of the request. Failures do not matter. */
@@ -80,8 +135,15 @@
         endpoint: Endpoint,
         call: StageCall,
         read: suspend (HttpResponse) -> Result<StageResult, StageFailure>,
+    ): Result<StageResult, StageFailure> =
+        exchange(endpoint, { http.preparePost(url(endpoint, "/run")) { setCall(call) } }, read)
+
+    private suspend fun exchange(
+        endpoint: Endpoint,
+        prepare: suspend () -> HttpStatement,
+        read: suspend (HttpResponse) -> Result<StageResult, StageFailure>,
     ): Result<StageResult, StageFailure> = try {
-        http.preparePost(url(endpoint, "/run")) { setCall(call) }.execute { response ->
+        prepare().execute { response ->
             when (response.status) {
                 HttpStatusCode.OK -> read(response)
 
@@ -108,49 +170,7 @@
 
     private fun url(endpoint: Endpoint, path: String): String = "http://${dialled(endpoint.address)}$path"
 
-    /** Checks the lines of a stream against the call and against one another. */
-    private class StreamReader(
-        private val endpoint: Endpoint,
-        private val call: StageCall,
-        private val onText: suspend (String) -> Unit,
-    ) {
-        private val digest = MessageDigest.getInstance("SHA-256")
-        private val text = StringBuilder()
-        private var length = 0L
-
-        suspend fun take(line: StreamLine): Result<StageResult, StageFailure>? {
-            val end = line.end
-            return when {
-                !line.belongs() -> Err(StageFailure.Mismatched("${endpoint.id} streamed ${line.requestId}"))
-
-                end != null -> finish(end)
-
-                line.offset != length -> Err(StageFailure.Mismatched("${endpoint.id} left a gap at byte $length"))
-
-                else -> {
-                    append(line.text)
-                    null
-                }
-            }
-        }
-
-        fun cut() = StageFailure.Lost("${endpoint.id} ended the stream at byte $length without its end mark")
-
-        private fun StreamLine.belongs() =
-            requestId == call.requestId && stage == call.stage && attempt == call.attempt
-
-        private suspend fun append(piece: String) {
-            val bytes = piece.encodeToByteArray()
-            digest.update(bytes)
-            length += bytes.size
-            text.append(piece)
-            onText(piece)
-        }
-
-        private fun finish(end: StreamEnd): Result<StageResult, StageFailure> {
-            val whole = end.length == length && end.sha256 == digest.digest().toHexString()
-            if (!whole) return Err(StageFailure.Mismatched("${endpoint.id} streamed $length of ${end.length} bytes"))
-            return Ok(StageResult(call.requestId, call.stage, call.attempt, text.toString(), end.usage))
-        }
+    private companion object {
+        const val WATCH_PERIOD_MS = 100L
     }
 }
--- a/entry/src/main/kotlin/io/oriolehall/entry/stages/StageFailure.kt
+++ b/entry/src/main/kotlin/io/oriolehall/entry/stages/StageFailure.kt
@@ -21,5 +21,8 @@
     /** The answer was to another call, or was not whole. */
     class Mismatched(message: String) : StageFailure(message, ran = true)
 
+    /** The endpoint generated another text than was already handed on. */
+    class Diverged(message: String) : StageFailure(message, ran = true)
+
     override fun toString(): String = "${this::class.simpleName}: $message"
 }
--- a/entry/src/main/kotlin/io/oriolehall/entry/stages/StageRunner.kt
+++ b/entry/src/main/kotlin/io/oriolehall/entry/stages/StageRunner.kt
@@ -38,7 +38,7 @@
     private val timers: TimerService,
     private val log: EventLog,
 ) {
-    /** Output of [stage] on [input]; a generating stage also hands each piece of text to [onText]. */
+    /** Output of [stage] on [input]; a generating stage also hands each piece of text to [onText], once. */
     suspend fun run(
         stage: Stage,
         input: String,
@@ -46,16 +46,13 @@
         onText: suspend (String) -> Unit,
     ): Result<String, Refusal> {
         val tried = mutableSetOf<EndpointId>()
-        var streamed = false
+        val text = GeneratedText(onText)
         while (true) {
             val endpoint = choose(stage, input, context, tried) ?: return Err(noEndpoint(stage, context, tried))
-            val outcome = attempt(endpoint, stage, input, context) {
-                streamed = true
-                onText(it)
-            }
+            val outcome = attempt(endpoint, stage, input, context, text)
             if (outcome.isOk) return Ok(outcome.value.output)
             tried += endpoint.id
-            val mayRepeat = !outcome.error.ran || (stage.idempotent && !streamed)
+            val mayRepeat = !outcome.error.ran || (stage.idempotent && outcome.error !is StageFailure.Diverged)
             if (!mayRepeat || tried.size >= MAX_ATTEMPTS) return Err(stageFailed(stage, context, outcome.error))
         }
     }
@@ -74,7 +71,7 @@
         stage: Stage,
         input: String,
         context: StageContext,
-        onText: suspend (String) -> Unit,
+        text: GeneratedText,
     ): Result<StageResult, StageFailure> {
         val start = timers.nowMs()
         val call = context.toCall(stage, input, remainingMs = context.request.deadlineMs - start)
@@ -83,7 +80,7 @@
             if (stage.kind ==
                 StageKind.GENERATE
             ) {
-                client.generate(endpoint, call, onText)
+                client.generate(endpoint, call, text)
             } else {
                 client.run(endpoint, call)
             }
--- a/model/src/main/kotlin/io/oriolehall/model/Refusal.kt
+++ b/model/src/main/kotlin/io/oriolehall/model/Refusal.kt
@@ -45,6 +45,7 @@
     NO_ENDPOINT("no-endpoint", 503, "Send again after the stated time; operators see which pool is empty."),
     STAGE_FAILED("stage-failed", 502, "Send again if the outcome is not-run; otherwise find out whether it ran."),
     QUARANTINED("quarantined", 422, "Change the input: endpoints crashed while they ran it."),
+    ABANDONED("abandoned", 499, "Send again; keep reading the answer or come back for it at once."),
     STOPPING("stopping", 503, "Send again; another instance will serve it."),
     NOT_READY("not-ready", 503, "Send again; the instance has no configuration yet."),
 }
