--- a/policy/src/main/kotlin/io/oriolehall/policy/config/ConfigSnapshot.kt
+++ b/policy/src/main/kotlin/io/oriolehall/policy/config/ConfigSnapshot.kt
@@ -17,9 +17,6 @@
 import kotlinx.collections.immutable.PersistentMap
 import kotlinx.collections.immutable.persistentMapOf
 
-/** A configuration object and the number of the ticket that put it in force. */
-data class VersionedObject(val ticket: Long, val state: ConfigObject)
-
 /**
  * The configuration in force at one moment. The control thread makes a new one for each accepted ticket; traffic reads
  * it without locks.
--- /dev/null
+++ b/policy/src/main/kotlin/io/oriolehall/policy/config/TicketParser.kt
@@ -0,0 +1,54 @@
+package io.oriolehall.policy.config
+
+import com.github.michaelbull.result.Err
+import com.github.michaelbull.result.Ok
+import com.github.michaelbull.result.Result
+import io.oriolehall.model.StrictJson
+import io.oriolehall.model.Ticket
+import kotlinx.serialization.SerializationException
+
+/**
+ * Reads and checks a ticket. The verdict is a pure function of the text: it looks at no other ticket, so that it is the
+ * same on every instance, in whatever order tickets arrive, and in the offline check.
+ */
+object TicketParser {
+    /** Longest ticket, bytes of UTF-8. */
+    const val MAX_TICKET_BYTES = 256 * 1024
+
+    /** Highest ticket number; a slip of the pen above it cannot block an object for good. */
+    const val MAX_TICKET_NUMBER = 1_000_000_000_000L
+
+    /** The ticket in [text], or why it is rejected. */
+    fun parse(text: String): Result<Ticket, TicketError> {
+        val bytes = text.encodeToByteArray().size
+        if (bytes > MAX_TICKET_BYTES) return Err(TicketError.TooLarge(bytes, MAX_TICKET_BYTES))
+        val ticket = try {
+            StrictJson.decodeFromString(Ticket.serializer(), text)
+        } catch (e: SerializationException) {
+            return Err(TicketError.Malformed(e.firstLine()))
+        } catch (e: IllegalArgumentException) {
+            return Err(TicketError.Malformed(e.firstLine()))
+        }
+        return check(ticket)?.let { Err(it) } ?: Ok(ticket)
+    }
+
+    private fun check(ticket: Ticket): TicketError? =
+        checkFields(ticket) ?: checkDuplicates(ticket) ?: ticket.objects.firstNotNullOfOrNull(ObjectChecks::check)
+
+    private fun checkFields(ticket: Ticket): TicketError? = when {
+        ticket.number !in 1..MAX_TICKET_NUMBER -> TicketError.BadField("number", "use one in 1..$MAX_TICKET_NUMBER")
+        ticket.author.isBlank() -> TicketError.BadField("author", "name the operator who issues the ticket")
+        ticket.cause.isBlank() -> TicketError.BadField("cause", "say why the change is made")
+        ticket.objects.isEmpty() -> TicketError.BadField("objects", "name at least one object")
+        else -> null
+    }
+
+    private fun checkDuplicates(ticket: Ticket): TicketError? = ticket.objects
+        .groupingBy { it.key }
+        .eachCount()
+        .entries
+        .firstOrNull { it.value > 1 }
+        ?.let { TicketError.DuplicateObject(it.key.toString()) }
+
+    private fun Exception.firstLine() = message.orEmpty().lineSequence().first()
+}
--- /dev/null
+++ b/policy/src/test/kotlin/io/oriolehall/policy/membership/FakeFleet.kt
@@ -0,0 +1,77 @@
+package io.oriolehall.policy.membership
+
+import io.oriolehall.model.Incarnation
+import io.oriolehall.model.Instance
+import io.oriolehall.model.InstanceId
+import io.oriolehall.model.NetworkAddress
+import io.oriolehall.model.ZoneId
+import kotlin.random.Random
+
+/** Instances in one test, with probes as direct calls, one round a second. */
+internal class FakeFleet(zones: Int, perZone: Int, private val loss: Double = 0.0, seed: Int = 1) {
+    private val random = Random(seed)
+    private var nonce = 0
+
+    inner class Process(zone: String, val id: InstanceId, startedAtMs: Long) {
+        private val instance = Instance(id, ZoneId(zone), NetworkAddress("127.0.0.1", 1))
+        val incarnation = Incarnation(startedAtMs, ++nonce)
+        val membership = Membership(instance, incarnation, random = random, nowMs = nowMs)
+        val zone = zone
+        var up = true
+
+        fun stateOf(other: Process) = membership.view().member(other.id)?.state
+    }
+
+    var nowMs = 1_000_000L
+        private set
+    var cut = false
+    var deathsSeen = 0
+        private set
+    val processes = mutableListOf<Process>()
+
+    init {
+        for (zone in 1..zones) {
+            for (index in 1..perZone) add(Process("z$zone", InstanceId("z$zone-$index"), nowMs))
+        }
+    }
+
+    private fun add(process: Process) {
+        processes.firstOrNull { it.up }?.let { join(process, it) }
+        process.membership.join()
+        processes += process
+    }
+
+    private fun join(process: Process, contact: Process) {
+        process.membership.merge(contact.membership.table(), nowMs)
+        contact.membership.merge(process.membership.outgoing(contact.id), nowMs)
+    }
+
+    fun replace(old: Process, startedAtMs: Long = nowMs): Process = Process(old.zone, old.id, startedAtMs).also(::add)
+
+    fun run(seconds: Int) = repeat(seconds) {
+        nowMs += 1_000
+        processes.filter { it.up }.forEach(::round)
+    }
+
+    private fun round(process: Process) {
+        for (target in process.membership.beginRound(nowMs)) {
+            val peer = processes.lastOrNull { it.id == target.id } ?: continue
+            if (probe(process, peer)) continue
+            val helped = process.membership.helpers(target, random).any { helper ->
+                val third = processes.last { it.id == helper.id }
+                probe(process, third) && probe(third, peer)
+            }
+            if (!helped) process.membership.silent(peer.id, nowMs)
+        }
+        deathsSeen += process.membership.view().members.values.count { it.state == MemberState.DEAD }
+    }
+
+    private fun probe(from: Process, to: Process): Boolean {
+        val severed = cut && from.zone != to.zone
+        if (!from.up || !to.up || severed || random.nextDouble() < loss) return false
+        to.membership.merge(from.membership.outgoing(to.id), nowMs)
+        from.membership.merge(to.membership.outgoing(from.id, claimed = from.membership.own), nowMs)
+        from.membership.answered(to.id, skewMs = 0)
+        return true
+    }
+}
