--- a/policy/src/main/kotlin/io/oriolehall/policy/config/TicketState.kt
+++ b/policy/src/main/kotlin/io/oriolehall/policy/config/TicketState.kt
@@ -57,5 +57,5 @@
     /** What happened and what the operators should do. */
     val message: String
         get() = "number $number is taken by two different tickets, of $author and $otherAuthor; of an object in " +
-            "both, the one published first is in force; issue a ticket with a higher number that states all objects of both"
+            "both, the one published first is in force; issue a ticket of a higher number that states all of both"
 }
