--- /dev/null
+++ b/model/src/main/kotlin/io/oriolehall/model/settings/EntryKeys.kt
@@ -0,0 +1,28 @@
+package io.oriolehall.model.settings
+
+private const val MIN_SECRET = 16
+
+/** Keys of an entry instance's settings file. A new setting is declared here and read in [EntrySettingsFile]. */
+object EntryKeys : SettingsTable() {
+    val id = required("instance", "id", nameSetting("entry-1"))
+    val zone = required("instance", "zone", nameSetting("zone-a"))
+
+    val callers = required("listen", "callers", listenSetting("10.0.0.5:8080"))
+    val operators = required("listen", "operators", listenSetting("10.0.0.5:8081"))
+    val peers = required("listen", "peers", listenSetting("10.0.0.5:8082"))
+
+    val configuration = required("platform", "configuration", addressSetting("10.0.0.2:9000"))
+    val instances = required("platform", "instances", addressSetting("10.0.0.2:9000"))
+
+    val secret = required("tokens", "secret", textSetting("a text that no caller can guess", MIN_SECRET))
+
+    val endpointChoice = optional(
+        "policy",
+        "endpoint-choice",
+        choiceSetting("least-outstanding", "round-robin"),
+        default = PolicySettings().endpointChoice,
+    )
+
+    /** Published addresses and the addresses to dial in their place. */
+    val translate = map("translate", addressSetting("10.0.1.7:9001 = 10.0.9.1:20001"))
+}
--- /dev/null
+++ b/model/src/main/kotlin/io/oriolehall/model/settings/SettingType.kt
@@ -0,0 +1,67 @@
+package io.oriolehall.model.settings
+
+import io.oriolehall.model.NetworkAddress
+
+/*
+ * Types of settings. A quantity is written with its unit, so that a bare number is an error and never a guess.
+ */
+
+/**
+ * How the text of a setting becomes a value.
+ *
+ * @property expected what it takes, for error messages: "a duration with its unit".
+ * @property example a correct value.
+ * @property parse the value, or null when the text is not one.
+ */
+class SettingType<T>(val expected: String, val example: String, val parse: (String) -> T?)
+
+private val NamePattern = Regex("[A-Za-z0-9][A-Za-z0-9._-]{0,62}")
+private val QuantityPattern = Regex("([0-9]{1,12})\\s*([A-Za-z]+)")
+private const val MAX_PORT = 65_535
+
+private val MillisecondsByUnit = mapOf("ms" to 1L, "s" to 1_000L, "min" to 60_000L, "h" to 3_600_000L)
+private val BytesByUnit = mapOf("B" to 1L, "KiB" to 1_024L, "MiB" to 1_048_576L)
+
+/** A name of letters, digits, `.`, `_` and `-`. */
+fun nameSetting(example: String) =
+    SettingType("a name of 1 to 63 letters, digits, '.', '_' or '-'", example) { it.takeIf(NamePattern::matches) }
+
+/** Text of at least [minimum] characters. */
+fun textSetting(example: String, minimum: Int = 1) =
+    SettingType("text of at least $minimum characters", example) { text -> text.takeIf { it.length >= minimum } }
+
+/** One of [choices]. */
+fun choiceSetting(vararg choices: String) =
+    SettingType("one of ${choices.joinToString()}", choices.first()) { text -> text.takeIf { it in choices } }
+
+/** A whole number in [range]. */
+fun numberSetting(example: String, range: IntRange) =
+    SettingType("a whole number from ${range.first} to ${range.last}", example) { text ->
+        text.toIntOrNull()?.takeIf { it in range }
+    }
+
+/** A duration with its unit, in milliseconds. */
+fun durationSetting(example: String) =
+    SettingType("a duration with its unit (${MillisecondsByUnit.keys.joinToString()})", example) {
+        quantity(it, MillisecondsByUnit)
+    }
+
+/** A size with its unit, in bytes. */
+fun sizeSetting(example: String) =
+    SettingType("a size with its unit (${BytesByUnit.keys.joinToString()})", example) { quantity(it, BytesByUnit) }
+
+/** An address to dial. */
+fun addressSetting(example: String) =
+    SettingType("an IP number and a port from 1 to $MAX_PORT", example) { NetworkAddress.parse(it) }
+
+/** An address to listen at; port 0 takes a free one. */
+fun listenSetting(example: String) =
+    SettingType("an IP number and a port from 0 to $MAX_PORT, where 0 takes a free one", example) { text ->
+        if (text.endsWith(":0")) NetworkAddress.parse("${text}1")?.copy(port = 0) else NetworkAddress.parse(text)
+    }
+
+private fun quantity(text: String, units: Map<String, Long>): Long? {
+    val match = QuantityPattern.matchEntire(text) ?: return null
+    val (amount, unit) = match.destructured
+    return units[unit]?.let { amount.toLong() * it }
+}
