--- /dev/null
+++ b/cli/src/main/kotlin/io/oriolehall/cli/Main.kt
@@ -0,0 +1,31 @@
+package io.oriolehall.cli
+
+import com.github.ajalt.clikt.core.CliktCommand
+import com.github.ajalt.clikt.core.Context
+import com.github.ajalt.clikt.core.main
+import com.github.ajalt.clikt.core.subcommands
+
+/*
+ * The `oriolehall` command. Exit codes: 0 success; 1 wrong usage or input; 2 the request was refused or the answer is
+ * not whole; 3 the instance cannot be reached.
+ */
+
+/** Runs the sub-command that the first argument names. */
+fun main(args: Array<String>) = oriolehall().main(args)
+
+internal fun oriolehall(): CliktCommand = OriolehallCommand().subcommands(
+    RunCommand(),
+    CheckCommand().subcommands(CheckSettingsCommand(), CheckTicketCommand()),
+)
+
+private class OriolehallCommand : CliktCommand(name = "oriolehall") {
+    override fun help(context: Context) = "Serves multi-stage model pipelines."
+
+    override fun run() = Unit
+}
+
+private class CheckCommand : CliktCommand(name = "check") {
+    override fun help(context: Context) = "Checks a file without starting anything."
+
+    override fun run() = Unit
+}
--- /dev/null
+++ b/harness/src/main/kotlin/io/oriolehall/harness/process/FreePorts.kt
@@ -0,0 +1,38 @@
+package io.oriolehall.harness.process
+
+import io.oriolehall.model.NetworkAddress
+import java.io.IOException
+import java.net.InetAddress
+import java.net.ServerSocket
+import kotlin.random.Random
+
+/**
+ * Picks ports for processes whose addresses must be known before they start. The ports lie below the range from which
+ * the system takes ports for outgoing connections.
+ */
+class FreePorts(random: Random = Random.Default) {
+    private var next = random.nextInt(FIRST, LAST)
+
+    /** A local address that nothing listens at. */
+    @Synchronized
+    fun take(): NetworkAddress {
+        repeat(LAST - FIRST) {
+            next = if (next >= LAST) FIRST else next + 1
+            if (isFree(next)) return NetworkAddress(HOST, next)
+        }
+        error("no free port between $FIRST and $LAST")
+    }
+
+    private fun isFree(port: Int): Boolean = try {
+        ServerSocket(port, 1, InetAddress.getByName(HOST)).close()
+        true
+    } catch (e: IOException) {
+        false
+    }
+
+    private companion object {
+        const val HOST = "127.0.0.1"
+        const val FIRST = 12_000
+        const val LAST = 32_000
+    }
+}
