--- a/entry/src/main/kotlin/io/oriolehall/entry/stages/StageRunner.kt
+++ b/entry/src/main/kotlin/io/oriolehall/entry/stages/StageRunner.kt
@@ -37,7 +37,7 @@
     private val timers: TimerService,
     private val log: EventLog,
 ) {
-    /** Output of [stage] on [input]; a generating stage also hands each piece of text to [onText]. */
+    /** Output of [stage] on [input]; a generating stage also hands each piece of text to [onText], once. */
     suspend fun run(
         stage: Stage,
         input: String,
@@ -45,8 +45,8 @@
         onText: suspend (String) -> Unit,
     ): Result<String, Refusal> {
         val tried = mutableSetOf<EndpointId>()
+        val text = GeneratedText(onText)
         var runs = 0
-        var streamed = false
         budget.onFirstCall()
         while (true) {
             val standing = quarantine.standing(context.fingerprint)
@@ -61,21 +61,20 @@
                 continue
             }
             val outcome = inSlot(slot.value, stage) { onFirst ->
-                attempt(endpoint, stage, input, context) {
-                    onFirst()
-                    streamed = true
-                    onText(it)
-                }
+                attempt(endpoint, stage, input, context, text, onFirst)
             }
             if (suspect) quarantine.endTrial(context.fingerprint, endpoint)
             if (outcome.isOk) return Ok(outcome.value.output)
             tried += endpoint.id
             if (outcome.error.ran) runs++
-            val mayRepeat = !outcome.error.ran || (stage.idempotent && !streamed && runs < MAX_RUNS)
+            val mayRepeat = !outcome.error.ran || stage.mayRunAgain(outcome.error, runs)
             if (!mayRepeat || !budget.tryTake()) return Err(stageFailed(stage, context, outcome.error))
         }
     }
 
+    private fun Stage.mayRunAgain(failure: StageFailure, runs: Int) =
+        idempotent && failure !is StageFailure.Diverged && runs < MAX_RUNS
+
     private fun StageContext.remainingMs() = request.deadlineMs - timers.nowMs()
 
     private fun quarantined(context: StageContext) = Refusal(
@@ -114,14 +113,15 @@
         stage: Stage,
         input: String,
         context: StageContext,
-        onText: suspend (String) -> Unit,
+        text: GeneratedText,
+        onFirst: () -> Unit,
     ): Result<StageResult, StageFailure> {
         val start = timers.nowMs()
         val call = context.toCall(stage, input, remainingMs = context.request.deadlineMs - start)
         val calledAtMs = timers.wallClockMs()
         context.markSent()
         val outcome = if (stage.kind == StageKind.GENERATE) {
-            client.generate(endpoint, call, onText)
+            client.generate(endpoint, call, text, onFirst)
         } else {
             client.run(endpoint, call)
         }
--- a/harness/src/main/kotlin/io/oriolehall/harness/experiment/PlotSvg.kt
+++ b/harness/src/main/kotlin/io/oriolehall/harness/experiment/PlotSvg.kt
@@ -15,7 +15,8 @@
         val lines = curves.entries.mapIndexed { index, (name, curve) ->
             val colour = Colours[index % Colours.size]
             val y = MARGIN + LABEL_HEIGHT * index
-            polyline(curve, highest, colour) + "\n<text x=\"${WIDTH - MARGIN * 2}\" y=\"$y\" fill=\"$colour\">$name</text>"
+            polyline(curve, highest, colour) +
+                "\n<text x=\"${WIDTH - MARGIN * 2}\" y=\"$y\" fill=\"$colour\">$name</text>"
         }
         return """
             <svg xmlns="http://www.w3.org/2000/svg" width="$WIDTH" height="$HEIGHT" font-family="sans-serif" font-size="12">
--- a/harness/src/main/kotlin/io/oriolehall/harness/experiment/ScenarioCatalogue.kt
+++ b/harness/src/main/kotlin/io/oriolehall/harness/experiment/ScenarioCatalogue.kt
@@ -83,14 +83,17 @@
     ).associateBy(Scenario::name)
 
     private const val STEADY_RATE = 45.0
+    private const val SMALL_SHARE = 0.25
+    private const val SLOW_FACTOR = 5.0
+    private const val BETWEEN_DEATHS_MS = 2_000L
 
     private fun largeBurst() =
         ArrivalProfile.Burst(perSecond = STEADY_RATE / 2, factor = 5.0, fromMs = FAULT_MS, lengthMs = 10_000)
 
     private fun organisations(perSecond: Double): List<OrganisationLoad> = listOf(
         load("large", perSecond / 2),
-        load("small-1", perSecond / 4),
-        load("small-2", perSecond / 4),
+        load("small-1", perSecond * SMALL_SHARE),
+        load("small-2", perSecond * SMALL_SHARE),
     )
 
     private fun load(organisation: String, perSecond: Double) =
@@ -99,10 +102,10 @@
     private fun slowThenDead(): List<ScriptedFault> {
         val engines = ENGINE_ZONES.flatMap { zone -> (1..ENGINES_PER_ZONE).map { "gen-$zone-$it" } }
         val slow = ScriptedFault(FAULT_MS, "engines at a fifth") { fleet ->
-            engines.forEach { fleet.endpoint(it).behave(Behaviour(slowFactor = 5.0)) }
+            engines.forEach { fleet.endpoint(it).behave(Behaviour(slowFactor = SLOW_FACTOR)) }
         }
         val deaths = engines.dropLast(1).mapIndexed { index, id ->
-            ScriptedFault(2 * FAULT_MS + index * 2_000L, "$id ends") { it.endpoint(id).process.kill() }
+            ScriptedFault(2 * FAULT_MS + index * BETWEEN_DEATHS_MS, "$id ends") { it.endpoint(id).process.kill() }
         }
         return listOf(slow) + deaths
     }
