--- a/harness/src/main/kotlin/io/oriolehall/harness/experiment/ScenarioCatalogue.kt
+++ b/harness/src/main/kotlin/io/oriolehall/harness/experiment/ScenarioCatalogue.kt
@@ -12,6 +12,7 @@
     private const val WARM_UP_MS = 6_000L
     private val ENGINE_ZONES = listOf("z1", "z2")
     private const val ENGINES_PER_ZONE = 2
+    private const val ENTRIES_PER_ZONE = 4
 
     /** The text that ends an engine which runs it. */
     const val CRASHING_TEXT = "obi of doom"
@@ -73,7 +74,7 @@
             fleet = { standard(listOf("--crash-on=$CRASHING_TEXT")) },
             loads = organisations(perSecond = STEADY_RATE / 2) + OrganisationLoad(
                 organisation = "small-2",
-                profile = ArrivalProfile.Steady(2.0),
+                profile = ArrivalProfile.Steady(perSecond = CRASHING_RATE),
                 pipeline = "summary",
                 deadlineMs = DEADLINE_MS,
                 input = { _, _ -> CRASHING_TEXT },
@@ -84,6 +85,7 @@
 
     private const val STEADY_RATE = 45.0
     private const val SMALL_SHARE = 0.25
+    private const val CRASHING_RATE = 2.0
     private const val SLOW_FACTOR = 5.0
     private const val BETWEEN_DEATHS_MS = 2_000L
 
@@ -114,7 +116,7 @@
     private fun FleetBuilder.standard(engineArguments: List<String> = emptyList()) {
         for (zone in ENGINE_ZONES) {
             zone(zone) {
-                entries(4)
+                entries(ENTRIES_PER_ZONE)
                 endpoint("enc-$zone", "encoders", StageKind.ENCODE, warmLimit = 64, coldLimit = 64)
                 endpoint("ret-$zone", "retrievers", StageKind.RETRIEVE, warmLimit = 64, coldLimit = 64)
                 endpoint("rank-$zone", "rerankers", StageKind.RERANK, warmLimit = 64, coldLimit = 64)
