--- a/standins/src/main/kotlin/io/oriolehall/standins/endpoint/Behaviour.kt
+++ b/standins/src/main/kotlin/io/oriolehall/standins/endpoint/Behaviour.kt
@@ -13,6 +13,8 @@
  * @property loseReply number of coming calls that run and whose reply never arrives; a stream stalls half way on this
  *   connection only.
  * @property duplicateReply number of coming calls whose reply arrives twice; a stream sends each line twice.
+ * @property staleLines number of coming streams that mix lines of an earlier attempt into their own.
+ * @property otherText number of coming streams whose text differs from what other engines generate.
  * @property coldNow true makes the endpoint cold at once.
  * @property slowFactor how many times slower the endpoint is.
  * @property crashOnInputContaining text whose presence in a call's input ends the process.
@@ -26,6 +28,8 @@
     val failAfter: Int = 0,
     val loseReply: Int = 0,
     val duplicateReply: Int = 0,
+    val staleLines: Int = 0,
+    val otherText: Int = 0,
     val coldNow: Boolean = false,
     val slowFactor: Double = 1.0,
     val crashOnInputContaining: String? = null,
@@ -39,6 +43,8 @@
     private val failAfter = AtomicInteger(behaviour.failAfter)
     private val loseReply = AtomicInteger(behaviour.loseReply)
     private val duplicateReply = AtomicInteger(behaviour.duplicateReply)
+    private val staleLines = AtomicInteger(behaviour.staleLines)
+    private val otherText = AtomicInteger(behaviour.otherText)
 
     fun takeFailBefore() = take(failBefore)
 
@@ -48,5 +54,9 @@
 
     fun takeDuplicateReply() = take(duplicateReply)
 
+    fun takeStaleLines() = take(staleLines)
+
+    fun takeOtherText() = take(otherText)
+
     private fun take(left: AtomicInteger) = left.getAndUpdate { (it - 1).coerceAtLeast(0) } > 0
 }
--- a/standins/src/main/kotlin/io/oriolehall/standins/endpoint/EndpointServer.kt
+++ b/standins/src/main/kotlin/io/oriolehall/standins/endpoint/EndpointServer.kt
@@ -11,6 +11,7 @@
 import io.oriolehall.standins.compute.StageComputer
 import io.oriolehall.standins.compute.StageInputException
 import io.oriolehall.standins.engine.ModelEngine
+import io.oriolehall.standins.engine.StreamFaults
 import io.oriolehall.standins.weights.WeightClient
 import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.CoroutineScope
@@ -115,17 +116,17 @@
 
     private fun startStream(call: StageCall): CallOutcome {
         val stream = GeneratedStream(call)
-        val breakOff = inForce.takeFailAfter()
-        val job = scope.launch { generate(call, stream, breakOff) }
+        val faults = StreamFaults(inForce.takeFailAfter(), inForce.takeStaleLines(), inForce.takeOtherText())
+        val job = scope.launch { generate(call, stream, faults) }
         streams.add(stream, job)
         return CallOutcome.Streaming(stream, copies())
     }
 
-    private suspend fun generate(call: StageCall, stream: GeneratedStream, breakOff: Boolean) {
+    private suspend fun generate(call: StageCall, stream: GeneratedStream, faults: StreamFaults) {
         val started = monotonicMs()
         try {
             begin(call)
-            engine.generate(call, stream, inForce.behaviour, breakOff)
+            engine.generate(call, stream, inForce.behaviour, faults)
         } catch (e: StageInputException) {
             stream.breakOff()
         } catch (e: CancellationException) {
--- a/standins/src/main/kotlin/io/oriolehall/standins/endpoint/GeneratedStream.kt
+++ b/standins/src/main/kotlin/io/oriolehall/standins/endpoint/GeneratedStream.kt
@@ -29,6 +29,9 @@
         length += bytes.size
     }
 
+    /** Adds a line as a late one of an earlier attempt would be. */
+    fun appendStale() = add(line("stale").copy(attempt = call.attempt - 1), ended = false)
+
     fun end(usage: Usage) {
         val sha256 = digest.digest().joinToString("") { "%02x".format(it) }
         add(line("").copy(end = StreamEnd(length, sha256, usage)), ended = true)
--- a/standins/src/main/kotlin/io/oriolehall/standins/engine/ModelEngine.kt
+++ b/standins/src/main/kotlin/io/oriolehall/standins/engine/ModelEngine.kt
@@ -11,6 +11,13 @@
 import kotlinx.coroutines.delay
 import kotlin.random.Random
 
+/**
+ * What goes wrong with one stream.
+ *
+ * @property breakOff it breaks off half way.
+ */
+internal data class StreamFaults(val breakOff: Boolean, val staleLines: Boolean, val otherText: Boolean)
+
 /**
  * Generates streams as a model engine with continuous batching does: a stream joins the batch when a place is free, the
  * part of its prompt that the prefix cache holds is not computed again, and each token takes longer while the engine
@@ -33,24 +40,31 @@
     /** What changed in the prefix cache after event [after], as far as it is published. */
     fun events(after: Long): CacheEventPage = events.after(after)
 
-    /** Generates the answer to [call] into [stream]; with [breakOff] only the first half, without an end. */
-    suspend fun generate(call: StageCall, stream: GeneratedStream, behaviour: Behaviour, breakOff: Boolean) =
+    /** Generates the answer to [call] into [stream]. */
+    suspend fun generate(call: StageCall, stream: GeneratedStream, behaviour: Behaviour, faults: StreamFaults) =
         slots.use(call.priority) {
             val startedMs = nowMs()
             val prompt = call.input.split(' ')
             val cached = cache.use(prompt)
-            val tokens = computer.generate(call.input, call.maxTokens)
+            val source = if (faults.otherText) "other ${call.input}" else call.input
+            val tokens = computer.generate(source, call.maxTokens)
             delay(promptMs(prompt.size, cached, behaviour))
-            decode(if (breakOff) tokens.take(tokens.size / 2) else tokens, stream, behaviour)
+            decode(if (faults.breakOff) tokens.take(tokens.size / 2) else tokens, stream, behaviour, faults)
             delay(behaviour.pauseAfterRunMs)
             val usage = Usage((nowMs() - startedMs).toDouble(), prompt.size, cached, tokens.size)
-            if (!breakOff) stream.end(usage)
+            if (!faults.breakOff) stream.end(usage)
         }
 
-    private suspend fun decode(tokens: List<String>, stream: GeneratedStream, behaviour: Behaviour) {
+    private suspend fun decode(
+        tokens: List<String>,
+        stream: GeneratedStream,
+        behaviour: Behaviour,
+        faults: StreamFaults,
+    ) {
         var dueMs = nowMs().toDouble()
         for (token in tokens) {
             delay((dueMs - nowMs()).toLong())
+            if (faults.staleLines) stream.appendStale()
             stream.append(token)
             dueMs += MS_PER_SECOND / options.tokensPerSecond * capacity.slowdown * behaviour.slowFactor
         }
--- a/standins/src/main/kotlin/io/oriolehall/standins/faultproxy/Fault.kt
+++ b/standins/src/main/kotlin/io/oriolehall/standins/faultproxy/Fault.kt
@@ -32,6 +32,10 @@
     /** Open connections are closed, new ones are closed as soon as they are accepted. */
     @SerialName("reset")
     RESET,
+
+    /** Connections that are open when the fault begins are closed; new ones pass. */
+    @SerialName("resetOpen")
+    RESET_OPEN,
 }
 
 /**
--- a/standins/src/main/kotlin/io/oriolehall/standins/faultproxy/LinkRelay.kt
+++ b/standins/src/main/kotlin/io/oriolehall/standins/faultproxy/LinkRelay.kt
@@ -38,8 +38,13 @@
 
     /** Puts [next] in force, on open connections too. */
     suspend fun apply(next: Fault) {
+        if (fault.value == next) return
         fault.value = next
-        if (next.mode == FaultMode.RESET) connections.forEach(RelayedConnection::close)
+        if (next.mode == FaultMode.RESET ||
+            next.mode == FaultMode.RESET_OPEN
+        ) {
+            connections.forEach(RelayedConnection::close)
+        }
         if (next.mode == FaultMode.REFUSE) {
             stopListening()
         } else if (server == null) {
