Configuration spread between instances, membership and graceful stop

Cause: an instance that could not read the platform kept an old configuration, a fresh one served whatever a stale platform showed, and SIGTERM cut off running requests. Conclusion: probes carry the configuration's digest; a difference is exchanged by digest buckets. An instance is ready after the platform and the others were asked. Stop: not ready, leave, serve on, finish, report. Ruled out: passing whole tickets on (size follows from history), exchange without grace (every ticket would travel twice while the platform answers).

--- a/entry/src/main/kotlin/io/oriolehall/entry/EntryInstance.kt
+++ b/entry/src/main/kotlin/io/oriolehall/entry/EntryInstance.kt
@@ -7,20 +7,29 @@
 import io.micrometer.prometheusmetrics.PrometheusConfig
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry
 import io.oriolehall.entry.answers.AnswerStore
+import io.oriolehall.entry.config.ConfigExchange
 import io.oriolehall.entry.config.ConfigReader
+import io.oriolehall.entry.config.ConfigStore
 import io.oriolehall.entry.config.InstanceDirectory
+import io.oriolehall.entry.config.ServiceReturns
 import io.oriolehall.entry.explain.RequestHistory
 import io.oriolehall.entry.http.CallerRoutes
 import io.oriolehall.entry.http.HttpListener
 import io.oriolehall.entry.http.OperatorRoutes
 import io.oriolehall.entry.http.RequestReader
+import io.oriolehall.entry.membership.MembershipService
 import io.oriolehall.entry.requests.AnswerRelay
 import io.oriolehall.entry.requests.KeylessGate
 import io.oriolehall.entry.requests.PipelineExecutor
 import io.oriolehall.entry.stages.EndpointClient
 import io.oriolehall.entry.stages.OutstandingCalls
 import io.oriolehall.entry.stages.StageRunner
+import io.oriolehall.entry.stopping.GracefulStop
+import io.oriolehall.entry.stopping.UnfinishedWork
 import io.oriolehall.model.Incarnation
+import io.oriolehall.model.Instance
+import io.oriolehall.model.InstanceId
+import io.oriolehall.model.NetworkAddress
 import io.oriolehall.model.settings.EntrySettings
 import io.oriolehall.peer.PeerClient
 import io.oriolehall.peer.PeerServer
@@ -67,13 +76,20 @@
         }
     }
     private val selector = SelectorManager(Dispatchers.IO)
-    private val peerClient = PeerClient(selector, trafficScope)
-    private val peerServer = PeerServer(selector, trafficScope, log)
+    private val peerMetrics = PeerMetrics(metrics)
+    private val peerClient = PeerClient(selector, trafficScope, peerMetrics)
+    private val peerServer = PeerServer(selector, trafficScope, log, peerMetrics)
 
+    private val returns = ServiceReturns(timers)
+    private val configStore = ConfigStore(returns, audit, log)
     private val configReader =
-        ConfigReader(http, settings.dialled(settings.platform.configuration), controlScope, audit, log)
+        ConfigReader(http, settings.dialled(settings.platform.configuration), controlScope, configStore, log)
     private val directory = InstanceDirectory(http, settings.dialled(settings.platform.instances), timers)
-    private val config: () -> ConfigSnapshot = { configReader.state.value.config }
+    private val config: () -> ConfigSnapshot = { configStore.config }
+    private val exchange = ConfigExchange(configStore, configReader, peerClient, controlScope, log, ::ready)
+
+    @Volatile
+    private var membership: MembershipService? = null
 
     private val answers = AnswerStore(timers)
     private val history = RequestHistory()
@@ -88,10 +104,15 @@
         log = log,
     )
     private val executor = PipelineExecutor(self.id, trafficScope, stages, answers, history, timers, log)
-    private val relay = AnswerRelay(self.id, peerClient) { id ->
-        directory.find(id)?.let { settings.dialled(it.peerAddress) }
+    private val relay = AnswerRelay(self.id, peerClient) { id -> addressOf(id)?.let(settings::dialled) }
+    private val callers: HttpListener =
+        HttpListener(settings.listen.callers, log, { graceful.leaving }) { callerRoutes().install(this) }
+    private val unfinished = object : UnfinishedWork {
+        override val requests get() = answers.unfinished
+        override val responses get() = callers.activeCalls
     }
-    private val callers = HttpListener(settings.listen.callers, log) { callerRoutes().install(this) }
+    private val graceful = GracefulStop(settings.stop, unfinished, timers, log)
+    private val readiness = Readiness(configStore, configReader, exchange, { membership }, graceful)
     private val operators = HttpListener(settings.listen.operators, log) { operatorRoutes().install(this) }
 
     /** Starts all parts and listens. */
@@ -100,16 +121,40 @@
         val peers = peerServer.start(settings.listen.peers)
         configReader.start()
         directory.start()
+        if (settings.peers.exchange) startMembership(peers)
         val addresses = EntryAddresses(callers.start(), operators.start(), peers)
         log.write(Event.INSTANCE_STARTED, "addresses" to addresses, "incarnation" to incarnation)
         return addresses
     }
 
-    /** Stops all parts. */
+    private fun startMembership(peers: NetworkAddress) {
+        exchange.serve(peerServer)
+        val service = MembershipService(
+            self = Instance(self.id, self.zone, peers),
+            incarnation = incarnation,
+            client = peerClient,
+            store = configStore,
+            reader = configReader,
+            exchange = exchange,
+            hints = directory,
+            contacts = settings.peers.contacts,
+            dialled = settings::dialled,
+            timers = timers,
+            scope = controlScope,
+            control = control.dispatcher,
+            audit = audit,
+            log = log,
+        )
+        membership = service
+        service.start(peerServer)
+    }
+
+    /** Leaves the fleet, finishes what has begun within the time set for it, and stops all parts. */
     suspend fun stop() {
-        log.write(Event.INSTANCE_STOPPING, "unfinished" to answers.unfinished)
+        graceful.run { membership?.announceLeaving() }
         callers.stop()
         operators.stop()
+        membership?.announceStopped()
         peerServer.close()
         trafficScope.cancel()
         controlScope.cancel()
@@ -125,12 +170,15 @@
         gate = KeylessGate(executor),
         answers = answers,
         relay = relay,
-        ready = ::ready,
+        refusal = readiness::refusal,
     )
 
     private fun operatorRoutes() = OperatorRoutes(::status, ::ready, metrics, audit, history)
 
-    private fun ready(): Boolean = config().highestTicket > 0
+    private fun ready(): Boolean = readiness.ready
+
+    private fun addressOf(id: InstanceId): NetworkAddress? =
+        membership?.view?.value?.member(id)?.address ?: directory.find(id)?.peerAddress
 
     private fun status() = InstanceStatus(
         id = self.id,
@@ -139,6 +187,12 @@
         ready = ready(),
         highestTicket = config().highestTicket,
         unfinishedRequests = answers.unfinished,
+        notReadyBecause = readiness.obstacle(),
+        platformReachable = configReader.reachable,
+        platformRevision = configReader.revision,
+        configDigest = configStore.state.value.digest.whole.toULong().toString(HEX),
+        rejectedTickets = configStore.rejected,
+        peers = membership?.peers().orEmpty(),
     )
 
     private fun endpointPolicy(): EndpointPolicy = when (settings.policy.endpointChoice) {
@@ -149,5 +203,6 @@
     private companion object {
         const val CONNECT_TIMEOUT_MS = 500L
         const val MAX_CONNECTIONS = 2_000
+        const val HEX = 16
     }
 }
--- a/entry/src/main/kotlin/io/oriolehall/entry/InstanceStatus.kt
+++ b/entry/src/main/kotlin/io/oriolehall/entry/InstanceStatus.kt
@@ -1,5 +1,7 @@
 package io.oriolehall.entry
 
+import io.oriolehall.entry.config.RejectedTicket
+import io.oriolehall.entry.membership.PeerStatus
 import io.oriolehall.model.Incarnation
 import io.oriolehall.model.InstanceId
 import io.oriolehall.model.ZoneId
@@ -10,6 +12,10 @@
  *
  * @property highestTicket highest ticket number in force here; 0 before the first.
  * @property unfinishedRequests requests that still run here.
+ * @property notReadyBecause why the instance is not ready; null when it is.
+ * @property platformRevision revision up to which the configuration service has been read, here or by a peer.
+ * @property configDigest digest of the configuration in force; equal on instances with the same configuration.
+ * @property peers the other instances as this one sees them.
  */
 @Serializable
 data class InstanceStatus(
@@ -19,4 +25,10 @@
     val ready: Boolean,
     val highestTicket: Long,
     val unfinishedRequests: Int,
+    val notReadyBecause: String? = null,
+    val platformReachable: Boolean = false,
+    val platformRevision: Long = 0,
+    val configDigest: String = "",
+    val rejectedTickets: List<RejectedTicket> = emptyList(),
+    val peers: List<PeerStatus> = emptyList(),
 )
--- a/entry/src/main/kotlin/io/oriolehall/entry/config/InstanceDirectory.kt
+++ b/entry/src/main/kotlin/io/oriolehall/entry/config/InstanceDirectory.kt
@@ -19,11 +19,14 @@
     private val timers: TimerService,
 ) {
     @Volatile
-    private var list = InstanceList(asOfMs = 0, instances = emptyList())
+    private var list = InstanceList(asOfMs = NEVER, instances = emptyList())
 
     /** The instances of the newest list. */
     val instances: List<Instance> get() = list.instances
 
+    /** True once a list has been read. */
+    val known: Boolean get() = list.asOfMs != NEVER
+
     fun find(id: InstanceId): Instance? = instances.find { it.id == id }
 
     fun start() {
@@ -45,6 +48,7 @@
     }
 
     private companion object {
+        const val NEVER = -1L
         const val READ_PERIOD_MS = 2_000L
     }
 }
--- a/entry/src/main/kotlin/io/oriolehall/entry/http/CallerRoutes.kt
+++ b/entry/src/main/kotlin/io/oriolehall/entry/http/CallerRoutes.kt
@@ -20,7 +20,7 @@
     private val gate: RequestGate,
     private val answers: AnswerStore,
     private val relay: AnswerRelay,
-    private val ready: () -> Boolean,
+    private val refusal: () -> Refusal?,
 ) {
     fun install(route: Route) {
         route.post("/v1/pipelines/{name}") { send(call, call.parameters["name"].orEmpty()) }
@@ -28,11 +28,7 @@
     }
 
     private suspend fun send(call: ApplicationCall, name: String) {
-        if (!ready()) {
-            return call.respondRefusal(
-                Refusal(RefusalKind.NOT_READY, "no configuration yet", retryAfterMs = 1_000),
-            )
-        }
+        refusal()?.let { return call.respondRefusal(it) }
         val organisation = reader.authenticate(call)
         if (organisation.isErr) return call.respondRefusal(organisation.error)
         val request = reader.read(call, organisation.value, name)
--- a/entry/src/main/kotlin/io/oriolehall/entry/http/HttpListener.kt
+++ b/entry/src/main/kotlin/io/oriolehall/entry/http/HttpListener.kt
@@ -1,11 +1,13 @@
 package io.oriolehall.entry.http
 
+import io.ktor.http.HttpHeaders
 import io.ktor.server.application.ApplicationCall
 import io.ktor.server.application.ApplicationCallPipeline
 import io.ktor.server.cio.CIO
 import io.ktor.server.cio.CIOApplicationEngine
 import io.ktor.server.engine.EmbeddedServer
 import io.ktor.server.engine.embeddedServer
+import io.ktor.server.response.header
 import io.ktor.server.routing.Route
 import io.ktor.server.routing.routing
 import io.oriolehall.model.NetworkAddress
@@ -16,13 +18,24 @@
 import io.oriolehall.runtime.EventLog
 import kotlinx.coroutines.CancellationException
 import java.io.IOException
+import java.util.concurrent.atomic.AtomicInteger
 
-/** An HTTP listener. A handler that fails is logged and answered with a problem; it never ends the listener. */
+/**
+ * An HTTP listener. A handler that fails is logged and answered with a problem; it never ends the listener.
+ *
+ * @param closing true when clients should not keep their connections for another request.
+ */
 internal class HttpListener(
     private val address: NetworkAddress,
     private val log: EventLog,
+    private val closing: () -> Boolean = { false },
     private val routes: Route.() -> Unit,
 ) {
+    private val active = AtomicInteger()
+
+    /** Calls that have not been answered to their end. */
+    val activeCalls: Int get() = active.get()
+
     private var server: EmbeddedServer<CIOApplicationEngine, *>? = null
 
     /** Starts to listen and returns the address in use. */
@@ -41,6 +54,8 @@
     }
 
     private suspend fun guarded(call: ApplicationCall, handle: suspend () -> Unit) {
+        active.incrementAndGet()
+        if (closing()) call.response.header(HttpHeaders.Connection, "close")
         try {
             handle()
         } catch (e: CancellationException) {
@@ -52,6 +67,8 @@
             if (!call.response.isCommitted) {
                 call.respondRefusal(Refusal(RefusalKind.BAD_REQUEST, "the request failed here", RunOutcome.UNKNOWN))
             }
+        } finally {
+            active.decrementAndGet()
         }
     }
 
--- a/model/src/main/kotlin/io/oriolehall/model/settings/EntrySettings.kt
+++ b/model/src/main/kotlin/io/oriolehall/model/settings/EntrySettings.kt
@@ -17,6 +17,8 @@
     val tokens: TokenSettings,
     val policy: PolicySettings = PolicySettings(),
     val translate: Map<NetworkAddress, NetworkAddress> = emptyMap(),
+    val peers: PeerSettings = PeerSettings(),
+    val stop: StopSettings = StopSettings(),
 ) {
     /** The address to dial from here for one that the platform or a ticket publishes. */
     fun dialled(published: NetworkAddress): NetworkAddress = translate[published] ?: published
@@ -46,3 +48,20 @@
 data class PolicySettings(
     val endpointChoice: String = "least-outstanding",
 )
+
+/**
+ * Other instances: section `[peers]`.
+ *
+ * @property contacts addresses at which other instances may be found when the platform's list cannot be read.
+ * @property exchange false to neither know other instances nor exchange configuration with them; for comparisons.
+ */
+data class PeerSettings(val contacts: List<NetworkAddress> = emptyList(), val exchange: Boolean = true)
+
+/**
+ * Stopping: section `[stop]`.
+ *
+ * @property keepServingMs time for which an instance that was told to stop serves what the balancer still sends,
+ *   milliseconds.
+ * @property waitMs longest wait after that for unfinished work, milliseconds.
+ */
+data class StopSettings(val keepServingMs: Long = 3_000, val waitMs: Long = 30_000)
--- a/peer/src/main/kotlin/io/oriolehall/peer/PeerServer.kt
+++ b/peer/src/main/kotlin/io/oriolehall/peer/PeerServer.kt
@@ -70,14 +70,15 @@
     }
 
     private suspend fun serveConnection(connection: Socket) {
+        val from = runCatching { connection.remoteAddress }.getOrNull()
         try {
             connection.use { Session(it).run() }
         } catch (e: CancellationException) {
             throw e
         } catch (e: MalformedFrameException) {
-            log.write(Event.PEER_FRAME_REJECTED, "from" to connection.remoteAddress, "error" to e.message)
+            log.write(Event.PEER_FRAME_REJECTED, "from" to from, "error" to e.message)
         } catch (e: Exception) {
-            log.write(Event.PEER_CONNECTION_LOST, "from" to connection.remoteAddress, "error" to e.toString())
+            log.write(Event.PEER_CONNECTION_LOST, "from" to from, "error" to e.toString())
         }
     }
 
--- a/runtime/src/main/kotlin/io/oriolehall/runtime/Event.kt
+++ b/runtime/src/main/kotlin/io/oriolehall/runtime/Event.kt
@@ -21,9 +21,15 @@
     PLATFORM_REACHED(202, EventLevel.INFO, "configuration service answers again"),
     TICKET_IN_FORCE(203, EventLevel.INFO, "ticket in force"),
     TICKET_REJECTED(204, EventLevel.WARN, "ticket rejected"),
+    TICKET_NUMBER_CONFLICT(205, EventLevel.ERROR, "two different tickets have one number"),
 
     PEER_FRAME_REJECTED(301, EventLevel.WARN, "frame from a peer rejected"),
     PEER_CONNECTION_LOST(302, EventLevel.DEBUG, "connection to a peer lost"),
+    MEMBERSHIP_JOINED(303, EventLevel.INFO, "instance joined the fleet"),
+    PROCESS_WAS_PAUSED(304, EventLevel.WARN, "process was paused; ownership waits for a fresh view"),
+    INSTANCE_SUPERSEDED(305, EventLevel.ERROR, "another process runs under this name; this one takes no new work"),
+    WORK_FINISHED(306, EventLevel.INFO, "all work finished before the stop"),
+    WORK_CUT_OFF(307, EventLevel.ERROR, "time for finishing work ran out; the rest is cut off"),
 
     CALLER_CONNECTION_LOST(404, EventLevel.DEBUG, "connection to a caller lost"),
     REQUEST_REFUSED(401, EventLevel.INFO, "request refused"),
