--- a/peer/src/main/kotlin/io/oriolehall/peer/PeerServer.kt
+++ b/peer/src/main/kotlin/io/oriolehall/peer/PeerServer.kt
@@ -70,7 +70,12 @@
     }
 
     private suspend fun serveConnection(connection: Socket) {
-        val from = runCatching { connection.remoteAddress }.getOrNull()
+        val from = try {
+            connection.remoteAddress
+        } catch (e: IOException) {
+            connection.close()
+            return
+        }
         try {
             connection.use { Session(it).run() }
         } catch (e: CancellationException) {
