--- a/entry/src/main/kotlin/io/oriolehall/entry/EntryInstance.kt
+++ b/entry/src/main/kotlin/io/oriolehall/entry/EntryInstance.kt
@@ -17,12 +17,19 @@
 import io.oriolehall.entry.http.HttpListener
 import io.oriolehall.entry.http.OperatorRoutes
 import io.oriolehall.entry.http.RequestReader
+import io.oriolehall.entry.limits.ConcurrencyLimits
+import io.oriolehall.entry.limits.EqualSplitLimits
+import io.oriolehall.entry.limits.LeasedLimits
+import io.oriolehall.entry.limits.LoadReports
+import io.oriolehall.entry.limits.Unlimited
 import io.oriolehall.entry.membership.MembershipService
+import io.oriolehall.entry.quarantine.CrashProbe
+import io.oriolehall.entry.quarantine.Quarantine
 import io.oriolehall.entry.requests.AnswerRelay
 import io.oriolehall.entry.requests.KeylessGate
 import io.oriolehall.entry.requests.PipelineExecutor
 import io.oriolehall.entry.stages.EndpointClient
-import io.oriolehall.entry.stages.OutstandingCalls
+import io.oriolehall.entry.stages.EndpointSlots
 import io.oriolehall.entry.stages.StageRunner
 import io.oriolehall.entry.stopping.GracefulStop
 import io.oriolehall.entry.stopping.UnfinishedWork
@@ -33,7 +40,12 @@
 import io.oriolehall.model.settings.EntrySettings
 import io.oriolehall.peer.PeerClient
 import io.oriolehall.peer.PeerServer
+import io.oriolehall.policy.admission.AdmissionPolicy
+import io.oriolehall.policy.admission.AdmitAll
+import io.oriolehall.policy.admission.DeadlineAdmission
 import io.oriolehall.policy.config.ConfigSnapshot
+import io.oriolehall.policy.membership.Member
+import io.oriolehall.policy.retry.RetryBudget
 import io.oriolehall.policy.routing.EndpointPolicy
 import io.oriolehall.policy.routing.LeastOutstandingPolicy
 import io.oriolehall.policy.routing.RoundRobinPolicy
@@ -93,12 +105,32 @@
 
     private val answers = AnswerStore(timers)
     private val history = RequestHistory()
-    private val stages = StageRunner(
+    private val limits = limits()
+    private val slots = EndpointSlots(
         zone = self.zone,
         config = config,
         policy = endpointPolicy(),
+        limits = limits,
+        admission = admission(),
+        scope = trafficScope,
+        timers = timers,
+    )
+    private val quarantine = Quarantine(
+        self = self,
+        instances = { instances() },
+        dialled = settings::dialled,
+        peers = peerClient,
+        server = peerServer,
+        probe = CrashProbe(http, settings::dialled),
+        scope = trafficScope,
+        timers = timers,
+        audit = audit,
+    )
+    private val stages = StageRunner(
+        slots = slots,
+        quarantine = quarantine,
+        budget = RetryBudget(),
         client = EndpointClient(http, settings::dialled),
-        outstanding = OutstandingCalls(),
         history = history,
         timers = timers,
         log = log,
@@ -122,6 +154,8 @@
         configReader.start()
         directory.start()
         if (settings.peers.exchange) startMembership(peers)
+        slots.start()
+        quarantine.start()
         val addresses = EntryAddresses(callers.start(), operators.start(), peers)
         log.write(Event.INSTANCE_STARTED, "addresses" to addresses, "incarnation" to incarnation)
         return addresses
@@ -154,6 +188,7 @@
         graceful.run { membership?.announceLeaving() }
         callers.stop()
         operators.stop()
+        limits.leave()
         membership?.announceStopped()
         peerServer.close()
         trafficScope.cancel()
@@ -173,7 +208,9 @@
         refusal = readiness::refusal,
     )
 
-    private fun operatorRoutes() = OperatorRoutes(::status, ::ready, metrics, audit, history)
+    private fun operatorRoutes() = OperatorRoutes(::status, ::ready, metrics, audit, history, limits::owned) {
+        quarantine.known
+    }
 
     private fun ready(): Boolean = readiness.ready
 
@@ -200,6 +237,44 @@
         else -> LeastOutstandingPolicy()
     }
 
+    private fun admission(): AdmissionPolicy = when (settings.policy.admission) {
+        "none" -> AdmitAll
+        else -> DeadlineAdmission
+    }
+
+    /** The fleet by heartbeats; by the platform's list until there is a view. */
+    private fun instances(): List<Instance> {
+        val members = membership?.view?.value?.members?.values ?: return directory.instances
+        return members.filter(Member::reachable).map { Instance(it.id, it.zone, it.address, leaving = !it.ownable) }
+    }
+
+    private fun endpoints() = config().endpointsByPool.values.flatten()
+
+    private fun limits(): ConcurrencyLimits = when (settings.policy.limits) {
+        "none" -> Unlimited
+
+        "equal-split" -> EqualSplitLimits(
+            scope = trafficScope,
+            endpoints = { endpoints() },
+            instances = { zone -> directory.instances.count { it.zone == zone } },
+            reports = LoadReports(http, settings::dialled),
+            timers = timers,
+        )
+
+        else -> LeasedLimits(
+            self = self,
+            incarnation = incarnation,
+            scope = controlScope,
+            endpoints = { endpoints() },
+            instances = { instances() },
+            dialled = settings::dialled,
+            peers = peerClient,
+            server = peerServer,
+            reports = LoadReports(http, settings::dialled),
+            timers = timers,
+        )
+    }
+
     private companion object {
         const val CONNECT_TIMEOUT_MS = 500L
         const val MAX_CONNECTIONS = 2_000
--- a/model/src/main/kotlin/io/oriolehall/model/settings/EntrySettingsFile.kt
+++ b/model/src/main/kotlin/io/oriolehall/model/settings/EntrySettingsFile.kt
@@ -37,7 +37,11 @@
             instances = values[EntryKeys.instances],
         ),
         tokens = TokenSettings(values[EntryKeys.secret]),
-        policy = PolicySettings(values[EntryKeys.endpointChoice]),
+        policy = PolicySettings(
+            endpointChoice = values[EntryKeys.endpointChoice],
+            limits = values[EntryKeys.limits],
+            admission = values[EntryKeys.admission],
+        ),
         translate = values[EntryKeys.translate],
     )
 }
