Ended answers are kept as one piece

Cause: an answer of 203 tokens kept 203 pieces for a minute after its end. Readers go on by byte position, so that the joining shows to none of them.

--- a/entry/src/main/kotlin/io/oriolehall/entry/answers/Answer.kt
+++ b/entry/src/main/kotlin/io/oriolehall/entry/answers/Answer.kt
@@ -21,6 +21,7 @@
     /**
      * What is known of the answer.
      *
+     * @property chunks the text in pieces as it came; one piece once the answer has ended.
      * @property ending [AnswerItem.End] or [AnswerItem.Refused] once nothing more will come.
      */
     data class State(
@@ -60,12 +61,23 @@
     /** Marks the answer whole. */
     fun finish() {
         val sha256 = digest.digest().toHexString()
-        mutableState.update { it.copy(ending = it.ending ?: AnswerItem.End(it.length, sha256)) }
+        end { AnswerItem.End(it.length, sha256) }
     }
 
     /** Marks the answer as one that cannot be finished. An answer that has ended stays as it is. */
     fun refuse(refusal: Refusal) {
-        mutableState.update { it.copy(ending = it.ending ?: AnswerItem.Refused(refusal.copy(requestId = requestId))) }
+        end { AnswerItem.Refused(refusal.copy(requestId = requestId)) }
+    }
+
+    private fun end(ending: (State) -> AnswerItem) = mutableState.update {
+        if (it.ending != null) it else it.copy(chunks = it.joined(), ending = ending(it))
+    }
+
+    /** Ended answers are kept for a while; as one piece they take a fraction of the memory. */
+    private fun State.joined(): PersistentList<AnswerItem.Chunk> {
+        if (chunks.size < 2) return chunks
+        val text = chunks.joinToString("", transform = AnswerItem.Chunk::text)
+        return persistentListOf(AnswerItem.Chunk(0, text))
     }
 
     /** Returns once nobody has followed the answer for [graceMs] milliseconds without a break. */
@@ -87,14 +99,15 @@
     }
 
     private suspend fun handOn(offset: Long, onItem: suspend (AnswerItem) -> Unit) {
+        var position = offset
         var next = 0
         while (true) {
-            val seen = next
-            val now = state.first { it.chunks.size > seen || it.ending != null }
+            val now = state.first { it.length > position || it.ending != null }
+            if (now.ending != null) next = 0
             while (next < now.chunks.size) {
-                now.chunks[next].from(offset)?.let { onItem(it) }
-                next++
+                now.chunks[next++].from(position)?.let { onItem(it) }
             }
+            position = maxOf(position, now.length)
             if (now.ending != null) {
                 onItem(now.ending)
                 return
--- a/entry/src/test/kotlin/io/oriolehall/entry/answers/AnswerTest.kt
+++ b/entry/src/test/kotlin/io/oriolehall/entry/answers/AnswerTest.kt
@@ -43,6 +43,19 @@
         expectThat(textFrom(resumeAt)).isEqualTo("ăraș Lemn")
     }
 
+    @Test
+    fun `a reader in the middle of an answer that ends gets the rest once`() = runTest {
+        answer.append("furi")
+        val received = mutableListOf<AnswerItem>()
+        val reader = async { answer.follow(0) { received += it } }
+        testScheduler.runCurrent()
+        answer.append("so")
+        answer.append("de")
+        answer.finish()
+        reader.await()
+        expectThat(received.dropLast(1)).isEqualTo(listOf(AnswerItem.Chunk(0, "furi"), AnswerItem.Chunk(4, "sode")))
+    }
+
     @Test
     fun `the end carries the length in bytes`() = runTest {
         answer.append("ș")
