--- a/harness/src/main/kotlin/io/oriolehall/harness/benchmark/EntryOverhead.kt
+++ b/harness/src/main/kotlin/io/oriolehall/harness/benchmark/EntryOverhead.kt
@@ -5,6 +5,7 @@
 import com.github.ajalt.clikt.core.main
 import com.github.ajalt.clikt.parameters.options.default
 import com.github.ajalt.clikt.parameters.options.option
+import com.github.ajalt.clikt.parameters.options.split
 import com.github.ajalt.clikt.parameters.types.int
 import com.github.ajalt.clikt.parameters.types.path
 import io.oriolehall.cli.client.callerHttp
@@ -26,6 +27,7 @@
 internal class EntryOverheadCommand : CliktCommand("entry-overhead") {
     private val seconds by option(help = "seconds of each round").int().default(ROUND_SECONDS)
     private val rounds by option(help = "rounds of each way and load").int().default(ROUNDS)
+    private val times by option(help = "loads, as multiples of a node's share").int().split(",").default(Times)
     private val output by option(help = "file of the result").path().default(Path(RESULT_FILE))
 
     override fun help(context: Context) = "Measures what one entry instance adds over calling the endpoints directly."
@@ -42,20 +44,22 @@
         callerHttp().use { http ->
             val level = OverheadLevel(fleet, EndpointClient(http, { it }), seconds, rounds)
             OverheadReport(
-                command = "entry-overhead --seconds $seconds --rounds $rounds",
+                command = "entry-overhead --seconds $seconds --rounds $rounds --times ${times.joinToString(",")}",
                 measuredAt = Instant.now().toString(),
                 processors = Runtime.getRuntime().availableProcessors(),
                 entryHeapMb = ENTRY_HEAP_MB,
                 secondsPerRound = seconds,
                 rounds = rounds,
-                levels = listOf(SHARE, SHARE * TIMES).map {
-                    echo("measuring at $it requests/s", err = true)
-                    level.measure(it)
-                },
+                levels = times.map { measureLevel(level, it * SHARE) },
             )
         }
     }
 
+    private suspend fun measureLevel(level: OverheadLevel, requestsPerSecond: Double): LoadLevelResult {
+        echo("measuring at $requestsPerSecond requests/s", err = true)
+        return level.measure(requestsPerSecond).also { echo(it.toString(), err = true) }
+    }
+
     private val spec = fleetSpec("entry-overhead") {
         entryHeapMb = ENTRY_HEAP_MB
         endpointHeapMb = ENDPOINT_HEAP_MB
@@ -80,7 +84,7 @@
         const val ENTRY_HEAP_MB = 128
         const val ENDPOINT_HEAP_MB = 128
         const val SHARE = 31.0
-        const val TIMES = 10
+        val Times = listOf(1, 10)
         const val POOL_SIZE = 2
         const val LIMIT = 2_000
         val Pools = listOf(
