--- a/proofs/src/test/kotlin/io/oriolehall/proofs/answers/WholeAnswerTest.kt
+++ b/proofs/src/test/kotlin/io/oriolehall/proofs/answers/WholeAnswerTest.kt
@@ -2,11 +2,13 @@
 
 import io.oriolehall.cli.client.CallOutcome
 import io.oriolehall.harness.fleet.EndpointProcess
+import io.oriolehall.harness.fleet.EntryProcess
 import io.oriolehall.harness.fleet.Fleet
 import io.oriolehall.harness.fleet.awaitThat
 import io.oriolehall.harness.fleet.fleetSpec
 import io.oriolehall.harness.process.MachineLock
 import io.oriolehall.model.PipelineRequest
+import io.oriolehall.model.RunOutcome
 import io.oriolehall.model.StageKind
 import io.oriolehall.standins.compute.DataSet
 import io.oriolehall.standins.compute.expectedAnswer
@@ -51,6 +53,8 @@
     @AfterEach
     fun repair(): Unit = runBlocking {
         fleet.faults.heal()
+        fleet.entries.filterNot { it.process.alive }.forEach { it.restart() }
+        awaitThat("all instances are ready") { fleet.entries.all { it.ready() } }
         for (engine in fleet.endpoints) {
             if (engine.process.alive) engine.behave(Behaviour()) else engine.restart()
         }
@@ -119,6 +123,23 @@
         }
     }
 
+    @Test
+    fun `a caller whose instance was killed is told that its answer is not whole`(): Unit = runBlocking {
+        val holder = fleet.entries.last()
+        val broken = send(through = holder) { received ->
+            if (received > FEW &&
+                holder.process.alive
+            ) {
+                holder.process.kill()
+            }
+        }
+        val part = expectThat(broken).isA<CallOutcome.Broken>().subject
+        expectThat(expected(requestText())).startsWith(part.received)
+        val resumed = fleet.caller(ORGANISATION, fleet.entries.first())
+            .resume(checkNotNull(part.requestId), part.received)
+        expectThat(resumed).isA<CallOutcome.Refused>().get { problem.outcome }.isEqualTo(RunOutcome.UNKNOWN)
+    }
+
     @Test
     fun `a stream whose caller has gone for good is stopped at the engine`(): Unit = runBlocking {
         val before = cancels()
@@ -161,11 +182,12 @@
     private suspend fun send(
         maxTokens: Int = TOKENS,
         deadlineMs: Long = DEADLINE_MS,
+        through: EntryProcess = fleet.entries.first(),
         onReceived: (Int) -> Unit = {},
     ): CallOutcome {
         sent.incrementAndGet()
         var received = 0
-        return fleet.caller(ORGANISATION, fleet.entries.first())
+        return fleet.caller(ORGANISATION, through)
             .send("draft", PipelineRequest(requestText(), maxTokens), deadlineMs) {
                 received += it.length
                 onReceived(received)
