--- a/entry/src/main/kotlin/io/oriolehall/entry/EntryInstance.kt
+++ b/entry/src/main/kotlin/io/oriolehall/entry/EntryInstance.kt
@@ -7,8 +7,11 @@
 import io.micrometer.prometheusmetrics.PrometheusConfig
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry
 import io.oriolehall.entry.answers.AnswerStore
+import io.oriolehall.entry.config.ConfigExchange
 import io.oriolehall.entry.config.ConfigReader
+import io.oriolehall.entry.config.ConfigStore
 import io.oriolehall.entry.config.InstanceDirectory
+import io.oriolehall.entry.config.ServiceReturns
 import io.oriolehall.entry.explain.RequestHistory
 import io.oriolehall.entry.http.CallerRoutes
 import io.oriolehall.entry.http.HttpListener
@@ -19,6 +22,7 @@
 import io.oriolehall.entry.limits.LeasedLimits
 import io.oriolehall.entry.limits.LoadReports
 import io.oriolehall.entry.limits.Unlimited
+import io.oriolehall.entry.membership.MembershipService
 import io.oriolehall.entry.quarantine.CrashProbe
 import io.oriolehall.entry.quarantine.Quarantine
 import io.oriolehall.entry.requests.AnswerRelay
@@ -27,7 +31,12 @@
 import io.oriolehall.entry.stages.EndpointClient
 import io.oriolehall.entry.stages.EndpointSlots
 import io.oriolehall.entry.stages.StageRunner
+import io.oriolehall.entry.stopping.GracefulStop
+import io.oriolehall.entry.stopping.UnfinishedWork
 import io.oriolehall.model.Incarnation
+import io.oriolehall.model.Instance
+import io.oriolehall.model.InstanceId
+import io.oriolehall.model.NetworkAddress
 import io.oriolehall.model.settings.EntrySettings
 import io.oriolehall.peer.PeerClient
 import io.oriolehall.peer.PeerServer
@@ -35,6 +44,7 @@
 import io.oriolehall.policy.admission.AdmitAll
 import io.oriolehall.policy.admission.DeadlineAdmission
 import io.oriolehall.policy.config.ConfigSnapshot
+import io.oriolehall.policy.membership.Member
 import io.oriolehall.policy.retry.RetryBudget
 import io.oriolehall.policy.routing.EndpointPolicy
 import io.oriolehall.policy.routing.LeastOutstandingPolicy
@@ -78,13 +88,20 @@
         }
     }
     private val selector = SelectorManager(Dispatchers.IO)
-    private val peerClient = PeerClient(selector, trafficScope)
-    private val peerServer = PeerServer(selector, trafficScope, log)
+    private val peerMetrics = PeerMetrics(metrics)
+    private val peerClient = PeerClient(selector, trafficScope, peerMetrics)
+    private val peerServer = PeerServer(selector, trafficScope, log, peerMetrics)
 
+    private val returns = ServiceReturns(timers)
+    private val configStore = ConfigStore(returns, audit, log)
     private val configReader =
-        ConfigReader(http, settings.dialled(settings.platform.configuration), controlScope, audit, log)
+        ConfigReader(http, settings.dialled(settings.platform.configuration), controlScope, configStore, log)
     private val directory = InstanceDirectory(http, settings.dialled(settings.platform.instances), timers)
-    private val config: () -> ConfigSnapshot = { configReader.state.value.config }
+    private val config: () -> ConfigSnapshot = { configStore.config }
+    private val exchange = ConfigExchange(configStore, configReader, peerClient, controlScope, log, ::ready)
+
+    @Volatile
+    private var membership: MembershipService? = null
 
     private val answers = AnswerStore(timers)
     private val history = RequestHistory()
@@ -100,7 +117,7 @@
     )
     private val quarantine = Quarantine(
         self = self,
-        instances = { directory.instances },
+        instances = { instances() },
         dialled = settings::dialled,
         peers = peerClient,
         server = peerServer,
@@ -119,10 +136,15 @@
         log = log,
     )
     private val executor = PipelineExecutor(self.id, trafficScope, stages, answers, history, timers, log)
-    private val relay = AnswerRelay(self.id, peerClient) { id ->
-        directory.find(id)?.let { settings.dialled(it.peerAddress) }
+    private val relay = AnswerRelay(self.id, peerClient) { id -> addressOf(id)?.let(settings::dialled) }
+    private val callers: HttpListener =
+        HttpListener(settings.listen.callers, log, { graceful.leaving }) { callerRoutes().install(this) }
+    private val unfinished = object : UnfinishedWork {
+        override val requests get() = answers.unfinished
+        override val responses get() = callers.activeCalls
     }
-    private val callers = HttpListener(settings.listen.callers, log) { callerRoutes().install(this) }
+    private val graceful = GracefulStop(settings.stop, unfinished, timers, log)
+    private val readiness = Readiness(configStore, configReader, exchange, { membership }, graceful)
     private val operators = HttpListener(settings.listen.operators, log) { operatorRoutes().install(this) }
 
     /** Starts all parts and listens. */
@@ -131,6 +153,7 @@
         val peers = peerServer.start(settings.listen.peers)
         configReader.start()
         directory.start()
+        if (settings.peers.exchange) startMembership(peers)
         slots.start()
         quarantine.start()
         val addresses = EntryAddresses(callers.start(), operators.start(), peers)
@@ -138,12 +161,35 @@
         return addresses
     }
 
-    /** Stops all parts. */
+    private fun startMembership(peers: NetworkAddress) {
+        exchange.serve(peerServer)
+        val service = MembershipService(
+            self = Instance(self.id, self.zone, peers),
+            incarnation = incarnation,
+            client = peerClient,
+            store = configStore,
+            reader = configReader,
+            exchange = exchange,
+            hints = directory,
+            contacts = settings.peers.contacts,
+            dialled = settings::dialled,
+            timers = timers,
+            scope = controlScope,
+            control = control.dispatcher,
+            audit = audit,
+            log = log,
+        )
+        membership = service
+        service.start(peerServer)
+    }
+
+    /** Leaves the fleet, finishes what has begun within the time set for it, and stops all parts. */
     suspend fun stop() {
-        log.write(Event.INSTANCE_STOPPING, "unfinished" to answers.unfinished)
+        graceful.run { membership?.announceLeaving() }
         callers.stop()
         operators.stop()
         limits.leave()
+        membership?.announceStopped()
         peerServer.close()
         trafficScope.cancel()
         controlScope.cancel()
@@ -159,14 +205,17 @@
         gate = KeylessGate(executor),
         answers = answers,
         relay = relay,
-        ready = ::ready,
+        refusal = readiness::refusal,
     )
 
     private fun operatorRoutes() = OperatorRoutes(::status, ::ready, metrics, audit, history, limits::owned) {
         quarantine.known
     }
 
-    private fun ready(): Boolean = config().highestTicket > 0
+    private fun ready(): Boolean = readiness.ready
+
+    private fun addressOf(id: InstanceId): NetworkAddress? =
+        membership?.view?.value?.member(id)?.address ?: directory.find(id)?.peerAddress
 
     private fun status() = InstanceStatus(
         id = self.id,
@@ -175,6 +224,12 @@
         ready = ready(),
         highestTicket = config().highestTicket,
         unfinishedRequests = answers.unfinished,
+        notReadyBecause = readiness.obstacle(),
+        platformReachable = configReader.reachable,
+        platformRevision = configReader.revision,
+        configDigest = configStore.state.value.digest.whole.toULong().toString(HEX),
+        rejectedTickets = configStore.rejected,
+        peers = membership?.peers().orEmpty(),
     )
 
     private fun endpointPolicy(): EndpointPolicy = when (settings.policy.endpointChoice) {
@@ -187,6 +242,12 @@
         else -> DeadlineAdmission
     }
 
+    /** The fleet by heartbeats; by the platform's list until there is a view. */
+    private fun instances(): List<Instance> {
+        val members = membership?.view?.value?.members?.values ?: return directory.instances
+        return members.filter(Member::reachable).map { Instance(it.id, it.zone, it.address, leaving = !it.ownable) }
+    }
+
     private fun endpoints() = config().endpointsByPool.values.flatten()
 
     private fun limits(): ConcurrencyLimits = when (settings.policy.limits) {
@@ -205,7 +266,7 @@
             incarnation = incarnation,
             scope = controlScope,
             endpoints = { endpoints() },
-            instances = { directory.instances },
+            instances = { instances() },
             dialled = settings::dialled,
             peers = peerClient,
             server = peerServer,
@@ -217,5 +278,6 @@
     private companion object {
         const val CONNECT_TIMEOUT_MS = 500L
         const val MAX_CONNECTIONS = 2_000
+        const val HEX = 16
     }
 }
