--- a/entry/src/main/kotlin/io/oriolehall/entry/EntryInstance.kt
+++ b/entry/src/main/kotlin/io/oriolehall/entry/EntryInstance.kt
@@ -12,6 +12,7 @@
 import io.oriolehall.entry.config.ConfigStore
 import io.oriolehall.entry.config.InstanceDirectory
 import io.oriolehall.entry.config.ServiceReturns
+import io.oriolehall.entry.cost.CostMetrics
 import io.oriolehall.entry.explain.RequestHistory
 import io.oriolehall.entry.http.CallerRoutes
 import io.oriolehall.entry.http.HttpListener
@@ -130,6 +131,7 @@
         slots = slots,
         quarantine = quarantine,
         budget = RetryBudget(),
+        cost = CostMetrics(metrics),
         client = EndpointClient(http, settings::dialled),
         history = history,
         timers = timers,
--- a/entry/src/main/kotlin/io/oriolehall/entry/quarantine/Quarantine.kt
+++ b/entry/src/main/kotlin/io/oriolehall/entry/quarantine/Quarantine.kt
@@ -62,7 +62,7 @@
         tellAll(CrashNotice(self.id, losses = listOf(SharedLoss(fingerprint, endpoint.id, ageMs = 0))))
     }
 
-    /** Clears a suspect that ran to its end. */
+    /** Clears a suspect that ran through its whole pipeline. */
     fun onCompleted(fingerprint: Fingerprint) {
         if (standing(fingerprint) != Standing.SUSPECT) return
         register.getAndUpdate { it.cleared(fingerprint) }
--- a/entry/src/main/kotlin/io/oriolehall/entry/stages/StageRunner.kt
+++ b/entry/src/main/kotlin/io/oriolehall/entry/stages/StageRunner.kt
@@ -3,6 +3,7 @@
 import com.github.michaelbull.result.Err
 import com.github.michaelbull.result.Ok
 import com.github.michaelbull.result.Result
+import io.oriolehall.entry.cost.CostMetrics
 import io.oriolehall.entry.explain.AttemptRecord
 import io.oriolehall.entry.explain.RequestHistory
 import io.oriolehall.entry.quarantine.Quarantine
@@ -32,6 +33,7 @@
     private val slots: EndpointSlots,
     private val quarantine: Quarantine,
     private val budget: RetryBudget,
+    private val cost: CostMetrics,
     private val client: EndpointClient,
     private val history: RequestHistory,
     private val timers: TimerService,
@@ -60,11 +62,14 @@
                 delay(TRIAL_WAIT_MS)
                 continue
             }
-            val outcome = inSlot(slot.value, stage) { onFirst ->
+            val outcome = inSlot(slot.value, stage, context) { onFirst ->
                 attempt(endpoint, stage, input, context, text, onFirst)
             }
             if (suspect) quarantine.endTrial(context.fingerprint, endpoint)
-            if (outcome.isOk) return Ok(outcome.value.output)
+            if (outcome.isOk) {
+                if (stage == context.request.pipeline.stages.last()) quarantine.onCompleted(context.fingerprint)
+                return Ok(outcome.value.output)
+            }
             tried += endpoint.id
             if (outcome.error.ran) runs++
             val mayRepeat = !outcome.error.ran || stage.mayRunAgain(outcome.error, runs)
@@ -87,6 +92,7 @@
     private suspend fun inSlot(
         slot: EndpointSlot,
         stage: Stage,
+        context: StageContext,
         call: suspend (onFirst: () -> Unit) -> Result<StageResult, StageFailure>,
     ): Result<StageResult, StageFailure> {
         var firstMs: Long? = null
@@ -97,7 +103,10 @@
             val first = ((firstMs ?: timers.nowMs()) - slot.startedMs).toDouble()
             val failure = outcome?.takeIf { it.isErr }?.error
             val lingers = outcome == null || failure is StageFailure.Lost
-            slots.finish(slot, stage, outcome.toCallResult(), first, lingers)
+            val result = outcome.toCallResult()
+            val usage = outcome?.takeIf { it.isOk }?.value?.usage ?: Usage()
+            cost.count(stage.name, context.request.organisation.id, result, timers.nowMs() - slot.startedMs, usage)
+            slots.finish(slot, stage, result, first, lingers)
         }
     }
 
@@ -126,9 +135,7 @@
             client.run(endpoint, call)
         }
         record(endpoint, call, context, start, outcome)
-        if (outcome.isOk) {
-            quarantine.onCompleted(context.fingerprint)
-        } else if (outcome.error is StageFailure.Lost) {
+        if (outcome.isErr && outcome.error is StageFailure.Lost) {
             quarantine.onLostCall(context.fingerprint, endpoint, calledAtMs)
         }
         return outcome
--- a/harness/src/main/kotlin/io/oriolehall/harness/experiment/ScenarioCatalogue.kt
+++ b/harness/src/main/kotlin/io/oriolehall/harness/experiment/ScenarioCatalogue.kt
@@ -6,7 +6,6 @@
 
 /** The cases that are measured, by name. */
 object ScenarioCatalogue {
-    private const val ENTRIES_PER_ZONE = 4
     private const val DEADLINE_MS = 2_000L
     private const val RUN_MS = 15_000L
     private const val FAULT_MS = 5_000L
