Benchmark runs the processes with the Java machine's own compiler settings

Cause: the harness starts all processes with one compiler thread and no optimising compiler, which suits tests and not a measurement of processor time. Processes take their options from the fleet's description now.

--- a/harness/src/main/kotlin/io/oriolehall/harness/benchmark/EntryOverhead.kt
+++ b/harness/src/main/kotlin/io/oriolehall/harness/benchmark/EntryOverhead.kt
@@ -4,6 +4,7 @@
 import com.github.ajalt.clikt.core.Context
 import com.github.ajalt.clikt.core.main
 import com.github.ajalt.clikt.parameters.options.default
+import com.github.ajalt.clikt.parameters.options.multiple
 import com.github.ajalt.clikt.parameters.options.option
 import com.github.ajalt.clikt.parameters.options.split
 import com.github.ajalt.clikt.parameters.types.int
@@ -28,6 +29,7 @@
     private val seconds by option(help = "seconds of each round").int().default(ROUND_SECONDS)
     private val rounds by option(help = "rounds of each way and load").int().default(ROUNDS)
     private val times by option(help = "loads, as multiples of a node's share").int().split(",").default(Times)
+    private val jvmOption by option(help = "option of the processes' Java machines").multiple()
     private val output by option(help = "file of the result").path().default(Path(RESULT_FILE))
 
     override fun help(context: Context) = "Measures what one entry instance adds over calling the endpoints directly."
@@ -44,7 +46,7 @@
         callerHttp().use { http ->
             val level = OverheadLevel(fleet, EndpointClient(http, { it }), seconds, rounds)
             OverheadReport(
-                command = "entry-overhead --seconds $seconds --rounds $rounds --times ${times.joinToString(",")}",
+                command = commandLine(),
                 measuredAt = Instant.now().toString(),
                 processors = Runtime.getRuntime().availableProcessors(),
                 entryHeapMb = ENTRY_HEAP_MB,
@@ -55,14 +57,20 @@
         }
     }
 
+    private fun commandLine(): String {
+        val options = jvmOption.joinToString("") { " --jvm-option=$it" }
+        return "entry-overhead --seconds $seconds --rounds $rounds --times ${times.joinToString(",")}$options"
+    }
+
     private suspend fun measureLevel(level: OverheadLevel, requestsPerSecond: Double): LoadLevelResult {
         echo("measuring at $requestsPerSecond requests/s", err = true)
         return level.measure(requestsPerSecond).also { echo(it.toString(), err = true) }
     }
 
-    private val spec = fleetSpec("entry-overhead") {
+    private val spec get() = fleetSpec("entry-overhead") {
         entryHeapMb = ENTRY_HEAP_MB
         endpointHeapMb = ENDPOINT_HEAP_MB
+        jvmOptions = jvmOption
         zone("z1") {
             entries(1)
             for ((pool, kind) in Pools) {
--- a/harness/src/main/kotlin/io/oriolehall/harness/fleet/FleetSpec.kt
+++ b/harness/src/main/kotlin/io/oriolehall/harness/fleet/FleetSpec.kt
@@ -1,5 +1,6 @@
 package io.oriolehall.harness.fleet
 
+import io.oriolehall.harness.process.ProgramSpec
 import io.oriolehall.model.ConfigObject
 import io.oriolehall.model.EndpointId
 import io.oriolehall.model.InstanceId
@@ -40,6 +41,7 @@
     val proxied: Boolean,
     val entryHeapMb: Int,
     val endpointHeapMb: Int,
+    val jvmOptions: List<String>,
     val dataSet: String,
     val platformArguments: List<String>,
     val zones: List<ZoneId>,
@@ -71,6 +73,9 @@
     var entryHeapMb = 64
     var endpointHeapMb = 48
 
+    /** Options of the Java machines besides the heap. */
+    var jvmOptions = ProgramSpec.QuickStart
+
     /** Documents and stock of the endpoints: kimono or lemn. */
     var dataSet = "kimono"
 
@@ -105,6 +110,7 @@
         proxied = proxied,
         entryHeapMb = entryHeapMb,
         endpointHeapMb = endpointHeapMb,
+        jvmOptions = jvmOptions,
         dataSet = dataSet,
         platformArguments = platformArguments,
         zones = zones.map { it.id },
--- a/harness/src/main/kotlin/io/oriolehall/harness/fleet/FleetStarter.kt
+++ b/harness/src/main/kotlin/io/oriolehall/harness/fleet/FleetStarter.kt
@@ -67,7 +67,7 @@
     private fun addressOf(process: LaunchedProcess) = checkNotNull(NetworkAddress.parse(process.ready.address))
 
     private suspend fun launchStandin(id: String, arguments: List<String>) =
-        launch(ProgramSpec(id, STANDINS_MAIN, arguments, spec.endpointHeapMb))
+        launch(ProgramSpec(id, STANDINS_MAIN, arguments, spec.endpointHeapMb, jvmOptions = spec.jvmOptions))
 
     private suspend fun launch(program: ProgramSpec) = withContext(Dispatchers.IO) { launcher.launch(program) }
 
@@ -83,7 +83,13 @@
             "--cold-limit=${endpoint.coldLimit}",
             "--warm-limit=${endpoint.warmLimit}",
         ) + (if (endpoint.fenced) listOf("--fenced") else emptyList()) + endpoint.arguments
-        val program = ProgramSpec(endpoint.id.value, STANDINS_MAIN, arguments, spec.endpointHeapMb)
+        val program = ProgramSpec(
+            endpoint.id.value,
+            STANDINS_MAIN,
+            arguments,
+            spec.endpointHeapMb,
+            jvmOptions = spec.jvmOptions,
+        )
         return EndpointProcess(endpoint, address, launch(program), ::connect) { launcher.launch(program) }
     }
 
@@ -111,8 +117,14 @@
         val text = EntrySettingsText(entry.spec, entry.ports, platform, spec.settings, translate)
         val file = directory.resolve("${entry.spec.id}.ini")
         Files.writeString(file, text.render())
-        val program =
-            ProgramSpec(entry.spec.id.value, CLI_MAIN, listOf("run", "--settings", file.toString()), spec.entryHeapMb)
+        val arguments = listOf("run", "--settings", file.toString())
+        val program = ProgramSpec(
+            entry.spec.id.value,
+            CLI_MAIN,
+            arguments,
+            spec.entryHeapMb,
+            jvmOptions = spec.jvmOptions,
+        )
         return EntryProcess(entry.spec, entry.ports, file, launch(program), http) { launcher.launch(program) }
     }
 
--- a/harness/src/main/kotlin/io/oriolehall/harness/process/ProcessLauncher.kt
+++ b/harness/src/main/kotlin/io/oriolehall/harness/process/ProcessLauncher.kt
@@ -18,7 +18,13 @@
     val arguments: List<String>,
     val heapMb: Int = 64,
     val environment: Map<String, String> = emptyMap(),
-)
+    val jvmOptions: List<String> = QuickStart,
+) {
+    companion object {
+        /** Options that start many processes quickly and compile little. */
+        val QuickStart = listOf("-XX:TieredStopAtLevel=1", "-XX:CICompilerCount=1")
+    }
+}
 
 /**
  * Starts Java processes and ends all of them when it is closed, at the latest when this process ends. Their output
@@ -55,10 +61,9 @@
         Path.of(System.getProperty("java.home"), "bin", "java").toString(),
         "-Xmx${program.heapMb}m",
         "-XX:+UseSerialGC",
-        "-XX:TieredStopAtLevel=1",
-        "-XX:CICompilerCount=1",
         "-XX:+ExitOnOutOfMemoryError",
         "-Xshare:auto",
+    ) + program.jvmOptions + listOf(
         "-cp",
         System.getProperty("java.class.path"),
         program.mainClass,
