--- a/entry/src/main/kotlin/io/oriolehall/entry/EntryInstance.kt
+++ b/entry/src/main/kotlin/io/oriolehall/entry/EntryInstance.kt
@@ -14,8 +14,8 @@
 import io.oriolehall.entry.http.HttpListener
 import io.oriolehall.entry.http.OperatorRoutes
 import io.oriolehall.entry.http.RequestReader
+import io.oriolehall.entry.keys.KeyService
 import io.oriolehall.entry.requests.AnswerRelay
-import io.oriolehall.entry.requests.KeylessGate
 import io.oriolehall.entry.requests.PipelineExecutor
 import io.oriolehall.entry.stages.EndpointClient
 import io.oriolehall.entry.stages.OutstandingCalls
@@ -25,6 +25,8 @@
 import io.oriolehall.peer.PeerClient
 import io.oriolehall.peer.PeerServer
 import io.oriolehall.policy.config.ConfigSnapshot
+import io.oriolehall.policy.keys.KeyHolder
+import io.oriolehall.policy.keys.KeyRules
 import io.oriolehall.policy.routing.EndpointPolicy
 import io.oriolehall.policy.routing.LeastOutstandingPolicy
 import io.oriolehall.policy.routing.RoundRobinPolicy
@@ -91,6 +93,18 @@
     private val relay = AnswerRelay(self.id, peerClient) { id ->
         directory.find(id)?.let { settings.dialled(it.peerAddress) }
     }
+    private val keys = KeyService(
+        self = KeyHolder(self.id, incarnation, settings.listen.peers),
+        secret = settings.tokens.secret,
+        rules = KeyRules(settings.keys.lifetimeMs, settings.keys.clockToleranceMs),
+        config = config,
+        peers = peerClient,
+        dialled = settings::dialled,
+        addressOf = { id -> directory.find(id)?.let { settings.dialled(it.peerAddress) } },
+        timers = timers,
+        log = log,
+    )
+    private val gate = keys.open(peerServer, executor, answers)
     private val callers = HttpListener(settings.listen.callers, log) { callerRoutes().install(this) }
     private val operators = HttpListener(settings.listen.operators, log) { operatorRoutes().install(this) }
 
@@ -122,9 +136,10 @@
     private fun callerRoutes() = CallerRoutes(
         instance = self.id,
         reader = RequestReader(config, timers),
-        gate = KeylessGate(executor),
+        gate = gate,
         answers = answers,
         relay = relay,
+        mint = keys::mint,
         ready = ::ready,
     )
 
@@ -139,6 +154,7 @@
         ready = ready(),
         highestTicket = config().highestTicket,
         unfinishedRequests = answers.unfinished,
+        vouchesForNewKeys = keys.vouchesForNewKeys,
     )
 
     private fun endpointPolicy(): EndpointPolicy = when (settings.policy.endpointChoice) {
--- a/entry/src/main/kotlin/io/oriolehall/entry/InstanceStatus.kt
+++ b/entry/src/main/kotlin/io/oriolehall/entry/InstanceStatus.kt
@@ -10,6 +10,7 @@
  *
  * @property highestTicket highest ticket number in force here; 0 before the first.
  * @property unfinishedRequests requests that still run here.
+ * @property vouchesForNewKeys false while it has run for too short a time to witness keys that are made now.
  */
 @Serializable
 data class InstanceStatus(
@@ -19,4 +20,5 @@
     val ready: Boolean,
     val highestTicket: Long,
     val unfinishedRequests: Int,
+    val vouchesForNewKeys: Boolean = true,
 )
--- a/entry/src/main/kotlin/io/oriolehall/entry/http/CallerRoutes.kt
+++ b/entry/src/main/kotlin/io/oriolehall/entry/http/CallerRoutes.kt
@@ -9,9 +9,12 @@
 import io.oriolehall.entry.requests.RequestGate
 import io.oriolehall.model.CallerHeaders
 import io.oriolehall.model.InstanceId
+import io.oriolehall.model.MintedToken
+import io.oriolehall.model.OrganisationId
 import io.oriolehall.model.Refusal
 import io.oriolehall.model.RefusalKind
 import io.oriolehall.model.RequestId
+import io.oriolehall.model.RunOutcome
 
 /** The callers' HTTP interface. docs/CALLERS.md is the contract. */
 internal class CallerRoutes(
@@ -20,28 +23,40 @@
     private val gate: RequestGate,
     private val answers: AnswerStore,
     private val relay: AnswerRelay,
+    private val mint: (OrganisationId) -> MintedToken,
     private val ready: () -> Boolean,
 ) {
     fun install(route: Route) {
         route.post("/v1/pipelines/{name}") { send(call, call.parameters["name"].orEmpty()) }
+        route.post("/v1/tokens") { mint(call) }
         route.get("/v1/requests/{id}") { resume(call, RequestId(call.parameters["id"].orEmpty())) }
     }
 
     private suspend fun send(call: ApplicationCall, name: String) {
         if (!ready()) {
-            return call.respondRefusal(
-                Refusal(RefusalKind.NOT_READY, "no configuration yet", retryAfterMs = 1_000),
-            )
+            return call.respondUnread(Refusal(RefusalKind.NOT_READY, "no configuration yet", retryAfterMs = 1_000))
         }
         val organisation = reader.authenticate(call)
-        if (organisation.isErr) return call.respondRefusal(organisation.error)
+        if (organisation.isErr) return call.respondUnread(organisation.error)
         val request = reader.read(call, organisation.value, name)
-        if (request.isErr) return call.respondRefusal(request.error)
+        if (request.isErr) return call.respondUnread(request.error)
         val answer = gate.begin(request.value)
         if (answer.isErr) return call.respondRefusal(answer.error)
         call.respondAnswer(answer.value.requestId, instance) { answer.value.follow(0, it) }
     }
 
+    /** Refuses a request whose key was not looked at: an earlier sending may have run through another instance. */
+    private suspend fun ApplicationCall.respondUnread(refusal: Refusal) {
+        val keyed = request.headers[CallerHeaders.IDEMPOTENCY_KEY] != null
+        respondRefusal(if (keyed) refusal.copy(outcome = RunOutcome.UNKNOWN) else refusal)
+    }
+
+    private suspend fun mint(call: ApplicationCall) {
+        val organisation = reader.authenticate(call)
+        if (organisation.isErr) return call.respondRefusal(organisation.error)
+        call.respondJson(MintedToken.serializer(), mint(organisation.value.id))
+    }
+
     private suspend fun resume(call: ApplicationCall, id: RequestId) {
         val organisation = reader.authenticate(call)
         if (organisation.isErr) return call.respondRefusal(organisation.error)
--- a/entry/src/main/kotlin/io/oriolehall/entry/requests/InboundRequest.kt
+++ b/entry/src/main/kotlin/io/oriolehall/entry/requests/InboundRequest.kt
@@ -1,5 +1,6 @@
 package io.oriolehall.entry.requests
 
+import io.oriolehall.entry.keys.SendGuard
 import io.oriolehall.model.Organisation
 import io.oriolehall.model.Pipeline
 import io.oriolehall.model.PipelineRequest
@@ -10,6 +11,7 @@
  * @property arrivedMs monotonic time of arrival, milliseconds.
  * @property deadlineMs monotonic time by which the answer must be whole, milliseconds.
  * @property key the caller's `Idempotency-Key`, if it sent one.
+ * @property guard stands before the stages that may not run twice.
  */
 data class InboundRequest(
     val organisation: Organisation,
@@ -18,4 +20,5 @@
     val arrivedMs: Long,
     val deadlineMs: Long,
     val key: String? = null,
+    val guard: SendGuard = SendGuard.Unguarded,
 )
--- a/entry/src/main/kotlin/io/oriolehall/entry/requests/PipelineExecutor.kt
+++ b/entry/src/main/kotlin/io/oriolehall/entry/requests/PipelineExecutor.kt
@@ -40,12 +40,20 @@
     /** A new identifier, which names this instance so that others can find the answer. */
     fun newRequestId(): RequestId = RequestId("${instance.value}~${UUID.randomUUID()}")
 
-    /** Starts [request] under [id] and returns its growing answer. */
-    fun start(request: InboundRequest, id: RequestId): Answer {
+    /**
+     * Starts [request] under [id] and returns its growing answer.
+     *
+     * @param prepare runs before the stages; when it returns false, it has ended the answer and no stage runs.
+     */
+    fun start(
+        request: InboundRequest,
+        id: RequestId,
+        prepare: suspend (Answer) -> Boolean = { true },
+    ): Answer {
         val answer = Answer(id, request.organisation.id)
         answers.add(answer)
         history.open(request.toRecord(id))
-        scope.launch { run(request, answer) }
+        scope.launch { run(request, answer, prepare) }
         return answer
     }
 
@@ -58,17 +66,19 @@
         deadlineMs = deadlineMs - arrivedMs,
     )
 
-    private suspend fun run(request: InboundRequest, answer: Answer) {
+    private suspend fun run(request: InboundRequest, answer: Answer, prepare: suspend (Answer) -> Boolean) {
         val context = StageContext(request, answer.requestId)
         try {
-            val finished = withTimeoutOrNull(request.deadlineMs - timers.nowMs()) { runFollowed(context, answer) }
-            if (finished == null) answer.refuse(deadlineExceeded(context))
+            val finished = withTimeoutOrNull(request.deadlineMs - timers.nowMs()) {
+                if (prepare(answer)) runFollowed(context, answer)
+            }
+            if (finished == null) answer.refuse(request, deadlineExceeded(context))
         } catch (e: CancellationException) {
-            answer.refuse(Refusal(RefusalKind.STOPPING, "the instance stopped", context.outcome()))
+            answer.refuse(request, Refusal(RefusalKind.STOPPING, "the instance stopped", context.outcome()))
             throw e
         } catch (e: Exception) {
             log.write(Event.HTTP_HANDLER_FAILED, "request" to answer.requestId, "error" to e.stackTraceToString())
-            answer.refuse(Refusal(RefusalKind.STAGE_FAILED, "internal error", context.outcome()))
+            answer.refuse(request, Refusal(RefusalKind.STAGE_FAILED, "internal error", context.outcome()))
         } finally {
             close(request, answer)
         }
@@ -80,7 +90,7 @@
         val watch = launch {
             if (!context.request.pipeline.idempotent) awaitCancellation()
             answer.awaitAbandoned(ABANDONED_AFTER_MS)
-            answer.refuse(Refusal(RefusalKind.ABANDONED, "nobody read the answer", context.outcome()))
+            answer.refuse(context.request, Refusal(RefusalKind.ABANDONED, "nobody read the answer", context.outcome()))
             work.cancel()
         }
         work.join()
@@ -94,15 +104,20 @@
             val streamed = last && stage.kind == StageKind.GENERATE
             val output = stages.run(stage, input, context) { text -> if (streamed) answer.append(text) }
             if (output.isErr) {
-                answer.refuse(output.error)
+                answer.refuse(context.request, output.error)
                 return
             }
             input = output.value
             if (last && !streamed) answer.append(input)
         }
+        context.request.guard.answered()
         answer.finish()
     }
 
+    private fun Answer.refuse(request: InboundRequest, refusal: Refusal) {
+        if (!ended) refuse(request.guard.settle(refusal))
+    }
+
     private fun deadlineExceeded(context: StageContext): Refusal {
         val total = context.request.deadlineMs - context.request.arrivedMs
         return Refusal(RefusalKind.DEADLINE_EXCEEDED, "no whole answer within $total ms", context.outcome())
--- a/entry/src/main/kotlin/io/oriolehall/entry/stages/StageFailure.kt
+++ b/entry/src/main/kotlin/io/oriolehall/entry/stages/StageFailure.kt
@@ -12,6 +12,9 @@
     /** The endpoint said that it would not run the call. */
     class Declined(message: String) : StageFailure(message, ran = false)
 
+    /** The request's guard did not let the call leave. */
+    class Withheld(message: String) : StageFailure(message, ran = false)
+
     /** The connection broke or the answer did not come. */
     class Lost(message: String) : StageFailure(message, ran = true)
 
--- a/entry/src/main/kotlin/io/oriolehall/entry/stages/StageRunner.kt
+++ b/entry/src/main/kotlin/io/oriolehall/entry/stages/StageRunner.kt
@@ -49,14 +49,33 @@
         val text = GeneratedText(onText)
         while (true) {
             val endpoint = choose(stage, input, context, tried) ?: return Err(noEndpoint(stage, context, tried))
-            val outcome = attempt(endpoint, stage, input, context, text)
+            val outcome = guarded(stage, context) { attempt(endpoint, stage, input, context, text) }
             if (outcome.isOk) return Ok(outcome.value.output)
             tried += endpoint.id
             val mayRepeat = !outcome.error.ran || (stage.idempotent && outcome.error !is StageFailure.Diverged)
+            if (outcome.error is StageFailure.Withheld) return Err(withheld(stage, context, outcome.error))
             if (!mayRepeat || tried.size >= MAX_ATTEMPTS) return Err(stageFailed(stage, context, outcome.error))
         }
     }
 
+    /** Lets a stage that may not run twice leave only when the request's guard allows it. */
+    private suspend fun guarded(
+        stage: Stage,
+        context: StageContext,
+        attempt: suspend () -> Result<StageResult, StageFailure>,
+    ): Result<StageResult, StageFailure> {
+        if (stage.idempotent) return attempt()
+        val guard = context.request.guard
+        if (!guard.allowSend()) return Err(StageFailure.Withheld("it is too late to send"))
+        val outcome = attempt()
+        if (outcome.isOk) {
+            guard.executed()
+        } else if (!outcome.error.ran) {
+            guard.declined()
+        }
+        return outcome
+    }
+
     private fun choose(stage: Stage, input: String, context: StageContext, tried: Set<EndpointId>): Endpoint? {
         val snapshot = config()
         val candidates = snapshot.endpointsByPool[stage.pool].orEmpty()
@@ -137,6 +156,12 @@
         retryAfterMs = RETRY_AFTER_MS,
     )
 
+    private fun withheld(stage: Stage, context: StageContext, failure: StageFailure): Refusal = Refusal(
+        kind = RefusalKind.DEADLINE_EXCEEDED,
+        detail = "stage ${stage.name}: ${failure.message}",
+        outcome = context.outcome(),
+    )
+
     private fun stageFailed(stage: Stage, context: StageContext, failure: StageFailure): Refusal = Refusal(
         kind = RefusalKind.STAGE_FAILED,
         detail = "stage ${stage.name}: ${failure.message}",
--- a/harness/src/main/kotlin/io/oriolehall/harness/fleet/EntrySettingsText.kt
+++ b/harness/src/main/kotlin/io/oriolehall/harness/fleet/EntrySettingsText.kt
@@ -25,12 +25,15 @@
         SettingsLine("platform", "configuration", platform.toString()),
         SettingsLine("platform", "instances", platform.toString()),
         SettingsLine("tokens", "secret", TOKEN_SECRET),
+        SettingsLine("keys", "clock-tolerance", CLOCK_TOLERANCE),
     )
 
     private fun translated() =
         translate.map { (published, dialled) -> SettingsLine("translate", published.toString(), dialled.toString()) }
 
     private companion object {
+        /** All processes share one machine's clock, and a witness vouches for keys from twice this time. */
+        const val CLOCK_TOLERANCE = "200ms"
         const val TOKEN_SECRET = "only for tests and the demo"
     }
 }
--- a/harness/src/main/kotlin/io/oriolehall/harness/fleet/FleetStarter.kt
+++ b/harness/src/main/kotlin/io/oriolehall/harness/fleet/FleetStarter.kt
@@ -50,7 +50,10 @@
         val fleet = Fleet(
             spec, directory, launcher, http, platform, proxy, platformHandle, tickets, faults, entries, endpoints,
         )
-        entries.forEach { awaitThat("${it.spec.id} is ready", READY_TIMEOUT_MS) { it.ready() } }
+        for (entry in entries) {
+            awaitThat("${entry.spec.id} is ready", READY_TIMEOUT_MS) { entry.ready() }
+            awaitThat("${entry.spec.id} witnesses new keys", READY_TIMEOUT_MS) { entry.status().vouchesForNewKeys }
+        }
         return fleet
     }
 
--- a/model/src/main/kotlin/io/oriolehall/model/settings/EntryKeys.kt
+++ b/model/src/main/kotlin/io/oriolehall/model/settings/EntryKeys.kt
@@ -16,6 +16,10 @@
 
     val secret = required("tokens", "secret", textSetting("a text that no caller can guess", MIN_SECRET))
 
+    val keyLifetime = optional("keys", "lifetime", durationSetting("10min"), default = KeySettings().lifetimeMs)
+    val clockTolerance =
+        optional("keys", "clock-tolerance", durationSetting("5s"), default = KeySettings().clockToleranceMs)
+
     val endpointChoice = optional(
         "policy",
         "endpoint-choice",
--- a/model/src/main/kotlin/io/oriolehall/model/settings/EntrySettings.kt
+++ b/model/src/main/kotlin/io/oriolehall/model/settings/EntrySettings.kt
@@ -15,6 +15,7 @@
     val listen: ListenSettings,
     val platform: PlatformSettings,
     val tokens: TokenSettings,
+    val keys: KeySettings = KeySettings(),
     val policy: PolicySettings = PolicySettings(),
     val translate: Map<NetworkAddress, NetworkAddress> = emptyMap(),
 ) {
@@ -42,6 +43,15 @@
  */
 data class TokenSettings(val secret: String)
 
+/**
+ * Idempotency keys: section `[keys]`. All instances use the same values.
+ *
+ * @property lifetimeMs age from which a key is no longer run, milliseconds.
+ * @property clockToleranceMs largest difference between the clocks of two instances, milliseconds. A witness vouches
+ *   for keys only from twice this time after its start.
+ */
+data class KeySettings(val lifetimeMs: Long = 600_000, val clockToleranceMs: Long = 5_000)
+
 /** Names of the policies in use: section `[policy]`. */
 data class PolicySettings(
     val endpointChoice: String = "least-outstanding",
--- a/model/src/main/kotlin/io/oriolehall/model/settings/EntrySettingsFile.kt
+++ b/model/src/main/kotlin/io/oriolehall/model/settings/EntrySettingsFile.kt
@@ -37,6 +37,7 @@
             instances = values[EntryKeys.instances],
         ),
         tokens = TokenSettings(values[EntryKeys.secret]),
+        keys = KeySettings(values[EntryKeys.keyLifetime], values[EntryKeys.clockTolerance]),
         policy = PolicySettings(values[EntryKeys.endpointChoice]),
         translate = values[EntryKeys.translate],
     )
--- a/policy/src/main/kotlin/io/oriolehall/policy/keys/KeyHome.kt
+++ b/policy/src/main/kotlin/io/oriolehall/policy/keys/KeyHome.kt
@@ -25,6 +25,7 @@
 
     private fun arriveFirst(key: IdempotencyKey, digest: RequestDigest, relayedTo: KeyHolder?): Arrival = when (key) {
         is IdempotencyKey.Token -> arriveWithToken(key, digest)
+
         is IdempotencyKey.CallerMade ->
             if (relayedTo == null) begin(key, digest, KeyState.Claiming) else Arrival.HolderLost
     }
@@ -49,8 +50,11 @@
     ): Arrival = when {
         record.state is KeyState.Yielded ->
             if (relayedTo == null) Arrival.Relay(record.state.holder) else Arrival.HolderLost
+
         record.state == KeyState.Unclaimed -> claimAgain(record.copy(digest = digest), nowMs, relayedTo)
+
         record.digest != digest -> Arrival.Reused(certain = record.holds)
+
         else -> Arrival.Join
     }
 
--- a/policy/src/main/kotlin/io/oriolehall/policy/keys/KeyRecord.kt
+++ b/policy/src/main/kotlin/io/oriolehall/policy/keys/KeyRecord.kt
@@ -1,5 +1,7 @@
 package io.oriolehall.policy.keys
 
+import io.oriolehall.model.RunOutcome
+
 /** What an arriving request with a key leads to. */
 sealed interface Arrival {
     /** The request is the first here: claim the key, or run it if the record holds it already. */
@@ -35,6 +37,14 @@
     /** True when this process is the one that may run, or ran, or closed, the request of the key. */
     val holds: Boolean get() = state is KeyState.Held || state is KeyState.Sent || state is KeyState.Finished
 
+    /** What a caller whose request was given up may be told. */
+    val outcome: RunOutcome
+        get() = when ((state as? KeyState.Finished)?.outcome) {
+            KeyOutcome.CLOSED -> RunOutcome.NOT_RUN
+            KeyOutcome.ANSWERED, KeyOutcome.RAN -> RunOutcome.RAN
+            KeyOutcome.UNKNOWN, null -> RunOutcome.UNKNOWN
+        }
+
     /** The record after its claim came to [step]. */
     fun claimed(step: ClaimStep): KeyRecord {
         if (state != KeyState.Claiming) return this
@@ -46,7 +56,7 @@
         }
     }
 
-    /** The record just before a non-idempotent stage leaves. Nothing leaves unless the state is then [KeyState.Sent]. */
+    /** The record just before a non-idempotent stage leaves; it may leave only if the state is then [KeyState.Sent]. */
     fun sending(nowMs: Long, deadlineAtMs: Long): KeyRecord = when {
         state !is KeyState.Held -> this
         nowMs >= deadlineAtMs -> abandoned()
--- a/policy/src/test/kotlin/io/oriolehall/policy/keys/KeyWorld.kt
+++ b/policy/src/test/kotlin/io/oriolehall/policy/keys/KeyWorld.kt
@@ -170,13 +170,16 @@
 
     private fun deliveries(world: World, message: Message): List<World> = when (message) {
         is Message.Claim -> world.processes.filter { it.slot == message.to }.flatMap { judge(world, it, message) }
+
         is Message.Relay ->
             world.processes.filter { it.slot == message.to.instance }
                 .map { arrive(world, it, message.digest, message.to) }
+
         is Message.Run -> listOf(
             world.copy(runs = world.runs + message.digest, messages = world.messages + Message.RunReply(message.from)),
             transition(world, message.from, KeyRecord::declined),
         )
+
         is Message.RunReply -> listOf(transition(world, message.to, KeyRecord::executed))
     }
 
--- /dev/null
+++ b/proofs/src/test/kotlin/io/oriolehall/proofs/keys/KeyFailureTest.kt
@@ -0,0 +1,156 @@
+package io.oriolehall.proofs.keys
+
+import io.oriolehall.cli.client.CallOutcome
+import io.oriolehall.harness.fleet.Fleet
+import io.oriolehall.harness.fleet.awaitThat
+import io.oriolehall.harness.fleet.newKey
+import io.oriolehall.harness.fleet.withFleet
+import io.oriolehall.model.RunOutcome
+import io.oriolehall.model.ZoneId
+import io.oriolehall.standins.endpoint.Behaviour
+import kotlinx.coroutines.async
+import kotlinx.coroutines.awaitAll
+import kotlinx.coroutines.coroutineScope
+import org.junit.jupiter.api.Test
+import strikt.api.expectThat
+import strikt.assertions.all
+import strikt.assertions.contains
+import strikt.assertions.isA
+import strikt.assertions.isEqualTo
+import strikt.assertions.isIn
+import strikt.assertions.isNotEqualTo
+
+class KeyFailureTest {
+    private val slow = Behaviour(pauseBeforeRunMs = 400)
+
+    @Test
+    fun `one key through all instances at once runs once and all callers get its answer`() = fleet("keys-at-once") {
+        repeat(10) { round ->
+            for (key in listOf(newKey(), it.token(it.entries[round % it.entries.size]))) {
+                val outcomes = coroutineScope { it.entries.map { entry -> async { it.order(entry, key) } }.awaitAll() }
+                expectThat(it.executions(key)) isEqualTo 1
+                expectThat(outcomes).all { isA<CallOutcome.Whole>() }
+                expectThat(outcomes.map { outcome -> (outcome as CallOutcome.Whole).text }.distinct().size) isEqualTo 1
+            }
+        }
+    }
+
+    @Test
+    fun `a key whose holder was killed after it forwarded never runs again`() = fleet("keys-killed") {
+        for (key in listOf(newKey(), it.token(it.entries[0]))) {
+            it.behaveAll(slow)
+            coroutineScope {
+                val first = async { it.order(it.entries[0], key) }
+                awaitThat("the stage is running") { it.endpoints.any { e -> e.stats().running > 0 } }
+                it.entries[0].process.kill()
+                first.await()
+            }
+            expectThat(it.order(it.entries[2], key).refusedAs) isEqualTo RunOutcome.UNKNOWN
+            it.entries[0].restart()
+            awaitThat("the replacement is ready") { it.entries[0].ready() }
+            expectThat(it.order(it.entries[0], key).refusedAs) isEqualTo RunOutcome.UNKNOWN
+            expectThat(it.order(it.entries[2], key).refusedAs) isEqualTo RunOutcome.UNKNOWN
+            awaitThat("the stage ran") { it.executions(key) > 0 }
+            expectThat(it.executions(key)) isEqualTo 1
+        }
+    }
+
+    @Test
+    fun `a key whose holder is paused past the deadline runs once when it wakes`() = fleet("keys-paused") {
+        for (round in 1..5) {
+            for (key in listOf(newKey(), it.token(it.entries[0]))) {
+                val resent = coroutineScope {
+                    val first = async { it.order(it.entries[0], key, deadlineMs = 600) }
+                    awaitThat("the holder is at work") { round == 1 || it.entries[0].process.alive }
+                    it.entries[0].process.pause()
+                    val again = it.order(it.entries[3], key, deadlineMs = 900)
+                    it.entries[0].process.resume()
+                    first.await()
+                    again
+                }
+                awaitThat("the holder is awake") { it.entries[0].ready() }
+                val last = it.order(it.entries[3], key)
+                val ran = it.executions(key)
+                expectThat(ran).isIn(0..1)
+                for (told in listOf(resent, last)) {
+                    if (told.refusedAs == RunOutcome.NOT_RUN) expectThat(ran) isEqualTo 0
+                }
+            }
+        }
+    }
+
+    @Test
+    fun `a key held in a zone that is cut off is not run elsewhere and answers after the cut`() = fleet("keys-cut") {
+        val z1 = ZoneId("z1")
+        val cuts: List<suspend () -> Unit> = listOf(
+            { it.faults.isolate(z1) },
+            { it.faults.cutForward(z1, ZoneId("z2")) },
+            { it.faults.cutForward(ZoneId("z2"), z1) },
+        )
+        for (cut in cuts) {
+            for (key in listOf(newKey(), it.token(it.entries[0]))) {
+                expectThat(it.order(it.entries[0], key)).isA<CallOutcome.Whole>()
+                cut()
+                expectThat(it.order(it.entries[2], key).refusedAs).isNotEqualTo(RunOutcome.NOT_RUN)
+                it.faults.heal()
+                awaitThat("the holder can be asked again") { it.order(it.entries[2], key) is CallOutcome.Whole }
+                expectThat(it.executions(key)) isEqualTo 1
+            }
+        }
+    }
+
+    @Test
+    fun `a call whose fate is not known is never made again and one that was declined is`() = fleet("keys-endpoint") {
+        val lost = newKey()
+        it.behaveAll(Behaviour(loseReply = 1))
+        expectThat(it.order(it.entries[0], lost).refusedAs) isEqualTo RunOutcome.UNKNOWN
+        expectThat(it.order(it.entries[2], lost).refusedAs) isEqualTo RunOutcome.UNKNOWN
+        expectThat(it.executions(lost)) isEqualTo 1
+
+        val failed = newKey()
+        it.behaveAll(Behaviour(failAfter = 1))
+        expectThat(it.order(it.entries[0], failed).refusedAs) isEqualTo RunOutcome.UNKNOWN
+        expectThat(it.executions(failed)) isEqualTo 1
+
+        val declined = newKey()
+        it.behaveAll(Behaviour())
+        it.endpoint("stock-1").behave(Behaviour(failBefore = 1))
+        expectThat(it.order(it.entries[0], declined)).isA<CallOutcome.Whole>()
+        expectThat(it.executions(declined)) isEqualTo 1
+
+        val closed = newKey()
+        it.behaveAll(Behaviour(failBefore = 5))
+        expectThat(it.order(it.entries[0], closed).refusedAs) isEqualTo RunOutcome.NOT_RUN
+        it.behaveAll(Behaviour())
+        expectThat(it.order(it.entries[2], closed).problemType) isEqualTo "key-closed"
+        expectThat(it.executions(closed)) isEqualTo 0
+    }
+
+    @Test
+    fun `a key that is not the caller's own or not whole is refused and runs nothing`() = fleet("keys-bad") {
+        for (key in listOf(newKey(), it.token(it.entries[0]))) {
+            expectThat(it.order(it.entries[0], key)).isA<CallOutcome.Whole>()
+            for (entry in it.entries) {
+                expectThat(it.order(entry, key, customer = "c-2").problemType) isEqualTo "key-reused"
+                val foreign = it.order(entry, key, organisation = OTHER_SHOP).problemType
+                expectThat(setOf<String?>("key-reused", "bad-key")).contains(foreign)
+            }
+            expectThat(it.executions(key)) isEqualTo 1
+        }
+        val forged = it.token(it.entries[0]).dropLast(1) + "!"
+        for (bad in listOf(forged, "x".repeat(5_000), "order-17", "9f4e1c9e-31a5-4f5e-8f4b-2a1d3c4b5a69")) {
+            expectThat(it.order(it.entries[1], bad).problemType) isEqualTo "bad-key"
+            expectThat(it.executions(bad)) isEqualTo 0
+        }
+        for (skewMs in listOf(-3_600_000L, -20_000L, 20_000L)) {
+            val skewed = newKey(System.currentTimeMillis() + skewMs)
+            expectThat(it.order(it.entries[1], skewed).refusedAs) isEqualTo RunOutcome.UNKNOWN
+            expectThat(it.executions(skewed)) isEqualTo 0
+        }
+    }
+
+    private suspend fun Fleet.behaveAll(behaviour: Behaviour) = endpoints.forEach { it.behave(behaviour) }
+
+    private fun fleet(name: String, test: suspend (Fleet) -> Unit) =
+        withFleet(name, { orders(zones = 2, entriesPerZone = 3) }, test)
+}
--- a/runtime/src/main/kotlin/io/oriolehall/runtime/Event.kt
+++ b/runtime/src/main/kotlin/io/oriolehall/runtime/Event.kt
@@ -29,6 +29,8 @@
     REQUEST_REFUSED(401, EventLevel.INFO, "request refused"),
     REQUEST_SERVED(402, EventLevel.DEBUG, "request served"),
     STAGE_ATTEMPT_FAILED(403, EventLevel.WARN, "stage attempt failed"),
+    KEY_HOLDER_SILENT(451, EventLevel.WARN, "holder of an idempotency key did not answer"),
+    KEY_NOT_CLAIMED(452, EventLevel.WARN, "witnesses did not grant an idempotency key"),
 
     STANDIN_STARTED(701, EventLevel.INFO, "stand-in started"),
 }
