--- a/entry/src/main/kotlin/io/oriolehall/entry/http/CallerRoutes.kt
+++ b/entry/src/main/kotlin/io/oriolehall/entry/http/CallerRoutes.kt
@@ -24,7 +24,7 @@
     private val answers: AnswerStore,
     private val relay: AnswerRelay,
     private val mint: (OrganisationId) -> MintedToken,
-    private val ready: () -> Boolean,
+    private val refusal: () -> Refusal?,
 ) {
     fun install(route: Route) {
         route.post("/v1/pipelines/{name}") { send(call, call.parameters["name"].orEmpty()) }
@@ -33,9 +33,7 @@
     }
 
     private suspend fun send(call: ApplicationCall, name: String) {
-        if (!ready()) {
-            return call.respondUnread(Refusal(RefusalKind.NOT_READY, "no configuration yet", retryAfterMs = 1_000))
-        }
+        refusal()?.let { return call.respondUnread(it) }
         val organisation = reader.authenticate(call)
         if (organisation.isErr) return call.respondUnread(organisation.error)
         val request = reader.read(call, organisation.value, name)
--- a/model/src/main/kotlin/io/oriolehall/model/settings/EntrySettings.kt
+++ b/model/src/main/kotlin/io/oriolehall/model/settings/EntrySettings.kt
@@ -18,6 +18,8 @@
     val keys: KeySettings = KeySettings(),
     val policy: PolicySettings = PolicySettings(),
     val translate: Map<NetworkAddress, NetworkAddress> = emptyMap(),
+    val peers: PeerSettings = PeerSettings(),
+    val stop: StopSettings = StopSettings(),
 ) {
     /** The address to dial from here for one that the platform or a ticket publishes. */
     fun dialled(published: NetworkAddress): NetworkAddress = translate[published] ?: published
@@ -56,3 +58,20 @@
 data class PolicySettings(
     val endpointChoice: String = "least-outstanding",
 )
+
+/**
+ * Other instances: section `[peers]`.
+ *
+ * @property contacts addresses at which other instances may be found when the platform's list cannot be read.
+ * @property exchange false to neither know other instances nor exchange configuration with them; for comparisons.
+ */
+data class PeerSettings(val contacts: List<NetworkAddress> = emptyList(), val exchange: Boolean = true)
+
+/**
+ * Stopping: section `[stop]`.
+ *
+ * @property keepServingMs time for which an instance that was told to stop serves what the balancer still sends,
+ *   milliseconds.
+ * @property waitMs longest wait after that for unfinished work, milliseconds.
+ */
+data class StopSettings(val keepServingMs: Long = 3_000, val waitMs: Long = 30_000)
