--- a/model/src/main/kotlin/io/oriolehall/model/settings/EntrySettings.kt
+++ b/model/src/main/kotlin/io/oriolehall/model/settings/EntrySettings.kt
@@ -54,9 +54,17 @@
  */
 data class KeySettings(val lifetimeMs: Long = 600_000, val clockToleranceMs: Long = 5_000)
 
-/** Names of the policies in use: section `[policy]`. */
+/**
+ * Names of the policies in use: section `[policy]`.
+ *
+ * @property endpointChoice `least-outstanding` or `round-robin`.
+ * @property limits how an endpoint's limit is kept over all instances: `leases`, `equal-split` or `none`.
+ * @property admission `deadline` or `none`.
+ */
 data class PolicySettings(
     val endpointChoice: String = "least-outstanding",
+    val limits: String = "leases",
+    val admission: String = "deadline",
 )
 
 /**
--- a/model/src/main/kotlin/io/oriolehall/model/settings/EntrySettingsFile.kt
+++ b/model/src/main/kotlin/io/oriolehall/model/settings/EntrySettingsFile.kt
@@ -38,7 +38,11 @@
         ),
         tokens = TokenSettings(values[EntryKeys.secret]),
         keys = KeySettings(values[EntryKeys.keyLifetime], values[EntryKeys.clockTolerance]),
-        policy = PolicySettings(values[EntryKeys.endpointChoice]),
+        policy = PolicySettings(
+            endpointChoice = values[EntryKeys.endpointChoice],
+            limits = values[EntryKeys.limits],
+            admission = values[EntryKeys.admission],
+        ),
         translate = values[EntryKeys.translate],
     )
 }
