--- a/entry/src/main/kotlin/io/oriolehall/entry/EntryInstance.kt
+++ b/entry/src/main/kotlin/io/oriolehall/entry/EntryInstance.kt
@@ -18,6 +18,7 @@
 import io.oriolehall.entry.http.HttpListener
 import io.oriolehall.entry.http.OperatorRoutes
 import io.oriolehall.entry.http.RequestReader
+import io.oriolehall.entry.keys.KeyService
 import io.oriolehall.entry.limits.ConcurrencyLimits
 import io.oriolehall.entry.limits.EqualSplitLimits
 import io.oriolehall.entry.limits.LeasedLimits
@@ -27,7 +28,6 @@
 import io.oriolehall.entry.quarantine.CrashProbe
 import io.oriolehall.entry.quarantine.Quarantine
 import io.oriolehall.entry.requests.AnswerRelay
-import io.oriolehall.entry.requests.KeylessGate
 import io.oriolehall.entry.requests.PipelineExecutor
 import io.oriolehall.entry.stages.EndpointClient
 import io.oriolehall.entry.stages.EndpointSlots
@@ -45,6 +45,8 @@
 import io.oriolehall.policy.admission.AdmitAll
 import io.oriolehall.policy.admission.DeadlineAdmission
 import io.oriolehall.policy.config.ConfigSnapshot
+import io.oriolehall.policy.keys.KeyHolder
+import io.oriolehall.policy.keys.KeyRules
 import io.oriolehall.policy.membership.Member
 import io.oriolehall.policy.retry.RetryBudget
 import io.oriolehall.policy.routing.EndpointPolicy
@@ -145,6 +147,18 @@
         override val requests get() = answers.unfinished
         override val responses get() = callers.activeCalls
     }
+    private val keys = KeyService(
+        self = KeyHolder(self.id, incarnation, settings.listen.peers),
+        secret = settings.tokens.secret,
+        rules = KeyRules(settings.keys.lifetimeMs, settings.keys.clockToleranceMs),
+        config = config,
+        peers = peerClient,
+        dialled = settings::dialled,
+        addressOf = { id -> addressOf(id)?.let(settings::dialled) },
+        timers = timers,
+        log = log,
+    )
+    private val gate = keys.open(peerServer, executor, answers)
     private val graceful = GracefulStop(settings.stop, unfinished, timers, log)
     private val readiness = Readiness(configStore, configReader, exchange, { membership }, graceful)
     private val operators = HttpListener(settings.listen.operators, log) { operatorRoutes().install(this) }
@@ -204,9 +218,10 @@
     private fun callerRoutes() = CallerRoutes(
         instance = self.id,
         reader = RequestReader(config, timers),
-        gate = KeylessGate(executor),
+        gate = gate,
         answers = answers,
         relay = relay,
+        mint = keys::mint,
         refusal = readiness::refusal,
     )
 
@@ -226,6 +241,7 @@
         ready = ready(),
         highestTicket = config().highestTicket,
         unfinishedRequests = answers.unfinished,
+        vouchesForNewKeys = keys.vouchesForNewKeys,
         notReadyBecause = readiness.obstacle(),
         platformReachable = configReader.reachable,
         platformRevision = configReader.revision,
