--- a/model/src/main/kotlin/io/oriolehall/model/settings/EntryKeys.kt
+++ b/model/src/main/kotlin/io/oriolehall/model/settings/EntryKeys.kt
@@ -23,6 +23,12 @@
         default = PolicySettings().endpointChoice,
     )
 
+    val contacts = optional("peers", "contacts", listSetting(addressSetting("10.0.0.6:8082")), PeerSettings().contacts)
+    val exchange = optional("peers", "exchange", switchSetting(), PeerSettings().exchange)
+
+    val keepServing = optional("stop", "keep-serving", durationSetting("3 s"), StopSettings().keepServingMs)
+    val stopWait = optional("stop", "wait", durationSetting("30 s"), StopSettings().waitMs)
+
     /** Published addresses and the addresses to dial in their place. */
     val translate = map("translate", addressSetting("10.0.1.7:9001 = 10.0.9.1:20001"))
 }
--- a/model/src/main/kotlin/io/oriolehall/model/settings/EntrySettingsFile.kt
+++ b/model/src/main/kotlin/io/oriolehall/model/settings/EntrySettingsFile.kt
@@ -39,5 +39,7 @@
         tokens = TokenSettings(values[EntryKeys.secret]),
         policy = PolicySettings(values[EntryKeys.endpointChoice]),
         translate = values[EntryKeys.translate],
+        peers = PeerSettings(values[EntryKeys.contacts], values[EntryKeys.exchange]),
+        stop = StopSettings(values[EntryKeys.keepServing], values[EntryKeys.stopWait]),
     )
 }
