--- a/proofs/src/test/kotlin/io/oriolehall/proofs/config/CallerTraffic.kt
+++ b/proofs/src/test/kotlin/io/oriolehall/proofs/config/CallerTraffic.kt
@@ -31,7 +31,7 @@
 
 /**
  * Callers behind a balancer: it looks at each instance's readiness a few times a second and sends requests in turn to
- * those that were ready when it last looked. Stock lookups, summaries and orders alternate.
+ * those that were ready when it last looked. Lookups, summaries and orders alternate.
  */
 internal class CallerTraffic(
     private val fleet: Fleet,
@@ -118,6 +118,6 @@
 
         is CallOutcome.Broken -> "${record.pipeline} broken"
 
-        is CallOutcome.Unreachable -> "${record.pipeline} unreachable"
+        is CallOutcome.Unreachable -> "${record.pipeline} unreachable (${outcome.reason.substringAfter(": ")})"
     }
 }.eachCount().toSortedMap()
--- a/proofs/src/test/kotlin/io/oriolehall/proofs/config/ConfigFleet.kt
+++ b/proofs/src/test/kotlin/io/oriolehall/proofs/config/ConfigFleet.kt
@@ -15,7 +15,7 @@
 import io.oriolehall.standins.faultproxy.FaultMatch
 import io.oriolehall.standins.faultproxy.FaultMode
 
-/** Three zones with entry instances, engines, stock services and retrievers; all links go through the fault proxy. */
+/** Three zones with entry instances, engines, stock services and encoders; all links go through the fault proxy. */
 internal fun FleetBuilder.threeZones(entriesPerZone: Int = 2) {
     proxied = true
     for (zone in listOf("z1", "z2", "z3")) {
@@ -39,9 +39,9 @@
         }
     }
     organisation("authority")
-    pipeline("lookup") { stage("retrieve", StageKind.RETRIEVE, "retrievers", expectedMs = 20) }
+    pipeline("lookup") { stage("encode", StageKind.ENCODE, "encoders", expectedMs = 20) }
     pipeline("summary") {
-        stage("retrieve", StageKind.RETRIEVE, "retrievers", expectedMs = 20)
+        stage("encode", StageKind.ENCODE, "encoders", expectedMs = 20)
         stage("generate", StageKind.GENERATE, "engines", expectedMs = 500)
     }
     pipeline("order") { stage("order", StageKind.CALL, "stock", idempotent = false, expectedMs = 20) }
