--- a/entry/src/main/kotlin/io/oriolehall/entry/stages/StageRunner.kt
+++ b/entry/src/main/kotlin/io/oriolehall/entry/stages/StageRunner.kt
@@ -63,7 +63,7 @@
                 continue
             }
             val outcome = inSlot(slot.value, stage, context) { onFirst ->
-                attempt(endpoint, stage, input, context, text, onFirst)
+                guarded(stage, context) { attempt(endpoint, stage, input, context, text, onFirst) }
             }
             if (suspect) quarantine.endTrial(context.fingerprint, endpoint)
             if (outcome.isOk) {
@@ -71,12 +71,31 @@
                 return Ok(outcome.value.output)
             }
             tried += endpoint.id
+            if (outcome.error is StageFailure.Withheld) return Err(withheld(stage, context, outcome.error))
             if (outcome.error.ran) runs++
             val mayRepeat = !outcome.error.ran || stage.mayRunAgain(outcome.error, runs)
             if (!mayRepeat || !budget.tryTake()) return Err(stageFailed(stage, context, outcome.error))
         }
     }
 
+    /** Lets a stage that may not run twice leave only when the request's guard allows it. */
+    private suspend fun guarded(
+        stage: Stage,
+        context: StageContext,
+        attempt: suspend () -> Result<StageResult, StageFailure>,
+    ): Result<StageResult, StageFailure> {
+        if (stage.idempotent) return attempt()
+        val guard = context.request.guard
+        if (!guard.allowSend()) return Err(StageFailure.Withheld("it is too late to send"))
+        val outcome = attempt()
+        if (outcome.isOk) {
+            guard.executed()
+        } else if (!outcome.error.ran) {
+            guard.declined()
+        }
+        return outcome
+    }
+
     private fun Stage.mayRunAgain(failure: StageFailure, runs: Int) =
         idempotent && failure !is StageFailure.Diverged && runs < MAX_RUNS
 
@@ -114,6 +133,7 @@
         this == null -> CallResult.CANCELLED
         isOk -> CallResult.COMPLETED
         error is StageFailure.Declined -> CallResult.DECLINED
+        error is StageFailure.Withheld -> CallResult.CANCELLED
         else -> CallResult.FAILED
     }
 
@@ -199,6 +219,12 @@
             )
         }
 
+    private fun withheld(stage: Stage, context: StageContext, failure: StageFailure): Refusal = Refusal(
+        kind = RefusalKind.DEADLINE_EXCEEDED,
+        detail = "stage ${stage.name}: ${failure.message}",
+        outcome = context.outcome(),
+    )
+
     private fun stageFailed(stage: Stage, context: StageContext, failure: StageFailure): Refusal = Refusal(
         kind = RefusalKind.STAGE_FAILED,
         detail = "stage ${stage.name}: ${failure.message}",
