Admission estimates go back to the declared time when nothing is observed

A few slow first calls raised the estimate above the deadline; every request was refused, so nothing was observed any more and the estimate stayed. Now an estimate decays towards the declared time, and an idle stage takes one request whatever the estimate says.

--- a/entry/src/main/kotlin/io/oriolehall/entry/EntryInstance.kt
+++ b/entry/src/main/kotlin/io/oriolehall/entry/EntryInstance.kt
@@ -49,6 +49,8 @@
 import io.oriolehall.policy.retry.RetryBudget
 import io.oriolehall.policy.routing.EndpointPolicy
 import io.oriolehall.policy.routing.LeastOutstandingPolicy
+import io.oriolehall.policy.routing.PowerOfTwoPolicy
+import io.oriolehall.policy.routing.PrefixAffinityPolicy
 import io.oriolehall.policy.routing.RoundRobinPolicy
 import io.oriolehall.runtime.AuditTrail
 import io.oriolehall.runtime.ControlThread
@@ -236,6 +238,8 @@
 
     private fun endpointPolicy(): EndpointPolicy = when (settings.policy.endpointChoice) {
         "round-robin" -> RoundRobinPolicy()
+        "power-of-two" -> PowerOfTwoPolicy()
+        "prefix-affinity" -> PrefixAffinityPolicy()
         else -> LeastOutstandingPolicy()
     }
 
--- a/entry/src/main/kotlin/io/oriolehall/entry/stages/EndpointSlots.kt
+++ b/entry/src/main/kotlin/io/oriolehall/entry/stages/EndpointSlots.kt
@@ -92,8 +92,8 @@
      */
     fun finish(slot: EndpointSlot, stage: Stage, result: CallResult, firstOutputMs: Double, lingers: Boolean = false) {
         val took = (timers.nowMs() - slot.startedMs).toDouble()
-        if (result == CallResult.COMPLETED) times.observe(stage.key(), took)
-        val left = times.boundMs(stage.key(), stage.expectedMs.toDouble()) - took
+        if (result == CallResult.COMPLETED) times.observe(stage.key(), took, stage.declaredMs(), timers.nowMs())
+        val left = boundMs(stage) - took
         if (lingers && left > 0) {
             scope.launch {
                 delay(left.toLong())
@@ -174,14 +174,17 @@
                 line.queue.sizeBefore(context.request.organisation.id) to line.running
             }
             val free = endpoints(ahead.pool, emptySet()).sumOf { minOf(limits.room(it), MAX_ROOM) }
-            val bound = times.boundMs(ahead.key(), ahead.expectedMs.toDouble())
-            StageForecast(waiting, running + free, meanMs(ahead), bound)
+            StageForecast(waiting, running, running + free, meanMs(ahead), boundMs(ahead))
         }
 
     private fun remainingStages(stage: Stage, context: StageContext): List<Stage> =
         context.request.pipeline.stages.dropWhile { it != stage }
 
-    private fun meanMs(stage: Stage): Double = times.meanMs(stage.key(), stage.expectedMs.toDouble())
+    private fun meanMs(stage: Stage): Double = times.meanMs(stage.key(), stage.declaredMs(), timers.nowMs())
+
+    private fun boundMs(stage: Stage): Double = times.boundMs(stage.key(), stage.declaredMs(), timers.nowMs())
+
+    private fun Stage.declaredMs() = expectedMs.toDouble()
 
     private fun endpoints(pool: PoolId, tried: Set<EndpointId>): List<Endpoint> {
         val snapshot = config()
--- a/model/src/main/kotlin/io/oriolehall/model/settings/EntryKeys.kt
+++ b/model/src/main/kotlin/io/oriolehall/model/settings/EntryKeys.kt
@@ -19,7 +19,7 @@
     val endpointChoice = optional(
         "policy",
         "endpoint-choice",
-        choiceSetting("least-outstanding", "round-robin"),
+        choiceSetting("least-outstanding", "round-robin", "power-of-two", "prefix-affinity"),
         default = PolicySettings().endpointChoice,
     )
 
--- a/model/src/main/kotlin/io/oriolehall/model/settings/EntrySettings.kt
+++ b/model/src/main/kotlin/io/oriolehall/model/settings/EntrySettings.kt
@@ -47,7 +47,7 @@
 /**
  * Names of the policies in use: section `[policy]`.
  *
- * @property endpointChoice `least-outstanding` or `round-robin`.
+ * @property endpointChoice `least-outstanding`, `round-robin`, `power-of-two` or `prefix-affinity`.
  * @property limits how an endpoint's limit is kept over all instances: `leases`, `equal-split` or `none`.
  * @property admission `deadline` or `none`.
  */
--- a/policy/src/test/kotlin/io/oriolehall/policy/admission/AdmissionTest.kt
+++ b/policy/src/test/kotlin/io/oriolehall/policy/admission/AdmissionTest.kt
@@ -6,6 +6,8 @@
 import strikt.assertions.containsExactly
 import strikt.assertions.isA
 import strikt.assertions.isEqualTo
+import strikt.assertions.isGreaterThan
+import strikt.assertions.isLessThan
 
 class AdmissionTest {
     private val queue = FairQueue<String>()
@@ -47,9 +49,24 @@
 
     @Test
     fun `a request is admitted while queues and stages fit into its time`() {
-        val stages = listOf(StageForecast(waiting = 10, concurrency = 5, meanMs = 100.0, boundMs = 150.0))
+        val stages = listOf(StageForecast(waiting = 10, running = 5, concurrency = 5, meanMs = 100.0, boundMs = 150.0))
         expectThat(DeadlineAdmission.decide(350, stages)).isEqualTo(AdmissionDecision.Admit)
         expectThat(DeadlineAdmission.decide(349, stages)).isA<AdmissionDecision.Refuse>()
         expectThat(AdmitAll.decide(0, stages)).isEqualTo(AdmissionDecision.Admit)
     }
+
+    @Test
+    fun `an idle stage takes a request whatever its estimate says`() {
+        val slow = StageForecast(waiting = 0, running = 0, concurrency = 5, meanMs = 9_000.0, boundMs = 9_000.0)
+        expectThat(DeadlineAdmission.decide(1_000, listOf(slow))).isEqualTo(AdmissionDecision.Admit)
+        expectThat(DeadlineAdmission.decide(1_000, listOf(slow.copy(running = 1)))).isA<AdmissionDecision.Refuse>()
+    }
+
+    @Test
+    fun `an estimate follows what is observed and goes back to the declared time when nothing is`() {
+        val times = StageTimes<String>()
+        repeat(100) { times.observe("s", ms = 5_000.0, declaredMs = 100.0, nowMs = 0) }
+        expectThat(times.meanMs("s", 100.0, nowMs = 0)).isGreaterThan(4_900.0)
+        expectThat(times.boundMs("s", 100.0, nowMs = 20_000)).isLessThan(110.0)
+    }
 }
