--- a/entry/src/main/kotlin/io/oriolehall/entry/InstanceStatus.kt
+++ b/entry/src/main/kotlin/io/oriolehall/entry/InstanceStatus.kt
@@ -12,6 +12,7 @@
  *
  * @property highestTicket highest ticket number in force here; 0 before the first.
  * @property unfinishedRequests requests that still run here.
+ * @property vouchesForNewKeys false while it has run for too short a time to witness keys that are made now.
  * @property notReadyBecause why the instance is not ready; null when it is.
  * @property platformRevision revision up to which the configuration service has been read, here or by a peer.
  * @property configDigest digest of the configuration in force; equal on instances with the same configuration.
@@ -25,6 +26,7 @@
     val ready: Boolean,
     val highestTicket: Long,
     val unfinishedRequests: Int,
+    val vouchesForNewKeys: Boolean = true,
     val notReadyBecause: String? = null,
     val platformReachable: Boolean = false,
     val platformRevision: Long = 0,
