--- a/cli/src/main/kotlin/io/oriolehall/cli/CheckTicketCommand.kt
+++ b/cli/src/main/kotlin/io/oriolehall/cli/CheckTicketCommand.kt
@@ -2,7 +2,6 @@
 
 import com.github.ajalt.clikt.core.CliktCommand
 import com.github.ajalt.clikt.core.Context
-import com.github.ajalt.clikt.core.ProgramResult
 import com.github.ajalt.clikt.parameters.arguments.argument
 import com.github.ajalt.clikt.parameters.types.path
 import io.oriolehall.model.StrictJson
@@ -35,7 +34,6 @@
     }
 
     private fun fail(reason: String): Nothing {
-        echo("$file: $reason", err = true)
-        throw ProgramResult(ExitCode.BAD_INPUT)
+        fail("$file: $reason", ExitCode.BAD_INPUT)
     }
 }
--- a/cli/src/main/kotlin/io/oriolehall/cli/Main.kt
+++ b/cli/src/main/kotlin/io/oriolehall/cli/Main.kt
@@ -16,6 +16,11 @@
 internal fun oriolehall(): CliktCommand = OriolehallCommand().subcommands(
     RunCommand(),
     CheckCommand().subcommands(CheckSettingsCommand(), CheckTicketCommand()),
+    SendCommand(),
+    ResumeCommand(),
+    StatusCommand(),
+    AuditCommand(),
+    ExplainCommand(),
 )
 
 private class OriolehallCommand : CliktCommand(name = "oriolehall") {
