--- a/entry/src/main/kotlin/io/oriolehall/entry/stages/StageRunner.kt
+++ b/entry/src/main/kotlin/io/oriolehall/entry/stages/StageRunner.kt
@@ -3,8 +3,10 @@
 import com.github.michaelbull.result.Err
 import com.github.michaelbull.result.Ok
 import com.github.michaelbull.result.Result
+import io.oriolehall.entry.cost.CostMetrics
 import io.oriolehall.entry.explain.AttemptRecord
 import io.oriolehall.entry.explain.RequestHistory
+import io.oriolehall.entry.quarantine.Quarantine
 import io.oriolehall.model.Endpoint
 import io.oriolehall.model.EndpointId
 import io.oriolehall.model.Refusal
@@ -15,25 +17,24 @@
 import io.oriolehall.model.StageKind
 import io.oriolehall.model.StageResult
 import io.oriolehall.model.Usage
-import io.oriolehall.model.ZoneId
-import io.oriolehall.policy.config.ConfigSnapshot
-import io.oriolehall.policy.routing.CallContext
-import io.oriolehall.policy.routing.Candidate
-import io.oriolehall.policy.routing.EndpointPolicy
+import io.oriolehall.policy.limits.CallResult
+import io.oriolehall.policy.quarantine.Standing
+import io.oriolehall.policy.retry.RetryBudget
 import io.oriolehall.runtime.Event
 import io.oriolehall.runtime.EventLog
 import io.oriolehall.runtime.TimerService
+import kotlinx.coroutines.delay
 
 /**
  * Runs one stage of a request: chooses an endpoint, calls it, and calls another one when that is safe. A call that may
  * have run is made again only if the stage is idempotent.
  */
 class StageRunner(
-    private val zone: ZoneId,
-    private val config: () -> ConfigSnapshot,
-    private val policy: EndpointPolicy,
+    private val slots: EndpointSlots,
+    private val quarantine: Quarantine,
+    private val budget: RetryBudget,
+    private val cost: CostMetrics,
     private val client: EndpointClient,
-    private val outstanding: OutstandingCalls,
     private val history: RequestHistory,
     private val timers: TimerService,
     private val log: EventLog,
@@ -47,23 +48,93 @@
     ): Result<String, Refusal> {
         val tried = mutableSetOf<EndpointId>()
         val text = GeneratedText(onText)
+        var runs = 0
+        budget.onFirstCall()
         while (true) {
-            val endpoint = choose(stage, input, context, tried) ?: return Err(noEndpoint(stage, context, tried))
-            val outcome = attempt(endpoint, stage, input, context, text)
-            if (outcome.isOk) return Ok(outcome.value.output)
+            val standing = quarantine.standing(context.fingerprint)
+            if (standing == Standing.BLAMED) return Err(quarantined(context))
+            val slot = slots.acquire(stage, input, context, tried)
+            if (slot.isErr) return Err(noSlot(stage, context, tried, slot.error))
+            val endpoint = slot.value.endpoint
+            val suspect = standing == Standing.SUSPECT
+            if (suspect && !quarantine.beginTrial(context.fingerprint, endpoint, context.remainingMs())) {
+                slots.finish(slot.value, stage, CallResult.CANCELLED, firstOutputMs = 0.0)
+                delay(TRIAL_WAIT_MS)
+                continue
+            }
+            val outcome = inSlot(slot.value, stage, context) { onFirst ->
+                guarded(stage, context) { attempt(endpoint, stage, input, context, text, onFirst) }
+            }
+            if (suspect) quarantine.endTrial(context.fingerprint, endpoint)
+            if (outcome.isOk) {
+                if (stage == context.request.pipeline.stages.last()) quarantine.onCompleted(context.fingerprint)
+                return Ok(outcome.value.output)
+            }
             tried += endpoint.id
-            val mayRepeat = !outcome.error.ran || (stage.idempotent && outcome.error !is StageFailure.Diverged)
-            if (!mayRepeat || tried.size >= MAX_ATTEMPTS) return Err(stageFailed(stage, context, outcome.error))
+            if (outcome.error is StageFailure.Withheld) return Err(withheld(stage, context, outcome.error))
+            if (outcome.error.ran) runs++
+            val mayRepeat = !outcome.error.ran || stage.mayRunAgain(outcome.error, runs)
+            if (!mayRepeat || !budget.tryTake()) return Err(stageFailed(stage, context, outcome.error))
         }
     }
 
-    private fun choose(stage: Stage, input: String, context: StageContext, tried: Set<EndpointId>): Endpoint? {
-        val snapshot = config()
-        val candidates = snapshot.endpointsByPool[stage.pool].orEmpty()
-            .filter { it.id !in tried && snapshot.acceptsNewWork(it) }
-            .map { Candidate(it, outstanding.count(it.id)) }
-        val call = CallContext(context.request.organisation.id, zone, input)
-        return policy.choose(candidates, call)?.endpoint
+    /** Lets a stage that may not run twice leave only when the request's guard allows it. */
+    private suspend fun guarded(
+        stage: Stage,
+        context: StageContext,
+        attempt: suspend () -> Result<StageResult, StageFailure>,
+    ): Result<StageResult, StageFailure> {
+        if (stage.idempotent) return attempt()
+        val guard = context.request.guard
+        if (!guard.allowSend()) return Err(StageFailure.Withheld("it is too late to send"))
+        val outcome = attempt()
+        if (outcome.isOk) {
+            guard.executed()
+        } else if (!outcome.error.ran) {
+            guard.declined()
+        }
+        return outcome
+    }
+
+    private fun Stage.mayRunAgain(failure: StageFailure, runs: Int) =
+        idempotent && failure !is StageFailure.Diverged && runs < MAX_RUNS
+
+    private fun StageContext.remainingMs() = request.deadlineMs - timers.nowMs()
+
+    private fun quarantined(context: StageContext) = Refusal(
+        kind = RefusalKind.QUARANTINED,
+        detail = "two endpoints ended while they ran this input",
+        outcome = context.outcome(),
+    )
+
+    /** Runs [call] and gives [slot] back with what was seen of the endpoint. */
+    private suspend fun inSlot(
+        slot: EndpointSlot,
+        stage: Stage,
+        context: StageContext,
+        call: suspend (onFirst: () -> Unit) -> Result<StageResult, StageFailure>,
+    ): Result<StageResult, StageFailure> {
+        var firstMs: Long? = null
+        var outcome: Result<StageResult, StageFailure>? = null
+        try {
+            return call { firstMs = firstMs ?: timers.nowMs() }.also { outcome = it }
+        } finally {
+            val first = ((firstMs ?: timers.nowMs()) - slot.startedMs).toDouble()
+            val failure = outcome?.takeIf { it.isErr }?.error
+            val lingers = outcome == null || failure is StageFailure.Lost
+            val result = outcome.toCallResult()
+            val usage = outcome?.takeIf { it.isOk }?.value?.usage ?: Usage()
+            cost.count(stage.name, context.request.organisation.id, result, timers.nowMs() - slot.startedMs, usage)
+            slots.finish(slot, stage, result, first, lingers)
+        }
+    }
+
+    private fun Result<StageResult, StageFailure>?.toCallResult(): CallResult = when {
+        this == null -> CallResult.CANCELLED
+        isOk -> CallResult.COMPLETED
+        error is StageFailure.Declined -> CallResult.DECLINED
+        error is StageFailure.Withheld -> CallResult.CANCELLED
+        else -> CallResult.FAILED
     }
 
     private suspend fun attempt(
@@ -72,20 +143,21 @@
         input: String,
         context: StageContext,
         text: GeneratedText,
+        onFirst: () -> Unit,
     ): Result<StageResult, StageFailure> {
         val start = timers.nowMs()
         val call = context.toCall(stage, input, remainingMs = context.request.deadlineMs - start)
-        val outcome = outstanding.during(endpoint.id) {
-            context.markSent()
-            if (stage.kind ==
-                StageKind.GENERATE
-            ) {
-                client.generate(endpoint, call, text)
-            } else {
-                client.run(endpoint, call)
-            }
+        val calledAtMs = timers.wallClockMs()
+        context.markSent()
+        val outcome = if (stage.kind == StageKind.GENERATE) {
+            client.generate(endpoint, call, text, onFirst)
+        } else {
+            client.run(endpoint, call)
         }
         record(endpoint, call, context, start, outcome)
+        if (outcome.isErr && outcome.error is StageFailure.Lost) {
+            quarantine.onLostCall(context.fingerprint, endpoint, calledAtMs)
+        }
         return outcome
     }
 
@@ -130,11 +202,27 @@
         }
     }
 
-    private fun noEndpoint(stage: Stage, context: StageContext, tried: Set<EndpointId>): Refusal = Refusal(
-        kind = RefusalKind.NO_ENDPOINT,
-        detail = "no endpoint of pool ${stage.pool} takes stage ${stage.name}; tried $tried",
+    private fun noSlot(stage: Stage, context: StageContext, tried: Set<EndpointId>, why: SlotRefusal): Refusal =
+        when (why) {
+            SlotRefusal.NoEndpoint -> Refusal(
+                kind = RefusalKind.NO_ENDPOINT,
+                detail = "no endpoint of pool ${stage.pool} takes stage ${stage.name}; tried $tried",
+                outcome = context.outcome(),
+                retryAfterMs = RETRY_AFTER_MS,
+            )
+
+            is SlotRefusal.TooLate -> Refusal(
+                kind = RefusalKind.DEADLINE_UNREACHABLE,
+                detail = "stage ${stage.name} and what follows would take about ${why.expectedMs} ms",
+                outcome = context.outcome(),
+                retryAfterMs = why.retryAfterMs,
+            )
+        }
+
+    private fun withheld(stage: Stage, context: StageContext, failure: StageFailure): Refusal = Refusal(
+        kind = RefusalKind.DEADLINE_EXCEEDED,
+        detail = "stage ${stage.name}: ${failure.message}",
         outcome = context.outcome(),
-        retryAfterMs = RETRY_AFTER_MS,
     )
 
     private fun stageFailed(stage: Stage, context: StageContext, failure: StageFailure): Refusal = Refusal(
@@ -147,7 +235,10 @@
     private fun StageContext.outcome() = if (anythingSent) RunOutcome.UNKNOWN else RunOutcome.NOT_RUN
 
     private companion object {
-        const val MAX_ATTEMPTS = 3
+        const val MAX_RUNS = 3
+
+        /** Wait before a suspect asks again for an endpoint to itself, milliseconds. */
+        const val TRIAL_WAIT_MS = 20L
         const val RETRY_AFTER_MS = 1_000L
     }
 }
--- a/harness/src/main/kotlin/io/oriolehall/harness/fleet/FleetStarter.kt
+++ b/harness/src/main/kotlin/io/oriolehall/harness/fleet/FleetStarter.kt
@@ -50,7 +50,10 @@
         val fleet = Fleet(
             spec, directory, launcher, http, platform, proxy, platformHandle, tickets, faults, entries, endpoints,
         )
-        entries.forEach { awaitThat("${it.spec.id} is ready", READY_TIMEOUT_MS) { it.ready() } }
+        for (entry in entries) {
+            awaitThat("${entry.spec.id} is ready", READY_TIMEOUT_MS) { entry.ready() }
+            awaitThat("${entry.spec.id} witnesses new keys", READY_TIMEOUT_MS) { entry.status().vouchesForNewKeys }
+        }
         return fleet
     }
 
@@ -67,7 +70,7 @@
     private fun addressOf(process: LaunchedProcess) = checkNotNull(NetworkAddress.parse(process.ready.address))
 
     private suspend fun launchStandin(id: String, arguments: List<String>) =
-        launch(ProgramSpec(id, STANDINS_MAIN, arguments, spec.endpointHeapMb))
+        launch(ProgramSpec(id, STANDINS_MAIN, arguments, spec.endpointHeapMb, jvmOptions = spec.jvmOptions))
 
     private suspend fun launch(program: ProgramSpec) = withContext(Dispatchers.IO) { launcher.launch(program) }
 
@@ -83,7 +86,13 @@
             "--cold-limit=${endpoint.coldLimit}",
             "--warm-limit=${endpoint.warmLimit}",
         ) + (if (endpoint.fenced) listOf("--fenced") else emptyList()) + endpoint.arguments
-        val program = ProgramSpec(endpoint.id.value, STANDINS_MAIN, arguments, spec.endpointHeapMb)
+        val program = ProgramSpec(
+            endpoint.id.value,
+            STANDINS_MAIN,
+            arguments,
+            spec.endpointHeapMb,
+            jvmOptions = spec.jvmOptions,
+        )
         return EndpointProcess(endpoint, address, launch(program), ::connect) { launcher.launch(program) }
     }
 
@@ -95,9 +104,11 @@
             spec.objects +
             listOfNotNull(defaultWitnesses())
 
+    /** One name of each zone in turn, so that a zone cut off takes as few witnesses with it as possible. */
     private fun defaultWitnesses(): WitnessRoster? {
         if (spec.objects.any { it is WitnessRoster }) return null
-        return WitnessRoster(spec.entries.map { it.id }.take(DEFAULT_WITNESSES))
+        val inTurn = spec.entries.groupBy { it.zone }.values.flatMap { it.withIndex() }.sortedBy { it.index }
+        return WitnessRoster(inTurn.map { it.value.id }.take(DEFAULT_WITNESSES))
     }
 
     private suspend fun startEntry(
@@ -111,8 +122,14 @@
         val text = EntrySettingsText(entry.spec, entry.ports, platform, spec.settings, translate)
         val file = directory.resolve("${entry.spec.id}.ini")
         Files.writeString(file, text.render())
-        val program =
-            ProgramSpec(entry.spec.id.value, CLI_MAIN, listOf("run", "--settings", file.toString()), spec.entryHeapMb)
+        val arguments = listOf("run", "--settings", file.toString())
+        val program = ProgramSpec(
+            entry.spec.id.value,
+            CLI_MAIN,
+            arguments,
+            spec.entryHeapMb,
+            jvmOptions = spec.jvmOptions,
+        )
         return EntryProcess(entry.spec, entry.ports, file, launch(program), http) { launcher.launch(program) }
     }
 
--- a/model/src/main/kotlin/io/oriolehall/model/settings/EntryKeys.kt
+++ b/model/src/main/kotlin/io/oriolehall/model/settings/EntryKeys.kt
@@ -16,6 +16,10 @@
 
     val secret = required("tokens", "secret", textSetting("a text that no caller can guess", MIN_SECRET))
 
+    val keyLifetime = optional("keys", "lifetime", durationSetting("10min"), default = KeySettings().lifetimeMs)
+    val clockTolerance =
+        optional("keys", "clock-tolerance", durationSetting("5s"), default = KeySettings().clockToleranceMs)
+
     val endpointChoice = optional(
         "policy",
         "endpoint-choice",
@@ -23,6 +27,20 @@
         default = PolicySettings().endpointChoice,
     )
 
+    val limits = optional(
+        "policy",
+        "limits",
+        choiceSetting("leases", "equal-split", "none"),
+        default = PolicySettings().limits,
+    )
+
+    val admission = optional(
+        "policy",
+        "admission",
+        choiceSetting("deadline", "none"),
+        default = PolicySettings().admission,
+    )
+
     /** Published addresses and the addresses to dial in their place. */
     val translate = map("translate", addressSetting("10.0.1.7:9001 = 10.0.9.1:20001"))
 }
--- a/model/src/main/kotlin/io/oriolehall/model/settings/EntrySettings.kt
+++ b/model/src/main/kotlin/io/oriolehall/model/settings/EntrySettings.kt
@@ -15,8 +15,11 @@
     val listen: ListenSettings,
     val platform: PlatformSettings,
     val tokens: TokenSettings,
+    val keys: KeySettings = KeySettings(),
     val policy: PolicySettings = PolicySettings(),
     val translate: Map<NetworkAddress, NetworkAddress> = emptyMap(),
+    val peers: PeerSettings = PeerSettings(),
+    val stop: StopSettings = StopSettings(),
 ) {
     /** The address to dial from here for one that the platform or a ticket publishes. */
     fun dialled(published: NetworkAddress): NetworkAddress = translate[published] ?: published
@@ -42,7 +45,41 @@
  */
 data class TokenSettings(val secret: String)
 
-/** Names of the policies in use: section `[policy]`. */
+/**
+ * Idempotency keys: section `[keys]`. All instances use the same values.
+ *
+ * @property lifetimeMs age from which a key is no longer run, milliseconds.
+ * @property clockToleranceMs largest difference between the clocks of two instances, milliseconds. A witness vouches
+ *   for keys only from twice this time after its start.
+ */
+data class KeySettings(val lifetimeMs: Long = 600_000, val clockToleranceMs: Long = 5_000)
+
+/**
+ * Names of the policies in use: section `[policy]`.
+ *
+ * @property endpointChoice `least-outstanding` or `round-robin`.
+ * @property limits how an endpoint's limit is kept over all instances: `leases`, `equal-split` or `none`.
+ * @property admission `deadline` or `none`.
+ */
 data class PolicySettings(
     val endpointChoice: String = "least-outstanding",
+    val limits: String = "leases",
+    val admission: String = "deadline",
 )
+
+/**
+ * Other instances: section `[peers]`.
+ *
+ * @property contacts addresses at which other instances may be found when the platform's list cannot be read.
+ * @property exchange false to neither know other instances nor exchange configuration with them; for comparisons.
+ */
+data class PeerSettings(val contacts: List<NetworkAddress> = emptyList(), val exchange: Boolean = true)
+
+/**
+ * Stopping: section `[stop]`.
+ *
+ * @property keepServingMs time for which an instance that was told to stop serves what the balancer still sends,
+ *   milliseconds.
+ * @property waitMs longest wait after that for unfinished work, milliseconds.
+ */
+data class StopSettings(val keepServingMs: Long = 3_000, val waitMs: Long = 30_000)
--- a/model/src/main/kotlin/io/oriolehall/model/settings/EntrySettingsFile.kt
+++ b/model/src/main/kotlin/io/oriolehall/model/settings/EntrySettingsFile.kt
@@ -37,7 +37,12 @@
             instances = values[EntryKeys.instances],
         ),
         tokens = TokenSettings(values[EntryKeys.secret]),
-        policy = PolicySettings(values[EntryKeys.endpointChoice]),
+        keys = KeySettings(values[EntryKeys.keyLifetime], values[EntryKeys.clockTolerance]),
+        policy = PolicySettings(
+            endpointChoice = values[EntryKeys.endpointChoice],
+            limits = values[EntryKeys.limits],
+            admission = values[EntryKeys.admission],
+        ),
         translate = values[EntryKeys.translate],
     )
 }
