--- a/entry/src/main/kotlin/io/oriolehall/entry/config/ConfigStore.kt
+++ b/entry/src/main/kotlin/io/oriolehall/entry/config/ConfigStore.kt
@@ -1,5 +1,7 @@
 package io.oriolehall.entry.config
 
+import io.oriolehall.model.AvailabilityZone
+import io.oriolehall.model.Endpoint
 import io.oriolehall.model.PublishedTicket
 import io.oriolehall.model.Ticket
 import io.oriolehall.policy.config.ConfigSnapshot
@@ -50,14 +52,17 @@
         val after = before.merge(versions)
         if (after === before) return
         mutableState.value = after
-        val changes = after.changesSince(before)
-        returns.note(before.config, after.config)
+        val changes = after.changesSince(before, versions.map { it.state.key }.toSet())
+        if (changes.any(::concernsService)) returns.note(before.config, after.config)
         changes.forEach { record(it, source) }
         changes.map { it.after.ticket }.distinct().sorted().forEach {
             log.write(Event.TICKET_IN_FORCE, "ticket" to it, "source" to source)
         }
     }
 
+    private fun concernsService(change: ObjectChange) =
+        change.after.state is Endpoint || change.after.state is AvailabilityZone
+
     private fun record(change: ObjectChange, source: String) {
         val after = change.after
         audit.record(
--- a/entry/src/main/kotlin/io/oriolehall/entry/membership/MembershipService.kt
+++ b/entry/src/main/kotlin/io/oriolehall/entry/membership/MembershipService.kt
@@ -10,6 +10,7 @@
 import io.oriolehall.model.NetworkAddress
 import io.oriolehall.peer.PeerClient
 import io.oriolehall.peer.PeerServer
+import io.oriolehall.policy.membership.Member
 import io.oriolehall.policy.membership.MemberRecord
 import io.oriolehall.policy.membership.MemberState
 import io.oriolehall.policy.membership.Membership
@@ -232,23 +233,21 @@
         val before = mutableView.value
         val after = membership.view()
         mutableView.value = after
-        for ((id, member) in after.members) {
-            val old = before.members[id]
-            if (old?.state == member.state && old.incarnation == member.incarnation) continue
-            val text = "${member.state} ${member.incarnation}"
-            audit.record(
-                "failure detector",
-                "instance/$id",
-                "probes",
-                before = old?.let {
-                    "${it.state} ${it.incarnation}"
-                },
-                after = text,
-            )
+        for (member in after.members.values) {
+            val old = before.member(member.id)
+            if (old?.incarnation != member.incarnation || old.ownable != member.ownable) record(old, member)
         }
         if (after.superseded && !before.superseded) log.write(Event.INSTANCE_SUPERSEDED)
     }
 
+    private fun record(old: Member?, new: Member) = audit.record(
+        actor = "failure detector",
+        subject = "instance/${new.id}",
+        cause = "probes and records of other instances",
+        before = old?.let { "${it.state} ${it.incarnation}" },
+        after = "${new.state} ${new.incarnation}",
+    )
+
     private companion object {
         const val JITTER = 0.1
         const val JOIN_TIMEOUT_MS = 3_000L
--- a/harness/src/main/kotlin/io/oriolehall/harness/fleet/PlatformControl.kt
+++ b/harness/src/main/kotlin/io/oriolehall/harness/fleet/PlatformControl.kt
@@ -15,5 +15,9 @@
     suspend fun setMode(state: PlatformState, ms: Long = 0) =
         control.put("/mode", PlatformMode.serializer(), PlatformMode(state, ms))
 
+    /** Shows readers nothing that was published after [revision]. */
+    suspend fun showUntil(revision: Int) =
+        control.put("/mode", PlatformMode.serializer(), PlatformMode(PlatformState.STALE, revision = revision))
+
     suspend fun stats(): PlatformStats = control.get("/stats", PlatformStats.serializer())
 }
--- a/model/src/main/kotlin/io/oriolehall/model/settings/EntryKeys.kt
+++ b/model/src/main/kotlin/io/oriolehall/model/settings/EntryKeys.kt
@@ -27,6 +27,12 @@
         default = PolicySettings().endpointChoice,
     )
 
+    val contacts = optional("peers", "contacts", listSetting(addressSetting("10.0.0.6:8082")), PeerSettings().contacts)
+    val exchange = optional("peers", "exchange", switchSetting(), PeerSettings().exchange)
+
+    val keepServing = optional("stop", "keep-serving", durationSetting("3 s"), StopSettings().keepServingMs)
+    val stopWait = optional("stop", "wait", durationSetting("30 s"), StopSettings().waitMs)
+
     val limits = optional(
         "policy",
         "limits",
--- a/model/src/main/kotlin/io/oriolehall/model/settings/EntrySettingsFile.kt
+++ b/model/src/main/kotlin/io/oriolehall/model/settings/EntrySettingsFile.kt
@@ -44,5 +44,7 @@
             admission = values[EntryKeys.admission],
         ),
         translate = values[EntryKeys.translate],
+        peers = PeerSettings(values[EntryKeys.contacts], values[EntryKeys.exchange]),
+        stop = StopSettings(values[EntryKeys.keepServing], values[EntryKeys.stopWait]),
     )
 }
--- a/model/src/main/kotlin/io/oriolehall/model/settings/SettingType.kt
+++ b/model/src/main/kotlin/io/oriolehall/model/settings/SettingType.kt
@@ -60,6 +60,15 @@
         if (text.endsWith(":0")) NetworkAddress.parse("${text}1")?.copy(port = 0) else NetworkAddress.parse(text)
     }
 
+/** Values of [type], separated by commas. */
+fun <T> listSetting(type: SettingType<T>) =
+    SettingType("a list, separated by commas, of ${type.expected}", type.example) { text ->
+        text.split(',').map { type.parse(it.trim()) }.takeIf { null !in it }?.filterNotNull()
+    }
+
+/** `on` or `off`. */
+fun switchSetting() = SettingType("on or off", "on") { text -> mapOf("on" to true, "off" to false)[text] }
+
 private fun quantity(text: String, units: Map<String, Long>): Long? {
     val match = QuantityPattern.matchEntire(text) ?: return null
     val (amount, unit) = match.destructured
--- a/peer/src/main/kotlin/io/oriolehall/peer/PeerClient.kt
+++ b/peer/src/main/kotlin/io/oriolehall/peer/PeerClient.kt
@@ -19,6 +19,7 @@
 import kotlinx.coroutines.withContext
 import kotlinx.coroutines.withTimeoutOrNull
 import java.util.concurrent.ConcurrentHashMap
+import java.util.concurrent.TimeUnit
 import java.util.concurrent.atomic.AtomicLong
 
 /**
@@ -101,11 +102,15 @@
         var open = true
             private set
 
+        @Volatile
+        private var lastReceivedNanos = System.nanoTime()
+
         fun startReading() {
             scope.launch {
                 try {
                     while (true) {
                         val (frame, bytes) = input.readFrame()
+                        lastReceivedNanos = System.nanoTime()
                         traffic.received(frame.channel, bytes)
                         deliver(frame)
                     }
@@ -140,7 +145,7 @@
                 if (!sent) return Err(lost())
                 while (true) {
                     val received = withTimeoutOrNull(idleTimeoutMs) { frames.receiveCatching() }
-                        ?: return Err(PeerFailure.Lost("$address did not answer ${channel.name} in $idleTimeoutMs ms"))
+                        ?: return Err(timedOut(channel, idleTimeoutMs))
                     val frame = received.getOrNull() ?: return Err(lost())
                     if (frame.kind == FrameKind.ITEM) {
                         onItem(PeerCbor.decodeFromByteArray(channel.answerSerializer, frame.payload))
@@ -172,6 +177,12 @@
             false
         }
 
+        /** A connection that was silent for long may be broken without a sign: the next exchange makes a new one. */
+        private fun timedOut(channel: PeerChannel<*, *>, timeoutMs: Long): PeerFailure {
+            if (System.nanoTime() - lastReceivedNanos > SILENT_CONNECTION_NANOS) breakOff()
+            return PeerFailure.Lost("$address did not answer ${channel.name} in $timeoutMs ms")
+        }
+
         private fun lost() = PeerFailure.Lost("connection to $address broke; the peer may have acted on the request")
 
         private fun breakOff() {
@@ -185,5 +196,6 @@
         const val DEFAULT_CONNECT_TIMEOUT_MS = 500L
         const val WRITE_TIMEOUT_MS = 1_000L
         const val FRAMES_AHEAD = 4_096
+        val SILENT_CONNECTION_NANOS = TimeUnit.SECONDS.toNanos(5)
     }
 }
--- a/policy/src/main/kotlin/io/oriolehall/policy/config/TicketState.kt
+++ b/policy/src/main/kotlin/io/oriolehall/policy/config/TicketState.kt
@@ -1,5 +1,6 @@
 package io.oriolehall.policy.config
 
+import io.oriolehall.model.ObjectKey
 import io.oriolehall.model.Ticket
 
 /**
@@ -40,9 +41,9 @@
         return other?.let { NumberConflict(ticket.number, ticket.author, it.author) }
     }
 
-    /** Changes from [earlier] to this state, by object key. */
-    fun changesSince(earlier: TicketState): List<ObjectChange> = config.objects.values
-        .map { ObjectChange(earlier.config.objects[it.state.key], it) }
+    /** Changes from [earlier] to this state among the objects of [keys]. */
+    fun changesSince(earlier: TicketState, keys: Set<ObjectKey> = config.objects.keys): List<ObjectChange> = keys
+        .mapNotNull { key -> config.objects[key]?.let { ObjectChange(earlier.config.objects[key], it) } }
         .filter(ObjectChange::isOfAnotherTicket)
         .sortedBy { it.after.state.key }
 }
--- a/standins/src/main/kotlin/io/oriolehall/standins/platform/PlatformMode.kt
+++ b/standins/src/main/kotlin/io/oriolehall/standins/platform/PlatformMode.kt
@@ -26,6 +26,7 @@
  * Body of `PUT /mode`.
  *
  * @property ms wait of each read while slow, milliseconds.
+ * @property revision last revision that is shown while stale; null for the newest when that state began.
  */
 @Serializable
-data class PlatformMode(val mode: PlatformState, val ms: Long = 0)
+data class PlatformMode(val mode: PlatformState, val ms: Long = 0, val revision: Int? = null)
--- a/standins/src/main/kotlin/io/oriolehall/standins/platform/PlatformStore.kt
+++ b/standins/src/main/kotlin/io/oriolehall/standins/platform/PlatformStore.kt
@@ -47,7 +47,7 @@
             val frozen = if (mode.mode ==
                 PlatformState.STALE
             ) {
-                it.frozen ?: Frozen(it.tickets.size, shownList(it))
+                it.frozen ?: Frozen(mode.revision ?: it.tickets.size, shownList(it))
             } else {
                 null
             }
