--- a/policy/src/main/kotlin/io/oriolehall/policy/keys/KeyState.kt
+++ b/policy/src/main/kotlin/io/oriolehall/policy/keys/KeyState.kt
@@ -2,6 +2,9 @@
 
 /** What an instance knows of the request of a key. Only [Held] allows a non-idempotent stage to be sent. */
 sealed interface KeyState {
+    /** True when nothing is under way, so that the record may be forgotten once its key has expired. */
+    fun isSettled(): Boolean = this is Finished || this is Yielded || this == Unclaimed
+
     /** Witnesses are being asked. */
     data object Claiming : KeyState
 
--- a/policy/src/main/kotlin/io/oriolehall/policy/keys/KeyTable.kt
+++ b/policy/src/main/kotlin/io/oriolehall/policy/keys/KeyTable.kt
@@ -38,9 +38,6 @@
     fun forgetExpired(nowMs: Long) {
         records.values.removeIf { rules.expired(it.bornAtMs, nowMs) && it.state.isSettled() }
     }
-
-    private fun KeyState.isSettled() =
-        this is KeyState.Finished || this is KeyState.Yielded || this == KeyState.Unclaimed
 }
 
 /** A record before and after a transition. */
--- a/policy/src/test/kotlin/io/oriolehall/policy/keys/KeyWorld.kt
+++ b/policy/src/test/kotlin/io/oriolehall/policy/keys/KeyWorld.kt
@@ -122,10 +122,14 @@
             if (world.kills < limits.kills) {
                 add(kill(world, process))
             }
+            if (rules.expired(BORN_AT_MS, clock(world, process))) add(world.with(forget(process)))
         }
         if (world.spawns < limits.spawns) addAll(limits.slots.map { spawn(world, it) })
     }
 
+    private fun forget(process: Process) =
+        process.copy(granted = null, record = process.record?.takeUnless { it.state.isSettled() })
+
     private fun kill(world: World, process: Process): World {
         val readable = world.messages.filterNot { it is Message.RunReply && it.to == process.number }.toSet()
         return world.copy(kills = world.kills + 1, processes = world.processes - process, messages = readable)
