--- a/standins/src/main/kotlin/io/oriolehall/standins/StandInCommand.kt
+++ b/standins/src/main/kotlin/io/oriolehall/standins/StandInCommand.kt
@@ -7,16 +7,22 @@
 import com.github.ajalt.clikt.parameters.options.default
 import com.github.ajalt.clikt.parameters.options.option
 import io.oriolehall.model.NetworkAddress
+import io.oriolehall.runtime.Event
+import io.oriolehall.runtime.StructuredEventLog
 import kotlinx.coroutines.awaitCancellation
 import kotlinx.coroutines.runBlocking
 
 /** Base of the stand-ins' commands: starts, announces itself and runs until it is terminated. */
 abstract class StandInCommand(name: String) : CliktCommand(name) {
+    private val log = StructuredEventLog("oriolehall.standins")
+
     /** Where the stand-in is driven. */
     protected val control by option(help = "control listener, host:port").listenAddress()
 
     final override fun run() = runBlocking {
-        echo(start().toJson())
+        val line = start()
+        log.write(Event.STANDIN_STARTED, "id" to line.id, "address" to line.address, "control" to line.control)
+        echo(line.toJson())
         awaitCancellation()
     }
 
