--- a/entry/src/main/kotlin/io/oriolehall/entry/EntryInstance.kt
+++ b/entry/src/main/kotlin/io/oriolehall/entry/EntryInstance.kt
@@ -12,11 +12,13 @@
 import io.oriolehall.entry.config.ConfigStore
 import io.oriolehall.entry.config.InstanceDirectory
 import io.oriolehall.entry.config.ServiceReturns
+import io.oriolehall.entry.cost.CostMetrics
 import io.oriolehall.entry.explain.RequestHistory
 import io.oriolehall.entry.http.CallerRoutes
 import io.oriolehall.entry.http.HttpListener
 import io.oriolehall.entry.http.OperatorRoutes
 import io.oriolehall.entry.http.RequestReader
+import io.oriolehall.entry.keys.KeyService
 import io.oriolehall.entry.limits.ConcurrencyLimits
 import io.oriolehall.entry.limits.EqualSplitLimits
 import io.oriolehall.entry.limits.LeasedLimits
@@ -26,7 +28,6 @@
 import io.oriolehall.entry.quarantine.CrashProbe
 import io.oriolehall.entry.quarantine.Quarantine
 import io.oriolehall.entry.requests.AnswerRelay
-import io.oriolehall.entry.requests.KeylessGate
 import io.oriolehall.entry.requests.PipelineExecutor
 import io.oriolehall.entry.stages.EndpointClient
 import io.oriolehall.entry.stages.EndpointSlots
@@ -44,10 +45,14 @@
 import io.oriolehall.policy.admission.AdmitAll
 import io.oriolehall.policy.admission.DeadlineAdmission
 import io.oriolehall.policy.config.ConfigSnapshot
+import io.oriolehall.policy.keys.KeyHolder
+import io.oriolehall.policy.keys.KeyRules
 import io.oriolehall.policy.membership.Member
 import io.oriolehall.policy.retry.RetryBudget
 import io.oriolehall.policy.routing.EndpointPolicy
 import io.oriolehall.policy.routing.LeastOutstandingPolicy
+import io.oriolehall.policy.routing.PowerOfTwoPolicy
+import io.oriolehall.policy.routing.PrefixAffinityPolicy
 import io.oriolehall.policy.routing.RoundRobinPolicy
 import io.oriolehall.runtime.AuditTrail
 import io.oriolehall.runtime.ControlThread
@@ -130,6 +135,7 @@
         slots = slots,
         quarantine = quarantine,
         budget = RetryBudget(),
+        cost = CostMetrics(metrics),
         client = EndpointClient(http, settings::dialled),
         history = history,
         timers = timers,
@@ -143,6 +149,18 @@
         override val requests get() = answers.unfinished
         override val responses get() = callers.activeCalls
     }
+    private val keys = KeyService(
+        self = KeyHolder(self.id, incarnation, settings.listen.peers),
+        secret = settings.tokens.secret,
+        rules = KeyRules(settings.keys.lifetimeMs, settings.keys.clockToleranceMs),
+        config = config,
+        peers = peerClient,
+        dialled = settings::dialled,
+        addressOf = { id -> addressOf(id)?.let(settings::dialled) },
+        timers = timers,
+        log = log,
+    )
+    private val gate = keys.open(peerServer, executor, answers)
     private val graceful = GracefulStop(settings.stop, unfinished, timers, log)
     private val readiness = Readiness(configStore, configReader, exchange, { membership }, graceful)
     private val operators = HttpListener(settings.listen.operators, log) { operatorRoutes().install(this) }
@@ -202,9 +220,10 @@
     private fun callerRoutes() = CallerRoutes(
         instance = self.id,
         reader = RequestReader(config, timers),
-        gate = KeylessGate(executor),
+        gate = gate,
         answers = answers,
         relay = relay,
+        mint = keys::mint,
         refusal = readiness::refusal,
     )
 
@@ -224,6 +243,7 @@
         ready = ready(),
         highestTicket = config().highestTicket,
         unfinishedRequests = answers.unfinished,
+        vouchesForNewKeys = keys.vouchesForNewKeys,
         notReadyBecause = readiness.obstacle(),
         platformReachable = configReader.reachable,
         platformRevision = configReader.revision,
@@ -234,6 +254,8 @@
 
     private fun endpointPolicy(): EndpointPolicy = when (settings.policy.endpointChoice) {
         "round-robin" -> RoundRobinPolicy()
+        "power-of-two" -> PowerOfTwoPolicy()
+        "prefix-affinity" -> PrefixAffinityPolicy()
         else -> LeastOutstandingPolicy()
     }
 
--- a/entry/src/main/kotlin/io/oriolehall/entry/stages/StageRunner.kt
+++ b/entry/src/main/kotlin/io/oriolehall/entry/stages/StageRunner.kt
@@ -3,6 +3,7 @@
 import com.github.michaelbull.result.Err
 import com.github.michaelbull.result.Ok
 import com.github.michaelbull.result.Result
+import io.oriolehall.entry.cost.CostMetrics
 import io.oriolehall.entry.explain.AttemptRecord
 import io.oriolehall.entry.explain.RequestHistory
 import io.oriolehall.entry.quarantine.Quarantine
@@ -32,6 +33,7 @@
     private val slots: EndpointSlots,
     private val quarantine: Quarantine,
     private val budget: RetryBudget,
+    private val cost: CostMetrics,
     private val client: EndpointClient,
     private val history: RequestHistory,
     private val timers: TimerService,
@@ -60,18 +62,40 @@
                 delay(TRIAL_WAIT_MS)
                 continue
             }
-            val outcome = inSlot(slot.value, stage) { onFirst ->
-                attempt(endpoint, stage, input, context, text, onFirst)
+            val outcome = inSlot(slot.value, stage, context) { onFirst ->
+                guarded(stage, context) { attempt(endpoint, stage, input, context, text, onFirst) }
             }
             if (suspect) quarantine.endTrial(context.fingerprint, endpoint)
-            if (outcome.isOk) return Ok(outcome.value.output)
+            if (outcome.isOk) {
+                if (stage == context.request.pipeline.stages.last()) quarantine.onCompleted(context.fingerprint)
+                return Ok(outcome.value.output)
+            }
             tried += endpoint.id
+            if (outcome.error is StageFailure.Withheld) return Err(withheld(stage, context, outcome.error))
             if (outcome.error.ran) runs++
             val mayRepeat = !outcome.error.ran || stage.mayRunAgain(outcome.error, runs)
             if (!mayRepeat || !budget.tryTake()) return Err(stageFailed(stage, context, outcome.error))
         }
     }
 
+    /** Lets a stage that may not run twice leave only when the request's guard allows it. */
+    private suspend fun guarded(
+        stage: Stage,
+        context: StageContext,
+        attempt: suspend () -> Result<StageResult, StageFailure>,
+    ): Result<StageResult, StageFailure> {
+        if (stage.idempotent) return attempt()
+        val guard = context.request.guard
+        if (!guard.allowSend()) return Err(StageFailure.Withheld("it is too late to send"))
+        val outcome = attempt()
+        if (outcome.isOk) {
+            guard.executed()
+        } else if (!outcome.error.ran) {
+            guard.declined()
+        }
+        return outcome
+    }
+
     private fun Stage.mayRunAgain(failure: StageFailure, runs: Int) =
         idempotent && failure !is StageFailure.Diverged && runs < MAX_RUNS
 
@@ -87,6 +111,7 @@
     private suspend fun inSlot(
         slot: EndpointSlot,
         stage: Stage,
+        context: StageContext,
         call: suspend (onFirst: () -> Unit) -> Result<StageResult, StageFailure>,
     ): Result<StageResult, StageFailure> {
         var firstMs: Long? = null
@@ -97,7 +122,10 @@
             val first = ((firstMs ?: timers.nowMs()) - slot.startedMs).toDouble()
             val failure = outcome?.takeIf { it.isErr }?.error
             val lingers = outcome == null || failure is StageFailure.Lost
-            slots.finish(slot, stage, outcome.toCallResult(), first, lingers)
+            val result = outcome.toCallResult()
+            val usage = outcome?.takeIf { it.isOk }?.value?.usage ?: Usage()
+            cost.count(stage.name, context.request.organisation.id, result, timers.nowMs() - slot.startedMs, usage)
+            slots.finish(slot, stage, result, first, lingers)
         }
     }
 
@@ -105,6 +133,7 @@
         this == null -> CallResult.CANCELLED
         isOk -> CallResult.COMPLETED
         error is StageFailure.Declined -> CallResult.DECLINED
+        error is StageFailure.Withheld -> CallResult.CANCELLED
         else -> CallResult.FAILED
     }
 
@@ -126,9 +155,7 @@
             client.run(endpoint, call)
         }
         record(endpoint, call, context, start, outcome)
-        if (outcome.isOk) {
-            quarantine.onCompleted(context.fingerprint)
-        } else if (outcome.error is StageFailure.Lost) {
+        if (outcome.isErr && outcome.error is StageFailure.Lost) {
             quarantine.onLostCall(context.fingerprint, endpoint, calledAtMs)
         }
         return outcome
@@ -192,6 +219,12 @@
             )
         }
 
+    private fun withheld(stage: Stage, context: StageContext, failure: StageFailure): Refusal = Refusal(
+        kind = RefusalKind.DEADLINE_EXCEEDED,
+        detail = "stage ${stage.name}: ${failure.message}",
+        outcome = context.outcome(),
+    )
+
     private fun stageFailed(stage: Stage, context: StageContext, failure: StageFailure): Refusal = Refusal(
         kind = RefusalKind.STAGE_FAILED,
         detail = "stage ${stage.name}: ${failure.message}",
--- a/model/src/main/kotlin/io/oriolehall/model/settings/EntryKeys.kt
+++ b/model/src/main/kotlin/io/oriolehall/model/settings/EntryKeys.kt
@@ -16,13 +16,23 @@
 
     val secret = required("tokens", "secret", textSetting("a text that no caller can guess", MIN_SECRET))
 
+    val keyLifetime = optional("keys", "lifetime", durationSetting("10min"), default = KeySettings().lifetimeMs)
+    val clockTolerance =
+        optional("keys", "clock-tolerance", durationSetting("5s"), default = KeySettings().clockToleranceMs)
+
     val endpointChoice = optional(
         "policy",
         "endpoint-choice",
-        choiceSetting("least-outstanding", "round-robin"),
+        choiceSetting("least-outstanding", "round-robin", "power-of-two", "prefix-affinity"),
         default = PolicySettings().endpointChoice,
     )
 
+    val contacts = optional("peers", "contacts", listSetting(addressSetting("10.0.0.6:8082")), PeerSettings().contacts)
+    val exchange = optional("peers", "exchange", switchSetting(), PeerSettings().exchange)
+
+    val keepServing = optional("stop", "keep-serving", durationSetting("3 s"), StopSettings().keepServingMs)
+    val stopWait = optional("stop", "wait", durationSetting("30 s"), StopSettings().waitMs)
+
     val limits = optional(
         "policy",
         "limits",
