--- a/entry/src/main/kotlin/io/oriolehall/entry/EntryInstance.kt
+++ b/entry/src/main/kotlin/io/oriolehall/entry/EntryInstance.kt
@@ -12,6 +12,7 @@
 import io.oriolehall.entry.config.ConfigStore
 import io.oriolehall.entry.config.InstanceDirectory
 import io.oriolehall.entry.config.ServiceReturns
+import io.oriolehall.entry.cost.CostMetrics
 import io.oriolehall.entry.explain.RequestHistory
 import io.oriolehall.entry.http.CallerRoutes
 import io.oriolehall.entry.http.HttpListener
@@ -50,6 +51,8 @@
 import io.oriolehall.policy.retry.RetryBudget
 import io.oriolehall.policy.routing.EndpointPolicy
 import io.oriolehall.policy.routing.LeastOutstandingPolicy
+import io.oriolehall.policy.routing.PowerOfTwoPolicy
+import io.oriolehall.policy.routing.PrefixAffinityPolicy
 import io.oriolehall.policy.routing.RoundRobinPolicy
 import io.oriolehall.runtime.AuditTrail
 import io.oriolehall.runtime.ControlThread
@@ -132,6 +135,7 @@
         slots = slots,
         quarantine = quarantine,
         budget = RetryBudget(),
+        cost = CostMetrics(metrics),
         client = EndpointClient(http, settings::dialled),
         history = history,
         timers = timers,
@@ -250,6 +254,8 @@
 
     private fun endpointPolicy(): EndpointPolicy = when (settings.policy.endpointChoice) {
         "round-robin" -> RoundRobinPolicy()
+        "power-of-two" -> PowerOfTwoPolicy()
+        "prefix-affinity" -> PrefixAffinityPolicy()
         else -> LeastOutstandingPolicy()
     }
 
