--- a/policy/src/test/kotlin/io/oriolehall/policy/routing/PrefixAffinityTest.kt
+++ b/policy/src/test/kotlin/io/oriolehall/policy/routing/PrefixAffinityTest.kt
@@ -50,9 +50,6 @@
         for (seed in 1L..3) {
             val affinity = model(PrefixAffinityPolicy(), seed)
             val least = model(LeastOutstandingPolicy(), seed)
-            val twoChoices = model(PowerOfTwoPolicy(Random(seed)), seed)
-            println("seed $seed hits of 20000: affinity ${affinity.hits} (${affinity.highest} at once)" +
-                ", least ${least.hits} (${least.highest}), two choices ${twoChoices.hits} (${twoChoices.highest})")
             expectThat(affinity.hits.toDouble()).isGreaterThan(1.5 * least.hits)
             expectThat(affinity.highest).isLessThan(2 * least.highest)
         }
