An answer of this instance goes to its caller without a second coroutine

Cause: each token of a local answer passed a rendezvous channel between two coroutines only so that a refusal before the first text could get its own status. Now the first state is awaited, then the follower writes directly; the channel is left to answers of other instances. Waiting for the first text counts as following, or a slow first token would look abandoned (test).

--- a/entry/src/main/kotlin/io/oriolehall/entry/answers/Answer.kt
+++ b/entry/src/main/kotlin/io/oriolehall/entry/answers/Answer.kt
@@ -88,11 +88,19 @@
         } while (returned != null)
     }
 
+    /** Waits for text after byte [offset] or for the ending; the refusal, if that is what comes first. */
+    suspend fun refusalBeforeText(offset: Long): Refusal? = following {
+        val now = state.first { it.length > offset || it.ending != null }
+        (now.ending as? AnswerItem.Refused)?.refusal?.takeIf { now.length <= offset }
+    }
+
     /** Hands the answer from byte [offset] on to [onItem], waiting for what is to come, up to and with its ending. */
-    suspend fun follow(offset: Long, onItem: suspend (AnswerItem) -> Unit) {
+    suspend fun follow(offset: Long, onItem: suspend (AnswerItem) -> Unit) = following { handOn(offset, onItem) }
+
+    private inline fun <T> following(read: () -> T): T {
         followers.update { it + 1 }
         try {
-            handOn(offset, onItem)
+            return read()
         } finally {
             followers.update { it - 1 }
         }
--- a/entry/src/main/kotlin/io/oriolehall/entry/http/CallerRoutes.kt
+++ b/entry/src/main/kotlin/io/oriolehall/entry/http/CallerRoutes.kt
@@ -40,7 +40,7 @@
         if (request.isErr) return call.respondUnread(request.error)
         val answer = gate.begin(request.value)
         if (answer.isErr) return call.respondRefusal(answer.error)
-        call.respondAnswer(answer.value.requestId, instance) { answer.value.follow(0, it) }
+        call.respondAnswer(answer.value, instance)
     }
 
     /** Refuses a request whose key was not looked at: an earlier sending may have run through another instance. */
@@ -64,9 +64,9 @@
         val owner = organisation.value.id
         val answer = answers.find(id, owner)
         if (answer != null) {
-            call.respondAnswer(id, instance) { answer.follow(offset, it) }
+            call.respondAnswer(answer, instance, offset)
         } else {
-            call.respondAnswer(id, instance) { relay.follow(id, owner, offset, it) }
+            call.respondRelayed(id, instance) { relay.follow(id, owner, offset, it) }
         }
     }
 
--- a/entry/src/main/kotlin/io/oriolehall/entry/http/EventStream.kt
+++ b/entry/src/main/kotlin/io/oriolehall/entry/http/EventStream.kt
@@ -7,6 +7,7 @@
 import io.ktor.server.response.respondBytesWriter
 import io.ktor.utils.io.ByteWriteChannel
 import io.ktor.utils.io.writeStringUtf8
+import io.oriolehall.entry.answers.Answer
 import io.oriolehall.entry.answers.AnswerItem
 import io.oriolehall.model.AcceptedEvent
 import io.oriolehall.model.ChunkEvent
@@ -19,34 +20,51 @@
 import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.launch
 
-/** Where an answer comes from: hands its items on from a byte offset, up to and with the ending. */
-internal typealias AnswerSource = suspend (onItem: suspend (AnswerItem) -> Unit) -> Unit
-
 /**
- * Sends an answer as server-sent events. A refusal that comes before any text is sent as a problem document with its
- * own status instead.
+ * Sends the answer of this instance from byte [offset] as server-sent events. A refusal that comes before any text is
+ * sent as a problem document with its own status instead.
  */
-internal suspend fun ApplicationCall.respondAnswer(id: RequestId, instance: InstanceId, source: AnswerSource) =
-    coroutineScope {
-        val items = Channel<AnswerItem>(Channel.RENDEZVOUS)
-        val feeding = launch {
-            source { items.send(it) }
-            items.close()
-        }
-        val first = items.receive()
-        if (first is AnswerItem.Refused) {
-            respondRefusal(first.refusal)
-        } else {
-            response.header(HttpHeaders.CacheControl, "no-store")
-            response.header(REQUEST_ID_HEADER, id.value)
-            respondBytesWriter(ContentType.Text.EventStream) {
-                writeEvent("accepted", WireJson.encodeToString(AcceptedEvent.serializer(), AcceptedEvent(id, instance)))
-                writeItem(first)
-                for (item in items) writeItem(item)
-            }
+internal suspend fun ApplicationCall.respondAnswer(answer: Answer, instance: InstanceId, offset: Long = 0) {
+    val refusal = answer.refusalBeforeText(offset)
+    if (refusal != null) return respondRefusal(refusal)
+    respondEvents(answer.requestId, instance) { answer.follow(offset) { writeItem(it) } }
+}
+
+/** Sends an answer that another instance hands on by [follow], in the same form. */
+internal suspend fun ApplicationCall.respondRelayed(
+    id: RequestId,
+    instance: InstanceId,
+    follow: suspend (onItem: suspend (AnswerItem) -> Unit) -> Unit,
+) = coroutineScope {
+    val items = Channel<AnswerItem>(Channel.RENDEZVOUS)
+    val feeding = launch {
+        follow { items.send(it) }
+        items.close()
+    }
+    val first = items.receive()
+    if (first is AnswerItem.Refused) {
+        respondRefusal(first.refusal)
+    } else {
+        respondEvents(id, instance) {
+            writeItem(first)
+            for (item in items) writeItem(item)
         }
-        feeding.cancel()
     }
+    feeding.cancel()
+}
+
+private suspend fun ApplicationCall.respondEvents(
+    id: RequestId,
+    instance: InstanceId,
+    write: suspend ByteWriteChannel.() -> Unit,
+) {
+    response.header(HttpHeaders.CacheControl, "no-store")
+    response.header(REQUEST_ID_HEADER, id.value)
+    respondBytesWriter(ContentType.Text.EventStream) {
+        writeEvent("accepted", WireJson.encodeToString(AcceptedEvent.serializer(), AcceptedEvent(id, instance)))
+        write()
+    }
+}
 
 internal const val REQUEST_ID_HEADER = "Request-Id"
 
--- a/entry/src/test/kotlin/io/oriolehall/entry/answers/AnswerTest.kt
+++ b/entry/src/test/kotlin/io/oriolehall/entry/answers/AnswerTest.kt
@@ -12,6 +12,8 @@
 import strikt.assertions.isA
 import strikt.assertions.isEqualTo
 import strikt.assertions.isFailure
+import strikt.assertions.isNotNull
+import strikt.assertions.isNull
 
 class AnswerTest {
     private val answer = Answer(RequestId("a~1"), OrganisationId("authority"))
@@ -70,4 +72,24 @@
         expectThat(answer.state.value.ending).isA<AnswerItem.Refused>()
         expectCatching { answer.append("late") }.isFailure().isA<IllegalStateException>()
     }
+
+    @Test
+    fun `a refusal before any text is told apart from one after some`() = runTest {
+        answer.append("obi")
+        answer.refuse(Refusal(RefusalKind.STAGE_FAILED, "engine gone"))
+        expectThat(answer.refusalBeforeText(0)).isNull()
+        expectThat(answer.refusalBeforeText(answer.length)).isNotNull()
+    }
+
+    @Test
+    fun `an answer whose reader waits for its first text is not abandoned`() = runTest {
+        val reader = async { answer.refusalBeforeText(0) }
+        testScheduler.runCurrent()
+        val abandoned = async { answer.awaitAbandoned(graceMs = 100) }
+        testScheduler.advanceTimeBy(10_000)
+        expectThat(abandoned.isCompleted).isEqualTo(false)
+        answer.finish()
+        reader.await()
+        abandoned.await()
+    }
 }
