An instance runs its coroutines on few threads

Cause: a token passes about ten hand-overs between coroutines; with the default of 64 blocking and ten other threads each hand-over wakes a thread.

--- a/cli/src/main/kotlin/io/oriolehall/cli/RunCommand.kt
+++ b/cli/src/main/kotlin/io/oriolehall/cli/RunCommand.kt
@@ -34,6 +34,7 @@
 
     override fun run() {
         val read = readSettings(settings)
+        boundThreads()
         val instance = EntryInstance(read)
         runBlocking {
             val addresses = instance.start()
@@ -43,6 +44,15 @@
         }
     }
 
+    /**
+     * A token passes many short coroutines on its way. Few threads hand them on without waking one another; a value
+     * that the operator has set stays.
+     */
+    private fun boundThreads() {
+        System.getProperties().putIfAbsent(IO_PARALLELISM_PROPERTY, IO_PARALLELISM)
+        System.getProperties().putIfAbsent(CORE_POOL_PROPERTY, CORE_POOL)
+    }
+
     private fun readyLine(settings: EntrySettings, addresses: EntryAddresses): String {
         val line = InstanceReadyLine(
             ready = true,
@@ -53,6 +63,15 @@
         )
         return WireJson.encodeToString(InstanceReadyLine.serializer(), line)
     }
+
+    private companion object {
+        const val IO_PARALLELISM_PROPERTY = "kotlinx.coroutines.io.parallelism"
+        const val CORE_POOL_PROPERTY = "kotlinx.coroutines.scheduler.core.pool.size"
+
+        /** Threads that may block: four selectors of the listeners and clients, and some beside them. */
+        const val IO_PARALLELISM = "12"
+        const val CORE_POOL = "2"
+    }
 }
 
 /** The settings in [file]; when they are wrong, prints each error and ends the command. */
