--- a/entry/src/main/kotlin/io/oriolehall/entry/limits/LeasedLimits.kt
+++ b/entry/src/main/kotlin/io/oriolehall/entry/limits/LeasedLimits.kt
@@ -16,7 +16,7 @@
 import io.oriolehall.policy.limits.CreditHolder
 import io.oriolehall.policy.limits.CreditTiming
 import io.oriolehall.policy.limits.HolderRole
-import io.oriolehall.policy.limits.Rendezvous
+import io.oriolehall.policy.hashing.Rendezvous
 import io.oriolehall.policy.limits.ZoneMembers
 import io.oriolehall.runtime.TimerService
 import kotlinx.coroutines.CoroutineScope
--- a/entry/src/main/kotlin/io/oriolehall/entry/limits/OwnedLimits.kt
+++ b/entry/src/main/kotlin/io/oriolehall/entry/limits/OwnedLimits.kt
@@ -11,7 +11,7 @@
 import io.oriolehall.policy.limits.CreditRequest
 import io.oriolehall.policy.limits.CreditTiming
 import io.oriolehall.policy.limits.EndpointLimit
-import io.oriolehall.policy.limits.Rendezvous
+import io.oriolehall.policy.hashing.Rendezvous
 import io.oriolehall.runtime.TimerService
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.launch
--- a/entry/src/main/kotlin/io/oriolehall/entry/quarantine/Quarantine.kt
+++ b/entry/src/main/kotlin/io/oriolehall/entry/quarantine/Quarantine.kt
@@ -6,7 +6,7 @@
 import io.oriolehall.model.settings.InstanceSettings
 import io.oriolehall.peer.PeerClient
 import io.oriolehall.peer.PeerServer
-import io.oriolehall.policy.limits.Rendezvous
+import io.oriolehall.policy.hashing.Rendezvous
 import io.oriolehall.policy.quarantine.CrashRegister
 import io.oriolehall.policy.quarantine.EndpointLoss
 import io.oriolehall.policy.quarantine.Fingerprint
--- a/policy/src/main/kotlin/io/oriolehall/policy/keys/WitnessPanel.kt
+++ b/policy/src/main/kotlin/io/oriolehall/policy/keys/WitnessPanel.kt
@@ -2,8 +2,7 @@
 
 import io.oriolehall.model.InstanceId
 import io.oriolehall.model.WitnessRoster
-import java.nio.ByteBuffer
-import java.security.MessageDigest
+import io.oriolehall.policy.hashing.Rendezvous
 
 /**
  * The witnesses of one key and how many of them must grant it.
@@ -31,18 +30,9 @@
         private const val SPARE_FROM = 5
 
         /** The panel of [key]: the members of [roster] that come first by rendezvous hashing. */
-        fun of(key: String, roster: WitnessRoster): WitnessPanel {
-            val ranked = roster.instances.distinct().sortedWith(compareBy({ weight(key, it) }, { it }))
-            return WitnessPanel(ranked.take(MAX_SIZE))
-        }
+        fun of(key: String, roster: WitnessRoster): WitnessPanel =
+            WitnessPanel(Rendezvous.ranked(key, roster.instances.distinct()).take(MAX_SIZE))
 
         private fun grantsNeeded(size: Int): Int = if (size >= SPARE_FROM) size - 1 else size
-
-        private fun weight(key: String, instance: InstanceId): Long {
-            val digest = MessageDigest.getInstance("SHA-256")
-            digest.update(key.toByteArray())
-            digest.update(instance.value.toByteArray())
-            return ByteBuffer.wrap(digest.digest()).getLong()
-        }
     }
 }
--- a/policy/src/main/kotlin/io/oriolehall/policy/membership/ProbeSchedule.kt
+++ b/policy/src/main/kotlin/io/oriolehall/policy/membership/ProbeSchedule.kt
@@ -3,6 +3,7 @@
 import io.oriolehall.model.Instance
 import io.oriolehall.model.InstanceId
 import io.oriolehall.model.ZoneId
+import io.oriolehall.policy.hashing.Rendezvous
 import kotlin.random.Random
 
 /**
--- a/policy/src/main/kotlin/io/oriolehall/policy/routing/PrefixAffinityPolicy.kt
+++ b/policy/src/main/kotlin/io/oriolehall/policy/routing/PrefixAffinityPolicy.kt
@@ -1,6 +1,6 @@
 package io.oriolehall.policy.routing
 
-import io.oriolehall.policy.limits.Rendezvous
+import io.oriolehall.policy.hashing.Rendezvous
 import kotlin.math.ceil
 
 /**
@@ -22,7 +22,7 @@
         return local
             .filter { it.outstanding < bound }
             .ifEmpty { local }
-            .maxByOrNull { Rendezvous.weight(it.endpoint.id.value, prefix) }
+            .maxByOrNull { Rendezvous.weight(prefix, it.endpoint.id.value) }
     }
 
     private companion object {
--- a/policy/src/test/kotlin/io/oriolehall/policy/limits/CreditFleet.kt
+++ b/policy/src/test/kotlin/io/oriolehall/policy/limits/CreditFleet.kt
@@ -3,6 +3,7 @@
 import io.oriolehall.model.EndpointId
 import io.oriolehall.model.Incarnation
 import io.oriolehall.model.InstanceId
+import io.oriolehall.policy.hashing.Rendezvous
 import kotlin.random.Random
 
 /**
