--- a/proofs/src/test/kotlin/io/oriolehall/proofs/keys/KeyFailureTest.kt
+++ b/proofs/src/test/kotlin/io/oriolehall/proofs/keys/KeyFailureTest.kt
@@ -65,9 +65,10 @@
     fun `a key whose holder was killed after it forwarded never runs again`() = onFleet {
         for (key in listOf(newKey(), it.token(it.entries[0]))) {
             it.behaveAll(slow)
+            val before = it.callsReceived()
             coroutineScope {
                 val first = async { it.order(it.entries[0], key) }
-                awaitThat("the stage is running") { it.endpoints.any { e -> e.stats().running > 0 } }
+                awaitThat("the endpoint has the call") { it.callsReceived() > before }
                 it.entries[0].process.kill()
                 first.await()
             }
@@ -168,11 +169,17 @@
             expectThat(it.order(it.entries[1], bad).problemType) isEqualTo "bad-key"
             expectThat(it.executions(bad)) isEqualTo 0
         }
-        for (skewMs in listOf(-3_600_000L, -20_000L, 20_000L)) {
+        for (skewMs in listOf(-3_600_000L, -700_000L, 20_000L)) {
             val skewed = newKey(System.currentTimeMillis() + skewMs)
-            expectThat(it.order(it.entries[1], skewed).refusedAs) isEqualTo RunOutcome.UNKNOWN
+            for (entry in it.entries) expectThat(it.order(entry, skewed).refusedAs) isEqualTo RunOutcome.UNKNOWN
             expectThat(it.executions(skewed)) isEqualTo 0
         }
+        for (skewMs in listOf(-20_000L, -1_000L, 100L)) {
+            val skewed = newKey(System.currentTimeMillis() + skewMs)
+            val outcomes = it.entries.map { entry -> it.order(entry, skewed) }
+            expectThat(it.executions(skewed)).isIn(0..1)
+            if (outcomes.any { outcome -> outcome is CallOutcome.Whole }) expectThat(it.executions(skewed)) isEqualTo 1
+        }
     }
 
     private suspend fun Fleet.behaveAll(behaviour: Behaviour) = endpoints.forEach { it.behave(behaviour) }
@@ -182,5 +189,7 @@
         const val STEP_MS = 2L
     }
 
+    private suspend fun Fleet.callsReceived() = endpoints.sumOf { it.stats().stageCalls.values.sum() }
+
     private fun onFleet(test: suspend (Fleet) -> Unit) = runBlocking { test(fleet) }
 }
