--- a/entry/src/main/kotlin/io/oriolehall/entry/http/EventStream.kt
+++ b/entry/src/main/kotlin/io/oriolehall/entry/http/EventStream.kt
@@ -15,6 +15,7 @@
 import io.oriolehall.model.Problem
 import io.oriolehall.model.RequestId
 import io.oriolehall.model.WireJson
+import kotlinx.coroutines.ExperimentalCoroutinesApi
 import kotlinx.coroutines.channels.Channel
 import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.launch
@@ -26,9 +27,10 @@
  * Sends an answer as server-sent events. A refusal that comes before any text is sent as a problem document with its
  * own status instead.
  */
+@OptIn(ExperimentalCoroutinesApi::class)
 internal suspend fun ApplicationCall.respondAnswer(id: RequestId, instance: InstanceId, source: AnswerSource) =
     coroutineScope {
-        val items = Channel<AnswerItem>(Channel.RENDEZVOUS)
+        val items = Channel<AnswerItem>(ITEMS_AT_HAND)
         val feeding = launch {
             source { items.send(it) }
             items.close()
@@ -42,12 +44,20 @@
             respondBytesWriter(ContentType.Text.EventStream) {
                 writeEvent("accepted", WireJson.encodeToString(AcceptedEvent.serializer(), AcceptedEvent(id, instance)))
                 writeItem(first)
-                for (item in items) writeItem(item)
+                flush()
+                for (item in items) {
+                    writeItem(item)
+                    if (items.isEmpty) flush()
+                }
+                flush()
             }
         }
         feeding.cancel()
     }
 
+/** Items that one write to the connection may take together. */
+private const val ITEMS_AT_HAND = 32
+
 internal const val REQUEST_ID_HEADER = "Request-Id"
 
 private suspend fun ByteWriteChannel.writeItem(item: AnswerItem) {
@@ -72,5 +82,4 @@
 private suspend fun ByteWriteChannel.writeEvent(name: String, data: String, id: Long? = null) {
     val idLine = if (id == null) "" else "id: $id\n"
     writeStringUtf8("event: $name\n${idLine}data: $data\n\n")
-    flush()
 }
