--- a/entry/src/main/kotlin/io/oriolehall/entry/http/EventStream.kt
+++ b/entry/src/main/kotlin/io/oriolehall/entry/http/EventStream.kt
@@ -7,6 +7,7 @@
 import io.ktor.server.response.respondBytesWriter
 import io.ktor.utils.io.ByteWriteChannel
 import io.ktor.utils.io.writeStringUtf8
+import io.oriolehall.entry.answers.Answer
 import io.oriolehall.entry.answers.AnswerItem
 import io.oriolehall.model.AcceptedEvent
 import io.oriolehall.model.ChunkEvent
@@ -15,48 +16,55 @@
 import io.oriolehall.model.Problem
 import io.oriolehall.model.RequestId
 import io.oriolehall.model.WireJson
-import kotlinx.coroutines.ExperimentalCoroutinesApi
 import kotlinx.coroutines.channels.Channel
 import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.launch
 
-/** Where an answer comes from: hands its items on from a byte offset, up to and with the ending. */
-internal typealias AnswerSource = suspend (onItem: suspend (AnswerItem) -> Unit) -> Unit
-
 /**
- * Sends an answer as server-sent events. A refusal that comes before any text is sent as a problem document with its
- * own status instead.
+ * Sends the answer of this instance from byte [offset] as server-sent events. A refusal that comes before any text is
+ * sent as a problem document with its own status instead.
  */
-@OptIn(ExperimentalCoroutinesApi::class)
-internal suspend fun ApplicationCall.respondAnswer(id: RequestId, instance: InstanceId, source: AnswerSource) =
-    coroutineScope {
-        val items = Channel<AnswerItem>(ITEMS_AT_HAND)
-        val feeding = launch {
-            source { items.send(it) }
-            items.close()
-        }
-        val first = items.receive()
-        if (first is AnswerItem.Refused) {
-            respondRefusal(first.refusal)
-        } else {
-            response.header(HttpHeaders.CacheControl, "no-store")
-            response.header(REQUEST_ID_HEADER, id.value)
-            respondBytesWriter(ContentType.Text.EventStream) {
-                writeEvent("accepted", WireJson.encodeToString(AcceptedEvent.serializer(), AcceptedEvent(id, instance)))
-                writeItem(first)
-                flush()
-                for (item in items) {
-                    writeItem(item)
-                    if (items.isEmpty) flush()
-                }
-                flush()
-            }
+internal suspend fun ApplicationCall.respondAnswer(answer: Answer, instance: InstanceId, offset: Long = 0) {
+    val refusal = answer.refusalBeforeText(offset)
+    if (refusal != null) return respondRefusal(refusal)
+    respondEvents(answer.requestId, instance) { answer.follow(offset) { writeItem(it) } }
+}
+
+/** Sends an answer that another instance hands on by [follow], in the same form. */
+internal suspend fun ApplicationCall.respondRelayed(
+    id: RequestId,
+    instance: InstanceId,
+    follow: suspend (onItem: suspend (AnswerItem) -> Unit) -> Unit,
+) = coroutineScope {
+    val items = Channel<AnswerItem>(Channel.RENDEZVOUS)
+    val feeding = launch {
+        follow { items.send(it) }
+        items.close()
+    }
+    val first = items.receive()
+    if (first is AnswerItem.Refused) {
+        respondRefusal(first.refusal)
+    } else {
+        respondEvents(id, instance) {
+            writeItem(first)
+            for (item in items) writeItem(item)
         }
-        feeding.cancel()
     }
+    feeding.cancel()
+}
 
-/** Items that one write to the connection may take together. */
-private const val ITEMS_AT_HAND = 32
+private suspend fun ApplicationCall.respondEvents(
+    id: RequestId,
+    instance: InstanceId,
+    write: suspend ByteWriteChannel.() -> Unit,
+) {
+    response.header(HttpHeaders.CacheControl, "no-store")
+    response.header(REQUEST_ID_HEADER, id.value)
+    respondBytesWriter(ContentType.Text.EventStream) {
+        writeEvent("accepted", WireJson.encodeToString(AcceptedEvent.serializer(), AcceptedEvent(id, instance)))
+        write()
+    }
+}
 
 internal const val REQUEST_ID_HEADER = "Request-Id"
 
@@ -82,4 +90,5 @@
 private suspend fun ByteWriteChannel.writeEvent(name: String, data: String, id: Long? = null) {
     val idLine = if (id == null) "" else "id: $id\n"
     writeStringUtf8("event: $name\n${idLine}data: $data\n\n")
+    flush()
 }
