--- a/entry/src/main/kotlin/io/oriolehall/entry/limits/LeasedLimits.kt
+++ b/entry/src/main/kotlin/io/oriolehall/entry/limits/LeasedLimits.kt
@@ -10,13 +10,13 @@
 import io.oriolehall.model.settings.InstanceSettings
 import io.oriolehall.peer.PeerClient
 import io.oriolehall.peer.PeerServer
+import io.oriolehall.policy.hashing.Rendezvous
 import io.oriolehall.policy.limits.AddressedCreditRequest
 import io.oriolehall.policy.limits.CallResult
 import io.oriolehall.policy.limits.CreditAnswer
 import io.oriolehall.policy.limits.CreditHolder
 import io.oriolehall.policy.limits.CreditTiming
 import io.oriolehall.policy.limits.HolderRole
-import io.oriolehall.policy.hashing.Rendezvous
 import io.oriolehall.policy.limits.ZoneMembers
 import io.oriolehall.runtime.TimerService
 import kotlinx.coroutines.CoroutineScope
--- a/entry/src/main/kotlin/io/oriolehall/entry/limits/OwnedLimits.kt
+++ b/entry/src/main/kotlin/io/oriolehall/entry/limits/OwnedLimits.kt
@@ -6,12 +6,12 @@
 import io.oriolehall.model.InstanceId
 import io.oriolehall.model.LoadReport
 import io.oriolehall.model.ZoneId
+import io.oriolehall.policy.hashing.Rendezvous
 import io.oriolehall.policy.limits.CreditAnswer
 import io.oriolehall.policy.limits.CreditLedger
 import io.oriolehall.policy.limits.CreditRequest
 import io.oriolehall.policy.limits.CreditTiming
 import io.oriolehall.policy.limits.EndpointLimit
-import io.oriolehall.policy.hashing.Rendezvous
 import io.oriolehall.runtime.TimerService
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.launch
--- a/harness/src/main/kotlin/io/oriolehall/harness/capacity/CreditProbe.kt
+++ b/harness/src/main/kotlin/io/oriolehall/harness/capacity/CreditProbe.kt
@@ -8,11 +8,11 @@
 import io.oriolehall.model.InstanceId
 import io.oriolehall.model.ZoneId
 import io.oriolehall.peer.PeerCodec
+import io.oriolehall.policy.hashing.Rendezvous
 import io.oriolehall.policy.limits.AddressedCreditRequest
 import io.oriolehall.policy.limits.CreditHolder
 import io.oriolehall.policy.limits.CreditLedger
 import io.oriolehall.policy.limits.CreditTiming
-import io.oriolehall.policy.hashing.Rendezvous
 
 /** All holders and owners of one zone's endpoints in this process, with real messages between them. */
 internal class CreditProbe(private val instances: Int, private val endpoints: Int) {
