--- a/proofs/src/test/kotlin/io/oriolehall/proofs/config/CallerTraffic.kt
+++ b/proofs/src/test/kotlin/io/oriolehall/proofs/config/CallerTraffic.kt
@@ -9,7 +9,10 @@
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Dispatchers
 import kotlinx.coroutines.Job
+import kotlinx.coroutines.async
+import kotlinx.coroutines.awaitAll
 import kotlinx.coroutines.cancelAndJoin
+import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.isActive
 import kotlinx.coroutines.launch
@@ -69,7 +72,8 @@
 
     private suspend fun watchReadiness() {
         while (scope.isActive) {
-            ready = entries.filter { it.ready() }
+            val answers = coroutineScope { entries.map { async { it.ready() } }.awaitAll() }
+            ready = entries.filterIndexed { index, _ -> answers[index] }
             delay(READINESS_PERIOD_MS)
         }
     }
--- a/proofs/src/test/kotlin/io/oriolehall/proofs/config/ConfigFleet.kt
+++ b/proofs/src/test/kotlin/io/oriolehall/proofs/config/ConfigFleet.kt
@@ -22,9 +22,9 @@
         zone(zone) {
             entries(entriesPerZone)
             endpoint(
-                "ret-$zone",
-                "retrievers",
-                StageKind.RETRIEVE,
+                "enc-$zone",
+                "encoders",
+                StageKind.ENCODE,
                 warmLimit = 64,
                 arguments = listOf("--service-ms=20"),
             )
