--- a/proofs/src/test/kotlin/io/oriolehall/proofs/keys/KeyAvailabilityTest.kt
+++ b/proofs/src/test/kotlin/io/oriolehall/proofs/keys/KeyAvailabilityTest.kt
@@ -35,7 +35,7 @@
             expectThat(killed.getValue("caller's key")) isEqualTo 1.0
         }
 
-    /** Sends orders of each kind in turn; with callers' keys only [keyRounds], as silent witnesses make each one slow. */
+    /** Sends orders of each kind in turn; with callers' keys only [keyRounds], which silent witnesses make slow. */
     private suspend fun measure(
         fleet: Fleet,
         situation: String,
