--- a/model/src/main/kotlin/io/oriolehall/model/ConfigObject.kt
+++ b/model/src/main/kotlin/io/oriolehall/model/ConfigObject.kt
@@ -59,6 +59,10 @@
     val defaultDeadlineMs: Long = 4_000,
 ) : ConfigObject {
     override val key get() = ObjectKey("organisation", id.value)
+
+    /** Leaves the digests out, since descriptions of objects go to logs and the audit trail. */
+    override fun toString(): String =
+        "Organisation(id=$id, secrets=${secretSha256.size}, share=$share, defaultDeadlineMs=$defaultDeadlineMs)"
 }
 
 /** What a stage does, which decides the protocol spoken with its endpoints. */
