The list of instances is read every 30 s, and soon after a round of probes without answers

Change: every 30 s; every 2 s in the first 10 s of a process, after a read that failed, and after a round of probes that nobody answered. Without heartbeats, and with limits split by the list, every 2 s as before. Ruled out: reading only on demand, as two groups that know only themselves would never find each other.

--- a/entry/src/main/kotlin/io/oriolehall/entry/EntryInstance.kt
+++ b/entry/src/main/kotlin/io/oriolehall/entry/EntryInstance.kt
@@ -101,7 +101,13 @@
     private val configStore = ConfigStore(returns, audit, log)
     private val configReader =
         ConfigReader(http, settings.dialled(settings.platform.configuration), controlScope, configStore, log)
-    private val directory = InstanceDirectory(http, settings.dialled(settings.platform.instances), timers)
+    private val directory =
+        InstanceDirectory(
+            http,
+            settings.dialled(settings.platform.instances),
+            timers,
+            InstanceDirectory.periodMs(settings),
+        )
     private val config: () -> ConfigSnapshot = { configStore.config }
     private val exchange = ConfigExchange(configStore, configReader, peerClient, controlScope, log, ::ready)
 
--- a/entry/src/main/kotlin/io/oriolehall/entry/membership/MembershipService.kt
+++ b/entry/src/main/kotlin/io/oriolehall/entry/membership/MembershipService.kt
@@ -63,6 +63,7 @@
     private val membership = Membership(self, incarnation, settings, random, timers.nowMs())
     private val mutableView = MutableStateFlow(membership.view())
     private val reports = PeerReports()
+    private var answered = 0L
     private var differences = 0
     private var fetching = false
 
@@ -135,10 +136,12 @@
             log.write(Event.PROCESS_WAS_PAUSED, "ms" to membership.lastPauseMs)
         }
         publish()
+        val answeredBefore = answered
         coroutineScope {
             targets.forEach { launch { probe(it) } }
             hint()?.let { launch { exchangeGossip(it, null) } }
         }
+        if (answered == answeredBefore) hints.refresh()
         publish()
     }
 
@@ -174,6 +177,7 @@
         if (outcome.isErr) return null
         val answer = outcome.value
         takeIn(answer)
+        answered++
         membership.answered(answer.sender.id, answer.wallClockMs - (sentAtMs + timers.wallClockMs()) / 2)
         return answer
     }
