Orders to engines follow tickets, one orderer an engine, loads paced over the zone

Cause: EngineAssignment objects of tickets had no effect.

The live instance of the zone with the highest rendezvous weight reads each engine once a second and orders what differs from the highest ticket. The fencing number is the ticket and a count taken from the engine's own report, so it needs no memory and never goes back. Before an order leaves, the reading, the view and the ticket are checked anew. An engine is withheld from work and drained before its order and cold afterwards. Loads need a permit of the zone's weight store, kept by its owner by rendezvous; a new owner waits until the former one's permits have ended.

Events 601 to 606, audit records with ticket, before and after, `engines` in status, settings [orders] loads-at-once and longest-load.

LoadReports reports a limit of 0 for an engine that is withheld or carries out an order.

Ruled out: waiting after a change of orderer (no bound, a process may be paused for any time); credits of the store (a renewal per instance all the time).

--- a/entry/src/main/kotlin/io/oriolehall/entry/EntryInstance.kt
+++ b/entry/src/main/kotlin/io/oriolehall/entry/EntryInstance.kt
@@ -25,6 +25,7 @@
 import io.oriolehall.entry.limits.LoadReports
 import io.oriolehall.entry.limits.Unlimited
 import io.oriolehall.entry.membership.MembershipService
+import io.oriolehall.entry.orders.EngineOrders
 import io.oriolehall.entry.quarantine.CrashProbe
 import io.oriolehall.entry.quarantine.Quarantine
 import io.oriolehall.entry.requests.AnswerRelay
@@ -110,6 +111,18 @@
 
     private val answers = AnswerStore(timers)
     private val history = RequestHistory()
+    private val engineOrders = EngineOrders(
+        settings = settings,
+        incarnation = incarnation,
+        store = configStore,
+        view = { membership?.view?.value },
+        http = http,
+        peers = peerClient,
+        scope = controlScope,
+        timers = timers,
+        audit = audit,
+        log = log,
+    )
     private val limits = limits()
     private val slots = EndpointSlots(
         zone = self.zone,
@@ -173,6 +186,7 @@
         directory.start()
         if (settings.peers.exchange) startMembership(peers)
         slots.start()
+        engineOrders.start(peerServer)
         quarantine.start()
         val addresses = EntryAddresses(callers.start(), operators.start(), peers)
         log.write(Event.INSTANCE_STARTED, "addresses" to addresses, "incarnation" to incarnation)
@@ -250,6 +264,7 @@
         configDigest = configStore.state.value.digest.whole.toULong().toString(HEX),
         rejectedTickets = configStore.rejected,
         peers = membership?.peers().orEmpty(),
+        engines = engineOrders.status(),
     )
 
     private fun endpointPolicy(): EndpointPolicy = when (settings.policy.endpointChoice) {
@@ -279,7 +294,7 @@
             scope = trafficScope,
             endpoints = { endpoints() },
             instances = { zone -> directory.instances.count { it.zone == zone } },
-            reports = LoadReports(http, settings::dialled),
+            reports = loadReports(),
             timers = timers,
         )
 
@@ -292,11 +307,13 @@
             dialled = settings::dialled,
             peers = peerClient,
             server = peerServer,
-            reports = LoadReports(http, settings::dialled),
+            reports = loadReports(),
             timers = timers,
         )
     }
 
+    private fun loadReports() = LoadReports(http, settings::dialled, engineOrders::holds)
+
     private companion object {
         const val CONNECT_TIMEOUT_MS = 500L
         const val MAX_CONNECTIONS = 2_000
--- a/entry/src/main/kotlin/io/oriolehall/entry/InstanceStatus.kt
+++ b/entry/src/main/kotlin/io/oriolehall/entry/InstanceStatus.kt
@@ -2,6 +2,7 @@
 
 import io.oriolehall.entry.config.RejectedTicket
 import io.oriolehall.entry.membership.PeerStatus
+import io.oriolehall.entry.orders.OrderStatus
 import io.oriolehall.model.Incarnation
 import io.oriolehall.model.InstanceId
 import io.oriolehall.model.ZoneId
@@ -17,6 +18,7 @@
  * @property platformRevision revision up to which the configuration service has been read, here or by a peer.
  * @property configDigest digest of the configuration in force; equal on instances with the same configuration.
  * @property peers the other instances as this one sees them.
+ * @property engines the engines that this instance orders, and how far it is.
  */
 @Serializable
 data class InstanceStatus(
@@ -33,4 +35,5 @@
     val configDigest: String = "",
     val rejectedTickets: List<RejectedTicket> = emptyList(),
     val peers: List<PeerStatus> = emptyList(),
+    val engines: List<OrderStatus> = emptyList(),
 )
--- a/model/src/main/kotlin/io/oriolehall/model/settings/EntryKeys.kt
+++ b/model/src/main/kotlin/io/oriolehall/model/settings/EntryKeys.kt
@@ -1,6 +1,7 @@
 package io.oriolehall.model.settings
 
 private const val MIN_SECRET = 16
+private const val MAX_LOADS = 1_000
 
 /** Keys of an entry instance's settings file. A new setting is declared here and read in [EntrySettingsFile]. */
 object EntryKeys : SettingsTable() {
@@ -47,6 +48,11 @@
         default = PolicySettings().admission,
     )
 
+    val loadsAtOnce =
+        optional("orders", "loads-at-once", numberSetting("2", 1..MAX_LOADS), default = OrderSettings().loadsAtOnce)
+    val longestLoad =
+        optional("orders", "longest-load", durationSetting("60 s"), default = OrderSettings().longestLoadMs)
+
     /** Published addresses and the addresses to dial in their place. */
     val translate = map("translate", addressSetting("10.0.1.7:9001 = 10.0.9.1:20001"))
 }
--- a/model/src/main/kotlin/io/oriolehall/model/settings/EntrySettings.kt
+++ b/model/src/main/kotlin/io/oriolehall/model/settings/EntrySettings.kt
@@ -20,6 +20,7 @@
     val translate: Map<NetworkAddress, NetworkAddress> = emptyMap(),
     val peers: PeerSettings = PeerSettings(),
     val stop: StopSettings = StopSettings(),
+    val orders: OrderSettings = OrderSettings(),
 ) {
     /** The address to dial from here for one that the platform or a ticket publishes. */
     fun dialled(published: NetworkAddress): NetworkAddress = translate[published] ?: published
@@ -83,3 +84,11 @@
  * @property waitMs longest wait after that for unfinished work, milliseconds.
  */
 data class StopSettings(val keepServingMs: Long = 3_000, val waitMs: Long = 30_000)
+
+/**
+ * Orders to engines: section `[orders]`. All instances of a zone use the same values.
+ *
+ * @property loadsAtOnce loads that the zone's weight store bears at once.
+ * @property longestLoadMs longest time that an engine takes to carry out an order, milliseconds.
+ */
+data class OrderSettings(val loadsAtOnce: Int = 2, val longestLoadMs: Long = 60_000)
--- a/model/src/main/kotlin/io/oriolehall/model/settings/EntrySettingsFile.kt
+++ b/model/src/main/kotlin/io/oriolehall/model/settings/EntrySettingsFile.kt
@@ -46,5 +46,6 @@
         translate = values[EntryKeys.translate],
         peers = PeerSettings(values[EntryKeys.contacts], values[EntryKeys.exchange]),
         stop = StopSettings(values[EntryKeys.keepServing], values[EntryKeys.stopWait]),
+        orders = OrderSettings(values[EntryKeys.loadsAtOnce], values[EntryKeys.longestLoad]),
     )
 }
--- /dev/null
+++ b/policy/src/test/kotlin/io/oriolehall/policy/orders/OrderPolicyTest.kt
@@ -0,0 +1,138 @@
+package io.oriolehall.policy.orders
+
+import io.oriolehall.model.EndpointId
+import io.oriolehall.model.EngineAssignment
+import io.oriolehall.model.EngineOrder
+import io.oriolehall.model.LoadReport
+import org.junit.jupiter.api.Test
+import org.junit.jupiter.params.ParameterizedTest
+import org.junit.jupiter.params.provider.ValueSource
+import strikt.api.expectThat
+import strikt.assertions.isA
+import strikt.assertions.isEqualTo
+import strikt.assertions.isFalse
+import strikt.assertions.isGreaterThan
+import strikt.assertions.isGreaterThanOrEqualTo
+import strikt.assertions.isNotNull
+import strikt.assertions.isNull
+import strikt.assertions.isTrue
+import kotlin.random.Random
+
+class OrderPolicyTest {
+    private fun version(ticket: Long) = EngineAssignment(EndpointId("gen"), "oak", "v$ticket")
+
+    private fun report(served: EngineAssignment? = null, fence: Long = 0, ordering: Boolean = false) = LoadReport(
+        running = 0,
+        queued = 0,
+        limit = 16,
+        warm = true,
+        startedAtMs = 0,
+        model = served?.model,
+        version = served?.version,
+        adapter = served?.adapter,
+        role = served?.role,
+        orderFence = fence,
+        ordering = ordering,
+    )
+
+    private fun number(ticket: Long, last: Long = 0) =
+        checkNotNull(FencingNumber.next(ticket, FencingNumber(last))).value
+
+    private fun send(wanted: EngineAssignment, ticket: Long, report: LoadReport, fenced: Boolean = true) =
+        OrderPolicy.decide(wanted, ticket, fenced, report) as? OrderDecision.Send
+
+    @Test
+    fun `a number never goes back and names its ticket`() {
+        val first = number(ticket = 7)
+        val second = number(ticket = 7, last = first)
+        val highest = number(ticket = 1_000_000_000_000, last = second)
+        expectThat(second).isGreaterThan(first)
+        expectThat(highest).isGreaterThan(second)
+        expectThat(FencingNumber(highest).ticket).isEqualTo(1_000_000_000_000)
+        expectThat(FencingNumber.next(7, FencingNumber(highest))).isNull()
+    }
+
+    @Test
+    fun `an engine that has obeyed a higher ticket is not ordered`() {
+        val decision = OrderPolicy.decide(version(6), 6, fenced = false, report(version(7), number(7)))
+        expectThat(decision).isEqualTo(OrderDecision.Behind(7))
+    }
+
+    @Test
+    fun `an engine that carries out an order is left alone`() {
+        val decision = OrderPolicy.decide(version(7), 7, fenced = true, report(version(6), number(6), ordering = true))
+        expectThat(decision).isA<OrderDecision.Busy>()
+    }
+
+    @Test
+    fun `a fenced engine in the state of a newer ticket learns its number without a load`() {
+        expectThat(send(version(5), 9, report(version(5), number(5)))).isNotNull().and {
+            get { loads }.isFalse()
+            get { FencingNumber(order.fence).ticket }.isEqualTo(9)
+        }
+        expectThat(send(version(5), 9, report(version(5), number(5)), fenced = false)).isNull()
+    }
+
+    @Test
+    fun `a state that left its ticket is corrected under a higher number`() {
+        val last = number(7)
+        expectThat(send(version(7), 7, report(version(6), last), fenced = false)).isNotNull().and {
+            get { corrects }.isTrue()
+            get { order.fence }.isGreaterThan(last)
+        }
+    }
+
+    /** An engine of either kind; each order reaches it whole, but perhaps late. */
+    private class Engine(val fenced: Boolean) {
+        var served: EngineOrder? = null
+        var fence = 0L
+
+        fun obey(order: EngineOrder) {
+            if (fenced && order.fence < fence) return
+            served = order
+            fence = maxOf(fence, order.fence)
+        }
+    }
+
+    private fun reportOf(engine: Engine) = report(
+        served = engine.served?.let { EngineAssignment(EndpointId("gen"), it.model, it.version) },
+        fence = engine.fence,
+    )
+
+    @ParameterizedTest
+    @ValueSource(booleans = [true, false])
+    fun `late orders in any order leave the highest ticket in force`(fenced: Boolean) {
+        repeat(SEEDS) { seed ->
+            val random = Random(seed)
+            val engine = Engine(fenced)
+            val late = mutableListOf<EngineOrder>()
+            var highest = 1L
+            repeat(STEPS) {
+                val before = engine.ticket()
+                when (random.nextInt(4)) {
+                    0 -> highest++
+
+                    1 -> if (late.isNotEmpty()) engine.obey(late.removeAt(random.nextInt(late.size)))
+
+                    2 -> {
+                        val known = random.nextLong(1, highest + 1)
+                        send(version(known), known, reportOf(engine), fenced)?.let { late += it.order }
+                    }
+
+                    else -> send(version(highest), highest, reportOf(engine), fenced)?.let { engine.obey(it.order) }
+                }
+                if (fenced) expectThat(engine.ticket()).isGreaterThanOrEqualTo(before)
+            }
+            late.shuffled(random).forEach(engine::obey)
+            send(version(highest), highest, reportOf(engine), fenced)?.let { engine.obey(it.order) }
+            expectThat(engine.served?.version).describedAs("seed $seed").isEqualTo("v$highest")
+        }
+    }
+
+    private fun Engine.ticket() = served?.let { FencingNumber(it.fence).ticket } ?: 0
+
+    private companion object {
+        const val SEEDS = 200
+        const val STEPS = 80
+    }
+}
--- a/runtime/src/main/kotlin/io/oriolehall/runtime/Event.kt
+++ b/runtime/src/main/kotlin/io/oriolehall/runtime/Event.kt
@@ -38,5 +38,12 @@
     KEY_HOLDER_SILENT(451, EventLevel.WARN, "holder of an idempotency key did not answer"),
     KEY_NOT_CLAIMED(452, EventLevel.WARN, "witnesses did not grant an idempotency key"),
 
+    ORDER_SENT(601, EventLevel.INFO, "order sent to an engine"),
+    ORDER_CARRIED_OUT(602, EventLevel.INFO, "engine carried out an order"),
+    ORDER_REFUSED(603, EventLevel.WARN, "engine refused an order with an old fencing number"),
+    ORDER_OUTCOME_UNKNOWN(604, EventLevel.WARN, "outcome of an order is not known"),
+    ORDER_CORRECTS(605, EventLevel.WARN, "engine differs from its ticket after an order; it is ordered again"),
+    ENGINE_AHEAD(606, EventLevel.ERROR, "engine has obeyed a higher ticket than this instance knows"),
+
     STANDIN_STARTED(701, EventLevel.INFO, "stand-in started"),
 }
