Proofs of keys: the holder killed before it forwarded, and while its answer streams

Both were not proved with real processes. Before forwarding: the holder's links to the endpoints are cut, it is killed with the request begun; every instance says unknown, also after its replacement, and nothing ran. While streaming: an engine writes the answer of an order; the caller sees a broken answer, every instance says unknown, one execution.

The failure: "a call that was declined is run again" ran right after a kill; the killed holder's credits are out of use until its calls can have ended, and the order was refused not-run within its 2 s. That is the price of the limit and no matter of keys: between tests the fleet now counts as put right once each instance serves an order. No check of a test changed.

--- a/proofs/src/test/kotlin/io/oriolehall/proofs/keys/KeyFailureTest.kt
+++ b/proofs/src/test/kotlin/io/oriolehall/proofs/keys/KeyFailureTest.kt
@@ -1,6 +1,8 @@
 package io.oriolehall.proofs.keys
 
 import io.oriolehall.cli.client.CallOutcome
+import io.oriolehall.harness.fleet.EntryProcess
+import io.oriolehall.harness.fleet.FaultControl
 import io.oriolehall.harness.fleet.Fleet
 import io.oriolehall.harness.fleet.awaitThat
 import io.oriolehall.harness.fleet.fleetSpec
@@ -9,6 +11,10 @@
 import io.oriolehall.model.RunOutcome
 import io.oriolehall.model.ZoneId
 import io.oriolehall.standins.endpoint.Behaviour
+import io.oriolehall.standins.faultproxy.Fault
+import io.oriolehall.standins.faultproxy.FaultMatch
+import io.oriolehall.standins.faultproxy.FaultMode
+import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.async
 import kotlinx.coroutines.awaitAll
 import kotlinx.coroutines.coroutineScope
@@ -40,6 +46,7 @@
         for (entry in fleet.entries) {
             if (!entry.process.alive) entry.restart()
             awaitThat("${entry.spec.id} is ready") { entry.ready() && entry.status().vouchesForNewKeys }
+            awaitThat("${entry.spec.id} has credits") { fleet.order(entry, newKey()) is CallOutcome.Whole }
         }
     }
 
@@ -83,6 +90,56 @@
         }
     }
 
+    @Test
+    fun `a key whose holder was killed before it forwarded never runs and nobody is told that it may be sent anew`() =
+        onFleet {
+            for (minted in listOf(false, true)) {
+                val holder = it.entries[0]
+                val key = if (minted) it.token(holder) else newKey()
+                it.faults.cutFromEndpoints(holder)
+                coroutineScope {
+                    val first = async { it.order(holder, key) }
+                    awaitThat("the holder has the request") { holder.status().unfinishedRequests > 0 }
+                    holder.process.kill()
+                    first.await()
+                }
+                it.faults.heal()
+                expectThat(it.order(it.entries[2], key).refusedAs) isEqualTo RunOutcome.UNKNOWN
+                holder.restart()
+                awaitThat("the replacement is ready") { holder.ready() }
+                for (entry in it.entries) expectThat(it.order(entry, key).refusedAs) isEqualTo RunOutcome.UNKNOWN
+                expectThat(it.executions(key)) isEqualTo 0
+            }
+        }
+
+    @Test
+    fun `a key whose holder was killed while its answer streamed ran once and is never said not to have run`() =
+        onFleet {
+            for (minted in listOf(false, true)) {
+                val holder = it.entries[0]
+                val key = if (minted) it.token(holder) else newKey()
+                val text = CompletableDeferred<Unit>()
+                val told = coroutineScope {
+                    val first = async {
+                        it.order(holder, key, deadlineMs = 4_000, pipeline = WRITTEN_ORDER) { text.complete(Unit) }
+                    }
+                    text.await()
+                    holder.process.kill()
+                    first.await()
+                }
+                expectThat(told).isA<CallOutcome.Broken>()
+                val again = it.order(it.entries[2], key, deadlineMs = 4_000, pipeline = WRITTEN_ORDER)
+                expectThat(again.refusedAs) isEqualTo RunOutcome.UNKNOWN
+                holder.restart()
+                awaitThat("the replacement is ready") { holder.ready() }
+                for (entry in it.entries) {
+                    val late = it.order(entry, key, deadlineMs = 4_000, pipeline = WRITTEN_ORDER)
+                    expectThat(late.refusedAs) isEqualTo RunOutcome.UNKNOWN
+                }
+                expectThat(it.executions(key)) isEqualTo 1
+            }
+        }
+
     @Test
     fun `a key whose holder is paused past the deadline runs once when it wakes`() = onFleet {
         for (round in 1..5) {
@@ -183,6 +240,11 @@
         }
     }
 
+    /** Lets nothing pass between [entry] and the endpoints; other instances can be reached. */
+    private suspend fun FaultControl.cutFromEndpoints(entry: EntryProcess) = fleet.endpoints.forEach {
+        add(Fault(FaultMatch(sourceId = entry.spec.id.value, targetId = it.spec.id.value), FaultMode.CUT))
+    }
+
     private suspend fun Fleet.behaveAll(behaviour: Behaviour) = endpoints.forEach { it.behave(behaviour) }
 
     private companion object {
--- a/proofs/src/test/kotlin/io/oriolehall/proofs/keys/KeyFleet.kt
+++ b/proofs/src/test/kotlin/io/oriolehall/proofs/keys/KeyFleet.kt
@@ -13,6 +13,9 @@
 internal const val OTHER_SHOP = "authority"
 internal const val ORDER = "order"
 
+/** An order whose answer an engine then writes, piece by piece. */
+internal const val WRITTEN_ORDER = "written-order"
+
 /** The same service without protection: its stage is declared idempotent. */
 internal const val UNPROTECTED = "unprotected-order"
 
@@ -23,11 +26,16 @@
         zone("z$zone") {
             entries(entriesPerZone)
             endpoint("stock-$zone", "stock", StageKind.CALL)
+            endpoint("gen-$zone", "engines", StageKind.GENERATE, arguments = listOf("--tokens-per-second=20"))
         }
     }
     organisation(SHOP)
     organisation(OTHER_SHOP)
     pipeline(ORDER) { stage("order", StageKind.CALL, "stock", idempotent = false) }
+    pipeline(WRITTEN_ORDER) {
+        stage("order", StageKind.CALL, "stock", idempotent = false)
+        stage("write", StageKind.GENERATE, "engines", expectedMs = 1_000)
+    }
     pipeline(UNPROTECTED) { stage("order", StageKind.CALL, "stock") }
 }
 
@@ -41,8 +49,11 @@
     customer: String = "c-1",
     organisation: String = SHOP,
     deadlineMs: Long = 2_000,
+    pipeline: String = ORDER,
+    onText: (String) -> Unit = {},
 ): CallOutcome? = withTimeoutOrNull(deadlineMs + PATIENCE_MS) {
-    caller(organisation, entry).send(ORDER, order(customer), deadlineMs = deadlineMs, key = key)
+    val request = order(customer).copy(maxTokens = TOKENS)
+    caller(organisation, entry).send(pipeline, request, deadlineMs = deadlineMs, key = key, onText = onText)
 }
 
 internal suspend fun Fleet.token(entry: EntryProcess): String =
@@ -57,3 +68,6 @@
     get() = (this as? CallOutcome.Refused)?.problem?.type?.substringAfterLast(':')
 
 private const val PATIENCE_MS = 1_500L
+
+/** Tokens of a written answer. */
+private const val TOKENS = 20
