--- a/entry/src/main/kotlin/io/oriolehall/entry/EntryInstance.kt
+++ b/entry/src/main/kotlin/io/oriolehall/entry/EntryInstance.kt
@@ -42,19 +42,11 @@
 import io.oriolehall.model.settings.EntrySettings
 import io.oriolehall.peer.PeerClient
 import io.oriolehall.peer.PeerServer
-import io.oriolehall.policy.admission.AdmissionPolicy
-import io.oriolehall.policy.admission.AdmitAll
-import io.oriolehall.policy.admission.DeadlineAdmission
 import io.oriolehall.policy.config.ConfigSnapshot
 import io.oriolehall.policy.keys.KeyHolder
 import io.oriolehall.policy.keys.KeyRules
 import io.oriolehall.policy.membership.Member
 import io.oriolehall.policy.retry.RetryBudget
-import io.oriolehall.policy.routing.EndpointPolicy
-import io.oriolehall.policy.routing.LeastOutstandingPolicy
-import io.oriolehall.policy.routing.PowerOfTwoPolicy
-import io.oriolehall.policy.routing.PrefixAffinityPolicy
-import io.oriolehall.policy.routing.RoundRobinPolicy
 import io.oriolehall.runtime.AuditTrail
 import io.oriolehall.runtime.ControlThread
 import io.oriolehall.runtime.CoroutineTimerService
@@ -133,9 +125,9 @@
     private val slots = EndpointSlots(
         zone = self.zone,
         config = config,
-        policy = endpointPolicy(),
+        policy = settings.policy.chosenEndpointPolicy(),
         limits = limits,
-        admission = admission(),
+        admission = settings.policy.chosenAdmission(),
         scope = trafficScope,
         timers = timers,
     )
@@ -273,18 +265,6 @@
         engines = engineOrders.status(),
     )
 
-    private fun endpointPolicy(): EndpointPolicy = when (settings.policy.endpointChoice) {
-        "round-robin" -> RoundRobinPolicy()
-        "power-of-two" -> PowerOfTwoPolicy()
-        "prefix-affinity" -> PrefixAffinityPolicy()
-        else -> LeastOutstandingPolicy()
-    }
-
-    private fun admission(): AdmissionPolicy = when (settings.policy.admission) {
-        "none" -> AdmitAll
-        else -> DeadlineAdmission
-    }
-
     /** The fleet by heartbeats; by the platform's list until there is a view. */
     private fun instances(): List<Instance> {
         val members = membership?.view?.value?.members?.values ?: return directory.instances
