Credits: five voters an endpoint, a subset of each pool, renewal by demand

Change: five members vote on an endpoint's owner, by rendezvous hashing; only they must follow it. The others take credits by demand, for four endpoints of each pool (setting policy.endpoint-subset) and, while calls wait there, for more of the pool and then for other zones. Leases of 2 s renewed each second, each 250 ms while more is wanted than there is, at once for a call that waits without a credit. Short names and one incarnation a message. A former owner reports all calls on its grants; a leaving instance owns nothing and waits for them before its goodbye. Loads of warm endpoints are read each 500 ms. Rendezvous ranks weigh each candidate once.

Changes to tests: CreditFleet now also adds instances, lets them begin and cease to send and renews by demand; 'guests receive what the members leave' expects the members' calls in the report of a former owner besides the guest's, as the rule became stricter; holders no longer share the owner's incarnation there.

Ruled out: renewal by demand with the old share (idle members hold most of each limit); one message to each other owner a second (43 exchanges, 12 KB/s, grows with the zone); long leases for idle members (a lost owner costs that long). Not run yet with processes.

--- a/entry/src/main/kotlin/io/oriolehall/entry/EntryInstance.kt
+++ b/entry/src/main/kotlin/io/oriolehall/entry/EntryInstance.kt
@@ -315,6 +315,7 @@
             server = peerServer,
             reports = loadReports(),
             timers = timers,
+            subset = settings.policy.endpointSubset,
         )
     }
 
--- a/entry/src/main/kotlin/io/oriolehall/entry/limits/EqualSplitLimits.kt
+++ b/entry/src/main/kotlin/io/oriolehall/entry/limits/EqualSplitLimits.kt
@@ -50,7 +50,7 @@
     }
 
     override fun start(onRoom: () -> Unit) {
-        timers.every("load reports", LeasedLimits.RENEW_MS) {
+        timers.every("load reports", LeasedLimits.TICK_MS) {
             endpoints().forEach { endpoint -> scope.launch { readReport(endpoint) } }
             onRoom()
         }
--- a/entry/src/main/kotlin/io/oriolehall/entry/limits/OwnedLimits.kt
+++ b/entry/src/main/kotlin/io/oriolehall/entry/limits/OwnedLimits.kt
@@ -5,26 +5,27 @@
 import io.oriolehall.model.Incarnation
 import io.oriolehall.model.InstanceId
 import io.oriolehall.model.LoadReport
-import io.oriolehall.model.ZoneId
-import io.oriolehall.policy.hashing.Rendezvous
 import io.oriolehall.policy.limits.CreditAnswer
 import io.oriolehall.policy.limits.CreditLedger
+import io.oriolehall.policy.limits.CreditPlan
 import io.oriolehall.policy.limits.CreditRequest
 import io.oriolehall.policy.limits.CreditTiming
 import io.oriolehall.policy.limits.EndpointLimit
+import io.oriolehall.policy.limits.HolderId
 import io.oriolehall.runtime.TimerService
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.launch
 
 /** The endpoints whose limits this instance owns. Used on the control thread only, but for [describe]. */
 internal class OwnedLimits(
-    private val zone: ZoneId,
     private val incarnation: Incarnation,
     private val timing: CreditTiming,
     private val reports: LoadReports,
     private val timers: TimerService,
 ) {
-    private class Owned(val ledger: CreditLedger, val limit: EndpointLimit)
+    private class Owned(val ledger: CreditLedger, val limit: EndpointLimit) {
+        var askedAtMs = Long.MIN_VALUE / 2
+    }
 
     private val owned = mutableMapOf<EndpointId, Owned>()
 
@@ -34,30 +35,31 @@
     /** What operators see. */
     fun describe(): List<OwnedEndpoint> = description
 
-    /** Answers [requests] for endpoints of this zone; others have no answer. */
-    fun answer(
-        requests: List<CreditRequest>,
-        endpoints: List<Endpoint>,
-        known: Set<InstanceId>,
-    ): List<CreditAnswer> {
-        val byId = endpoints.associateBy(Endpoint::id)
+    /** Answers the [requests] of [holder] for endpoints of this zone; others have no answer. */
+    fun answer(holder: HolderId, requests: List<CreditRequest>, plan: CreditPlan): List<CreditAnswer> {
         val now = timers.nowMs()
         return requests.mapNotNull { request ->
-            val endpoint = byId[request.endpoint]?.takeIf { it.zone == zone } ?: return@mapNotNull null
+            val endpoint = plan.endpoint(request.endpoint) ?: return@mapNotNull null
             val own = owned(endpoint)
             own.limit.onWork(request.observed, now)
-            own.ledger.answer(request, known, own.limit.limit(now), now)
-        }.also { describe(known, now) }
+            own.ledger.answer(holder, request, plan.electorate(endpoint.id), own.limit.limit(now), now)
+        }.also { describe(plan.roll.known, now) }
     }
 
-    /** Calls from this instance's time as owner that no other holder reports to the new owner. */
+    /** Calls from this instance's time as owner that a new owner may not know of. */
     fun unreportedElsewhere(endpoint: EndpointId): Int =
         owned[endpoint]?.ledger?.unreportedElsewhere(timers.nowMs()) ?: 0
 
-    /** Reads the load of the endpoints that [self] owns among [members]. */
-    fun refresh(scope: CoroutineScope, endpoints: List<Endpoint>, members: Set<InstanceId>, self: InstanceId) {
-        val mine = endpoints.filter { it.zone == zone && Rendezvous.owner(it.id, members) == self }
-        for (endpoint in mine) {
+    /** True when calls of other instances may run on grants of this one. */
+    fun hasGranted(): Boolean = owned.keys.any { unreportedElsewhere(it) > 0 }
+
+    /** Reads the load of [endpoints], which this instance owns; less often where the limit is at its height. */
+    fun refresh(scope: CoroutineScope, endpoints: List<Endpoint>) {
+        val now = timers.nowMs()
+        for (endpoint in endpoints) {
+            val own = owned(endpoint)
+            if (own.limit.isWarm && now - own.askedAtMs < WARM_PERIOD_MS - LeasedLimits.TICK_MS / 2) continue
+            own.askedAtMs = now
             scope.launch { reports.read(endpoint)?.let { take(endpoint, it) } }
         }
     }
@@ -92,5 +94,8 @@
     private companion object {
         /** Age that a load report may have, milliseconds. */
         const val REPORT_LAG_MS = 1_000L
+
+        /** Time between two readings of the load of a warm endpoint, milliseconds. */
+        const val WARM_PERIOD_MS = 500L
     }
 }
--- a/harness/src/main/kotlin/io/oriolehall/harness/capacity/CreditProbe.kt
+++ b/harness/src/main/kotlin/io/oriolehall/harness/capacity/CreditProbe.kt
@@ -3,25 +3,40 @@
 import io.oriolehall.entry.limits.CreditAnswers
 import io.oriolehall.entry.limits.CreditBatch
 import io.oriolehall.entry.limits.LeasedLimits
+import io.oriolehall.model.Endpoint
 import io.oriolehall.model.EndpointId
 import io.oriolehall.model.Incarnation
 import io.oriolehall.model.InstanceId
+import io.oriolehall.model.NetworkAddress
+import io.oriolehall.model.PoolId
 import io.oriolehall.model.ZoneId
 import io.oriolehall.peer.PeerCodec
-import io.oriolehall.policy.hashing.Rendezvous
 import io.oriolehall.policy.limits.AddressedCreditRequest
+import io.oriolehall.policy.limits.CreditAnswer
 import io.oriolehall.policy.limits.CreditHolder
 import io.oriolehall.policy.limits.CreditLedger
+import io.oriolehall.policy.limits.CreditPlan
 import io.oriolehall.policy.limits.CreditTiming
+import io.oriolehall.policy.limits.HolderId
+import io.oriolehall.policy.limits.HolderRole
+import io.oriolehall.policy.limits.ZoneRoll
 
-/** All holders and owners of one zone's endpoints in this process, with real messages between them. */
-internal class CreditProbe(private val instances: Int, private val endpoints: Int) {
-    private val timing = CreditTiming()
+/**
+ * All holders and owners of one zone's endpoints in this process, with real messages between them. The endpoints form
+ * four pools and every instance sends to its subset of each.
+ */
+internal class CreditProbe(
+    private val instances: Int,
+    private val endpoints: Int,
+    private val subset: Int = CreditPlan.SUBSET,
+    private val timing: CreditTiming = CreditTiming(),
+) {
     private val requests = PeerCodec("credits", CreditBatch.serializer())
     private val answers = PeerCodec("credits", CreditAnswers.serializer())
-    private val endpointIds = List(endpoints) { EndpointId("engine-zone-1-$it") }
+    private val all = List(endpoints) {
+        Endpoint(EndpointId("engine-zone-1-$it"), ZONE, PoolId("pool-${it % POOLS}"), ADDRESS)
+    }
     private val ids = List(instances) { InstanceId("entry-zone-1-$it") }
-    private val known = ids.toSet()
     private var nodes = emptyMap<InstanceId, Node>()
     private var nowMs = 0L
     private var bytes = 0L
@@ -29,32 +44,39 @@
 
     private inner class Node(val id: InstanceId, index: Int) {
         private val incarnation = Incarnation(START_MS, index)
-        private val holders =
-            endpointIds.associateWith { CreditHolder(it, id, incarnation, timing, startedAtMs = 0) }
+        private val plan = CreditPlan(id, ZONE, all, ZoneRoll(ids.toSet(), ids.toSet(), emptySet()), subset)
+        private val holders = HashMap<EndpointId, CreditHolder>()
         private val ledgers = HashMap<EndpointId, CreditLedger>()
 
         fun renew() {
-            val asked = endpointIds.map { holders.getValue(it).nextRequest(ownerOf(it), nowMs) }
+            val asked = plan.endpoints.mapNotNull(::request)
             for ((owner, batch) in asked.groupBy(AddressedCreditRequest::owner)) {
-                val given = nodes.getValue(owner).answer(batch, remote = owner != id)
-                batch.zip(given.answers).forEach { (sent, answer) ->
+                val given = nodes.getValue(owner).answer(this, batch)
+                batch.zip(given).forEach { (sent, answer) ->
                     holders.getValue(sent.request.endpoint).accept(sent, answer, nowMs)
                 }
             }
         }
 
-        private fun answer(batch: List<AddressedCreditRequest>, remote: Boolean): CreditAnswers {
-            val message = CreditBatch(batch.first().request.holder, Zone, batch.map { it.request })
-            val taken = if (remote) transfer(requests, message) else message
-            val given = CreditAnswers(
-                taken.requests.map { request ->
-                    val ledger = ledgers.getOrPut(request.endpoint) {
-                        CreditLedger(request.endpoint, incarnation, timing)
-                    }
-                    ledger.answer(request, known, LIMIT, nowMs)
-                },
-            )
-            return if (remote) transfer(answers, given) else given
+        private fun request(endpoint: Endpoint): AddressedCreditRequest? {
+            val inUse = plan.isInSubset(endpoint)
+            val role = plan.role(endpoint)
+            if (!inUse && role != HolderRole.VOTER) return null
+            val holder = holders.getOrPut(endpoint.id) { CreditHolder(endpoint.id, timing, startedAtMs = 0) }
+            if (!holder.isDue(nowMs)) return null
+            return holder.nextRequest(checkNotNull(plan.owner(endpoint.id)), role, inUse, nowMs)
+        }
+
+        private fun answer(from: Node, batch: List<AddressedCreditRequest>): List<CreditAnswer> {
+            val message = CreditBatch(HolderId(from.id, from.incarnation), ZONE, batch.map { it.request })
+            if (from === this) return grant(message)
+            return transfer(answers, CreditAnswers(grant(transfer(requests, message)))).answers
+        }
+
+        private fun grant(batch: CreditBatch): List<CreditAnswer> = batch.requests.map { request ->
+            val id = request.endpoint
+            val ledger = ledgers.getOrPut(id) { CreditLedger(id, incarnation, timing) }
+            ledger.answer(batch.holder, request, plan.electorate(id), LIMIT, nowMs)
         }
     }
 
@@ -67,7 +89,7 @@
         bytes = 0
         messages = 0
         val cpu = Meter.cpuMs { repeat(ROUNDS) { round() } }
-        val perSecond = MS_PER_SECOND / LeasedLimits.RENEW_MS / (instances * ROUNDS)
+        val perSecond = MS_PER_SECOND / LeasedLimits.TICK_MS / (instances * ROUNDS)
         return listOf(
             Quantity("processor", "ms a second", cpu * perSecond),
             Quantity("traffic", "bytes a second, both directions", 2 * bytes * perSecond),
@@ -82,12 +104,10 @@
     }
 
     private fun round() {
-        nowMs += LeasedLimits.RENEW_MS
+        nowMs += LeasedLimits.TICK_MS
         nodes.values.forEach { it.renew() }
     }
 
-    private fun ownerOf(endpoint: EndpointId) = checkNotNull(Rendezvous.owner(endpoint, ids))
-
     private fun <T> transfer(codec: PeerCodec<T>, message: T): T {
         val frame = codec.encode(message)
         bytes += frame.size + PeerCodec.HEADER_BYTES
@@ -95,12 +115,21 @@
         return codec.decode(frame)
     }
 
-    private companion object {
-        val Zone = ZoneId("zone-1")
-        const val START_MS = 1_790_000_000_000L
-        const val LIMIT = 64
-        const val WARM_ROUNDS = 10
-        const val ROUNDS = 10
-        const val MS_PER_SECOND = 1_000.0
+    companion object {
+        /** Every endpoint renewed at each tick, for comparison. */
+        val EACH_TICK = CreditTiming(
+            leaseMs = 1_000,
+            echoMs = 1_000,
+            renewMs = LeasedLimits.TICK_MS,
+            contendedMs = LeasedLimits.TICK_MS,
+        )
+        private val ZONE = ZoneId("zone-1")
+        private val ADDRESS = NetworkAddress("10.0.0.1", 9_000)
+        private const val POOLS = 4
+        private const val START_MS = 1_790_000_000_000L
+        private const val LIMIT = 64
+        private const val WARM_ROUNDS = 32
+        private const val ROUNDS = 40
+        private const val MS_PER_SECOND = 1_000.0
     }
 }
--- a/model/src/main/kotlin/io/oriolehall/model/settings/EntryKeys.kt
+++ b/model/src/main/kotlin/io/oriolehall/model/settings/EntryKeys.kt
@@ -2,6 +2,7 @@
 
 private const val MIN_SECRET = 16
 private const val MAX_LOADS = 1_000
+private const val MAX_SUBSET = 1_000
 
 /** Keys of an entry instance's settings file. A new setting is declared here and read in [EntrySettingsFile]. */
 object EntryKeys : SettingsTable() {
@@ -41,6 +42,9 @@
         default = PolicySettings().limits,
     )
 
+    val endpointSubset =
+        optional("policy", "endpoint-subset", numberSetting("4", 1..MAX_SUBSET), PolicySettings().endpointSubset)
+
     val admission = optional(
         "policy",
         "admission",
--- a/model/src/main/kotlin/io/oriolehall/model/settings/EntrySettings.kt
+++ b/model/src/main/kotlin/io/oriolehall/model/settings/EntrySettings.kt
@@ -61,11 +61,14 @@
  * @property endpointChoice `least-outstanding`, `round-robin`, `power-of-two` or `prefix-affinity`.
  * @property limits how an endpoint's limit is kept over all instances: `leases`, `equal-split` or `none`.
  * @property admission `deadline` or `none`.
+ * @property endpointSubset endpoints of each pool of its zone that an instance sends to while they suffice, with limits
+ *   by `leases`.
  */
 data class PolicySettings(
     val endpointChoice: String = "least-outstanding",
     val limits: String = "leases",
     val admission: String = "deadline",
+    val endpointSubset: Int = 4,
 )
 
 /**
--- a/model/src/main/kotlin/io/oriolehall/model/settings/EntrySettingsFile.kt
+++ b/model/src/main/kotlin/io/oriolehall/model/settings/EntrySettingsFile.kt
@@ -42,6 +42,7 @@
             endpointChoice = values[EntryKeys.endpointChoice],
             limits = values[EntryKeys.limits],
             admission = values[EntryKeys.admission],
+            endpointSubset = values[EntryKeys.endpointSubset],
         ),
         translate = values[EntryKeys.translate],
         peers = PeerSettings(values[EntryKeys.contacts], values[EntryKeys.exchange]),
--- a/policy/src/main/kotlin/io/oriolehall/policy/hashing/Rendezvous.kt
+++ b/policy/src/main/kotlin/io/oriolehall/policy/hashing/Rendezvous.kt
@@ -12,10 +12,18 @@
 object Rendezvous {
     /** Candidates for [subject], best first. */
     fun ranked(subject: String, candidates: Collection<InstanceId>): List<InstanceId> {
-        val byWeight = compareByDescending<InstanceId> { weight(subject, it.value) }
+        val weights = candidates.associateWith { weight(subject, it.value) }
+        val byWeight = compareByDescending<InstanceId> { weights.getValue(it) }
         return candidates.sortedWith(byWeight.thenBy { it })
     }
 
+    /** [endpoints] in the order in which [candidate] prefers them: those come first for which it ranks high. */
+    fun preferred(candidate: InstanceId, endpoints: Collection<EndpointId>): List<EndpointId> {
+        val weights = endpoints.associateWith { weight(it.value, candidate.value) }
+        val byWeight = compareByDescending<EndpointId> { weights.getValue(it) }
+        return endpoints.sortedWith(byWeight.thenBy { it.value })
+    }
+
     /** The candidate for [endpoint], or null when there is none. */
     fun owner(endpoint: EndpointId, candidates: Collection<InstanceId>): InstanceId? =
         ranked(endpoint.value, candidates).firstOrNull()
--- a/policy/src/main/kotlin/io/oriolehall/policy/limits/CreditHolder.kt
+++ b/policy/src/main/kotlin/io/oriolehall/policy/limits/CreditHolder.kt
@@ -1,7 +1,6 @@
 package io.oriolehall.policy.limits
 
 import io.oriolehall.model.EndpointId
-import io.oriolehall.model.Incarnation
 import io.oriolehall.model.InstanceId
 
 /** A request and the owner it is for. */
@@ -18,11 +17,8 @@
  */
 class CreditHolder(
     private val endpoint: EndpointId,
-    private val self: InstanceId,
-    private val incarnation: Incarnation,
     private val timing: CreditTiming,
     private val startedAtMs: Long,
-    private val role: HolderRole = HolderRole.MEMBER,
 ) {
     private var lease = NO_LEASE
     private var following: InstanceId? = null
@@ -31,6 +27,9 @@
     private var sequence = 0L
     private var running = 0
     private var waiting = 0
+    private var demandAtMs = NEVER
+    private var askedAtMs = NEVER
+    private var askAtMs = NEVER
     private var observed = WorkTally()
 
     /** Calls of this instance that have not ended. */
@@ -45,6 +44,7 @@
     fun tryStart(nowMs: Long): Boolean {
         if (room(nowMs) == 0) return false
         running++
+        demandAtMs = nowMs
         return true
     }
 
@@ -62,32 +62,49 @@
 
     /** Notes how many calls wait for this endpoint, which the owner sees as demand. */
     @Synchronized
-    fun expectDemand(calls: Int) {
+    fun expectDemand(calls: Int, nowMs: Long) {
         waiting = calls
+        if (calls > 0) demandAtMs = nowMs
     }
 
+    /** True when calls run, or have started or waited within the last [withinMs] milliseconds. */
+    @Synchronized
+    fun isInUse(withinMs: Long, nowMs: Long): Boolean = running > 0 || nowMs - demandAtMs < withinMs
+
+    /** True when the next request is due within [slackMs] milliseconds, or calls wait that have no credit. */
+    @Synchronized
+    fun isDue(nowMs: Long, slackMs: Long = 0): Boolean =
+        nowMs + slackMs >= askAtMs || (waiting > 0 && room(nowMs) == 0 && nowMs - askedAtMs >= timing.contendedMs)
+
     /**
      * The next request: to [desiredOwner], or to the owner that this instance still follows, so as to leave it.
      *
+     * @param inUse false when this instance only votes and wants no credit that it does not use already.
      * @param extraInFlight calls of others that this instance knows of from its own time as the endpoint's owner.
      */
     @Synchronized
-    fun nextRequest(desiredOwner: InstanceId, nowMs: Long, extraInFlight: Int = 0): AddressedCreditRequest {
+    fun nextRequest(
+        desiredOwner: InstanceId,
+        role: HolderRole,
+        inUse: Boolean,
+        nowMs: Long,
+        extraInFlight: Int = 0,
+    ): AddressedCreditRequest {
         val current = following
         if (current == null || (current != desiredOwner && nowMs >= freeFromMs)) follow(desiredOwner)
         val owner = following ?: desiredOwner
         val leaving = owner != desiredOwner
         if (leaving) lease = NO_LEASE
+        askedAtMs = nowMs
+        askAtMs = nowMs + timing.retryMs
         val request = CreditRequest(
             endpoint = endpoint,
-            holder = self,
-            incarnation = incarnation,
             sequence = ++sequence,
             role = role,
             echo = echo,
             inFlight = running + extraInFlight,
-            wanted = running + waiting + 1,
-            ageMs = nowMs - startedAtMs,
+            wanted = running + if (inUse) waiting + 1 else 0,
+            ageMs = minOf(nowMs - startedAtMs, CreditRequest.MAX_AGE_MS),
             release = leaving,
             observed = observed.drain(),
         )
@@ -105,6 +122,7 @@
         if (echo.isNewerThan(answer.stamp)) return
         echo = answer.stamp
         freeFromMs = nowMs + timing.unfollowMs
+        askAtMs = sent.sentAtMs + answer.renewMs
         if (sent.request.release) return
         lease = Lease(answer.credits, sent.sentAtMs + answer.leaseMs - timing.marginMs)
     }
@@ -123,11 +141,14 @@
         following = null
         echo = null
         freeFromMs = nowMs
+        askAtMs = nowMs
     }
 
     private class Lease(val credits: Int, val usableUntilMs: Long)
 
     private companion object {
-        val NO_LEASE = Lease(0, Long.MIN_VALUE)
+        /** Long before any time, and still far from an overflow. */
+        const val NEVER = Long.MIN_VALUE / 2
+        val NO_LEASE = Lease(0, NEVER)
     }
 }
--- a/policy/src/main/kotlin/io/oriolehall/policy/limits/CreditLedger.kt
+++ b/policy/src/main/kotlin/io/oriolehall/policy/limits/CreditLedger.kt
@@ -9,10 +9,10 @@
  * out. What it has promised never exceeds its budget; a budget that shrinks is reached again once leases and calls
  * have ended.
  *
- * The budget is the whole limit while every known member of the zone follows this owner and none of them is so young
- * that calls of its predecessor under the same name may still run. Otherwise it is the limit's
- * share of the followers that have followed for [CreditTiming.settleMs]. An instance follows one owner at a time, so
- * the budgets of owners that disagree about the members add up to the limit at most.
+ * The budget is the whole limit while every voter follows this owner and none of them is so young that calls of its
+ * predecessor under the same name may still run. Otherwise it is the share of the voters that have followed for
+ * [CreditTiming.settleMs]. An instance follows one owner at a time, so the budgets of owners that disagree about the
+ * members add up to the limit at most.
  *
  * Not safe for use by several threads.
  */
@@ -22,40 +22,52 @@
     private val timing: CreditTiming,
 ) {
     private val holders = mutableMapOf<InstanceId, HolderAccount>()
-    private val sequences = mutableMapOf<Pair<InstanceId, Incarnation>, SeenSequence>()
+    private val sequences = mutableMapOf<HolderId, SeenSequence>()
     private val residues = mutableListOf<Residue>()
     private var serial = 0L
 
     /**
-     * Ends the wait for young members: the endpoint has reported that it runs nothing. Only members that have been here
-     * for [reportLagMs] milliseconds are concerned, as the report may be as old as that.
+     * Ends the wait for young voters: the endpoint has reported that it runs nothing. The report may be as old as
+     * [reportLagMs] milliseconds, and a grant of a process before the voter's may be in use for a lease after that.
      */
     fun confirmIdle(reportLagMs: Long, nowMs: Long) {
         holders.values
-            .filter { nowMs - it.sinceMs >= reportLagMs }
+            .filter { nowMs - it.sinceMs >= reportLagMs && nowMs - it.bornAtMs >= reportLagMs + timing.leaseMs }
             .forEach { it.trustedFromMs = minOf(it.trustedFromMs, nowMs) }
     }
 
-    /** Takes [request] in and answers it. [known] names the zone's members; [limit] is the endpoint's limit now. */
-    fun answer(request: CreditRequest, known: Set<InstanceId>, limit: Int, nowMs: Long): CreditAnswer {
+    /** Takes a [request] of [holder] in and answers it; [limit] is the endpoint's limit now. */
+    fun answer(
+        holder: HolderId,
+        request: CreditRequest,
+        electorate: Electorate,
+        limit: Int,
+        nowMs: Long,
+    ): CreditAnswer {
         expire(nowMs)
         val stamp = CreditStamp(self, nowMs, ++serial)
-        if (!isNewest(request, nowMs) || !isFresh(request.echo, nowMs)) return CreditAnswer(endpoint, stamp)
-        val account = openAccount(request, nowMs)
+        if (!isNewest(holder, request, nowMs) || !isFresh(request.echo, nowMs)) return CreditAnswer(endpoint, stamp)
+        val account = openAccount(holder, request, nowMs)
         if (request.release) {
-            close(request.holder, account, request.inFlight, nowMs)
+            close(holder.instance, account, request.inFlight, nowMs)
             return CreditAnswer(endpoint, stamp, released = true)
         }
-        val credits = grant(request, known, limit, nowMs)
+        val budget = budget(electorate, limit, nowMs)
+        val credits = grant(holder.instance, budget, nowMs)
         account.grants += Grant(stamp.serial, credits)
-        return CreditAnswer(endpoint, stamp, credits, timing.leaseMs)
+        val contended = request.wanted > 0 && demands().sumOf(CreditDemand::wanted) > budget
+        val renewMs = if (contended) timing.contendedMs else timing.renewMs
+        return CreditAnswer(endpoint, stamp, credits, timing.leaseMs, renewMs)
     }
 
-    /** Calls that may run on behalf of holders which tell no other owner of them: a former owner reports them. */
+    /**
+     * Calls that may run on grants of this owner, but for its own instance's: a former owner reports them, as their
+     * holders may not have reached the new owner yet.
+     */
     fun unreportedElsewhere(nowMs: Long): Int {
         expire(nowMs)
-        val guests = holders.values.filter { it.role == HolderRole.GUEST }.sumOf(HolderAccount::committed)
-        return guests + residues.filterNot(Residue::carriedOver).sumOf(Residue::calls)
+        val others = holders.values.filter { it.incarnation != self }.sumOf(HolderAccount::committed)
+        return others + residues.filterNot(Residue::own).sumOf(Residue::calls)
     }
 
     /** Credits promised and calls that may still run, all holders together. */
@@ -64,33 +76,34 @@
         return holders.values.sumOf(HolderAccount::committed) + residues.sumOf(Residue::calls)
     }
 
-    /** Instances that follow this owner now. */
+    /** Voters that follow this owner now. */
     fun followers(nowMs: Long): Set<InstanceId> {
         expire(nowMs)
-        return members().keys
+        return voters().keys
     }
 
-    private fun members() = holders.filterValues { it.role == HolderRole.MEMBER }
+    private fun voters() = holders.filterValues { it.role == HolderRole.VOTER }
 
-    private fun isNewest(request: CreditRequest, nowMs: Long): Boolean {
-        val key = request.holder to request.incarnation
-        val seen = sequences[key]
+    private fun isNewest(holder: HolderId, request: CreditRequest, nowMs: Long): Boolean {
+        val seen = sequences[holder]
         if (seen != null && request.sequence <= seen.sequence) return false
-        sequences[key] = SeenSequence(request.sequence, nowMs)
+        sequences[holder] = SeenSequence(request.sequence, nowMs)
         return true
     }
 
     private fun isFresh(echo: CreditStamp?, nowMs: Long): Boolean =
         echo != null && echo.owner == self && nowMs - echo.atMs <= timing.echoMs
 
-    private fun openAccount(request: CreditRequest, nowMs: Long): HolderAccount {
-        val old = holders[request.holder]
-        if (old != null && old.incarnation != request.incarnation) {
-            close(request.holder, old, old.committed, nowMs, carriedOver = false)
+    private fun openAccount(holder: HolderId, request: CreditRequest, nowMs: Long): HolderAccount {
+        val old = holders[holder.instance]
+        if (old != null && old.incarnation != holder.incarnation) {
+            close(holder.instance, old, old.committed, nowMs)
         }
-        val account = holders.getOrPut(request.holder) {
-            HolderAccount(request.role, request.incarnation, nowMs, nowMs + timing.settleMs - request.ageMs)
+        val account = holders.getOrPut(holder.instance) {
+            val bornAtMs = nowMs - request.ageMs
+            HolderAccount(holder.incarnation, nowMs, bornAtMs, trustedFromMs = bornAtMs + timing.settleMs)
         }
+        account.role = request.role
         account.acceptedAtMs = nowMs
         account.inFlight = request.inFlight
         account.wanted = request.wanted
@@ -98,21 +111,15 @@
         return account
     }
 
-    private fun close(
-        holder: InstanceId,
-        account: HolderAccount,
-        calls: Int,
-        nowMs: Long,
-        carriedOver: Boolean = account.role == HolderRole.MEMBER,
-    ) {
+    private fun close(holder: InstanceId, account: HolderAccount, calls: Int, nowMs: Long) {
         holders.remove(holder)
-        if (calls > 0) residues += Residue(calls, nowMs + timing.drainMs + timing.marginMs, carriedOver)
+        val untilMs = nowMs + timing.drainMs + timing.marginMs
+        if (calls > 0) residues += Residue(calls, untilMs, own = account.incarnation == self)
     }
 
-    private fun grant(request: CreditRequest, known: Set<InstanceId>, limit: Int, nowMs: Long): Int {
-        val budget = budget(known, limit, nowMs)
-        val target = CreditSplit.targets(budget, demands(), rotation = nowMs / ROTATION_MS)[request.holder] ?: 0
-        val others = holders.filterKeys { it != request.holder }.values.sumOf(HolderAccount::committed)
+    private fun grant(holder: InstanceId, budget: Int, nowMs: Long): Int {
+        val target = CreditSplit.targets(budget, demands(), rotation = nowMs / ROTATION_MS)[holder] ?: 0
+        val others = holders.filterKeys { it != holder }.values.sumOf(HolderAccount::committed)
         val free = budget - others - residues.sumOf(Residue::calls)
         return minOf(target, free).coerceAtLeast(0)
     }
@@ -121,29 +128,28 @@
         CreditDemand(holder, account.role, maxOf(account.wanted, account.inFlight))
     }
 
-    private fun budget(known: Set<InstanceId>, limit: Int, nowMs: Long): Int {
-        val members = members()
-        val unanimous = members.keys.containsAll(known) && members.values.all { it.trustedFromMs <= nowMs }
-        if (unanimous) return limit
-        val settled = members.values.count { nowMs - it.sinceMs >= timing.settleMs }
-        return limit * settled / (known + members.keys).size
+    private fun budget(electorate: Electorate, limit: Int, nowMs: Long): Int {
+        val voters = voters()
+        if (electorate.isCoveredBy(voters.keys) && voters.values.all { it.trustedFromMs <= nowMs }) return limit
+        return electorate.share(limit, voters.filterValues { nowMs - it.sinceMs >= timing.settleMs }.keys)
     }
 
     private fun expire(nowMs: Long) {
         val lapsed = holders.filterValues { nowMs - it.acceptedAtMs > timing.leaseMs }
         for ((holder, account) in lapsed) {
-            close(holder, account, account.committed, account.acceptedAtMs + timing.leaseMs, carriedOver = false)
+            close(holder, account, account.committed, account.acceptedAtMs + timing.leaseMs)
         }
         residues.removeAll { it.untilMs < nowMs }
         sequences.values.removeAll { nowMs - it.seenAtMs > SEQUENCE_MEMORY_FACTOR * timing.settleMs }
     }
 
     private class HolderAccount(
-        val role: HolderRole,
         val incarnation: Incarnation,
         val sinceMs: Long,
+        val bornAtMs: Long,
         var trustedFromMs: Long,
     ) {
+        var role = HolderRole.BORROWER
         val grants = mutableListOf<Grant>()
         var acceptedAtMs = sinceMs
         var inFlight = 0
@@ -155,7 +161,7 @@
 
     private class Grant(val serial: Long, val credits: Int)
 
-    private class Residue(val calls: Int, val untilMs: Long, val carriedOver: Boolean)
+    private class Residue(val calls: Int, val untilMs: Long, val own: Boolean)
 
     private class SeenSequence(val sequence: Long, val seenAtMs: Long)
 
--- a/policy/src/main/kotlin/io/oriolehall/policy/limits/EndpointLimit.kt
+++ b/policy/src/main/kotlin/io/oriolehall/policy/limits/EndpointLimit.kt
@@ -22,6 +22,9 @@
     var coldCause: ColdCause = ColdCause.FIRST_SEEN
         private set
 
+    /** True when the limit is at its height. */
+    val isWarm: Boolean get() = level >= warmLimit
+
     /** The limit now. */
     fun limit(nowMs: Long): Int = when (breaker.state(nowMs)) {
         CircuitBreaker.State.OPEN -> 0
@@ -49,14 +52,12 @@
     private fun compare(meanMs: Double, nowMs: Long) {
         val usual = usualMs
         when {
-            usual == null -> if (isWarm()) usualMs = meanMs
-            meanMs > usual * settings.coldRatio && isWarm() -> turnCold(ColdCause.SLOW_FIRST_OUTPUT, nowMs)
-            isWarm() -> usualMs = usual + (meanMs - usual) * USUAL_WEIGHT
+            usual == null -> if (isWarm) usualMs = meanMs
+            meanMs > usual * settings.coldRatio && isWarm -> turnCold(ColdCause.SLOW_FIRST_OUTPUT, nowMs)
+            isWarm -> usualMs = usual + (meanMs - usual) * USUAL_WEIGHT
         }
     }
 
-    private fun isWarm() = level >= warmLimit
-
     private fun turnCold(cause: ColdCause, nowMs: Long) {
         coldCause = cause
         level = coldLimit.toDouble()
--- a/policy/src/test/kotlin/io/oriolehall/policy/limits/CreditLedgerTest.kt
+++ b/policy/src/test/kotlin/io/oriolehall/policy/limits/CreditLedgerTest.kt
@@ -8,9 +8,9 @@
 import strikt.assertions.isEqualTo
 
 class CreditLedgerTest {
-    private val timing = CreditTiming(leaseMs = 100, echoMs = 100, drainMs = 400, marginMs = 10)
+    private val timing = CreditTiming(leaseMs = 100, echoMs = 100, drainMs = 400, marginMs = 10, renewMs = 50)
     private val endpoint = EndpointId("e")
-    private val self = Incarnation(1, 1)
+    private val self = Incarnation(startedAtMs = 0, nonce = 0)
     private val ledger = CreditLedger(endpoint, self, timing)
     private val members = setOf(InstanceId("a"), InstanceId("b"))
     private val sequences = mutableMapOf<String, Long>()
@@ -21,23 +21,25 @@
         holder: String,
         wanted: Int = 1,
         inFlight: Int = 0,
-        role: HolderRole = HolderRole.MEMBER,
+        role: HolderRole = HolderRole.VOTER,
         ageMs: Long = 10_000,
         life: Int = 1,
+        stamp: CreditStamp? = stamps[holder],
     ): CreditAnswer {
         val sequence = sequences.merge(holder, 1, Long::plus) ?: 1
         val request = CreditRequest(
             endpoint = endpoint,
-            holder = InstanceId(holder),
-            incarnation = Incarnation(1, life),
             sequence = sequence,
             role = role,
-            echo = stamps[holder],
+            echo = stamp,
             inFlight = inFlight,
             wanted = wanted,
             ageMs = ageMs,
         )
-        return ledger.answer(request, members, LIMIT, now).also { stamps[holder] = it.stamp }
+        val id = HolderId(InstanceId(holder), Incarnation(1, life))
+        return ledger.answer(id, request, Electorate.of(endpoint, members), LIMIT, now).also {
+            stamps[holder] = it.stamp
+        }
     }
 
     private fun allFollow() = repeat(2) { listOf("a", "b").forEach(::ask) }
@@ -70,7 +72,7 @@
         ask("b", wanted = 0)
         ask("b", wanted = 0)
         expectThat(ask("guest", wanted = LIMIT, role = HolderRole.GUEST).credits).isEqualTo(1)
-        expectThat(ledger.unreportedElsewhere(now)).isEqualTo(1)
+        expectThat(ledger.unreportedElsewhere(now)).describedAs("a's and the guest's").isEqualTo(LIMIT)
     }
 
     @Test
@@ -91,6 +93,38 @@
         expectThat(ask("a", wanted = LIMIT).credits).isEqualTo(0)
     }
 
+    @Test
+    fun `a request that was under way for longer than a stamp lasts revives no allegiance`() {
+        allFollow()
+        val stampOfA = stamps.getValue("a")
+        now += timing.echoMs + 1
+        expectThat(ledger.followers(now)).describedAs("both have lapsed").isEqualTo(emptySet())
+        val late = ask("a", wanted = LIMIT, stamp = stampOfA)
+        expectThat(late.credits).isEqualTo(0)
+        expectThat(late.renewMs).describedAs("ask again at once").isEqualTo(0)
+        expectThat(ledger.followers(now)).describedAs("after the late request").isEqualTo(emptySet())
+        ask("b")
+        expectThat(ask("b", wanted = LIMIT).credits).describedAs("a does not follow").isEqualTo(0)
+    }
+
+    @Test
+    fun `an instance without a vote takes credits and does not count in the owner's share`() {
+        allFollow()
+        repeat(2) { ask("c", wanted = 2, role = HolderRole.BORROWER) }
+        ask("a", wanted = 1)
+        ask("a", wanted = 1)
+        expectThat(ask("c", wanted = 2, role = HolderRole.BORROWER).credits).isEqualTo(2)
+        expectThat(ledger.followers(now)).isEqualTo(members)
+    }
+
+    @Test
+    fun `a renewal is soon while more is wanted than there is and at once for want of a fresh stamp`() {
+        expectThat(ask("a").renewMs).isEqualTo(0)
+        allFollow()
+        expectThat(ask("a", wanted = 1).renewMs).isEqualTo(timing.renewMs)
+        expectThat(ask("a", wanted = LIMIT + 1).renewMs).isEqualTo(timing.contendedMs)
+    }
+
     private companion object {
         const val LIMIT = 4
     }
