--- a/entry/src/main/kotlin/io/oriolehall/entry/EntryInstance.kt
+++ b/entry/src/main/kotlin/io/oriolehall/entry/EntryInstance.kt
@@ -295,6 +295,7 @@
             server = peerServer,
             reports = loadReports(),
             timers = timers,
+            subset = settings.policy.endpointSubset,
         )
     }
 
