--- a/harness/src/main/kotlin/io/oriolehall/harness/fleet/EndpointProcess.kt
+++ b/harness/src/main/kotlin/io/oriolehall/harness/fleet/EndpointProcess.kt
@@ -2,6 +2,7 @@
 
 import io.oriolehall.harness.process.LaunchedProcess
 import io.oriolehall.model.Endpoint
+import io.oriolehall.model.LoadReport
 import io.oriolehall.model.NetworkAddress
 import io.oriolehall.standins.endpoint.Behaviour
 import io.oriolehall.standins.endpoint.EndpointStats
@@ -34,6 +35,9 @@
     /** Counts of the process that runs now. */
     suspend fun stats(): EndpointStats = control.get("/stats", EndpointStats.serializer())
 
+    /** What the endpoint reports of itself, past the fault proxy. */
+    suspend fun load(): LoadReport = connect(address.toString()).get("/load", LoadReport.serializer())
+
     /** Puts [behaviour] in force. */
     suspend fun behave(behaviour: Behaviour) = control.put("/behaviour", Behaviour.serializer(), behaviour)
 
--- a/harness/src/main/kotlin/io/oriolehall/harness/fleet/Fleet.kt
+++ b/harness/src/main/kotlin/io/oriolehall/harness/fleet/Fleet.kt
@@ -31,10 +31,14 @@
     private val faultControl: FaultControl?,
     val entries: List<EntryProcess>,
     val endpoints: List<EndpointProcess>,
+    private val weightStore: WeightStoreControl?,
 ) : AutoCloseable {
     /** Control of the fault proxy; only a proxied fleet has one. */
     val faults: FaultControl get() = checkNotNull(faultControl) { "set proxied = true to cause network faults" }
 
+    /** The weight store; only a fleet with `weightArguments` has one. */
+    val weights: WeightStoreControl get() = checkNotNull(weightStore) { "set weightArguments to have a weight store" }
+
     fun entry(id: String): EntryProcess = entries.first { it.spec.id == InstanceId(id) }
 
     fun endpoint(id: String): EndpointProcess = endpoints.first { it.spec.id == EndpointId(id) }
--- a/harness/src/main/kotlin/io/oriolehall/harness/fleet/FleetSpec.kt
+++ b/harness/src/main/kotlin/io/oriolehall/harness/fleet/FleetSpec.kt
@@ -44,6 +44,7 @@
     val jvmOptions: List<String>,
     val dataSet: String,
     val platformArguments: List<String>,
+    val weightArguments: List<String>?,
     val zones: List<ZoneId>,
     val entries: List<EntrySpec>,
     val endpoints: List<EndpointSpec>,
@@ -82,6 +83,9 @@
     /** Further arguments of the platform stand-in. */
     var platformArguments = emptyList<String>()
 
+    /** Arguments of the weight store from which engines load, or null to have none. */
+    var weightArguments: List<String>? = null
+
     fun zone(id: String, describe: ZoneBuilder.() -> Unit) {
         zones += ZoneBuilder(ZoneId(id)).apply(describe)
     }
@@ -113,6 +117,7 @@
         jvmOptions = jvmOptions,
         dataSet = dataSet,
         platformArguments = platformArguments,
+        weightArguments = weightArguments,
         zones = zones.map { it.id },
         entries = zones.flatMap { it.entries },
         endpoints = zones.flatMap { it.endpoints },
--- a/harness/src/main/kotlin/io/oriolehall/harness/fleet/FleetStarter.kt
+++ b/harness/src/main/kotlin/io/oriolehall/harness/fleet/FleetStarter.kt
@@ -9,6 +9,7 @@
 import io.oriolehall.model.ConfigObject
 import io.oriolehall.model.Instance
 import io.oriolehall.model.NetworkAddress
+import io.oriolehall.model.StageKind
 import io.oriolehall.model.WitnessRoster
 import io.oriolehall.standins.faultproxy.Link
 import kotlinx.coroutines.Dispatchers
@@ -38,7 +39,8 @@
         val proxy = if (spec.proxied) launchStandin("faultproxy", listOf("faultproxy")) else null
         val faults = proxy?.let { FaultControl(connect(checkNotNull(it.ready.control))) }
         onProgress("starting ${spec.endpoints.size} endpoints")
-        val endpoints = allOf(spec.endpoints) { startEndpoint(it) }
+        val weights = spec.weightArguments?.let { launchStandin("weights", listOf("weights") + it) }
+        val endpoints = allOf(spec.endpoints) { startEndpoint(it, weights?.ready?.address) }
         val tickets = TicketPublisher(platformControl)
         tickets.publish(firstTicket(endpoints), cause = "first state of the fleet")
         val planned = spec.entries.map { PlannedEntry(it, EntryPorts(ports.take(), ports.take(), ports.take())) }
@@ -49,6 +51,7 @@
         val entries = allOf(planned) { startEntry(it, planned, endpoints, platformAddress, faults) }
         val fleet = Fleet(
             spec, directory, launcher, http, platform, proxy, platformHandle, tickets, faults, entries, endpoints,
+            weights?.let { WeightStoreControl(connect(checkNotNull(it.ready.control))) },
         )
         for (entry in entries) {
             awaitThat("${entry.spec.id} is ready", READY_TIMEOUT_MS) { entry.ready() }
@@ -74,7 +77,7 @@
 
     private suspend fun launch(program: ProgramSpec) = withContext(Dispatchers.IO) { launcher.launch(program) }
 
-    private suspend fun startEndpoint(endpoint: EndpointSpec): EndpointProcess {
+    private suspend fun startEndpoint(endpoint: EndpointSpec, weights: String?): EndpointProcess {
         val address = ports.take()
         val arguments = listOf(
             "endpoint",
@@ -85,7 +88,8 @@
             "--data-set=${spec.dataSet}",
             "--cold-limit=${endpoint.coldLimit}",
             "--warm-limit=${endpoint.warmLimit}",
-        ) + (if (endpoint.fenced) listOf("--fenced") else emptyList()) + endpoint.arguments
+        ) + loadsFrom(endpoint, weights) + (if (endpoint.fenced) listOf("--fenced") else emptyList()) +
+            endpoint.arguments
         val program = ProgramSpec(
             endpoint.id.value,
             STANDINS_MAIN,
@@ -96,6 +100,9 @@
         return EndpointProcess(endpoint, address, launch(program), ::connect) { launcher.launch(program) }
     }
 
+    private fun loadsFrom(endpoint: EndpointSpec, weights: String?): List<String> =
+        if (weights == null || endpoint.kind != StageKind.GENERATE) emptyList() else listOf("--weights=$weights")
+
     private fun firstTicket(endpoints: List<EndpointProcess>): List<ConfigObject> =
         spec.zones.map { AvailabilityZone(it) } +
             spec.organisations.map { it.organisation } +
--- a/standins/src/main/kotlin/io/oriolehall/standins/endpoint/EndpointCounters.kt
+++ b/standins/src/main/kotlin/io/oriolehall/standins/endpoint/EndpointCounters.kt
@@ -14,6 +14,9 @@
  * @property overloads how often a call arrived when the endpoint already had all that it bears.
  * @property declined calls answered 429 or 503 before they ran.
  * @property cancels calls stopped by DELETE.
+ * @property callsWhileLoading calls received while an order was carried out.
+ * @property ordersObeyed orders carried out, also those that changed nothing.
+ * @property ordersRefused orders refused for an old fencing number.
  * @property wastedMs time spent on calls whose deadline had passed when they ended or that were stopped, milliseconds.
  */
 @Serializable
@@ -31,6 +34,9 @@
     val declined: Int,
     val cancels: Int,
     val wastedMs: Double,
+    val callsWhileLoading: Int = 0,
+    val ordersObeyed: Int = 0,
+    val ordersRefused: Int = 0,
 )
 
 /** Collects the counts. Safe for use by several threads. */
@@ -44,9 +50,13 @@
     private var declined = 0
     private var cancels = 0
     private var wastedMs = 0.0
+    private var callsWhileLoading = 0
+    private var ordersObeyed = 0
+    private var ordersRefused = 0
 
     @Synchronized
-    fun received(call: StageCall, nowMs: Long) {
+    fun received(call: StageCall, nowMs: Long, loading: Boolean) {
+        if (loading) callsWhileLoading++
         stageCalls.merge(call.stage, 1, Int::plus)
         lastNewWorkAtMs = nowMs
     }
@@ -72,6 +82,11 @@
         call.idempotencyKey?.let { executionsByKey.merge(it, 1, Int::plus) }
     }
 
+    @Synchronized
+    fun ordered(accepted: Boolean) {
+        if (accepted) ordersObeyed++ else ordersRefused++
+    }
+
     @Synchronized
     fun cancelled() {
         cancels++
@@ -97,5 +112,8 @@
         declined = declined,
         cancels = cancels,
         wastedMs = wastedMs,
+        callsWhileLoading = callsWhileLoading,
+        ordersObeyed = ordersObeyed,
+        ordersRefused = ordersRefused,
     )
 }
--- a/standins/src/main/kotlin/io/oriolehall/standins/endpoint/EndpointServer.kt
+++ b/standins/src/main/kotlin/io/oriolehall/standins/endpoint/EndpointServer.kt
@@ -3,6 +3,7 @@
 import io.oriolehall.model.CacheEventPage
 import io.oriolehall.model.EngineOrder
 import io.oriolehall.model.LoadReport
+import io.oriolehall.model.OrderResult
 import io.oriolehall.model.StageCall
 import io.oriolehall.model.StageKind
 import io.oriolehall.model.StageResult
@@ -66,13 +67,15 @@
         if (behaviour.coldNow) capacity.turnCold()
     }
 
-    suspend fun order(order: EngineOrder) = orders.obey(order)
+    /** Carries [order] out to the end, also when its sender has gone. */
+    suspend fun order(order: EngineOrder): OrderResult =
+        scope.async { orders.obey(order) }.await().also { counters.ordered(it.accepted) }
 
     fun cacheEvents(after: Long): CacheEventPage = engine.events(after)
 
     /** Runs [call]. */
     suspend fun run(call: StageCall): CallOutcome {
-        counters.received(call, System.currentTimeMillis())
+        counters.received(call, System.currentTimeMillis(), orders.busy)
         val declined = declineReason(call)
         if (declined != null) return declined
         counters.entered(capacity.enter())
--- a/standins/src/main/kotlin/io/oriolehall/standins/endpoint/EngineOrders.kt
+++ b/standins/src/main/kotlin/io/oriolehall/standins/endpoint/EngineOrders.kt
@@ -22,6 +22,9 @@
 
     @Volatile private var fence = 0L
 
+    /** True while an order is carried out. */
+    val busy: Boolean get() = loading.isLocked
+
     /** Carries [order] out, unless it is refused. */
     suspend fun obey(order: EngineOrder): OrderResult {
         if (options.fenced && !raiseFence(order.fence)) return OrderResult(accepted = false, fence = fence)
@@ -35,7 +38,7 @@
         adapter = serving?.adapter,
         role = serving?.role,
         orderFence = fence,
-        ordering = loading.isLocked,
+        ordering = busy,
     )
 
     private suspend fun carryOut(order: EngineOrder): OrderResult {
