Orders to engines wait as long as credits last

Cause: the waits before an order (2.25 s with an idle report, 5.5 s without) were stated for leases of 1 s that are renewed each 250 ms; leases last 2 s now and are renewed each second. Left alone, an order could be sent while a call starts on an old lease. Change: both follow from CreditTiming: 4 s and 7.05 s. Figures: arithmetic; the unit tests of policy and entry passed. Orders have not been run with processes after this.

--- a/policy/src/main/kotlin/io/oriolehall/policy/orders/OrderTiming.kt
+++ b/policy/src/main/kotlin/io/oriolehall/policy/orders/OrderTiming.kt
@@ -1,6 +1,7 @@
 package io.oriolehall.policy.orders
 
 import io.oriolehall.model.LoadReport
+import io.oriolehall.policy.limits.CreditTiming
 
 /**
  * Times of orders to engines, milliseconds.
@@ -17,10 +18,10 @@
 data class OrderTiming(
     val checkMs: Long = 1_000,
     val longestLoadMs: Long = 60_000,
-    val startMs: Long = 8_000,
+    val startMs: Long = 10_000,
     val reportLagMs: Long = 1_000,
-    val quietMs: Long = 2_250,
-    val drainMs: Long = 5_500,
+    val quietMs: Long = CREDITS.renewMs + CREDITS.leaseMs + 1_000,
+    val drainMs: Long = CREDITS.renewMs + CREDITS.settleMs,
     val readAgeMs: Long = 2_500,
 ) {
     /** How long a permit lasts that nobody gives back: until the order was sent and carried out. */
@@ -31,4 +32,8 @@
         val idle = report != null && report.running + report.queued == 0
         return heldMs >= drainMs || (idle && heldMs >= quietMs)
     }
+
+    private companion object {
+        val CREDITS = CreditTiming()
+    }
 }
