--- a/proofs/src/test/kotlin/io/oriolehall/proofs/load/EndpointLimitProofTest.kt
+++ b/proofs/src/test/kotlin/io/oriolehall/proofs/load/EndpointLimitProofTest.kt
@@ -1,12 +1,8 @@
 package io.oriolehall.proofs.load
 
-import io.oriolehall.cli.client.CallOutcome
 import io.oriolehall.harness.fleet.Fleet
-import io.oriolehall.harness.fleet.FleetBuilder
 import io.oriolehall.harness.fleet.awaitThat
 import io.oriolehall.harness.fleet.withFleet
-import io.oriolehall.model.PipelineRequest
-import io.oriolehall.model.StageKind
 import io.oriolehall.standins.endpoint.Behaviour
 import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.delay
@@ -58,48 +54,13 @@
     /** Keeps more calls waiting at every instance than the endpoint bears; returns the number of whole answers. */
     private suspend fun loadFully(fleet: Fleet, forMs: Long = LOAD_MS): Int {
         val answered = AtomicInteger()
-        withTimeoutOrNull(forMs) {
-            for (entry in fleet.entries) {
-                repeat(CALLERS_PER_ENTRY) { n -> launch { sendForEver(fleet, entry.spec.id.value, n, answered) } }
-            }
-        }
+        withTimeoutOrNull(forMs) { sendFully(fleet, answered) }
         return answered.get()
     }
 
-    private suspend fun sendForEver(fleet: Fleet, entry: String, n: Int, answered: AtomicInteger) {
-        while (true) {
-            val caller = fleet.caller("authority", fleet.entry(entry))
-            val outcome = caller.send("encode", PipelineRequest("furisode $n"), deadlineMs = DEADLINE_MS)
-            if (outcome is CallOutcome.Whole) answered.incrementAndGet() else delay(REFUSED_WAIT_MS)
-        }
-    }
-
-    private fun FleetBuilder.oneEndpoint(coldMs: Long, limits: String) {
-        zone("z1") {
-            entries(8)
-            endpoint(
-                id = "enc",
-                pool = "encoders",
-                kind = StageKind.ENCODE,
-                coldLimit = COLD_LIMIT,
-                warmLimit = WARM_LIMIT,
-                arguments = listOf("--service-ms=40", "--cold-ms=$coldMs", "--cold-factor=2"),
-            )
-        }
-        organisation("authority")
-        pipeline("encode") { stage("encode", StageKind.ENCODE, "encoders", expectedMs = 60) }
-        setting("policy", "limits", limits)
-        setting("policy", "admission", "none")
-    }
-
     private companion object {
-        const val COLD_LIMIT = 2
-        const val WARM_LIMIT = 12
-        const val CALLERS_PER_ENTRY = 3
-        const val DEADLINE_MS = 2_000L
         const val LOAD_MS = 12_000L
         const val LONG_LOAD_MS = 60_000L
-        const val REFUSED_WAIT_MS = 50L
 
         /** Lag of the report, a renewal, and the end of the calls that ran when the endpoint turned cold. */
         const val DETECTION_MS = 2_000L
