--- a/cli/src/main/kotlin/io/oriolehall/cli/CallCommands.kt
+++ b/cli/src/main/kotlin/io/oriolehall/cli/CallCommands.kt
@@ -2,7 +2,6 @@
 
 import com.github.ajalt.clikt.core.CliktCommand
 import com.github.ajalt.clikt.core.Context
-import com.github.ajalt.clikt.core.ProgramResult
 import com.github.ajalt.clikt.parameters.arguments.argument
 import com.github.ajalt.clikt.parameters.options.default
 import com.github.ajalt.clikt.parameters.options.flag
@@ -16,13 +15,15 @@
 import io.oriolehall.model.PipelineRequest
 import io.oriolehall.model.Problem
 import io.oriolehall.model.RequestId
+import java.io.IOException
 import java.nio.file.Files
 
 private const val DEFAULT_MAX_TOKENS = 64
 
 /** What commands share that act as an organisation. */
 internal abstract class CallCommand(name: String) : CliktCommand(name) {
-    private val address by addressOption("--to", help = "callers' listener of an instance")
+    /** Callers' listener of the instance. */
+    protected val address by addressOption("--to", help = "callers' listener of an instance")
     private val organisation by option(help = "name of the organisation").required()
     private val secret by option(help = "its secret", envvar = "ORIOLEHALL_SECRET").required()
 
@@ -70,15 +71,22 @@
     override fun help(context: Context) = "Sends a request and prints its answer as it arrives."
 
     override fun run() = perform { client ->
-        val token = if (mintKey) client.mintToken()?.token ?: throw ProgramResult(ExitCode.NOT_SERVED) else key
+        val token = if (mintKey) mint(client) else key
         client.send(pipeline, PipelineRequest(input, maxTokens), deadline, token, ::show)
     }
+
+    private suspend fun mint(client: CallerClient): String = try {
+        client.mintToken()?.token ?: fail("$address gave no key; check the name and the secret", ExitCode.NOT_SERVED)
+    } catch (e: IOException) {
+        fail("$address gave no key: ${e.message}; nothing was sent", ExitCode.UNREACHABLE)
+    }
 }
 
 /** Resumes a request. */
 internal class ResumeCommand : CallCommand("resume") {
     private val id by argument(help = "identifier of the request")
-    private val received by option(help = "file with the text received so far; without it, the whole answer").path()
+    private val received by option(help = "file with the text received so far; without it, the whole answer")
+        .path(mustExist = true, canBeDir = false, mustBeReadable = true)
 
     override fun help(context: Context) = "Fetches the rest of an answer, or all of it."
 
