The benchmark of an instance takes the time of its warm-up as an option

Eight seconds each way were not enough for the Java machine to compile the path, so that its compiler threads were part of what was measured.

--- a/harness/src/main/kotlin/io/oriolehall/harness/benchmark/EntryOverhead.kt
+++ b/harness/src/main/kotlin/io/oriolehall/harness/benchmark/EntryOverhead.kt
@@ -28,6 +28,8 @@
 internal class EntryOverheadCommand : CliktCommand("entry-overhead") {
     private val seconds by option(help = "seconds of each round").int().default(ROUND_SECONDS)
     private val rounds by option(help = "rounds of each way and load").int().default(ROUNDS)
+    private val warmUp by option("--warm-up", help = "seconds of load each way before a load is measured")
+        .int().default(WARM_UP_SECONDS)
     private val times by option(help = "loads, as multiples of a node's share").int().split(",").default(Times)
     private val jvmOption by option(help = "option of the processes' Java machines").multiple()
     private val output by option(help = "file of the result").path().default(Path(RESULT_FILE))
@@ -44,7 +46,7 @@
 
     private suspend fun measure(): OverheadReport = Fleet.start(spec).use { fleet ->
         callerHttp().use { http ->
-            val level = OverheadLevel(fleet, EndpointClient(http, { it }), seconds, rounds)
+            val level = OverheadLevel(fleet, EndpointClient(http, { it }), warmUp, seconds, rounds)
             OverheadReport(
                 command = commandLine(),
                 measuredAt = Instant.now().toString(),
@@ -59,7 +61,9 @@
 
     private fun commandLine(): String {
         val options = jvmOption.joinToString("") { " --jvm-option=$it" }
-        return "entry-overhead --seconds $seconds --rounds $rounds --times ${times.joinToString(",")}$options"
+        return "entry-overhead --warm-up $warmUp --seconds $seconds --rounds $rounds --times ${times.joinToString(
+            ",",
+        )}$options"
     }
 
     private suspend fun measureLevel(level: OverheadLevel, requestsPerSecond: Double): LoadLevelResult {
@@ -86,6 +90,7 @@
     }
 
     private companion object {
+        const val WARM_UP_SECONDS = 20
         const val ROUND_SECONDS = 10
         const val ROUNDS = 2
         const val RESULT_FILE = "docs/measurements/entry-overhead.json"
--- a/harness/src/main/kotlin/io/oriolehall/harness/benchmark/OverheadLevel.kt
+++ b/harness/src/main/kotlin/io/oriolehall/harness/benchmark/OverheadLevel.kt
@@ -9,6 +9,7 @@
 internal class OverheadLevel(
     fleet: Fleet,
     client: EndpointClient,
+    private val warmUpSeconds: Int,
     private val seconds: Int,
     private val rounds: Int,
 ) {
@@ -25,8 +26,8 @@
         val driver = LoadDriver(requestsPerSecond)
         val direct = LoadResult()
         val entry = LoadResult()
-        driver.run(directly, WARM_UP_SECONDS, LoadResult())
-        driver.run(throughEntry, WARM_UP_SECONDS, LoadResult())
+        driver.run(directly, warmUpSeconds, LoadResult())
+        driver.run(throughEntry, warmUpSeconds, LoadResult())
         val idleShare = coreShareWhile { delay(IDLE_MS) }
         var processorMs = 0.0
         repeat(rounds) {
@@ -72,7 +73,6 @@
         const val PIPELINE = "summary"
         private const val TOKENS = 203
         private const val DEADLINE_MS = 20_000L
-        private const val WARM_UP_SECONDS = 8
         private const val IDLE_MS = 3_000L
         private const val MS_PER_SECOND = 1_000.0
     }
