A token is read, added to the answer and written on the thread that brings it

Cause: a profile of the entry instance at the share (Java Flight Recorder, 9 s, 537 samples) shows 460 samples in tasks of the dispatcher's workers and no place of its own that stands out; 40 are in a copy of the body that Ktor makes for bodyAsChannel, 20 in looking for tasks. A token was handed over nine times: each hand-over wakes a thread.

Change: the stream of an engine is read from the raw body under Dispatchers.Unconfined, the events are written under it, and the watch of a stream wakes when the silence could first be too long instead of ten times a second.

The three parts were not measured one by one.

--- a/entry/src/main/kotlin/io/oriolehall/entry/http/EventStream.kt
+++ b/entry/src/main/kotlin/io/oriolehall/entry/http/EventStream.kt
@@ -16,9 +16,11 @@
 import io.oriolehall.model.Problem
 import io.oriolehall.model.RequestId
 import io.oriolehall.model.WireJson
+import kotlinx.coroutines.Dispatchers
 import kotlinx.coroutines.channels.Channel
 import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.launch
+import kotlinx.coroutines.withContext
 
 /**
  * Sends the answer of this instance from byte [offset] as server-sent events. A refusal that comes before any text is
@@ -53,6 +55,7 @@
     feeding.cancel()
 }
 
+/** Writes on whichever thread brings the next item, which never blocks, so that no other is woken for each token. */
 private suspend fun ApplicationCall.respondEvents(
     id: RequestId,
     instance: InstanceId,
@@ -61,8 +64,10 @@
     response.header(HttpHeaders.CacheControl, "no-store")
     response.header(REQUEST_ID_HEADER, id.value)
     respondBytesWriter(ContentType.Text.EventStream) {
-        writeEvent("accepted", WireJson.encodeToString(AcceptedEvent.serializer(), AcceptedEvent(id, instance)))
-        write()
+        withContext(Dispatchers.Unconfined) {
+            writeEvent("accepted", WireJson.encodeToString(AcceptedEvent.serializer(), AcceptedEvent(id, instance)))
+            write()
+        }
     }
 }
 
--- a/entry/src/main/kotlin/io/oriolehall/entry/stages/EndpointClient.kt
+++ b/entry/src/main/kotlin/io/oriolehall/entry/stages/EndpointClient.kt
@@ -12,12 +12,12 @@
 import io.ktor.client.request.setBody
 import io.ktor.client.statement.HttpResponse
 import io.ktor.client.statement.HttpStatement
-import io.ktor.client.statement.bodyAsChannel
 import io.ktor.client.statement.bodyAsText
 import io.ktor.http.ContentType
 import io.ktor.http.HttpStatusCode
 import io.ktor.http.contentType
 import io.ktor.http.isSuccess
+import io.ktor.utils.io.InternalAPI
 import io.oriolehall.model.Endpoint
 import io.oriolehall.model.NetworkAddress
 import io.oriolehall.model.StageCall
@@ -25,6 +25,7 @@
 import io.oriolehall.model.StageResult
 import io.oriolehall.model.WireJson
 import kotlinx.coroutines.CancellationException
+import kotlinx.coroutines.Dispatchers
 import kotlinx.coroutines.async
 import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.delay
@@ -60,7 +61,11 @@
      * Runs [call] at the generating [endpoint] and adds what it streams to [text]. When the connection breaks or falls
      * silent, the stream is taken up again at the same endpoint for as long as that brings it forward. Whoever gives a
      * stream up calls [stop].
+     *
+     * A token is read by the coroutine that takes it off the connection: the body is not copied through a second
+     * channel and no other thread is woken.
      */
+    @OptIn(InternalAPI::class)
     suspend fun generate(
         endpoint: Endpoint,
         call: StageCall,
@@ -68,7 +73,7 @@
         onFirstLine: () -> Unit = {},
     ): Result<StageResult, StageFailure> {
         val reader = StreamReader(endpoint.id, call, text, onFirstLine)
-        suspend fun begin() = post(endpoint, call) { reader.read(it.bodyAsChannel()) }
+        suspend fun begin() = post(endpoint, call) { reader.read(it.rawContent) }
         var outcome = watched(reader, firstLineMs(call)) { begin() }
         var resumedFrom = -1L
         while (outcome.isErr && outcome.error is StageFailure.Lost && reader.position > resumedFrom) {
@@ -78,33 +83,39 @@
         return outcome
     }
 
+    @OptIn(InternalAPI::class)
     private suspend fun resume(
         endpoint: Endpoint,
         call: StageCall,
         reader: StreamReader,
     ): Result<StageResult, StageFailure> {
         val path = "/streams/${call.requestId}.${call.attempt}?offset=${reader.position}"
-        val outcome = exchange(endpoint, { http.prepareGet(url(endpoint, path)) }) { reader.read(it.bodyAsChannel()) }
+        val outcome = exchange(endpoint, { http.prepareGet(url(endpoint, path)) }) { reader.read(it.rawContent) }
         if (outcome.isErr && !outcome.error.ran) return Err(StageFailure.Lost(outcome.error.message))
         return outcome
     }
 
     private fun firstLineMs(call: StageCall) = (call.remainingMs * timeouts.firstLineShare).toLong()
 
-    /** Runs [exchange] and gives it up as lost when [reader] gets no line for too long. */
+    /**
+     * Runs [exchange] and gives it up as lost when [reader] gets no line for too long. The watch wakes when the silence
+     * could first be too long, and not for each line.
+     */
     private suspend fun watched(
         reader: StreamReader,
         firstLineMs: Long,
         exchange: suspend () -> Result<StageResult, StageFailure>,
     ): Result<StageResult, StageFailure> = coroutineScope {
         val begun = TimeSource.Monotonic.markNow()
-        val work = async { exchange() }
+        val work = async(Dispatchers.Unconfined) { exchange() }
         val watch = launch {
             while (true) {
-                delay(WATCH_PERIOD_MS)
                 val silentMs = minOf(begun.elapsedNow(), reader.lastLineAt.elapsedNow()).inWholeMilliseconds
-                if (silentMs > if (reader.started) timeouts.idleMs else firstLineMs) work.cancel()
+                val leftMs = (if (reader.started) timeouts.idleMs else firstLineMs) - silentMs
+                if (leftMs < 0) break
+                delay(minOf(leftMs, timeouts.idleMs) + 1)
             }
+            work.cancel()
         }
         try {
             work.await()
@@ -167,8 +178,4 @@
     }
 
     private fun url(endpoint: Endpoint, path: String): String = "http://${dialled(endpoint.address)}$path"
-
-    private companion object {
-        const val WATCH_PERIOD_MS = 100L
-    }
 }
