--- a/entry/src/main/kotlin/io/oriolehall/entry/answers/Answer.kt
+++ b/entry/src/main/kotlin/io/oriolehall/entry/answers/Answer.kt
@@ -95,7 +95,11 @@
     }
 
     /** Hands the answer from byte [offset] on to [onItem], waiting for what is to come, up to and with its ending. */
-    suspend fun follow(offset: Long, onItem: suspend (AnswerItem) -> Unit) = following { handOn(offset, onItem) }
+    suspend fun follow(offset: Long, onItem: suspend (AnswerItem) -> Unit) = follow(offset, {}, onItem)
+
+    /** As [follow]; [onCaughtUp] is called before each wait, when all that has come is handed on. */
+    suspend fun follow(offset: Long, onCaughtUp: suspend () -> Unit, onItem: suspend (AnswerItem) -> Unit) =
+        following { handOn(offset, onCaughtUp, onItem) }
 
     private inline fun <T> following(read: () -> T): T {
         followers.update { it + 1 }
@@ -106,7 +110,11 @@
         }
     }
 
-    private suspend fun handOn(offset: Long, onItem: suspend (AnswerItem) -> Unit) {
+    private suspend fun handOn(
+        offset: Long,
+        onCaughtUp: suspend () -> Unit,
+        onItem: suspend (AnswerItem) -> Unit,
+    ) {
         var position = offset
         var next = 0
         while (true) {
@@ -120,6 +128,7 @@
                 onItem(now.ending)
                 return
             }
+            onCaughtUp()
         }
     }
 
