--- a/entry/src/main/kotlin/io/oriolehall/entry/EntryInstance.kt
+++ b/entry/src/main/kotlin/io/oriolehall/entry/EntryInstance.kt
@@ -1,5 +1,8 @@
 package io.oriolehall.entry
 
+import io.ktor.client.HttpClient
+import io.ktor.client.engine.cio.CIO
+import io.ktor.client.engine.cio.endpoint
 import io.ktor.network.selector.SelectorManager
 import io.micrometer.prometheusmetrics.PrometheusConfig
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry
@@ -30,7 +33,6 @@
 import io.oriolehall.entry.stages.EndpointClient
 import io.oriolehall.entry.stages.EndpointSlots
 import io.oriolehall.entry.stages.StageRunner
-import io.oriolehall.entry.stages.endpointHttp
 import io.oriolehall.entry.stopping.GracefulStop
 import io.oriolehall.entry.stopping.UnfinishedWork
 import io.oriolehall.model.Incarnation
@@ -72,7 +74,17 @@
     private val audit = AuditTrail(self.id.value, timers, log)
     private val metrics = PrometheusMeterRegistry(PrometheusConfig.DEFAULT)
 
-    private val http = endpointHttp()
+    private val http = HttpClient(CIO) {
+        expectSuccess = false
+        engine {
+            requestTimeout = 0
+            maxConnectionsCount = MAX_CONNECTIONS
+            endpoint {
+                connectTimeout = CONNECT_TIMEOUT_MS
+                maxConnectionsPerRoute = MAX_CONNECTIONS
+            }
+        }
+    }
     private val selector = SelectorManager(Dispatchers.IO)
     private val peerMetrics = PeerMetrics(metrics)
     private val peerClient = PeerClient(selector, trafficScope, peerMetrics)
@@ -290,6 +302,8 @@
     private fun loadReports() = LoadReports(http, settings::dialled, engineOrders::holds)
 
     private companion object {
+        const val CONNECT_TIMEOUT_MS = 500L
+        const val MAX_CONNECTIONS = 2_000
         const val HEX = 16
     }
 }
--- a/entry/src/main/kotlin/io/oriolehall/entry/answers/Answer.kt
+++ b/entry/src/main/kotlin/io/oriolehall/entry/answers/Answer.kt
@@ -95,11 +95,7 @@
     }
 
     /** Hands the answer from byte [offset] on to [onItem], waiting for what is to come, up to and with its ending. */
-    suspend fun follow(offset: Long, onItem: suspend (AnswerItem) -> Unit) = follow(offset, {}, onItem)
-
-    /** As [follow]; [onCaughtUp] is called before each wait, when all that has come is handed on. */
-    suspend fun follow(offset: Long, onCaughtUp: suspend () -> Unit, onItem: suspend (AnswerItem) -> Unit) =
-        following { handOn(offset, onCaughtUp, onItem) }
+    suspend fun follow(offset: Long, onItem: suspend (AnswerItem) -> Unit) = following { handOn(offset, onItem) }
 
     private inline fun <T> following(read: () -> T): T {
         followers.update { it + 1 }
@@ -110,11 +106,7 @@
         }
     }
 
-    private suspend fun handOn(
-        offset: Long,
-        onCaughtUp: suspend () -> Unit,
-        onItem: suspend (AnswerItem) -> Unit,
-    ) {
+    private suspend fun handOn(offset: Long, onItem: suspend (AnswerItem) -> Unit) {
         var position = offset
         var next = 0
         while (true) {
@@ -128,7 +120,6 @@
                 onItem(now.ending)
                 return
             }
-            onCaughtUp()
         }
     }
 
--- a/entry/src/main/kotlin/io/oriolehall/entry/http/EventStream.kt
+++ b/entry/src/main/kotlin/io/oriolehall/entry/http/EventStream.kt
@@ -29,7 +29,7 @@
 internal suspend fun ApplicationCall.respondAnswer(answer: Answer, instance: InstanceId, offset: Long = 0) {
     val refusal = answer.refusalBeforeText(offset)
     if (refusal != null) return respondRefusal(refusal)
-    respondEvents(answer.requestId, instance) { answer.follow(offset, onCaughtUp = { flush() }) { writeItem(it) } }
+    respondEvents(answer.requestId, instance) { answer.follow(offset) { writeItem(it) } }
 }
 
 /** Sends an answer that another instance hands on by [follow], in the same form. */
@@ -49,11 +49,7 @@
     } else {
         respondEvents(id, instance) {
             writeItem(first)
-            flush()
-            for (item in items) {
-                writeItem(item)
-                flush()
-            }
+            for (item in items) writeItem(item)
         }
     }
     feeding.cancel()
@@ -99,4 +95,5 @@
 private suspend fun ByteWriteChannel.writeEvent(name: String, data: String, id: Long? = null) {
     val idLine = if (id == null) "" else "id: $id\n"
     writeStringUtf8("event: $name\n${idLine}data: $data\n\n")
+    flush()
 }
