--- a/proofs/src/test/kotlin/io/oriolehall/proofs/path/BadInputTest.kt
+++ b/proofs/src/test/kotlin/io/oriolehall/proofs/path/BadInputTest.kt
@@ -7,6 +7,7 @@
 import io.oriolehall.harness.fleet.EntryProcess
 import io.oriolehall.harness.fleet.Fleet
 import io.oriolehall.harness.fleet.FleetBuilder
+import io.oriolehall.harness.fleet.awaitThat
 import io.oriolehall.harness.fleet.withFleet
 import io.oriolehall.model.NetworkAddress
 import io.oriolehall.model.PipelineRequest
@@ -17,6 +18,7 @@
 import strikt.assertions.isA
 import strikt.assertions.isEqualTo
 import strikt.assertions.isTrue
+import strikt.assertions.single
 import strikt.assertions.startsWith
 import java.net.Socket
 import java.net.SocketException
@@ -82,6 +84,21 @@
         it.stillServes()
     }
 
+    @Test
+    fun `a ticket that does not parse changes nothing and is listed with its remedy`() =
+        withFleet("bad-ticket", { small() }) {
+            val entry = it.entries.first()
+            val before = entry.status()
+            it.tickets.publishText("{not a ticket")
+            awaitThat("the ticket is rejected") { entry.status().rejectedTickets.isNotEmpty() }
+            expectThat(entry.status()) {
+                get { rejectedTickets }.single().get { remedy }.startsWith("not a ticket")
+                get { configDigest } isEqualTo before.configDigest
+                get { highestTicket } isEqualTo before.highestTicket
+            }
+            it.stillServes()
+        }
+
     private fun strikt.api.Assertion.Builder<String>.isProblem(status: Int, kind: String) {
         startsWith("HTTP/1.1 $status")
         contains("urn:oriolehall:problem:$kind")
