Calls that wait where no owner can be asked do not keep the control thread busy

Cause, found by reading: a waiting call asks for credits at once, and the renewal ended by serving the queues again. Where an endpoint's zone has no live instance nothing was sent, so the endpoint stayed due, and serving asked again without a pause, for as long as calls waited: a cut-off zone with calls in its queues. Change: an endpoint that nobody owns is put off like one that was asked; queues are served after a renewal only when this instance answered some of it itself. Proof: CreditHolderTest for the first part. The busy loop itself was not reproduced, nor its processor time measured. Unit tests of limits, ConfigSpreadTest and KeyPathTest passed; proofs with processes have not been run after this.

--- a/entry/src/main/kotlin/io/oriolehall/entry/limits/LeasedLimits.kt
+++ b/entry/src/main/kotlin/io/oriolehall/entry/limits/LeasedLimits.kt
@@ -145,13 +145,16 @@
         }
     }
 
-    private fun renew(slackMs: Long = 0) {
-        if (joining || leaving) return
+    /** Asks for what is due; true when this instance answered some of it itself. */
+    private fun renew(slackMs: Long = 0): Boolean {
+        if (joining || leaving) return false
         val now = timers.nowMs()
         val requests = plan.endpoints.mapNotNull { nextRequest(it, now, slackMs) }
-        for ((owner, batch) in requests.groupBy(AddressedCreditRequest::owner)) {
+        val byOwner = requests.groupBy(AddressedCreditRequest::owner)
+        for ((owner, batch) in byOwner) {
             if (owner == self.id) take(batch, ask(batch)) else scope.launch { send(owner, batch) }
         }
+        return self.id in byOwner
     }
 
     /** Renews soon; called by traffic. */
@@ -159,8 +162,7 @@
         if (!woken.compareAndSet(false, true)) return
         scope.launch {
             woken.set(false)
-            renew()
-            onRoom()
+            if (renew()) onRoom()
         }
     }
 
@@ -186,7 +188,11 @@
         val inUse = isInUse(endpoint, holder, now)
         val granted = owners.unreportedElsewhere(endpoint.id)
         if (role != HolderRole.VOTER && !inUse && granted == 0) return null
-        val owner = ownerOf(endpoint) ?: return null
+        val owner = ownerOf(endpoint)
+        if (owner == null) {
+            holder.postpone(now)
+            return null
+        }
         return holder.nextRequest(owner, role, inUse, now, extraInFlight = if (owner == self.id) 0 else granted)
     }
 
--- a/policy/src/main/kotlin/io/oriolehall/policy/limits/CreditHolder.kt
+++ b/policy/src/main/kotlin/io/oriolehall/policy/limits/CreditHolder.kt
@@ -76,6 +76,13 @@
     fun isDue(nowMs: Long, slackMs: Long = 0): Boolean =
         nowMs + slackMs >= askAtMs || (waiting > 0 && room(nowMs) == 0 && nowMs - askedAtMs >= timing.contendedMs)
 
+    /** Puts the next request off: one has been made, or there is nobody to ask. */
+    @Synchronized
+    fun postpone(nowMs: Long) {
+        askedAtMs = nowMs
+        askAtMs = nowMs + timing.retryMs
+    }
+
     /**
      * The next request: to [desiredOwner], or to the owner that this instance still follows, so as to leave it.
      *
@@ -95,8 +102,7 @@
         val owner = following ?: desiredOwner
         val leaving = owner != desiredOwner
         if (leaving) lease = NO_LEASE
-        askedAtMs = nowMs
-        askAtMs = nowMs + timing.retryMs
+        postpone(nowMs)
         val request = CreditRequest(
             endpoint = endpoint,
             sequence = ++sequence,
