Running a stage is split into named steps

StageRunner.run held the choice of an endpoint, the trial of a suspect, the call and the decision on another call in one loop with five exits. The steps have names now: acquire, callIn, completed, refusalAfter. What belongs to one stage of one request (endpoints tried, runs, the next call, whether another is safe) is StageWork; what the caller is told is StageRefusals.

--- a/entry/src/main/kotlin/io/oriolehall/entry/stages/StageRunner.kt
+++ b/entry/src/main/kotlin/io/oriolehall/entry/stages/StageRunner.kt
@@ -8,10 +8,7 @@
 import io.oriolehall.entry.explain.RequestHistory
 import io.oriolehall.entry.quarantine.Quarantine
 import io.oriolehall.model.Endpoint
-import io.oriolehall.model.EndpointId
 import io.oriolehall.model.Refusal
-import io.oriolehall.model.RefusalKind
-import io.oriolehall.model.RunOutcome
 import io.oriolehall.model.Stage
 import io.oriolehall.model.StageCall
 import io.oriolehall.model.StageKind
@@ -46,37 +43,59 @@
         context: StageContext,
         onText: suspend (String) -> Unit,
     ): Result<String, Refusal> {
-        val tried = mutableSetOf<EndpointId>()
-        val text = GeneratedText(onText)
-        var runs = 0
+        val work = StageWork(stage, input, context, GeneratedText(onText))
         budget.onFirstCall()
         while (true) {
-            val standing = quarantine.standing(context.fingerprint)
-            if (standing == Standing.BLAMED) return Err(quarantined(context))
-            val slot = slots.acquire(stage, input, context, tried)
-            if (slot.isErr) return Err(noSlot(stage, context, tried, slot.error))
-            val endpoint = slot.value.endpoint
+            val held = acquire(work)
+            if (held.isErr) return Err(held.error)
+            val outcome = callIn(held.value, work)
+            if (outcome.isOk) return Ok(completed(work, outcome.value))
+            work.onFailure(held.value.slot.endpoint.id, outcome.error)
+            refusalAfter(outcome.error, work)?.let { return Err(it) }
+        }
+    }
+
+    private class HeldSlot(val slot: EndpointSlot, val trial: Boolean)
+
+    /** Waits for an endpoint; a request under suspicion waits until it has one to itself among suspects. */
+    private suspend fun acquire(work: StageWork): Result<HeldSlot, Refusal> {
+        while (true) {
+            val standing = quarantine.standing(work.context.fingerprint)
+            if (standing == Standing.BLAMED) return Err(work.refusals.quarantined())
+            val slot = slots.acquire(work.stage, work.input, work.context, work.tried)
+            if (slot.isErr) return Err(work.refusals.noSlot(slot.error, work.tried))
             val suspect = standing == Standing.SUSPECT
-            if (suspect && !quarantine.beginTrial(context.fingerprint, endpoint, context.remainingMs())) {
-                slots.finish(slot.value, stage, CallResult.CANCELLED, firstOutputMs = 0.0)
-                delay(TRIAL_WAIT_MS)
-                continue
-            }
-            val call = context.toCall(stage, input, context.remainingMs())
-            val outcome = inSlot(slot.value, stage, call) { onFirst ->
-                guarded(stage, context) { attempt(endpoint, stage, call, context, text, onFirst) }
-            }
-            if (suspect) quarantine.endTrial(context.fingerprint, endpoint)
-            if (outcome.isOk) {
-                if (stage == context.request.pipeline.stages.last()) quarantine.onCompleted(context.fingerprint)
-                return Ok(outcome.value.output)
-            }
-            tried += endpoint.id
-            if (outcome.error is StageFailure.Withheld) return Err(withheld(stage, context, outcome.error))
-            if (outcome.error.ran) runs++
-            val mayRepeat = !outcome.error.ran || stage.mayRunAgain(outcome.error, runs)
-            if (!mayRepeat || !budget.tryTake()) return Err(stageFailed(stage, context, outcome.error))
+            if (!suspect || beginTrial(slot.value, work.context)) return Ok(HeldSlot(slot.value, suspect))
+            slots.finish(slot.value, work.stage, CallResult.CANCELLED, firstOutputMs = 0.0)
+            delay(TRIAL_WAIT_MS)
+        }
+    }
+
+    private suspend fun beginTrial(slot: EndpointSlot, context: StageContext): Boolean =
+        quarantine.beginTrial(context.fingerprint, slot.endpoint, context.remainingMs())
+
+    /** Makes one call in [held], which is given back whatever becomes of the call. */
+    private suspend fun callIn(held: HeldSlot, work: StageWork): Result<StageResult, StageFailure> {
+        val endpoint = held.slot.endpoint
+        val call = work.nextCall(work.context.remainingMs())
+        val outcome = inSlot(held.slot, work.stage, call) { onFirst ->
+            guarded(work.stage, work.context) { attempt(endpoint, call, work, onFirst) }
         }
+        if (held.trial) quarantine.endTrial(work.context.fingerprint, endpoint)
+        return outcome
+    }
+
+    private fun completed(work: StageWork, result: StageResult): String {
+        val last = work.context.request.pipeline.stages.last()
+        if (work.stage == last) quarantine.onCompleted(work.context.fingerprint)
+        return result.output
+    }
+
+    /** Why the stage is not called again after [failure]; null when it is. */
+    private fun refusalAfter(failure: StageFailure, work: StageWork): Refusal? = when {
+        failure is StageFailure.Withheld -> work.refusals.withheld(failure)
+        work.mayRepeat(failure) && budget.tryTake() -> null
+        else -> work.refusals.failed(failure)
     }
 
     /** Lets a stage that may not run twice leave only when the request's guard allows it. */
@@ -97,17 +116,8 @@
         return outcome
     }
 
-    private fun Stage.mayRunAgain(failure: StageFailure, runs: Int) =
-        idempotent && failure !is StageFailure.Diverged && runs < MAX_RUNS
-
     private fun StageContext.remainingMs() = request.deadlineMs - timers.nowMs()
 
-    private fun quarantined(context: StageContext) = Refusal(
-        kind = RefusalKind.QUARANTINED,
-        detail = "two endpoints ended while they ran this input",
-        outcome = context.outcome(),
-    )
-
     /** Runs [call] and gives [slot] back with what was seen of the endpoint. */
     private suspend fun inSlot(
         slot: EndpointSlot,
@@ -141,17 +151,16 @@
 
     private suspend fun attempt(
         endpoint: Endpoint,
-        stage: Stage,
         call: StageCall,
-        context: StageContext,
-        text: GeneratedText,
+        work: StageWork,
         onFirst: () -> Unit,
     ): Result<StageResult, StageFailure> {
+        val context = work.context
         val start = timers.nowMs()
         val calledAtMs = timers.wallClockMs()
         context.markSent()
-        val outcome = if (stage.kind == StageKind.GENERATE) {
-            client.generate(endpoint, call, text, onFirst)
+        val outcome = if (work.stage.kind == StageKind.GENERATE) {
+            client.generate(endpoint, call, work.text, onFirst)
         } else {
             client.run(endpoint, call)
         }
@@ -162,19 +171,6 @@
         return outcome
     }
 
-    private fun StageContext.toCall(stage: Stage, input: String, remainingMs: Long) = StageCall(
-        requestId = requestId,
-        stage = stage.name,
-        attempt = nextAttempt(),
-        organisation = request.organisation.id,
-        input = input,
-        query = request.body.input,
-        remainingMs = remainingMs,
-        priority = request.body.priority,
-        maxTokens = request.body.maxTokens,
-        idempotencyKey = request.key?.takeIf { !stage.idempotent },
-    )
-
     private fun record(
         endpoint: Endpoint,
         call: StageCall,
@@ -203,43 +199,8 @@
         }
     }
 
-    private fun noSlot(stage: Stage, context: StageContext, tried: Set<EndpointId>, why: SlotRefusal): Refusal =
-        when (why) {
-            SlotRefusal.NoEndpoint -> Refusal(
-                kind = RefusalKind.NO_ENDPOINT,
-                detail = "no endpoint of pool ${stage.pool} takes stage ${stage.name}; tried $tried",
-                outcome = context.outcome(),
-                retryAfterMs = RETRY_AFTER_MS,
-            )
-
-            is SlotRefusal.TooLate -> Refusal(
-                kind = RefusalKind.DEADLINE_UNREACHABLE,
-                detail = "stage ${stage.name} and what follows would take about ${why.expectedMs} ms",
-                outcome = context.outcome(),
-                retryAfterMs = why.retryAfterMs,
-            )
-        }
-
-    private fun withheld(stage: Stage, context: StageContext, failure: StageFailure): Refusal = Refusal(
-        kind = RefusalKind.DEADLINE_EXCEEDED,
-        detail = "stage ${stage.name}: ${failure.message}",
-        outcome = context.outcome(),
-    )
-
-    private fun stageFailed(stage: Stage, context: StageContext, failure: StageFailure): Refusal = Refusal(
-        kind = RefusalKind.STAGE_FAILED,
-        detail = "stage ${stage.name}: ${failure.message}",
-        outcome = context.outcome(),
-        retryAfterMs = RETRY_AFTER_MS,
-    )
-
-    private fun StageContext.outcome() = if (anythingSent) RunOutcome.UNKNOWN else RunOutcome.NOT_RUN
-
     private companion object {
-        const val MAX_RUNS = 3
-
         /** Wait before a suspect asks again for an endpoint to itself, milliseconds. */
         const val TRIAL_WAIT_MS = 20L
-        const val RETRY_AFTER_MS = 1_000L
     }
 }
