Experiments: scenarios that fit the machine, goodput, missed deadlines, cost by stage, time to full use

Cause: eight instances before engines of 500 ms starved on a shared machine, so that the figures spoke of the machine.

- New: cold-half, prefixes; per run the settings, the load average, goodput in the scenario's window by time of arrival, the share of admitted requests that missed their deadline (late, or given up at the deadline), endpoint time and wasted time by stage from the instances' metrics, time to full use of a cold endpoint.

--- a/harness/src/main/kotlin/io/oriolehall/harness/experiment/Main.kt
+++ b/harness/src/main/kotlin/io/oriolehall/harness/experiment/Main.kt
@@ -22,6 +22,7 @@
         .default("leases:limits=leases;equal-split:limits=equal-split,admission=none")
     private val seeds by option(help = "number of runs of each variant").int().default(2)
     private val firstSeed by option(help = "seed of the first run").int().default(1)
+    private val commit by option(help = "commit that is measured, for the report").default("unknown")
     private val out by option(help = "directory of the files").path().default(Path.of("docs", "measurements"))
 
     override fun run() {
@@ -35,8 +36,21 @@
         Files.writeString(out.resolve("${scenario.name}.json"), json + "\n")
     }
 
-    private fun page(runs: List<RunResult>) = "# ${scenario.name}\n\n${scenario.purpose}\n\nVariants: `$variants`\n\n" +
-        "${ReportTable.of(runs)}\n![answers in time](${scenario.name}.svg)\n"
+    private fun page(runs: List<RunResult>) = """
+        |# ${scenario.name}
+        |
+        |${scenario.purpose.replaceFirstChar(
+        Char::uppercase,
+    )}. Commit $commit, seeds $firstSeed to ${firstSeed + seeds - 1}.
+        |
+        |    java -cp 'harness/target/lib/*:harness/target/classes' io.oriolehall.harness.experiment.MainKt \\
+        |      --scenario ${scenario.name} --seeds $seeds --first-seed $firstSeed \\
+        |      --variants '$variants'
+        |
+        |${ReportTable.of(runs).replace("\n", "\n|")}
+        |![answers in time](${scenario.name}.svg)
+        |
+    """.trimMargin()
 
     private fun parse(text: String): List<PolicyVariant> = text.split(';').map { variant ->
         val settings = variant.substringAfter(':', "").split(',').filter(String::isNotBlank)
--- a/harness/src/main/kotlin/io/oriolehall/harness/experiment/Scenario.kt
+++ b/harness/src/main/kotlin/io/oriolehall/harness/experiment/Scenario.kt
@@ -8,7 +8,6 @@
  * What one organisation sends.
  *
  * @property input text of the request numbered n.
- * @property fromMs time of its first request, milliseconds from the start.
  */
 data class OrganisationLoad(
     val organisation: String,
@@ -19,10 +18,24 @@
     val input: (Int, Random) -> String = { n, _ -> "garment history of furisode $n" },
 )
 
-/** Something done to the fleet [atMs] milliseconds after the start. */
-class ScriptedFault(val atMs: Long, val name: String, val cause: suspend (Fleet) -> Unit)
+/**
+ * Something done to the fleet [atMs] milliseconds after the start.
+ *
+ * @property cold endpoints that it leaves cold, whose time to full use is measured.
+ */
+class ScriptedFault(
+    val atMs: Long,
+    val name: String,
+    val cold: List<String> = emptyList(),
+    val cause: suspend (Fleet) -> Unit,
+)
 
-/** One case to measure: a fleet, its load and its faults. */
+/**
+ * One case to measure: a fleet, its load and its faults.
+ *
+ * @property capacity answers per second that the fleet can give.
+ * @property window time over which goodput is measured, milliseconds from the start.
+ */
 class Scenario(
     val name: String,
     val purpose: String,
@@ -31,6 +44,8 @@
     val loads: List<OrganisationLoad>,
     val faults: List<ScriptedFault> = emptyList(),
     val warmUpMs: Long = 0,
+    val capacity: Double,
+    val window: LongRange = 0..durationMs,
 )
 
 /** Settings under which a scenario runs: keys of section `[policy]`. */
