A call leaves the queue while most runs would still end in time, not only the mean one

Cause: the queue kept a call until the deadline less the mean times of the stages that are left, while admission counts with the time within which most runs end. The latest start counts with the same bound now.

EndpointSlotsTest fails with the mean in place of the bound.

--- a/entry/src/main/kotlin/io/oriolehall/entry/stages/EndpointSlots.kt
+++ b/entry/src/main/kotlin/io/oriolehall/entry/stages/EndpointSlots.kt
@@ -175,7 +175,7 @@
         organisation = context.request.organisation.id,
         share = context.request.organisation.share,
         priority = context.request.body.priority,
-        latestStartMs = context.request.deadlineMs - remainingStages(stage, context).sumOf { meanMs(it) }.toLong(),
+        latestStartMs = context.request.deadlineMs - remainingStages(stage, context).sumOf { boundMs(it) }.toLong(),
         item = Waiter(stage, CallContext(context.request.organisation.id, zone, input), tried),
     )
 
