An endpoint that refused a connection is left out for half a second

Cause: a call to an endpoint that is gone ends at once, so that the endpoint looks idle and draws one waiting call after the other until its owner has learnt of the failures and the lease has changed; the single call of a half-open circuit was used up to 15 times in one lease. Each such call takes a token of the retry budget.

An instance that was refused a connection now sends nothing there for 500 ms, two renewals of its lease. Not for calls that failed otherwise: a request that makes an endpoint answer 500 must not close the endpoint to others.

EndpointSlotsTest fails without the wait. Ruled out: taking the retry budget for repeated calls only; the calls would still be lost to the queue's turn.

--- a/entry/src/main/kotlin/io/oriolehall/entry/stages/EndpointSlots.kt
+++ b/entry/src/main/kotlin/io/oriolehall/entry/stages/EndpointSlots.kt
@@ -66,6 +66,7 @@
 
     private val lines = ConcurrentHashMap<PoolId, Line>()
     private val outstanding = OutstandingCalls()
+    private val avoidedUntilMs = ConcurrentHashMap<EndpointId, Long>()
     private val times = StageTimes<Pair<PoolId, String>>()
 
     /** Starts the limits' periodic work. */
@@ -116,6 +117,15 @@
         }
     }
 
+    /**
+     * Sends nothing to [endpoint], which refused a connection, until its owner may have learnt of it. Such calls end at
+     * once, so that an endpoint which is gone looks idle and would draw one waiting call after the other.
+     */
+    fun onUnreachable(endpoint: Endpoint) {
+        avoidedUntilMs[endpoint.id] = timers.nowMs() + AVOID_MS
+        timers.after("unreachable endpoint", AVOID_MS) { serve(endpoint.pool) }
+    }
+
     private fun giveBack(slot: EndpointSlot, stage: Stage, result: CallResult, firstOutputMs: Double) {
         limits.finish(slot.endpoint, result, firstOutputMs)
         outstanding.end(slot.endpoint.id)
@@ -163,7 +173,7 @@
 
     private fun take(waiter: Waiter): EndpointSlot? {
         val candidates = endpoints(waiter.stage.pool, waiter.tried)
-            .filter { limits.room(it) > 0 }
+            .filter { room(it) > 0 }
             .map { Candidate(it, outstanding.count(it.id)) }
         val endpoint = policy.choose(candidates, waiter.context)?.endpoint ?: return null
         if (!limits.tryStart(endpoint)) return null
@@ -171,6 +181,9 @@
         return EndpointSlot(endpoint, timers.nowMs())
     }
 
+    private fun room(endpoint: Endpoint): Int =
+        if (timers.nowMs() < (avoidedUntilMs[endpoint.id] ?: Long.MIN_VALUE)) 0 else limits.room(endpoint)
+
     private fun waiting(stage: Stage, input: String, context: StageContext, tried: Set<EndpointId>) = WaitingCall(
         organisation = context.request.organisation.id,
         share = context.request.organisation.share,
@@ -185,7 +198,7 @@
             val (waiting, running) = synchronized(line) {
                 line.queue.sizeBefore(context.request.organisation.id) to line.running
             }
-            val free = endpoints(ahead.pool, emptySet()).sumOf { minOf(limits.room(it), MAX_ROOM) }
+            val free = endpoints(ahead.pool, emptySet()).sumOf { minOf(room(it), MAX_ROOM) }
             StageForecast(waiting, running, running + free, meanMs(ahead), boundMs(ahead))
         }
 
@@ -215,6 +228,9 @@
         const val MIN_STOP_MS = 1_000L
         const val STOP_RETRY_MS = 500L
 
+        /** How long an endpoint that refused a connection is left out, milliseconds: two renewals under demand. */
+        const val AVOID_MS = 500L
+
         /** When to try again after a wait that was too long, milliseconds. */
         const val LATE_MS = 500L
     }
--- a/entry/src/main/kotlin/io/oriolehall/entry/stages/StageRunner.kt
+++ b/entry/src/main/kotlin/io/oriolehall/entry/stages/StageRunner.kt
@@ -132,6 +132,7 @@
         } finally {
             val first = ((firstMs ?: timers.nowMs()) - slot.startedMs).toDouble()
             val failure = outcome?.takeIf { it.isErr }?.error
+            if (failure is StageFailure.Unreachable) slots.onUnreachable(slot.endpoint)
             val mayRunOn = outcome == null || failure?.ran == true
             val result = outcome.toCallResult()
             val usage = outcome?.takeIf { it.isOk }?.value?.usage ?: Usage()
--- a/entry/src/test/kotlin/io/oriolehall/entry/stages/EndpointSlotsTest.kt
+++ b/entry/src/test/kotlin/io/oriolehall/entry/stages/EndpointSlotsTest.kt
@@ -118,4 +118,19 @@
             expectThat(call.await().error).isA<SlotRefusal.TooLate>()
         }
     }
+
+    @Test
+    fun `an endpoint that refused a connection gets no call before its owner can have learnt of it`() {
+        runBlocking {
+            val refused = ask(clock.now + 4_000).await().value
+            slots.onUnreachable(refused.endpoint)
+            slots.finish(refused, stage, CallResult.FAILED, firstOutputMs = 0.0)
+            val next = ask(clock.now + 4_000)
+            expectThat(next.isCompleted).isFalse()
+            clock.now += 500
+            room.onRoom()
+            expectThat(next.isCompleted).isTrue()
+            expectThat(next.await().isOk).isTrue()
+        }
+    }
 }
