--- a/harness/src/main/kotlin/io/oriolehall/harness/experiment/Main.kt
+++ b/harness/src/main/kotlin/io/oriolehall/harness/experiment/Main.kt
@@ -43,8 +43,8 @@
         Char::uppercase,
     )}. Commit $commit, seeds $firstSeed to ${firstSeed + seeds - 1}.
         |
-        |    java -cp 'harness/target/lib/*:harness/target/classes' io.oriolehall.harness.experiment.MainKt \\
-        |      --scenario ${scenario.name} --seeds $seeds --first-seed $firstSeed \\
+        |    java -cp 'harness/target/lib/*:harness/target/classes' io.oriolehall.harness.experiment.MainKt \
+        |      --scenario ${scenario.name} --seeds $seeds --first-seed $firstSeed \
         |      --variants '$variants'
         |
         |${ReportTable.of(runs).replace("\n", "\n|")}
