A new process behind an open circuit gets its cold limit at once

The failures were those of a process that is gone: a new start time closes the circuit and the ramp begins at the cold limit.

Proof: EndpointLimitTest, limit 0 before, 2 now. Ruled out: a report of the endpoint as the sign; an endpoint that fails reports all the same.

--- a/policy/src/main/kotlin/io/oriolehall/policy/limits/CircuitBreaker.kt
+++ b/policy/src/main/kotlin/io/oriolehall/policy/limits/CircuitBreaker.kt
@@ -24,7 +24,8 @@
         return false
     }
 
-    private fun close(): Boolean {
+    /** Forgets all failures, as of a process that is gone; true when calls were stopped. */
+    fun close(): Boolean {
         val wasOpen = opened > 0
         failures = 0
         opened = 0
--- a/policy/src/main/kotlin/io/oriolehall/policy/limits/EndpointLimit.kt
+++ b/policy/src/main/kotlin/io/oriolehall/policy/limits/EndpointLimit.kt
@@ -36,7 +36,7 @@
     fun onReport(newest: LoadReport, nowMs: Long) {
         val before = report
         report = newest
-        if (before != null && before.startedAtMs != newest.startedAtMs) turnCold(ColdCause.RESTARTED, nowMs)
+        if (before != null && before.startedAtMs != newest.startedAtMs) startAnew(nowMs)
         if (!newest.warm) turnCold(ColdCause.REPORTED, nowMs)
         raise(nowMs)
     }
@@ -58,6 +58,12 @@
         }
     }
 
+    /** The failures were those of the former process. */
+    private fun startAnew(nowMs: Long) {
+        breaker.close()
+        turnCold(ColdCause.RESTARTED, nowMs)
+    }
+
     private fun turnCold(cause: ColdCause, nowMs: Long) {
         coldCause = cause
         level = coldLimit.toDouble()
--- a/policy/src/test/kotlin/io/oriolehall/policy/limits/EndpointLimitTest.kt
+++ b/policy/src/test/kotlin/io/oriolehall/policy/limits/EndpointLimitTest.kt
@@ -56,6 +56,15 @@
         expectThat(limit.limit(now + 3_000)).isEqualTo(2)
     }
 
+    @Test
+    fun `a new process behind an open circuit gets its cold limit at once`() {
+        warmUp()
+        limit.onWork(ObservedWork(failed = 3), now)
+        limit.onReport(warm.copy(startedAtMs = 2, warm = false, limit = 2), now)
+        expectThat(limit.limit(now)).isEqualTo(2)
+        expectThat(limit.coldCause).isEqualTo(ColdCause.REPORTED)
+    }
+
     @Test
     fun `declined calls halve the limit`() {
         warmUp()
