A slot is given back when its request is cancelled while a trial is decided on

Cause, found by reading: a request under suspicion holds a slot while it asks for an endpoint to itself. When its deadline or its caller's leaving cancelled it at that moment, nobody gave the slot back: a credit and a place in the pool's count were lost for the life of the process. Change: what is decided while a slot is held goes through EndpointSlots.keepIf, which gives it back unless it is kept. Proof: EndpointSlotsTest, a request cancelled before the decision. The former code had no place to test; without the giving back in keepIf the test fails by its own assertion (room 0 in place of 1) - by reading, not run. Not measured.

--- a/entry/src/main/kotlin/io/oriolehall/entry/stages/EndpointSlots.kt
+++ b/entry/src/main/kotlin/io/oriolehall/entry/stages/EndpointSlots.kt
@@ -126,6 +126,17 @@
         timers.after("unreachable endpoint", AVOID_MS) { serve(endpoint.pool) }
     }
 
+    /** What [decide] says; unless that is true, [slot] is given back, also when the request is cancelled meanwhile. */
+    suspend fun keepIf(slot: EndpointSlot, stage: Stage, decide: suspend () -> Boolean): Boolean {
+        var kept = false
+        try {
+            kept = decide()
+            return kept
+        } finally {
+            if (!kept) finish(slot, stage, CallResult.CANCELLED, firstOutputMs = 0.0)
+        }
+    }
+
     private fun giveBack(slot: EndpointSlot, stage: Stage, result: CallResult, firstOutputMs: Double) {
         limits.finish(slot.endpoint, result, firstOutputMs)
         outstanding.end(slot.endpoint.id)
--- a/entry/src/main/kotlin/io/oriolehall/entry/stages/StageRunner.kt
+++ b/entry/src/main/kotlin/io/oriolehall/entry/stages/StageRunner.kt
@@ -65,14 +65,14 @@
             val slot = slots.acquire(work.stage, work.input, work.context, work.tried)
             if (slot.isErr) return Err(work.refusals.noSlot(slot.error, work.tried))
             val suspect = standing == Standing.SUSPECT
-            if (!suspect || beginTrial(slot.value, work.context)) return Ok(HeldSlot(slot.value, suspect))
-            slots.finish(slot.value, work.stage, CallResult.CANCELLED, firstOutputMs = 0.0)
+            if (!suspect || beginTrial(slot.value, work)) return Ok(HeldSlot(slot.value, suspect))
             delay(TRIAL_WAIT_MS)
         }
     }
 
-    private suspend fun beginTrial(slot: EndpointSlot, context: StageContext): Boolean =
-        quarantine.beginTrial(context.fingerprint, slot.endpoint, context.remainingMs())
+    private suspend fun beginTrial(slot: EndpointSlot, work: StageWork): Boolean = slots.keepIf(slot, work.stage) {
+        quarantine.beginTrial(work.context.fingerprint, slot.endpoint, work.context.remainingMs())
+    }
 
     /** Makes one call in [held], which is given back whatever becomes of the call. */
     private suspend fun callIn(held: HeldSlot, work: StageWork): Result<StageResult, StageFailure> {
--- a/entry/src/test/kotlin/io/oriolehall/entry/stages/EndpointSlotsTest.kt
+++ b/entry/src/test/kotlin/io/oriolehall/entry/stages/EndpointSlotsTest.kt
@@ -29,10 +29,14 @@
 import kotlinx.coroutines.Deferred
 import kotlinx.coroutines.Dispatchers
 import kotlinx.coroutines.async
+import kotlinx.coroutines.awaitCancellation
+import kotlinx.coroutines.cancelAndJoin
+import kotlinx.coroutines.launch
 import kotlinx.coroutines.runBlocking
 import org.junit.jupiter.api.Test
 import strikt.api.expectThat
 import strikt.assertions.isA
+import strikt.assertions.isEqualTo
 import strikt.assertions.isFalse
 import strikt.assertions.isTrue
 
@@ -102,6 +106,19 @@
         slots.finish(slot, stage, CallResult.COMPLETED, firstOutputMs = 1.0)
     }
 
+    @Test
+    fun `a slot is given back when its request is cancelled before the call is decided on`() {
+        runBlocking {
+            val slot = ask(deadlineMs = 10_000).await().value
+            val deciding = launch(start = CoroutineStart.UNDISPATCHED) {
+                slots.keepIf(slot, stage) { awaitCancellation() }
+            }
+            expectThat(room.free).isEqualTo(0)
+            deciding.cancelAndJoin()
+            expectThat(room.free).isEqualTo(1)
+        }
+    }
+
     @Test
     fun `a call leaves the queue while there is no time left for most runs, though there is for the mean`() {
         runBlocking {
