--- a/entry/src/main/kotlin/io/oriolehall/entry/keys/KeyGate.kt
+++ b/entry/src/main/kotlin/io/oriolehall/entry/keys/KeyGate.kt
@@ -102,11 +102,7 @@
         val state = table.change(key.text) { it.claimed(step) }?.after?.state
         if (state is KeyState.Held) return true
         if (state is KeyState.Yielded) {
-            relay.fill(
-                answer,
-                request,
-                state.holder,
-            )
+            relay.fill(answer, request, state.holder)
         } else {
             answer.refuse(unclaimed(step, state))
         }
--- a/entry/src/main/kotlin/io/oriolehall/entry/keys/KeyGuard.kt
+++ b/entry/src/main/kotlin/io/oriolehall/entry/keys/KeyGuard.kt
@@ -32,13 +32,8 @@
     override fun settle(refusal: Refusal): Refusal {
         val record = table.change(key, KeyRecord::abandoned)?.after
         val outcome = record?.outcome ?: RunOutcome.UNKNOWN
-        val detail = if (outcome ==
-            RunOutcome.NOT_RUN
-        ) {
-            "${refusal.detail}; its key is closed, use a new one"
-        } else {
-            refusal.detail
-        }
+        val advice = if (outcome == RunOutcome.NOT_RUN) "; its key is closed, use a new one" else ""
+        val detail = refusal.detail + advice
         return refusal.copy(outcome = outcome, detail = detail)
     }
 }
--- a/entry/src/main/kotlin/io/oriolehall/entry/limits/LeasedLimits.kt
+++ b/entry/src/main/kotlin/io/oriolehall/entry/limits/LeasedLimits.kt
@@ -106,12 +106,7 @@
         if (owners.hasGranted() || holders.values.any { it.inFlight > 0 }) return@withContext
         withTimeoutOrNull(GOODBYE_TIMEOUT_MS) {
             for (other in others()) {
-                peers.call(
-                    dialled(other.peerAddress),
-                    CREDITS,
-                    batch(goodbye = true),
-                    CALL_TIMEOUT_MS,
-                )
+                peers.call(dialled(other.peerAddress), CREDITS, batch(goodbye = true), CALL_TIMEOUT_MS)
             }
         }
     }
@@ -196,14 +191,10 @@
         return holder.nextRequest(owner, role, inUse, now, extraInFlight = if (owner == self.id) 0 else granted)
     }
 
-    private fun ownerOf(endpoint: Endpoint): InstanceId? =
-        if (endpoint.zone ==
-            self.zone
-        ) {
-            plan.owner(endpoint.id)
-        } else {
-            Rendezvous.owner(endpoint.id, ownersIn(endpoint.zone))
-        }
+    private fun ownerOf(endpoint: Endpoint): InstanceId? = when (endpoint.zone) {
+        self.zone -> plan.owner(endpoint.id)
+        else -> Rendezvous.owner(endpoint.id, ownersIn(endpoint.zone))
+    }
 
     /** An instance that has just started is about to send to its subset. */
     private fun isInUse(endpoint: Endpoint, holder: CreditHolder, now: Long): Boolean {
--- a/entry/src/main/kotlin/io/oriolehall/entry/stages/EndpointSlots.kt
+++ b/entry/src/main/kotlin/io/oriolehall/entry/stages/EndpointSlots.kt
@@ -103,11 +103,7 @@
         stop: (suspend () -> Boolean)? = null,
     ) {
         val took = timers.nowMs() - slot.startedMs
-        if (result ==
-            CallResult.COMPLETED
-        ) {
-            times.observe(stage.key(), took.toDouble(), stage.declaredMs(), timers.nowMs())
-        }
+        if (result == CallResult.COMPLETED) observe(stage, took)
         if (stop == null) return giveBack(slot, stage, result, firstOutputMs)
         scope.launch {
             withTimeoutOrNull(maxOf(drainMs - took, MIN_STOP_MS)) {
@@ -126,6 +122,9 @@
         timers.after("unreachable endpoint", AVOID_MS) { serve(endpoint.pool) }
     }
 
+    private fun observe(stage: Stage, tookMs: Long) =
+        times.observe(stage.key(), tookMs.toDouble(), stage.declaredMs(), timers.nowMs())
+
     /** What [decide] says; unless that is true, [slot] is given back, also when the request is cancelled meanwhile. */
     suspend fun keepIf(slot: EndpointSlot, stage: Stage, decide: suspend () -> Boolean): Boolean {
         var kept = false
--- a/harness/src/main/kotlin/io/oriolehall/harness/benchmark/EntryOverhead.kt
+++ b/harness/src/main/kotlin/io/oriolehall/harness/benchmark/EntryOverhead.kt
@@ -61,9 +61,8 @@
 
     private fun commandLine(): String {
         val options = jvmOption.joinToString("") { " --jvm-option=$it" }
-        return "entry-overhead --warm-up $warmUp --seconds $seconds --rounds $rounds --times ${times.joinToString(
-            ",",
-        )}$options"
+        val loads = times.joinToString(",")
+        return "entry-overhead --warm-up $warmUp --seconds $seconds --rounds $rounds --times $loads$options"
     }
 
     private suspend fun measureLevel(level: OverheadLevel, requestsPerSecond: Double): LoadLevelResult {
--- a/policy/src/main/kotlin/io/oriolehall/policy/membership/Membership.kt
+++ b/policy/src/main/kotlin/io/oriolehall/policy/membership/Membership.kt
@@ -89,11 +89,8 @@
     fun silent(id: InstanceId, nowMs: Long) {
         val entry = entries[id] ?: return
         if (entry.silentSinceMs == null) entry.silentSinceMs = nowMs
-        if (entry.record.state ==
-            MemberState.ALIVE
-        ) {
-            replace(entry, entry.record.copy(state = MemberState.SUSPECT), nowMs)
-        }
+        if (entry.record.state != MemberState.ALIVE) return
+        replace(entry, entry.record.copy(state = MemberState.SUSPECT), nowMs)
     }
 
     /** Takes in what a peer says. Returns the records that were news. */
--- a/proofs/src/test/kotlin/io/oriolehall/proofs/config/CallerTraffic.kt
+++ b/proofs/src/test/kotlin/io/oriolehall/proofs/config/CallerTraffic.kt
@@ -116,9 +116,10 @@
     when (val outcome = record.outcome) {
         is CallOutcome.Whole -> "${record.pipeline} whole"
 
-        is CallOutcome.Refused -> "${record.pipeline} ${outcome.problem.type.substringAfterLast(
-            ':',
-        )} ${outcome.problem.outcome}"
+        is CallOutcome.Refused -> {
+            val kind = outcome.problem.type.substringAfterLast(':')
+            "${record.pipeline} $kind ${outcome.problem.outcome}"
+        }
 
         is CallOutcome.Broken -> "${record.pipeline} broken (${outcome.reason})"
 
--- a/proofs/src/test/kotlin/io/oriolehall/proofs/config/ConfigRandomisedTest.kt
+++ b/proofs/src/test/kotlin/io/oriolehall/proofs/config/ConfigRandomisedTest.kt
@@ -59,9 +59,8 @@
         val overloads = endpoints.map { it.stats() }.filter { it.overloads > 0 }.map { "${it.id}: ${it.overloads}" }
         expectThat(overloads).describedAs("calls above an endpoint's limit after $step, seed $seed").isEmpty()
         for (entry in entries) {
-            expectThat(
-                entry.reversions(),
-            ).describedAs("reversions at ${entry.spec.id} after $step, seed $seed").isEmpty()
+            val subject = "reversions at ${entry.spec.id} after $step, seed $seed"
+            expectThat(entry.reversions()).describedAs(subject).isEmpty()
         }
     }
 
--- a/standins/src/main/kotlin/io/oriolehall/standins/platform/PlatformStore.kt
+++ b/standins/src/main/kotlin/io/oriolehall/standins/platform/PlatformStore.kt
@@ -44,12 +44,9 @@
 
     fun setMode(mode: PlatformMode) {
         state.update {
-            val frozen = if (mode.mode ==
-                PlatformState.STALE
-            ) {
-                it.frozen ?: Frozen(mode.revision ?: it.tickets.size, shownList(it))
-            } else {
-                null
+            val frozen = when (mode.mode) {
+                PlatformState.STALE -> it.frozen ?: Frozen(mode.revision ?: it.tickets.size, shownList(it))
+                else -> null
             }
             it.copy(mode = mode, frozen = frozen)
         }
