Ports of a fleet are tried as strictly as its listeners bind them

The trial bound with reuse of addresses, the proxy's listener without, so that a port at which connections of an earlier fleet still lingered passed the trial. Its lock stayed taken, and KeyAvailabilityTest failed for that alone. Likely cause, from the code of both sides; not reproduced. Ruled out: the system's range for outgoing connections, which begins above these ports; another fleet, as none ran.

--- a/harness/src/main/kotlin/io/oriolehall/harness/process/FreePorts.kt
+++ b/harness/src/main/kotlin/io/oriolehall/harness/process/FreePorts.kt
@@ -2,7 +2,7 @@
 
 import io.oriolehall.model.NetworkAddress
 import java.io.IOException
-import java.net.InetAddress
+import java.net.InetSocketAddress
 import java.net.ServerSocket
 import kotlin.random.Random
 
@@ -23,8 +23,12 @@
         error("no free port between $FIRST and $LAST")
     }
 
+    /** As strict as a listener that does not reuse addresses: connections of an earlier one may linger at the port. */
     private fun isFree(port: Int): Boolean = try {
-        ServerSocket(port, 1, InetAddress.getByName(HOST)).close()
+        ServerSocket().use {
+            it.reuseAddress = false
+            it.bind(InetSocketAddress(HOST, port), 1)
+        }
         true
     } catch (e: IOException) {
         false
