--- /dev/null
+++ b/dispatch/src/main/kotlin/io/oriolehall/dispatch/stages/StageQueue.kt
@@ -0,0 +1,95 @@
+package io.oriolehall.dispatch.stages
+
+import io.oriolehall.dispatch.config.PieceLimits
+
+/**
+ * The pieces that wait for the workers of one service, from all instances, and the decision which go next. A call has
+ * a large fixed cost, so a worker never gets more than one call at a time and takes as many pieces as fit: under little
+ * load a piece starts at once, and under much load calls are full, without a timer.
+ *
+ * Order: pieces that can still be on time, the most urgent first; then the late ones. Pieces of one stage of one
+ * request stay together where they fit, so that their results lie in one zone.
+ *
+ * The load that it answers: many small requests over few workers with a fixed cost a call, with bursts above what full
+ * calls can bear. Pure: no clock, no I/O. Times are monotonic milliseconds.
+ */
+class StageQueue(private val limits: PieceLimits) {
+    private val waiting = mutableListOf<PieceWork>()
+
+    val size: Int get() = waiting.size
+
+    fun add(pieces: Collection<PieceWork>) {
+        waiting += pieces
+    }
+
+    /** Removes the pieces of [requestId]: its caller has left. */
+    fun cancel(requestId: String): List<PieceWork> {
+        val removed = waiting.filter { it.requestId == requestId }
+        waiting.removeAll(removed)
+        return removed
+    }
+
+    /** Removes and returns the pieces whose request can no longer be served, even if they started now. */
+    fun removeHopeless(nowMs: Long): List<PieceWork> {
+        val removed = waiting.filter { it.deadlineAtMs < nowMs + limits.callMs }
+        waiting.removeAll(removed)
+        return removed
+    }
+
+    /** The next call for one of [workers], or null when none is free or nothing waits. */
+    fun next(workers: Collection<StageWorker>, nowMs: Long): PlannedCall? {
+        if (waiting.isEmpty()) return null
+        val fastest = workers.minOfOrNull(StageWorker::slowness) ?: return null
+        val free = workers.filter { it.isFree(nowMs) }.sortedBy(StageWorker::slowness)
+        for (worker in free) {
+            if (worker.slowness > fastest * SLOW_FACTOR && !isBacklogged(workers)) continue
+            val pieces = choose(worker, nowMs)
+            if (pieces.isEmpty()) continue
+            waiting.removeAll(pieces.toSet())
+            return PlannedCall(worker, pieces)
+        }
+        return null
+    }
+
+    /** Time until a group of [pieces] that arrives now would be done, milliseconds; infinite without workers. */
+    fun estimateMs(workers: Collection<StageWorker>, pieces: Int, nowMs: Long): Double {
+        val usable = workers.filter { !it.health.isExcluded(nowMs) }
+        if (usable.isEmpty()) return Double.POSITIVE_INFINITY
+        val perMs = usable.sumOf { limits.batch * limits.slots / it.expectedMs(limits.batch) }
+        val untilFreeMs = usable.minOf { it.freeAtMs(nowMs) } - nowMs
+        val ahead = waiting.size
+        val batchesMs = if (ahead + pieces <= limits.batch) 0.0 else (ahead + pieces - limits.batch) / perMs
+        return untilFreeMs + batchesMs + usable.minOf { it.expectedMs(minOf(limits.batch, ahead + pieces)) }
+    }
+
+    private fun isBacklogged(workers: Collection<StageWorker>): Boolean = waiting.size > limits.batch * workers.size
+
+    private fun choose(worker: StageWorker, nowMs: Long): List<PieceWork> {
+        val doneAtMs = nowMs + worker.expectedMs(limits.batch)
+        val order = compareBy<PieceWork>({ it.objectiveAtMs < doneAtMs }, ::virtualDueMs, PieceWork::group)
+        val chosen = mutableListOf<PieceWork>()
+        var roomBytes = worker.roomBytes(nowMs)
+        for ((_, group) in waiting.sortedWith(order).groupBy(PieceWork::group)) {
+            val left = limits.batch - chosen.size
+            if (left == 0) break
+            val keepWhole = group.size <= limits.batch && chosen.size * 2 >= limits.batch
+            if (group.size > left && keepWhole) continue
+            for (piece in group.take(left)) {
+                if (piece.resultBytes > roomBytes) break
+                roomBytes -= piece.resultBytes
+                chosen += piece
+            }
+        }
+        return chosen
+    }
+
+    private fun virtualDueMs(piece: PieceWork): Long = piece.objectiveAtMs + piece.priority * PRIORITY_STEP_MS
+
+    private companion object {
+        /** A worker this many times slower than the fastest gets work only when there is a backlog. */
+        const val SLOW_FACTOR = 2.5
+
+        /** Time by which a rank of priority moves a piece's due time, milliseconds: about one call. */
+        const val PRIORITY_STEP_MS = 400L
+    }
+}
--- /dev/null
+++ b/gateway/src/main/kotlin/io/oriolehall/gateway/TrafficLoop.kt
@@ -0,0 +1,44 @@
+package io.oriolehall.gateway
+
+import io.netty.channel.EventLoop
+import io.netty.channel.MultiThreadIoEventLoopGroup
+import io.netty.channel.nio.NioIoHandler
+import io.oriolehall.runtime.Event
+import io.oriolehall.runtime.EventLog
+import kotlinx.coroutines.CoroutineDispatcher
+import kotlinx.coroutines.CoroutineExceptionHandler
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.SupervisorJob
+import kotlinx.coroutines.asCoroutineDispatcher
+import kotlinx.coroutines.cancel
+import java.util.concurrent.TimeUnit
+
+/**
+ * The one thread that carries traffic: all sockets of callers and endpoints, and the coroutines that serve requests.
+ * State that belongs to requests is therefore used without locks.
+ */
+class TrafficLoop(log: EventLog) : AutoCloseable {
+    val group = MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory())
+
+    val eventLoop: EventLoop = group.next()
+
+    val dispatcher: CoroutineDispatcher = eventLoop.asCoroutineDispatcher()
+
+    private val failures = CoroutineExceptionHandler { _, error ->
+        log.write(Event.HTTP_HANDLER_FAILED, "error" to error.stackTraceToString())
+    }
+
+    val scope = CoroutineScope(dispatcher + SupervisorJob() + failures)
+
+    override fun close() {
+        scope.cancel()
+        group.shutdownGracefully(0, SHUTDOWN_MS, TimeUnit.MILLISECONDS)
+    }
+
+    companion object {
+        private const val SHUTDOWN_MS = 100L
+
+        /** Monotonic time, milliseconds. */
+        fun nowMs(): Long = TimeUnit.NANOSECONDS.toMillis(System.nanoTime())
+    }
+}
--- /dev/null
+++ b/gateway/src/main/kotlin/io/oriolehall/gateway/fleet/FleetMessages.kt
@@ -0,0 +1,52 @@
+package io.oriolehall.gateway.fleet
+
+import io.oriolehall.gateway.feed.FeedSnapshot
+import io.oriolehall.model.NetworkAddress
+import io.oriolehall.peer.PeerChannel
+import io.oriolehall.policy.membership.MemberRecord
+import kotlinx.serialization.SerialName
+import kotlinx.serialization.Serializable
+
+/**
+ * A probe between instances and also its answer.
+ *
+ * @property records what the sender has to say of the fleet; the first one is of itself.
+ * @property fleetDigest digest of the live members as the sender knows them.
+ * @property configRevision revision of the sender's configuration; 0 when it has none.
+ * @property confirmedAgoMs how long ago that revision was known to be the newest; negative when keys are suspended.
+ */
+@Serializable
+data class FleetGossip(
+    @SerialName("r") val records: List<MemberRecord>,
+    @SerialName("f") val fleetDigest: Int,
+    @SerialName("c") val configRevision: Long,
+    @SerialName("a") val confirmedAgoMs: Long,
+) {
+    val sender: MemberRecord get() = records.first()
+}
+
+/** Asks for a probe of the instance at [address]. */
+@Serializable
+data class ProbeRequest(@SerialName("a") val address: NetworkAddress)
+
+/** What the probed instance said; null when it did not answer. */
+@Serializable
+data class ProbeAnswer(@SerialName("g") val gossip: FleetGossip? = null)
+
+/** Asks for everything that the instance knows. */
+@Serializable
+data class StateQuery(@SerialName("d") val digest: Int = 0)
+
+@Serializable
+data class FleetRecords(@SerialName("r") val records: List<MemberRecord>)
+
+/** Published state as an instance knows it; [confirmedAgoMs] as in [FleetGossip]. */
+@Serializable
+data class StateAnswer(val snapshot: FeedSnapshot? = null, val confirmedAgoMs: Long = -1)
+
+internal object FleetChannels {
+    val PROBE = PeerChannel.of<FleetGossip, FleetGossip>("fleet")
+    val HELP = PeerChannel.of<ProbeRequest, ProbeAnswer>("fleet.help")
+    val RECORDS = PeerChannel.of<StateQuery, FleetRecords>("fleet.records")
+    val STATE = PeerChannel.of<StateQuery, StateAnswer>("state")
+}
--- /dev/null
+++ b/gateway/src/main/kotlin/io/oriolehall/gateway/http/CallerListener.kt
@@ -0,0 +1,65 @@
+package io.oriolehall.gateway.http
+
+import io.netty.bootstrap.ServerBootstrap
+import io.netty.channel.Channel
+import io.netty.channel.ChannelInitializer
+import io.netty.channel.ChannelOption
+import io.netty.channel.socket.nio.NioServerSocketChannel
+import io.netty.handler.codec.http.HttpDecoderConfig
+import io.netty.handler.codec.http.HttpRequestDecoder
+import io.netty.handler.codec.http.HttpResponseEncoder
+import io.oriolehall.dispatch.config.CallerLimits
+import io.oriolehall.gateway.TrafficLoop
+import io.oriolehall.model.NetworkAddress
+import java.net.InetSocketAddress
+
+/** Takes callers' connections at one address. */
+class CallerListener(
+    private val loop: TrafficLoop,
+    private val handler: RequestHandler,
+    private val limits: () -> CallerLimits = { CallerLimits() },
+    private val leaving: () -> Boolean = { false },
+) {
+    val registry = CallerRegistry()
+    private var server: Channel? = null
+
+    /** Listens at [address] (port 0 takes a free one) and returns the address in use. */
+    fun start(address: NetworkAddress): NetworkAddress {
+        val bound = ServerBootstrap()
+            .group(loop.group)
+            .channel(NioServerSocketChannel::class.java)
+            .option(ChannelOption.SO_BACKLOG, BACKLOG)
+            .option(ChannelOption.SO_REUSEADDR, true)
+            .childOption(ChannelOption.TCP_NODELAY, true)
+            .childHandler(object : ChannelInitializer<Channel>() {
+                override fun initChannel(channel: Channel) = install(channel)
+            })
+            .bind(address.host, address.port)
+            .sync()
+            .channel()
+        server = bound
+        return NetworkAddress(address.host, (bound.localAddress() as InetSocketAddress).port)
+    }
+
+    private fun install(channel: Channel) {
+        val config = HttpDecoderConfig()
+            .setMaxInitialLineLength(MAX_LINE_BYTES)
+            .setMaxHeaderSize(limits().maxHeaderBytes)
+            .setMaxChunkSize(MAX_CHUNK_BYTES)
+        channel.pipeline().addLast(
+            HttpRequestDecoder(config),
+            HttpResponseEncoder(),
+            CallerConnection(loop.scope, handler, registry, limits, leaving),
+        )
+    }
+
+    fun close() {
+        server?.close()
+    }
+
+    private companion object {
+        const val BACKLOG = 1_024
+        const val MAX_LINE_BYTES = 16_384
+        const val MAX_CHUNK_BYTES = 65_536
+    }
+}
--- /dev/null
+++ b/gateway/src/main/kotlin/io/oriolehall/gateway/http/CallerRequest.kt
@@ -0,0 +1,18 @@
+package io.oriolehall.gateway.http
+
+import io.netty.handler.codec.http.HttpHeaders
+
+/**
+ * A caller's request with its whole body.
+ *
+ * @property receivedAtMs when its head had arrived, monotonic milliseconds.
+ */
+class CallerRequest(
+    val method: String,
+    val uri: String,
+    val headers: HttpHeaders,
+    val body: ByteArray,
+    val receivedAtMs: Long,
+) {
+    val host: String get() = headers.get("Host").orEmpty()
+}
--- /dev/null
+++ b/gateway/src/main/kotlin/io/oriolehall/gateway/requests/RequestService.kt
@@ -0,0 +1,179 @@
+package io.oriolehall.gateway.requests
+
+import io.netty.handler.codec.http.DefaultHttpHeaders
+import io.oriolehall.dispatch.endpoints.EndpointLife
+import io.oriolehall.dispatch.limits.RepeatAllowance
+import io.oriolehall.gateway.TrafficLoop
+import io.oriolehall.gateway.http.CallerRequest
+import io.oriolehall.gateway.http.RequestHandler
+import io.oriolehall.gateway.http.Responder
+import io.oriolehall.gateway.stages.StageService
+import io.oriolehall.gateway.wire.WireProtocol
+import io.oriolehall.model.ZoneId
+import io.oriolehall.runtime.Event
+import io.oriolehall.runtime.EventLog
+import kotlinx.coroutines.withTimeoutOrNull
+import java.util.Locale
+
+/**
+ * Serves a caller's request from its admission to the end of its answer: runs its stages, chooses endpoints, sends it,
+ * and sends it again only where that is allowed. Used on the traffic thread only.
+ */
+internal class RequestService(
+    private val intake: Intake,
+    private val stages: StageService,
+    private val chooser: EndpointChooser,
+    private val repeats: (String) -> RepeatAllowance,
+    private val instances: () -> Int,
+    private val wire: WireProtocol,
+    private val log: EventLog,
+) : RequestHandler {
+    private val policy = HeaderPolicy(wire)
+
+    override suspend fun serve(request: CallerRequest, responder: Responder) {
+        val admitted = intake.admit(request)
+        if (admitted.isErr) {
+            reject(request, null, responder, admitted.error)
+            return
+        }
+        val context = admitted.value
+        repeats(context.service).onFirst(TrafficLoop.nowMs())
+        val rejection = withTimeoutOrNull(context.leftMs()) { Run(context, responder).serve() ?: Served }
+            ?: timeOut(context)
+        if (rejection is Rejection) reject(request, context, responder, rejection)
+    }
+
+    private object Served
+
+    private fun timeOut(context: RequestContext): Rejection = if (context.mayHaveRun) {
+        Rejection.TimedOut("no answer in time")
+    } else {
+        Rejection.NotExecuted("no endpoint could begin in time", 0)
+    }
+
+    private fun reject(request: CallerRequest, context: RequestContext?, responder: Responder, rejection: Rejection) {
+        val truthful = rejection !is Rejection.NotExecuted
+        log.write(
+            if (truthful) Event.REQUEST_FAILED else Event.REQUEST_REFUSED,
+            "request" to request.headers.get(wire.headers.attemptId),
+            "route" to context?.route?.name,
+            "status" to rejection.status,
+            "reason" to rejection.reason,
+            "afterMs" to TrafficLoop.nowMs() - request.receivedAtMs,
+            "configVersion" to context?.table?.config?.version,
+        )
+        if (responder.started) {
+            responder.abort()
+            return
+        }
+        val headers = DefaultHttpHeaders()
+        request.headers.get(wire.headers.attemptId)?.let { headers.set(wire.headers.attemptId, it) }
+        if (rejection is Rejection.NotExecuted && rejection.retryAfterMs > 0) {
+            headers.set("Retry-After", String.format(Locale.ROOT, "%.3f", rejection.retryAfterMs / MS_PER_SECOND))
+        }
+        responder.full(rejection.status, headers, ByteArray(0))
+    }
+
+    /** One request on its way. */
+    private inner class Run(private val context: RequestContext, private val responder: Responder) {
+        private val events = EventSplitter()
+        private val tried = mutableSetOf<EndpointLife>()
+        private var lastFailure: AttemptOutcome.Failure? = null
+        private var plan: StagePlan? = null
+
+        /** Serves the request; returns what the caller is told instead, if it has no answer. */
+        suspend fun serve(): Rejection? {
+            val counts = StagePlan.counts(
+                context.request.headers.get(wire.headers.pieceCounts),
+                context.route.stages.size,
+            ) ?: return Rejection.Malformed("header ${wire.headers.pieceCounts} does not name the pieces of each stage")
+            val plan = StagePlan(context, counts, stages, wire)
+            this.plan = plan
+            try {
+                if (!plan.run()) return StagePlan.rejection(requireNotNull(plan.failure))
+                return attempts(plan)
+            } finally {
+                plan.releaseAll()
+            }
+        }
+
+        private suspend fun attempts(plan: StagePlan): Rejection? {
+            val inputs = plan.inputs
+            val zone = inputs.groupingBy { it.zone }.eachCount().maxByOrNull { it.value }?.key
+            var sends = 0
+            var reason = "no endpoint can be used"
+            var again = true
+            while (again && mayFollow(sends)) {
+                val outcome = attempt(inputs.map { it.handle }, zone) ?: break
+                sends++
+                if (outcome is AttemptOutcome.Delivered) return null
+                reason = outcome.describe()
+                again = outcome is AttemptOutcome.NotRun || context.route.repeatable
+                if (outcome is AttemptOutcome.Failure) lastFailure = outcome
+                events.dropRemainder()
+            }
+            return conclude(reason)
+        }
+
+        private fun mayFollow(sends: Int): Boolean = when {
+            sends == 0 -> true
+            sends >= context.route.maxAttempts -> false
+            else -> repeats(context.service).tryTake(TrafficLoop.nowMs(), instances())
+        }
+
+        private suspend fun attempt(inputs: List<String>, zone: ZoneId?): AttemptOutcome? {
+            val pool = chooser.choose(context, zone, tried) ?: return null
+            tried += pool.endpoint.life
+            val lastEventId = events.lastEventId
+            if (lastEventId != null) {
+                log.write(
+                    Event.STREAM_RESUMED,
+                    "request" to context.attemptId,
+                    "endpoint" to pool.endpoint.id,
+                    "after" to lastEventId,
+                )
+            }
+            val attempt = Attempt(context, pool, wire, policy, responder, events) { plan?.releaseAll() }
+            val outcome = attempt.run(inputs, lastEventId, headTimeoutMs())
+            if (outcome !is AttemptOutcome.Delivered) logAttempt(pool.endpoint.id.value, outcome)
+            return outcome
+        }
+
+        /** A request that may be repeated is not left at a silent endpoint for all of its time. */
+        private fun headTimeoutMs(): Long? {
+            if (!context.route.repeatable || tried.size >= context.route.maxAttempts) return null
+            return maxOf(MIN_HEAD_TIMEOUT_MS, (context.route.objectiveMs * HEAD_TIMEOUT_SHARE).toLong())
+        }
+
+        private fun logAttempt(endpoint: String, outcome: AttemptOutcome) = log.write(
+            Event.ATTEMPT_FAILED,
+            "request" to context.attemptId,
+            "endpoint" to endpoint,
+            "outcome" to outcome.describe(),
+            "leftMs" to context.leftMs(),
+        )
+
+        private fun conclude(reason: String): Rejection? {
+            val failure = lastFailure
+            return when {
+                responder.started -> Rejection.OutcomeUnknown(reason)
+
+                failure != null -> {
+                    responder.full(failure.status, failure.headers, failure.body)
+                    null
+                }
+
+                context.mayHaveRun -> Rejection.OutcomeUnknown(reason)
+
+                else -> Rejection.NotExecuted(reason, NO_ENDPOINT_RETRY_MS)
+            }
+        }
+    }
+
+    private companion object {
+        const val MS_PER_SECOND = 1_000.0
+        const val NO_ENDPOINT_RETRY_MS = 250L
+        const val HEAD_TIMEOUT_SHARE = 0.8
+        const val MIN_HEAD_TIMEOUT_MS = 150L
+    }
+}
--- /dev/null
+++ b/gateway/src/main/kotlin/io/oriolehall/gateway/requests/StagePlan.kt
@@ -0,0 +1,129 @@
+package io.oriolehall.gateway.requests
+
+import io.oriolehall.gateway.TrafficLoop
+import io.oriolehall.gateway.stages.StageAnswer
+import io.oriolehall.gateway.stages.StageFailure
+import io.oriolehall.gateway.stages.StageRequest
+import io.oriolehall.gateway.stages.StageResult
+import io.oriolehall.gateway.stages.StageService
+import io.oriolehall.gateway.wire.WireProtocol
+import kotlinx.coroutines.CompletableDeferred
+import kotlinx.coroutines.Job
+import kotlinx.coroutines.coroutineScope
+import kotlinx.coroutines.launch
+
+/**
+ * Runs the stages of one request in the order of their dependencies, and keeps track of the results until they are no
+ * longer needed.
+ */
+internal class StagePlan(
+    private val context: RequestContext,
+    private val counts: List<Int>,
+    private val stages: StageService,
+    private val wire: WireProtocol,
+) {
+    private val specs = context.route.stages
+    private val done = List(specs.size) { CompletableDeferred<StageAnswer>() }
+    private val held = HashMap<Int, List<StageResult>>()
+    private val running = mutableListOf<Job>()
+
+    /** The first failure; null when all stages have results. */
+    var failure: StageAnswer? = null
+        private set
+
+    /** Results for the request's own service, in the order of stages and pieces. */
+    val inputs: List<StageResult>
+        get() = context.route.finalStages.filter { counts[it] > 0 }.flatMap { held[it].orEmpty() }
+
+    /** Runs all stages; ends at the first failure. Returns true when all have results. */
+    suspend fun run(): Boolean {
+        coroutineScope { specs.indices.forEach { stage -> running += launch { runStage(stage) } } }
+        return failure == null
+    }
+
+    private suspend fun runStage(stage: Int) {
+        val spec = specs[stage]
+        val before = spec.after.map { done[it].await() }
+        val failed = before.firstOrNull { it.failure != null }
+        val answer = when {
+            failed != null -> failed
+            counts[stage] == 0 -> StageAnswer()
+            else -> stages.run(request(stage, before))
+        }
+        if (answer.failure == null) {
+            held[stage] = answer.results
+        } else if (failure == null) {
+            failure = answer
+            running.forEachIndexed { i, job -> if (i != stage) job.cancel() }
+        }
+        releaseInputsOf(stage)
+        done[stage].complete(answer)
+    }
+
+    private fun request(stage: Int, before: List<StageAnswer>): StageRequest {
+        val spec = specs[stage]
+        val nowMs = TrafficLoop.nowMs()
+        val key = context.request.headers.get(wire.headers.pieceKey).takeIf { spec.after.isEmpty() }
+        return StageRequest(
+            service = spec.service,
+            requestId = context.attemptId,
+            stage = stage,
+            pieces = counts[stage],
+            key = key,
+            inputs = before.flatMap(StageAnswer::results).map(StageResult::handle),
+            resultBytes = spec.resultBytes,
+            objectiveInMs = stageObjectiveMs(stage, nowMs),
+            deadlineInMs = context.leftMs(nowMs),
+            priority = context.priority,
+        )
+    }
+
+    /** The stages that follow on the longest way get equal parts of what is left until the objective. */
+    private fun stageObjectiveMs(stage: Int, nowMs: Long): Long {
+        val leftMs = context.objectiveAtMs - GENERATION_MS - nowMs
+        return leftMs / (1 + following(stage))
+    }
+
+    private fun following(stage: Int): Int {
+        val next = specs.indices.filter { stage in specs[it].after && counts[it] > 0 }
+        return next.maxOfOrNull { 1 + following(it) } ?: 0
+    }
+
+    /** Results of stages whose last successor is done are given up. */
+    private fun releaseInputsOf(stage: Int) {
+        val finals = context.route.finalStages
+        for (input in specs[stage].after.filter { it !in finals }) {
+            val open = specs.indices.filter { input in specs[it].after && it != stage && !done[it].isCompleted }
+            if (open.isEmpty()) release(input)
+        }
+    }
+
+    /** Gives up all results. */
+    fun releaseAll() = held.keys.toList().forEach(::release)
+
+    private fun release(stage: Int) {
+        val results = held.remove(stage) ?: return
+        stages.release(specs[stage].service, results)
+    }
+
+    companion object {
+        /** Time that the request's own service needs until its first event, milliseconds; a typical prompt. */
+        private const val GENERATION_MS = 200L
+
+        /** The number of pieces of each stage as the caller says; null when it cannot be read. */
+        fun counts(text: String?, stages: Int): List<Int>? {
+            if (stages == 0) return emptyList()
+            val counts = text?.split(',')?.map { it.trim().toIntOrNull()?.takeIf { n -> n in 0..MAX_PIECES } }
+            return counts?.filterNotNull()?.takeIf { it.size == stages && counts.size == stages }
+        }
+
+        /** Most pieces that a stage of one request may have. */
+        private const val MAX_PIECES = 1_000
+
+        /** What a caller is told about a stage's failure. */
+        fun rejection(answer: StageAnswer): Rejection = Rejection.NotExecuted(
+            reason = "stage: ${answer.failure ?: StageFailure.FAILED}",
+            retryAfterMs = answer.retryAfterMs,
+        )
+    }
+}
--- /dev/null
+++ b/gateway/src/main/kotlin/io/oriolehall/gateway/stages/StageOwner.kt
@@ -0,0 +1,242 @@
+package io.oriolehall.gateway.stages
+
+import io.oriolehall.dispatch.config.PieceLimits
+import io.oriolehall.dispatch.endpoints.EndpointLife
+import io.oriolehall.dispatch.endpoints.EndpointRecord
+import io.oriolehall.dispatch.stages.PieceInput
+import io.oriolehall.dispatch.stages.PieceWork
+import io.oriolehall.dispatch.stages.PlannedCall
+import io.oriolehall.dispatch.stages.StageQueue
+import io.oriolehall.dispatch.stages.StageWorker
+import io.oriolehall.gateway.TrafficLoop
+import io.oriolehall.gateway.wire.PieceOutcome
+import io.oriolehall.model.NetworkAddress
+import io.oriolehall.runtime.Event
+import io.oriolehall.runtime.EventLog
+import kotlinx.coroutines.CompletableDeferred
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Job
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
+
+/**
+ * Runs the stage queue of one service for all instances that consider this one its owner: collects pieces into calls,
+ * follows the workers, and releases results. Two owners at once are harmless: a worker declines what it has no place
+ * for, and a piece may be computed twice. Used on the traffic thread only.
+ */
+internal class StageOwner(
+    private val service: String,
+    private val limits: PieceLimits,
+    private val workers: () -> List<EndpointRecord>,
+    private val client: StageWorkerClient,
+    private val scope: CoroutineScope,
+    private val log: EventLog,
+) {
+    private class Group(val request: StageRequest) {
+        val results = arrayOfNulls<StageResult>(request.pieces)
+        val done = CompletableDeferred<StageAnswer>()
+        val complete: Boolean get() = results.all { it != null }
+    }
+
+    private val queue = StageQueue(limits)
+    private val groups = HashMap<Long, Group>()
+    private val states = LinkedHashMap<EndpointLife, StageWorker>()
+    private val releases = HashMap<NetworkAddress, MutableList<String>>()
+    private var nextGroup = 0L
+    private var wakeUp: Job? = null
+
+    /** Computes the pieces of [request] and waits for them. Cancelling the call drops those that still wait. */
+    suspend fun run(request: StageRequest): StageAnswer {
+        val nowMs = TrafficLoop.nowMs()
+        refuse(request, nowMs)?.let { return it }
+        val id = nextGroup++
+        val group = Group(request)
+        groups[id] = group
+        queue.add(List(request.pieces) { work(request, it, id, nowMs) })
+        try {
+            dispatch()
+            return group.done.await()
+        } finally {
+            if (groups.remove(id) != null) abandon(group)
+        }
+    }
+
+    private fun refuse(request: StageRequest, nowMs: Long): StageAnswer? {
+        val usable = currentWorkers()
+        if (usable.isEmpty()) return StageAnswer(failure = StageFailure.NO_WORKER, retryAfterMs = NO_WORKER_RETRY_MS)
+        val estimateMs = queue.estimateMs(usable, request.pieces, nowMs)
+        if (estimateMs <= request.deadlineInMs * USABLE_SHARE) return null
+        val excessMs = (estimateMs - request.deadlineInMs * USABLE_SHARE).coerceAtMost(MAX_RETRY_MS)
+        return StageAnswer(failure = StageFailure.OVERLOADED, retryAfterMs = excessMs.toLong())
+    }
+
+    private fun work(request: StageRequest, piece: Int, group: Long, nowMs: Long) = PieceWork(
+        requestId = request.requestId,
+        stage = request.stage,
+        piece = piece,
+        input = request.key?.let { PieceInput.Key(it) } ?: PieceInput.Results(request.inputs),
+        group = group,
+        resultBytes = request.resultBytes,
+        objectiveAtMs = nowMs + request.objectiveInMs,
+        deadlineAtMs = nowMs + request.deadlineInMs,
+        priority = request.priority,
+    )
+
+    private fun abandon(group: Group) {
+        queue.cancel(group.request.requestId)
+        release(group.results.filterNotNull())
+    }
+
+    private fun fail(id: Long, failure: StageFailure) {
+        val group = groups.remove(id) ?: return
+        group.done.complete(StageAnswer(failure = failure))
+        abandon(group)
+    }
+
+    private fun currentWorkers(): List<StageWorker> {
+        val records = workers()
+        val lives = records.mapTo(HashSet(), EndpointRecord::life)
+        states.keys.removeIf { it !in lives }
+        return records.map { record -> states.getOrPut(record.life) { StageWorker(record, limits) } }
+    }
+
+    /** Starts all calls that can start now. */
+    private fun dispatch() {
+        val nowMs = TrafficLoop.nowMs()
+        queue.removeHopeless(nowMs).map(PieceWork::group).distinct().forEach { fail(it, StageFailure.LATE) }
+        val usable = currentWorkers()
+        while (true) {
+            val call = queue.next(usable, TrafficLoop.nowMs()) ?: break
+            val expectedEndMs = call.worker.began(call, TrafficLoop.nowMs())
+            scope.launch { perform(call, expectedEndMs) }
+        }
+        if (queue.size > 0) wakeLater()
+    }
+
+    /** Looks again soon: a worker that was left out may be tried, and pieces may run out of time. */
+    private fun wakeLater() {
+        if (wakeUp?.isActive == true) return
+        wakeUp = scope.launch {
+            delay(LOOK_AGAIN_MS)
+            wakeUp = null
+            dispatch()
+        }
+    }
+
+    private suspend fun perform(call: PlannedCall, expectedEndMs: Long) {
+        val worker = call.worker
+        val startedAtMs = TrafficLoop.nowMs()
+        val timeoutMs = (worker.expectedMs(call.pieces.size) * TIMEOUT_FACTOR).toLong() + TIMEOUT_SLACK_MS
+        val answer = client.run(worker.endpoint, call.pieces, timeoutMs)
+        val elapsedMs = TrafficLoop.nowMs() - startedAtMs
+        val nowMs = TrafficLoop.nowMs()
+        worker.ended(call, expectedEndMs, elapsedMs.takeIf { answer is StageCallAnswer.Done })
+        when (answer) {
+            is StageCallAnswer.Done -> {
+                worker.health.succeeded(elapsedMs.toDouble())
+                call.pieces.zip(answer.outcomes).forEach { (piece, outcome) -> settle(worker, piece, outcome, nowMs) }
+            }
+
+            is StageCallAnswer.Declined -> {
+                worker.health.overloaded(nowMs)
+                queue.add(call.pieces.filter { it.group in groups })
+            }
+
+            is StageCallAnswer.Broken -> {
+                worker.health.failed(nowMs)
+                call.pieces.forEach(::retry)
+            }
+        }
+        logCall(call, answer, elapsedMs)
+        dispatch()
+    }
+
+    private fun logCall(call: PlannedCall, answer: StageCallAnswer, elapsedMs: Long) {
+        val event = if (answer is StageCallAnswer.Done) Event.STAGE_CALL_ENDED else Event.STAGE_CALL_FAILED
+        log.write(
+            event,
+            "service" to service,
+            "endpoint" to call.worker.endpoint.id,
+            "pieces" to call.pieces.size,
+            "waiting" to queue.size,
+            "ms" to elapsedMs,
+            "outcome" to answer.describe(),
+        )
+    }
+
+    private fun settle(worker: StageWorker, piece: PieceWork, outcome: PieceOutcome, nowMs: Long) {
+        when (outcome) {
+            is PieceOutcome.Done -> deliver(worker, piece, outcome.handle, nowMs)
+
+            PieceOutcome.Late -> fail(piece.group, StageFailure.LATE)
+
+            PieceOutcome.InputGone -> fail(piece.group, StageFailure.INPUT_GONE)
+
+            PieceOutcome.Failed -> retry(piece)
+
+            PieceOutcome.NoRoom -> {
+                worker.lacksRoom(nowMs)
+                if (piece.group in groups) queue.add(listOf(piece))
+            }
+        }
+    }
+
+    private fun deliver(worker: StageWorker, piece: PieceWork, handle: String, nowMs: Long) {
+        worker.holds(handle, piece.resultBytes, nowMs)
+        val result = StageResult(handle, worker.endpoint.address, worker.endpoint.zone)
+        val group = groups[piece.group]
+        if (group == null) {
+            release(listOf(result))
+            return
+        }
+        group.results[piece.piece] = result
+        if (!group.complete) return
+        groups.remove(piece.group)
+        if (!group.done.complete(StageAnswer(group.results.filterNotNull()))) release(group.results.filterNotNull())
+    }
+
+    private fun retry(piece: PieceWork) {
+        piece.failures++
+        if (piece.failures > MAX_FAILURES) {
+            fail(piece.group, StageFailure.FAILED)
+            return
+        }
+        if (piece.group in groups) queue.add(listOf(piece))
+    }
+
+    /** Frees [results] at their workers, a few at a time. */
+    fun release(results: List<StageResult>) {
+        if (results.isEmpty()) return
+        val first = releases.isEmpty()
+        results.forEach { releases.getOrPut(it.worker) { mutableListOf() } += it.handle }
+        val byAddress = states.values.associateBy { it.endpoint.address }
+        results.forEach { byAddress[it.worker]?.freed(it.handle) }
+        if (first) scope.launch { sendReleases() }
+    }
+
+    private suspend fun sendReleases() {
+        delay(COLLECT_RELEASES_MS)
+        val batch = releases.toMap()
+        releases.clear()
+        val byAddress = currentWorkers().associateBy { it.endpoint.address }
+        for ((address, handles) in batch) {
+            val worker = byAddress[address] ?: continue
+            scope.launch { client.free(worker.endpoint, handles) }
+        }
+        dispatch()
+    }
+
+    private companion object {
+        /** Part of the time left that the estimate may take; the rest is for the stages that follow. */
+        const val USABLE_SHARE = 0.7
+        const val NO_WORKER_RETRY_MS = 500L
+        const val MAX_RETRY_MS = 3_000.0
+        const val LOOK_AGAIN_MS = 50L
+
+        /** A call is given up when it takes this many times as long as expected, and the slack. */
+        const val TIMEOUT_FACTOR = 2.5
+        const val TIMEOUT_SLACK_MS = 300L
+        const val MAX_FAILURES = 2
+        const val COLLECT_RELEASES_MS = 10L
+    }
+}
--- /dev/null
+++ b/gateway/src/main/kotlin/io/oriolehall/gateway/stages/StageWorkerClient.kt
@@ -0,0 +1,116 @@
+package io.oriolehall.gateway.stages
+
+import io.netty.handler.codec.http.DefaultHttpHeaders
+import io.netty.handler.codec.http.HttpHeaders
+import io.oriolehall.dispatch.endpoints.EndpointRecord
+import io.oriolehall.dispatch.stages.PieceWork
+import io.oriolehall.gateway.TrafficLoop
+import io.oriolehall.gateway.upstream.EndpointPools
+import io.oriolehall.gateway.upstream.UpstreamConnection
+import io.oriolehall.gateway.upstream.UpstreamEvent
+import io.oriolehall.gateway.wire.PieceOutcome
+import io.oriolehall.gateway.wire.WireProtocol
+import kotlinx.coroutines.withTimeoutOrNull
+import java.io.ByteArrayOutputStream
+
+/** How a call to a stage worker ended. */
+internal sealed interface StageCallAnswer {
+    data class Done(val outcomes: List<PieceOutcome>) : StageCallAnswer
+
+    /** The worker said that it did not run the call. */
+    data class Declined(val status: Int) : StageCallAnswer
+
+    /** No usable answer. */
+    data class Broken(val reason: String) : StageCallAnswer
+
+    fun describe(): String = when (this) {
+        is Done -> outcomes.groupingBy { it::class.simpleName }.eachCount().toString()
+        is Declined -> "declined with $status"
+        is Broken -> reason
+    }
+}
+
+/** Calls stage workers over kept connections. Used on the traffic thread only. */
+internal class StageWorkerClient(private val pools: EndpointPools, private val wire: WireProtocol) {
+    private class Answer(val status: Int, val headers: HttpHeaders, val body: ByteArray)
+
+    suspend fun run(endpoint: EndpointRecord, pieces: List<PieceWork>, timeoutMs: Long): StageCallAnswer {
+        val body = wire.stageCalls.encodeRun(pieces, TrafficLoop.nowMs())
+        val answer = call(endpoint, wire.stageCalls.runPath, body, timeoutMs)
+        if (answer is CallOutcome.Failed) return StageCallAnswer.Broken(answer.reason)
+        val response = (answer as CallOutcome.Answered).answer
+        if (response.headers.contains(wire.headers.notExecuted) || response.status == MISDIRECTED) {
+            return StageCallAnswer.Declined(response.status)
+        }
+        val outcomes = if (response.status == OK) wire.stageCalls.decodeRun(response.body) else null
+        if (outcomes?.size != pieces.size) return StageCallAnswer.Broken("answer ${response.status} cannot be used")
+        return StageCallAnswer.Done(outcomes)
+    }
+
+    /** Frees results; a failure is harmless, because results expire. */
+    suspend fun free(endpoint: EndpointRecord, handles: List<String>) {
+        call(endpoint, wire.stageCalls.freePath, wire.stageCalls.encodeFree(handles), FREE_TIMEOUT_MS)
+    }
+
+    private sealed interface CallOutcome {
+        class Answered(val answer: Answer) : CallOutcome
+
+        class Failed(val reason: String) : CallOutcome
+    }
+
+    private suspend fun call(
+        endpoint: EndpointRecord,
+        path: String,
+        body: ByteArray,
+        timeoutMs: Long,
+    ): CallOutcome {
+        val pool = pools.of(endpoint)
+        val acquired = pool.acquire()
+        if (acquired.isErr) return CallOutcome.Failed(acquired.error.message)
+        val connection = acquired.value
+        var whole = false
+        try {
+            if (!connection.send("POST", path, headers(endpoint, body, timeoutMs), body)) {
+                return CallOutcome.Failed("connection closed")
+            }
+            val answer = withTimeoutOrNull(timeoutMs) { receive(connection) }
+                ?: return CallOutcome.Failed("no answer in $timeoutMs ms")
+            whole = answer is CallOutcome.Answered
+            return answer
+        } finally {
+            if (whole) pool.release(connection) else pool.discard(connection)
+        }
+    }
+
+    private fun headers(endpoint: EndpointRecord, body: ByteArray, timeoutMs: Long): HttpHeaders = DefaultHttpHeaders()
+        .set("Host", endpoint.address.toString())
+        .set("Content-Type", wire.stageCalls.contentType)
+        .set("Content-Length", body.size)
+        .set(wire.headers.expectedEndpoint, endpoint.id.value)
+        .set(wire.headers.deadlineMs, timeoutMs)
+
+    private suspend fun receive(connection: UpstreamConnection): CallOutcome {
+        var head: UpstreamEvent.Head? = null
+        val body = ByteArrayOutputStream()
+        while (true) {
+            when (val event = connection.receive()) {
+                is UpstreamEvent.Head -> head = event
+
+                is UpstreamEvent.Data -> body.writeBytes(event.bytes)
+
+                is UpstreamEvent.Broken -> return CallOutcome.Failed(event.reason)
+
+                UpstreamEvent.End -> {
+                    val seen = head ?: return CallOutcome.Failed("answer without a head")
+                    return CallOutcome.Answered(Answer(seen.status, seen.headers, body.toByteArray()))
+                }
+            }
+        }
+    }
+
+    private companion object {
+        const val OK = 200
+        const val MISDIRECTED = 421
+        const val FREE_TIMEOUT_MS = 1_000L
+    }
+}
--- /dev/null
+++ b/gateway/src/main/kotlin/io/oriolehall/gateway/upstream/Connector.kt
@@ -0,0 +1,65 @@
+package io.oriolehall.gateway.upstream
+
+import com.github.michaelbull.result.Err
+import com.github.michaelbull.result.Ok
+import com.github.michaelbull.result.Result
+import io.netty.bootstrap.Bootstrap
+import io.netty.channel.Channel
+import io.netty.channel.ChannelFuture
+import io.netty.channel.ChannelInitializer
+import io.netty.channel.ChannelOption
+import io.netty.channel.socket.nio.NioChannelOption
+import io.netty.channel.socket.nio.NioSocketChannel
+import io.oriolehall.gateway.TrafficLoop
+import io.oriolehall.model.NetworkAddress
+import jdk.net.ExtendedSocketOptions
+import kotlinx.coroutines.suspendCancellableCoroutine
+import kotlin.coroutines.resume
+
+/** No connection could be made; nothing was sent. */
+data class ConnectFailure(val address: NetworkAddress, val reason: String) {
+    val message: String get() = "no connection to $address ($reason); is it up and the network whole?"
+}
+
+/** Makes connections to endpoints and to the platform. */
+class Connector(private val loop: TrafficLoop) {
+    suspend fun connect(
+        address: NetworkAddress,
+        timeoutMs: Int = CONNECT_TIMEOUT_MS,
+    ): Result<UpstreamConnection, ConnectFailure> {
+        val connection = UpstreamConnection()
+        val future = bootstrap(timeoutMs)
+            .handler(object : ChannelInitializer<Channel>() {
+                override fun initChannel(channel: Channel) = connection.install(channel)
+            })
+            .connect(address.host, address.port)
+        val cause = future.awaitCause()
+        return if (cause == null) Ok(connection) else Err(ConnectFailure(address, cause.toString()))
+    }
+
+    /** Idle connections to machines without power or behind a cut give no sign; probes of the kernel show it. */
+    private fun bootstrap(timeoutMs: Int): Bootstrap = Bootstrap()
+        .group(loop.group)
+        .channel(NioSocketChannel::class.java)
+        .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, timeoutMs)
+        .option(ChannelOption.TCP_NODELAY, true)
+        .option(ChannelOption.SO_KEEPALIVE, true)
+        .option(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPIDLE), PROBE_AFTER_S)
+        .option(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPINTERVAL), PROBE_EVERY_S)
+        .option(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPCOUNT), PROBES)
+
+    private suspend fun ChannelFuture.awaitCause(): Throwable? = suspendCancellableCoroutine { waiting ->
+        addListener { done -> waiting.resume(done.cause()) }
+        waiting.invokeOnCancellation {
+            cancel(true)
+            channel().close()
+        }
+    }
+
+    private companion object {
+        const val CONNECT_TIMEOUT_MS = 600
+        const val PROBE_AFTER_S = 1
+        const val PROBE_EVERY_S = 1
+        const val PROBES = 2
+    }
+}
--- /dev/null
+++ b/gateway/src/main/kotlin/io/oriolehall/gateway/upstream/UpstreamConnection.kt
@@ -0,0 +1,192 @@
+package io.oriolehall.gateway.upstream
+
+import io.netty.buffer.ByteBuf
+import io.netty.buffer.Unpooled
+import io.netty.channel.Channel
+import io.netty.channel.ChannelHandlerContext
+import io.netty.channel.ChannelInboundHandlerAdapter
+import io.netty.handler.codec.http.DefaultFullHttpRequest
+import io.netty.handler.codec.http.HttpContent
+import io.netty.handler.codec.http.HttpDecoderConfig
+import io.netty.handler.codec.http.HttpHeaderNames
+import io.netty.handler.codec.http.HttpHeaders
+import io.netty.handler.codec.http.HttpMethod
+import io.netty.handler.codec.http.HttpRequestEncoder
+import io.netty.handler.codec.http.HttpResponse
+import io.netty.handler.codec.http.HttpResponseDecoder
+import io.netty.handler.codec.http.HttpUtil
+import io.netty.handler.codec.http.HttpVersion
+import io.netty.handler.codec.http.LastHttpContent
+import io.netty.util.ReferenceCountUtil
+import kotlinx.coroutines.channels.Channel.Factory.UNLIMITED
+import kotlinx.coroutines.channels.Channel as Mailbox
+
+/**
+ * A connection to an endpoint that carries one request at a time. Any byte that does not belong to the answer of the
+ * request in progress makes it unusable: it may be the answer to another request. Used on the traffic thread only.
+ */
+class UpstreamConnection internal constructor() : ChannelInboundHandlerAdapter() {
+    private val decoder = CountingDecoder()
+    private val events = Mailbox<UpstreamEvent>(UNLIMITED)
+    private var queuedBytes = 0
+    private var inAnswer = false
+    private var failure: String? = null
+    private lateinit var channel: Channel
+
+    /** False once the connection cannot carry another request. */
+    var reusable = true
+        private set
+
+    /** How long the endpoint keeps the connection when it is idle, milliseconds. */
+    var idleLimitMs = DEFAULT_IDLE_MS
+        private set
+
+    /** When the last answer ended, monotonic milliseconds. */
+    var idleSinceMs = 0L
+
+    /** True once a request has been written to this connection. */
+    var used = false
+        private set
+
+    val isOpen: Boolean get() = channel.isActive && reusable
+
+    internal fun install(channel: Channel) {
+        this.channel = channel
+        channel.pipeline().addLast(decoder, HttpRequestEncoder(), this)
+    }
+
+    /** Writes a request. False when the connection was already closed, so that no byte has left. */
+    fun send(method: String, uri: String, headers: HttpHeaders, body: ByteArray): Boolean {
+        if (!isOpen) return false
+        val message = DefaultFullHttpRequest(
+            HttpVersion.HTTP_1_1,
+            HttpMethod.valueOf(method),
+            uri,
+            Unpooled.wrappedBuffer(body),
+            headers,
+            io.netty.handler.codec.http.EmptyHttpHeaders.INSTANCE,
+        )
+        decoder.headRequest = method == "HEAD"
+        inAnswer = true
+        used = true
+        channel.writeAndFlush(message).addListener { if (!it.isSuccess) fail("write failed: ${it.cause()}") }
+        return true
+    }
+
+    suspend fun receive(): UpstreamEvent {
+        val event = events.receive()
+        if (event is UpstreamEvent.Data) {
+            queuedBytes -= event.bytes.size
+            if (queuedBytes < LOW_WATER_BYTES) channel.config().isAutoRead = true
+        }
+        return event
+    }
+
+    fun close() {
+        reusable = false
+        channel.close()
+    }
+
+    override fun channelRead(ctx: ChannelHandlerContext, msg: Any) {
+        try {
+            when {
+                !inAnswer -> fail("bytes outside an answer")
+                decoderFailed(msg) -> fail("not an HTTP answer")
+                else -> accept(msg)
+            }
+        } finally {
+            ReferenceCountUtil.release(msg)
+        }
+    }
+
+    private fun accept(msg: Any) {
+        if (msg is HttpResponse) {
+            val status = msg.status().code()
+            if (status in INTERIM) return
+            if (!HttpUtil.isKeepAlive(msg)) reusable = false
+            if (!HttpUtil.isContentLengthSet(msg) && !HttpUtil.isTransferEncodingChunked(msg)) noteUnframed(status)
+            noteIdleLimit(msg.headers())
+            interim = false
+            events.trySend(UpstreamEvent.Head(status, msg.headers()))
+        }
+        if (msg is HttpContent && !interim) {
+            queue(msg.content())
+            if (msg is LastHttpContent) endAnswer()
+        }
+        if (msg is LastHttpContent) interim = true
+    }
+
+    /** True until the final head has arrived: an interim head has an empty end of its own. */
+    private var interim = true
+
+    private fun noteUnframed(status: Int) {
+        val empty = decoder.headRequest || status == NO_CONTENT || status == NOT_MODIFIED
+        if (!empty) reusable = false
+    }
+
+    private fun queue(content: ByteBuf) {
+        if (!content.isReadable) return
+        val bytes = ByteArray(content.readableBytes())
+        content.readBytes(bytes)
+        queuedBytes += bytes.size
+        if (queuedBytes > HIGH_WATER_BYTES) channel.config().isAutoRead = false
+        events.trySend(UpstreamEvent.Data(bytes))
+    }
+
+    private fun endAnswer() {
+        if (failure != null) return
+        inAnswer = false
+        if (decoder.leftOver() > 0) reusable = false
+        events.trySend(UpstreamEvent.End)
+    }
+
+    private fun noteIdleLimit(headers: HttpHeaders) {
+        val seconds = headers.get(HttpHeaderNames.KEEP_ALIVE.toString())
+            ?.substringAfter("timeout=", "")
+            ?.takeWhile(Char::isDigit)
+            ?.toLongOrNull()
+        if (seconds != null) idleLimitMs = seconds * MS_PER_SECOND
+    }
+
+    private fun decoderFailed(msg: Any): Boolean =
+        msg is io.netty.handler.codec.http.HttpObject && msg.decoderResult().isFailure
+
+    override fun exceptionCaught(ctx: ChannelHandlerContext, cause: Throwable) = fail(cause.toString())
+
+    override fun channelInactive(ctx: ChannelHandlerContext) = fail("connection closed")
+
+    private fun fail(reason: String) {
+        reusable = false
+        if (failure == null) {
+            failure = reason
+            if (inAnswer) events.trySend(UpstreamEvent.Broken(reason))
+        }
+        if (channel.isOpen) channel.close()
+    }
+
+    /** Decodes answers and tells whether bytes lie behind the last one. */
+    private class CountingDecoder : HttpResponseDecoder(
+        HttpDecoderConfig().setMaxHeaderSize(MAX_HEADER_BYTES).setMaxChunkSize(MAX_CHUNK_BYTES),
+    ) {
+        var headRequest = false
+
+        fun leftOver(): Int = actualReadableBytes()
+
+        override fun isContentAlwaysEmpty(msg: io.netty.handler.codec.http.HttpMessage): Boolean =
+            headRequest || super.isContentAlwaysEmpty(msg)
+    }
+
+    private companion object {
+        val INTERIM = 100..199
+        const val NO_CONTENT = 204
+        const val NOT_MODIFIED = 304
+        const val MS_PER_SECOND = 1_000L
+
+        /** Used where the endpoint does not say how long it keeps an idle connection. */
+        const val DEFAULT_IDLE_MS = 4_000L
+        const val HIGH_WATER_BYTES = 262_144
+        const val LOW_WATER_BYTES = 65_536
+        const val MAX_HEADER_BYTES = 32_768
+        const val MAX_CHUNK_BYTES = 65_536
+    }
+}
