Stage queues and admission: finish what has begun, refuse by load, prompts before zones

Late pieces that continued a request went last, so their inputs filled the memory of the workers before until they lapsed after 4 s, which held those up too. 810,000 tokens of shared prompts were read again because the zone of small inputs went before the prompt's endpoint.

--- a/dispatch/src/main/kotlin/io/oriolehall/dispatch/placement/GenerationPlacement.kt
+++ b/dispatch/src/main/kotlin/io/oriolehall/dispatch/placement/GenerationPlacement.kt
@@ -36,27 +36,30 @@
 }
 
 /**
- * Prefers the zone of the inputs, then keeps requests that share a prompt together: rendezvous hashing with bounded
- * loads, which all instances compute alike without a message. An endpoint above the bound is passed over, so that a hot
- * prompt spreads.
+ * Keeps requests that share a prompt together: rendezvous hashing with bounded loads, which all instances compute alike
+ * without a message. An endpoint above the bound is passed over, so that a hot prompt spreads. Reading a shared prompt
+ * again costs more than fetching inputs from another zone; the zone of the inputs decides only without a shared prompt.
  */
 class AffinityPlacement(private val loadFactor: Double = DEFAULT_LOAD_FACTOR) : Placement {
     override fun choose(candidates: List<PlacementCandidate>, request: PlacementRequest): PlacementCandidate? {
-        val zone = request.inputZone ?: request.ownZone.takeIf { request.affinity == null }
-        val near = candidates.filter { it.endpoint.zone == zone }.ifEmpty { candidates }
-        val healthy = near.filter { it.slowness <= SLOW_FACTOR }.ifEmpty { candidates }
-        val affinity = request.affinity ?: return LeastOutstanding.choose(healthy, request)
+        val healthy = candidates.filter { it.slowness <= SLOW_FACTOR }.ifEmpty { candidates }
+        val affinity = request.affinity ?: return LeastOutstanding.choose(near(healthy, request), request)
         val mean = healthy.sumOf(PlacementCandidate::outstanding).toDouble() / maxOf(1, healthy.size)
         val bound = mean * loadFactor + HEADROOM
         return healthy.filter { it.outstanding < bound }.ifEmpty { healthy }
             .maxByOrNull { Rendezvous.weight(affinity, it.endpoint.id.value) }
     }
 
+    private fun near(candidates: List<PlacementCandidate>, request: PlacementRequest): List<PlacementCandidate> {
+        val zone = request.inputZone ?: request.ownZone
+        return candidates.filter { it.endpoint.zone == zone }.ifEmpty { candidates }
+    }
+
     private companion object {
-        const val DEFAULT_LOAD_FACTOR = 1.5
+        const val DEFAULT_LOAD_FACTOR = 2.0
 
         /** Requests above the bound that any endpoint may have, so that a quiet instance keeps its affinity. */
-        const val HEADROOM = 2
+        const val HEADROOM = 4
 
         /** An endpoint this many times slower than its peers is left out while others are there. */
         const val SLOW_FACTOR = 2.0
--- a/dispatch/src/main/kotlin/io/oriolehall/dispatch/stages/PieceWork.kt
+++ b/dispatch/src/main/kotlin/io/oriolehall/dispatch/stages/PieceWork.kt
@@ -1,5 +1,7 @@
 package io.oriolehall.dispatch.stages
 
+import io.oriolehall.model.ZoneId
+
 /** What a piece is computed from. */
 sealed interface PieceInput {
     /** A stage without predecessors: the request's own key. */
@@ -13,6 +15,7 @@
  * One piece that waits to be computed. Times are monotonic milliseconds.
  *
  * @property group pieces of one stage of one request, in the order in which they arrived.
+ * @property preferredZone zone where the result is fetched; null when it does not matter.
  * @property resultBytes memory that its result takes at the worker.
  * @property objectiveAtMs until when this stage has to be done for the request to be on time.
  * @property deadlineAtMs when the request is given up.
@@ -24,6 +27,8 @@
     val piece: Int,
     val input: PieceInput,
     val group: Long,
+    val arrivedAtMs: Long,
+    val preferredZone: ZoneId?,
     val resultBytes: Long,
     val objectiveAtMs: Long,
     val deadlineAtMs: Long,
--- a/dispatch/src/main/kotlin/io/oriolehall/dispatch/stages/StageQueue.kt
+++ b/dispatch/src/main/kotlin/io/oriolehall/dispatch/stages/StageQueue.kt
@@ -1,14 +1,17 @@
 package io.oriolehall.dispatch.stages
 
 import io.oriolehall.dispatch.config.PieceLimits
+import io.oriolehall.model.ZoneId
 
 /**
  * The pieces that wait for the workers of one service, from all instances, and the decision which go next. A call has
  * a large fixed cost, so a worker never gets more than one call at a time and takes as many pieces as fit: under little
  * load a piece starts at once, and under much load calls are full, without a timer.
  *
- * Order: pieces that can still be on time, the most urgent first; then the late ones. Pieces of one stage of one
- * request stay together where they fit, so that their results lie in one zone.
+ * Order: pieces that continue a request go by their due time, late ones too, because their inputs take memory at other
+ * workers until they are done. Pieces that begin a request go by due time and priority as long as they can be on time;
+ * late ones take what is left. Pieces of one stage of one request stay together where they fit, and large results are
+ * made in the zone where they are fetched unless that takes too long.
  *
  * The load that it answers: many small requests over few workers with a fixed cost a call, with bursts above what full
  * calls can bear. Pure: no clock, no I/O. Times are monotonic milliseconds.
@@ -43,7 +46,7 @@
         val free = workers.filter { it.isFree(nowMs) }.sortedBy(StageWorker::slowness)
         for (worker in free) {
             if (worker.slowness > fastest * SLOW_FACTOR && !isBacklogged(workers)) continue
-            val pieces = choose(worker, nowMs)
+            val pieces = choose(worker, workers, nowMs)
             if (pieces.isEmpty()) continue
             waiting.removeAll(pieces.toSet())
             return PlannedCall(worker, pieces)
@@ -62,14 +65,26 @@
         return untilFreeMs + batchesMs + usable.minOf { it.expectedMs(minOf(limits.batch, ahead + pieces)) }
     }
 
+    /**
+     * Time that a group would take now, milliseconds: the estimate, or what the oldest waiting piece has taken already
+     * where memory for results holds it up.
+     */
+    fun expectedMs(workers: Collection<StageWorker>, nowMs: Long): Double {
+        val oldestMs = waiting.minOfOrNull(PieceWork::arrivedAtMs)?.let { nowMs - it } ?: 0
+        val callMs = limits.callMs + limits.batch * limits.pieceMs
+        return maxOf(estimateMs(workers, 1, nowMs), if (oldestMs > 0) oldestMs + callMs else 0.0)
+    }
+
     private fun isBacklogged(workers: Collection<StageWorker>): Boolean = waiting.size > limits.batch * workers.size
 
-    private fun choose(worker: StageWorker, nowMs: Long): List<PieceWork> {
+    private fun choose(worker: StageWorker, workers: Collection<StageWorker>, nowMs: Long): List<PieceWork> {
         val doneAtMs = nowMs + worker.expectedMs(limits.batch)
-        val order = compareBy<PieceWork>({ it.objectiveAtMs < doneAtMs }, ::virtualDueMs, PieceWork::group)
+        val order = compareBy<PieceWork>({ isLate(it, doneAtMs) }, ::virtualDueMs, PieceWork::group)
+        val zones = workers.mapTo(HashSet()) { it.endpoint.zone }
+        val eligible = waiting.filter { mayRunIn(worker.endpoint.zone, it, zones, nowMs) }
         val chosen = mutableListOf<PieceWork>()
         var roomBytes = worker.roomBytes(nowMs)
-        for ((_, group) in waiting.sortedWith(order).groupBy(PieceWork::group)) {
+        for ((_, group) in eligible.sortedWith(order).groupBy(PieceWork::group)) {
             val left = limits.batch - chosen.size
             if (left == 0) break
             val keepWhole = group.size <= limits.batch && chosen.size * 2 >= limits.batch
@@ -83,7 +98,19 @@
         return chosen
     }
 
-    private fun virtualDueMs(piece: PieceWork): Long = piece.objectiveAtMs + piece.priority * PRIORITY_STEP_MS
+    private fun isLate(piece: PieceWork, doneAtMs: Double): Boolean =
+        piece.input is PieceInput.Key && piece.objectiveAtMs < doneAtMs
+
+    private fun virtualDueMs(piece: PieceWork): Long {
+        val rank = if (piece.input is PieceInput.Key) piece.priority else 0
+        return piece.objectiveAtMs + rank * PRIORITY_STEP_MS
+    }
+
+    /** A piece waits a little for a worker of the zone where its result is fetched. */
+    private fun mayRunIn(zone: ZoneId, piece: PieceWork, zones: Set<ZoneId>, nowMs: Long): Boolean {
+        val preferred = piece.preferredZone ?: return true
+        return preferred == zone || preferred !in zones || nowMs - piece.arrivedAtMs >= ZONE_PATIENCE_MS
+    }
 
     private companion object {
         /** A worker this many times slower than the fastest gets work only when there is a backlog. */
@@ -91,5 +118,8 @@
 
         /** Time by which a rank of priority moves a piece's due time, milliseconds: about one call. */
         const val PRIORITY_STEP_MS = 400L
+
+        /** Longest wait for a worker of the preferred zone, milliseconds: about half a call. */
+        const val ZONE_PATIENCE_MS = 200L
     }
 }
--- /dev/null
+++ b/dispatch/src/test/kotlin/io/oriolehall/dispatch/config/RouteTableTest.kt
@@ -0,0 +1,57 @@
+package io.oriolehall.dispatch.config
+
+import io.oriolehall.model.OrganisationId
+import org.junit.jupiter.api.Test
+import strikt.api.expectThat
+import strikt.assertions.containsExactly
+import strikt.assertions.isEqualTo
+import strikt.assertions.isNull
+
+class RouteTableTest {
+    private fun route(prefix: String, stages: List<StageSpec> = emptyList()) = Route(
+        name = prefix,
+        host = "a.example",
+        prefix = prefix,
+        kind = RouteKind.IDEMPOTENT,
+        timeoutMs = 1_000,
+        objectiveMs = 100,
+        priority = 0,
+        targets = listOf(RouteTarget("s", 1)),
+        maxAttempts = 1,
+        stages = stages,
+    )
+
+    private val table = RouteTable(
+        ServingConfig(
+            version = 1,
+            routes = listOf(route("/a/"), route("/a/b/")),
+            services = emptyList(),
+            limits = CallerLimits(),
+            organisations = listOf(Organisation(OrganisationId("o"), listOf("k1", "k2"))),
+        ),
+    )
+
+    @Test
+    fun `the longest prefix of the path selects the route`() {
+        expectThat(table.route("a.example", "/a/b/c?x=/a/")?.prefix).isEqualTo("/a/b/")
+        expectThat(table.route("A.example:80", "/a/c")?.prefix).isEqualTo("/a/")
+        expectThat(table.route("a.example", "/ab/")).isNull()
+        expectThat(table.route("b.example", "/a/")).isNull()
+    }
+
+    @Test
+    fun `each key names its organisation`() {
+        expectThat(table.organisation("k2")?.id?.value).isEqualTo("o")
+        expectThat(table.organisation("k3")).isNull()
+    }
+
+    @Test
+    fun `results of stages that no other stage needs go to the service`() {
+        val stages = listOf(
+            StageSpec("s", emptyList(), 1),
+            StageSpec("s", emptyList(), 1),
+            StageSpec("s", listOf(1), 1),
+        )
+        expectThat(route("/a/", stages).finalStages).containsExactly(0, 2)
+    }
+}
--- /dev/null
+++ b/dispatch/src/test/kotlin/io/oriolehall/dispatch/endpoints/EndpointDirectoryTest.kt
@@ -0,0 +1,73 @@
+package io.oriolehall.dispatch.endpoints
+
+import io.oriolehall.model.EndpointId
+import io.oriolehall.model.NetworkAddress
+import io.oriolehall.model.ZoneId
+import org.junit.jupiter.api.Test
+import strikt.api.expectThat
+import strikt.assertions.containsExactly
+import strikt.assertions.isEmpty
+import strikt.assertions.isFalse
+
+class EndpointDirectoryTest {
+    private val directory = EndpointDirectory(lapseGraceMs = 2_000)
+
+    private fun endpoint(name: String, born: Long = 1, draining: Boolean = false, zone: String = "a") =
+        EndpointRecord(EndpointId(name), born, "s", NetworkAddress("10.0.0.1", 1), ZoneId(zone), 1, draining, 0)
+
+    private fun usable() = directory.snapshot.usable("s").map { it.id.value }
+
+    @Test
+    fun `an endpoint that drains or whose zone is evacuated gets nothing`() {
+        directory.register(endpoint("x", draining = true))
+        directory.register(endpoint("y", zone = "b"))
+        directory.setEvacuated(listOf(ZoneId("b")))
+        expectThat(usable()).isEmpty()
+        directory.setEvacuated(emptyList())
+        expectThat(usable()).containsExactly("y")
+    }
+
+    @Test
+    fun `an entry that is removed while the store serves is gone at once`() {
+        directory.register(endpoint("x"))
+        directory.withdraw(EndpointId("x"), nowMs = 10_000, orderly = true)
+        expectThat(usable()).isEmpty()
+    }
+
+    @Test
+    fun `an entry that lapsed in an outage is kept until its endpoint had time to register again`() {
+        directory.register(endpoint("x"))
+        directory.storeReturned(nowMs = 10_000)
+        directory.replaceAll(emptyList(), nowMs = 10_010, orderly = false)
+        directory.expire(nowMs = 11_900)
+        expectThat(usable()).containsExactly("x")
+        directory.expire(nowMs = 12_000)
+        expectThat(usable()).isEmpty()
+    }
+
+    @Test
+    fun `an entry that comes back after an outage stays`() {
+        directory.register(endpoint("x"))
+        directory.storeReturned(nowMs = 10_000)
+        directory.replaceAll(emptyList(), nowMs = 10_010, orderly = false)
+        directory.register(endpoint("x"))
+        directory.expire(nowMs = 20_000)
+        expectThat(usable()).containsExactly("x")
+    }
+
+    @Test
+    fun `a draining endpoint whose entry lapses is gone at once`() {
+        directory.register(endpoint("x", draining = true))
+        directory.storeReturned(nowMs = 10_000)
+        directory.withdraw(EndpointId("x"), nowMs = 10_010, orderly = false)
+        expectThat(directory.snapshot.endpoints.keys).isEmpty()
+    }
+
+    @Test
+    fun `another life under the same name is not the endpoint that was chosen`() {
+        val first = endpoint("x", born = 1)
+        directory.register(first)
+        directory.register(endpoint("x", born = 2))
+        expectThat(directory.snapshot.isUsable(first)).isFalse()
+    }
+}
--- /dev/null
+++ b/dispatch/src/test/kotlin/io/oriolehall/dispatch/stages/StageQueueTest.kt
@@ -0,0 +1,170 @@
+package io.oriolehall.dispatch.stages
+
+import io.oriolehall.dispatch.config.PieceLimits
+import io.oriolehall.dispatch.endpoints.EndpointRecord
+import io.oriolehall.model.EndpointId
+import io.oriolehall.model.NetworkAddress
+import io.oriolehall.model.ZoneId
+import org.junit.jupiter.api.Test
+import strikt.api.expectThat
+import strikt.assertions.all
+import strikt.assertions.containsExactly
+import strikt.assertions.hasSize
+import strikt.assertions.isEqualTo
+import strikt.assertions.isGreaterThan
+import strikt.assertions.isLessThan
+import strikt.assertions.isNotNull
+import strikt.assertions.isNull
+
+class StageQueueTest {
+    private val limits = PieceLimits(
+        slots = 1,
+        batch = 4,
+        callMs = 240.0,
+        pieceMs = 30.0,
+        resultRoomBytes = 1_000,
+        resultLifetimeMs = 4_000,
+    )
+    private val queue = StageQueue(limits)
+    private var groups = 0L
+
+    private fun worker(name: String, zone: String = "a") = StageWorker(
+        EndpointRecord(EndpointId(name), 1, "s", NetworkAddress("10.0.0.1", 1), ZoneId(zone), 1, false, 0),
+        limits,
+    )
+
+    private fun pieces(
+        request: String,
+        count: Int,
+        objectiveAtMs: Long = 2_000,
+        deadlineAtMs: Long = 15_000,
+        priority: Int = 0,
+        bytes: Long = 10,
+        input: PieceInput = PieceInput.Key("k"),
+        zone: String? = null,
+    ): List<PieceWork> {
+        val group = groups++
+        return List(count) {
+            PieceWork(
+                requestId = request,
+                stage = 0,
+                piece = it,
+                input = input,
+                group = group,
+                arrivedAtMs = 0,
+                preferredZone = zone?.let(::ZoneId),
+                resultBytes = bytes,
+                objectiveAtMs = objectiveAtMs,
+                deadlineAtMs = deadlineAtMs,
+                priority = priority,
+            )
+        }
+    }
+
+    private fun PlannedCall.requests() = pieces.map(PieceWork::requestId)
+
+    @Test
+    fun `a piece starts at once at a free worker and calls are filled while all work`() {
+        val worker = worker("x")
+        queue.add(pieces("a", 1))
+        val first = requireNotNull(queue.next(listOf(worker), nowMs = 0))
+        worker.began(first, nowMs = 0)
+        queue.add(pieces("b", 1))
+        queue.add(pieces("c", 2))
+        expectThat(queue.next(listOf(worker), nowMs = 10)).isNull()
+        worker.ended(first, 270, elapsedMs = 270)
+        expectThat(queue.next(listOf(worker), nowMs = 270)).isNotNull()
+            .get { requests() }.containsExactly("b", "c", "c")
+    }
+
+    @Test
+    fun `pieces that can still be on time go before late ones`() {
+        queue.add(pieces("late", 4, objectiveAtMs = 100))
+        queue.add(pieces("on time", 3, objectiveAtMs = 1_000))
+        expectThat(queue.next(listOf(worker("x")), nowMs = 0)).isNotNull()
+            .get { requests().distinct() }.isEqualTo(listOf("on time"))
+    }
+
+    @Test
+    fun `a late piece that continues a request goes first, because its inputs hold memory elsewhere`() {
+        queue.add(pieces("on time", 4, objectiveAtMs = 1_000, input = PieceInput.Results(listOf("h"))))
+        queue.add(pieces("late", 4, objectiveAtMs = 100, input = PieceInput.Results(listOf("h"))))
+        expectThat(queue.next(listOf(worker("x")), nowMs = 0)).isNotNull()
+            .get { requests().distinct() }.isEqualTo(listOf("late"))
+    }
+
+    @Test
+    fun `a large result waits a little for a worker of the zone where it is fetched`() {
+        val workers = listOf(worker("x"), worker("y", zone = "b"))
+        val near = workers[1]
+        queue.add(pieces("a", 1, zone = "b"))
+        near.began(requireNotNull(queue.next(workers, nowMs = 0)), nowMs = 0)
+        queue.add(pieces("c", 1, zone = "b"))
+        expectThat(queue.next(workers, nowMs = 100)).isNull()
+        expectThat(queue.next(workers, nowMs = 200)).isNotNull().get { worker }.isEqualTo(workers[0])
+    }
+
+    @Test
+    fun `a call takes no more results than its worker has room for`() {
+        val worker = worker("x")
+        queue.add(pieces("a", 4, bytes = 400))
+        expectThat(queue.next(listOf(worker), nowMs = 0)).isNotNull().get { pieces }.hasSize(2)
+    }
+
+    @Test
+    fun `room comes back when a result is freed or its lifetime is over`() {
+        val worker = worker("x")
+        worker.holds("h1", 600, nowMs = 0)
+        worker.holds("h2", 400, nowMs = 0)
+        expectThat(worker.roomBytes(nowMs = 10)).isEqualTo(0)
+        worker.freed("h1")
+        expectThat(worker.roomBytes(nowMs = 10)).isEqualTo(600)
+        expectThat(worker.roomBytes(nowMs = 4_000)).isEqualTo(1_000)
+    }
+
+    @Test
+    fun `a request that cannot be served any more leaves the queue`() {
+        queue.add(pieces("a", 2, deadlineAtMs = 200))
+        queue.add(pieces("b", 1, deadlineAtMs = 2_000))
+        expectThat(queue.removeHopeless(nowMs = 0).map(PieceWork::requestId)).containsExactly("a", "a")
+        expectThat(queue.size).isEqualTo(1)
+    }
+
+    @Test
+    fun `the estimate grows with what waits`() {
+        val workers = listOf(worker("x"), worker("y"))
+        val empty = queue.estimateMs(workers, 2, nowMs = 0)
+        repeat(10) { queue.add(pieces("r$it", 4)) }
+        expectThat(empty).isLessThan(400.0)
+        expectThat(queue.estimateMs(workers, 2, nowMs = 0)).isGreaterThan(empty + 1_500)
+    }
+
+    /** Load: three workers, requests of two pieces at 28 pieces a second, which single-piece calls could not bear. */
+    @Test
+    fun `steady load below what full calls bear is served on time`() {
+        val done = play(workers = 3, pieceEveryMs = 36, untilMs = 20_000)
+        expectThat(done.filter { it.first < 18_000 }).all { get { second }.isLessThan(1_500) }
+    }
+
+    /** Returns for each request its arrival and how long its pieces took, milliseconds. */
+    private fun play(workers: Int, pieceEveryMs: Long, untilMs: Long): List<Pair<Long, Long>> {
+        class Running(val call: PlannedCall, val endMs: Long, val key: Long)
+        val all = List(workers) { worker("w$it") }
+        val running = mutableListOf<Running>()
+        val done = mutableListOf<Pair<Long, Long>>()
+        for (nowMs in 0 until untilMs) {
+            if (nowMs % (2 * pieceEveryMs) == 0L) queue.add(pieces("$nowMs", 2, objectiveAtMs = nowMs + 1_500))
+            for (ended in running.filter { it.endMs == nowMs }) {
+                running.remove(ended)
+                ended.call.worker.ended(ended.call, ended.key, (ended.call.worker.expectedMs(4)).toLong())
+                done += ended.call.pieces.map { it.requestId.toLong() to nowMs - it.requestId.toLong() }
+            }
+            while (true) {
+                val call = queue.next(all, nowMs) ?: break
+                val key = call.worker.began(call, nowMs)
+                running += Running(call, nowMs + 240 + 30L * call.pieces.size, key)
+            }
+        }
+        return done
+    }
+}
--- a/gateway/src/main/kotlin/io/oriolehall/gateway/Gateway.kt
+++ b/gateway/src/main/kotlin/io/oriolehall/gateway/Gateway.kt
@@ -2,6 +2,8 @@
 
 import io.ktor.network.selector.SelectorManager
 import io.netty.handler.codec.http.DefaultHttpHeaders
+import io.oriolehall.dispatch.admission.StageAdmission
+import io.oriolehall.dispatch.config.CallerLimits
 import io.oriolehall.dispatch.limits.RepeatAllowance
 import io.oriolehall.dispatch.placement.AffinityPlacement
 import io.oriolehall.gateway.feed.FeedReader
@@ -18,6 +20,7 @@
 import io.oriolehall.gateway.upstream.EndpointPools
 import io.oriolehall.gateway.wire.WireProtocol
 import io.oriolehall.model.Incarnation
+import io.oriolehall.model.NetworkAddress
 import io.oriolehall.peer.PeerClient
 import io.oriolehall.peer.PeerServer
 import io.oriolehall.runtime.ControlThread
@@ -97,6 +100,7 @@
             coldFactor = settings.bounds.coldFactor,
             coldSlack = settings.bounds.coldSlack,
         ),
+        admission = StageAdmission(),
         repeats = ::allowance,
         instances = fleet::liveCount,
         wire = wire,
@@ -108,15 +112,15 @@
     private val callers = CallerListener(
         traffic,
         requests,
-        limits = { state.trust.current?.table?.config?.limits ?: io.oriolehall.dispatch.config.CallerLimits() },
+        limits = { state.trust.current?.table?.config?.limits ?: CallerLimits() },
         leaving = { leaving },
     )
     private val readiness = CallerListener(traffic, { _, responder ->
         responder.full(if (ready()) OK else UNAVAILABLE, DefaultHttpHeaders(), ByteArray(0))
     })
 
-    /** Starts all parts and listens. */
-    suspend fun start() {
+    /** Starts all parts and listens. Returns the address where callers connect. */
+    suspend fun start(): NetworkAddress {
         peerServer.start(self.peerAddress)
         stages.start(peerServer)
         fleet.start(peerServer)
@@ -124,8 +128,9 @@
         timers.every("expire lapsed endpoints", EXPIRE_MS) { state.expire() }
         traffic.scope.launch { sweep() }
         readiness.start(settings.readiness)
-        callers.start(settings.callers)
-        log.write(Event.INSTANCE_STARTED, "callers" to settings.callers, "incarnation" to incarnation)
+        val address = callers.start(settings.callers)
+        log.write(Event.INSTANCE_STARTED, "callers" to address, "incarnation" to incarnation)
+        return address
     }
 
     private fun ready(): Boolean = !leaving && state.complete && state.endpoints.endpoints.isNotEmpty()
--- /dev/null
+++ b/gateway/src/main/kotlin/io/oriolehall/gateway/SelfCheck.kt
@@ -0,0 +1,150 @@
+package io.oriolehall.gateway
+
+import com.github.michaelbull.result.Err
+import com.github.michaelbull.result.Ok
+import com.github.michaelbull.result.Result
+import io.netty.handler.codec.http.DefaultHttpHeaders
+import io.oriolehall.dispatch.config.CallerLimits
+import io.oriolehall.dispatch.config.Route
+import io.oriolehall.dispatch.config.RouteKind
+import io.oriolehall.dispatch.config.RouteTarget
+import io.oriolehall.dispatch.config.Service
+import io.oriolehall.dispatch.config.ServingConfig
+import io.oriolehall.dispatch.endpoints.EndpointRecord
+import io.oriolehall.gateway.feed.FeedChanges
+import io.oriolehall.gateway.feed.FeedFailure
+import io.oriolehall.gateway.feed.FeedSnapshot
+import io.oriolehall.gateway.feed.PlatformFeed
+import io.oriolehall.gateway.http.CallerListener
+import io.oriolehall.gateway.http.CallerRequest
+import io.oriolehall.gateway.http.Responder
+import io.oriolehall.gateway.upstream.Connector
+import io.oriolehall.gateway.upstream.UpstreamConnection
+import io.oriolehall.gateway.upstream.UpstreamEvent
+import io.oriolehall.gateway.wire.WireProtocol
+import io.oriolehall.model.EndpointId
+import io.oriolehall.model.Instance
+import io.oriolehall.model.InstanceId
+import io.oriolehall.model.NetworkAddress
+import io.oriolehall.model.ZoneId
+import io.oriolehall.runtime.EventLog
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.withContext
+import kotlinx.coroutines.withTimeoutOrNull
+
+/**
+ * Runs a gateway on the loopback interface, with an endpoint of its own, and sends it a few requests of each kind. Says
+ * whether the program works on a machine; the build also takes the list of classes from it that a start needs.
+ */
+class SelfCheck(private val wire: WireProtocol, private val log: EventLog) {
+    private val loop = TrafficLoop(log)
+
+    /** True when all requests were served. */
+    suspend fun run(): Boolean {
+        val endpoint = CallerListener(loop, ::answer).start(ANY_PORT)
+        val gateway = Gateway(settings(), wire, log) { FixedFeed(snapshot(endpoint)) }
+        val callers = gateway.start()
+        val served = withTimeoutOrNull(TIMEOUT_MS) {
+            while (!request(callers, "/plain/x")) delay(RETRY_MS)
+            (1..REQUESTS).all { request(callers, "/plain/x") && request(callers, "/events/x") }
+        }
+        gateway.close()
+        loop.close()
+        return served == true
+    }
+
+    private fun settings() = GatewaySettings(
+        instance = Instance(InstanceId("self-check"), ZONE, ANY_PORT),
+        callers = ANY_PORT,
+        readiness = ANY_PORT,
+        seeds = emptyList(),
+        bounds = Bounds(
+            stopMs = TIMEOUT_MS,
+            keyTrustMs = TIMEOUT_MS,
+            repeatRatio = 0.0,
+            repeatAllowance = 0.0,
+            repeatWindowMs = TIMEOUT_MS,
+            coldFactor = 1.0,
+            coldSlack = 0.0,
+        ),
+    )
+
+    private fun snapshot(endpoint: NetworkAddress): FeedSnapshot {
+        val plain = route("/plain/", RouteKind.IDEMPOTENT)
+        val config = ServingConfig(
+            version = 1,
+            routes = listOf(plain, route("/events/", RouteKind.STREAMING)),
+            services = listOf(Service(SERVICE, healthPath = "/", maxConnections = 0, coldPerSecond = 0.0)),
+            limits = CallerLimits(),
+            organisations = emptyList(),
+        )
+        val record =
+            EndpointRecord(EndpointId("endpoint"), 1, SERVICE, endpoint, ZONE, 1, draining = false, coldForMs = 0)
+        return FeedSnapshot(asOf = 1, configRevision = 1, config, listOf(record), emptyList())
+    }
+
+    private fun route(prefix: String, kind: RouteKind) = Route(
+        name = prefix,
+        host = HOST,
+        prefix = prefix,
+        kind = kind,
+        timeoutMs = TIMEOUT_MS,
+        objectiveMs = TIMEOUT_MS,
+        priority = 0,
+        targets = listOf(RouteTarget(SERVICE, 1)),
+        maxAttempts = 1,
+    )
+
+    private suspend fun answer(request: CallerRequest, responder: Responder) {
+        val headers = DefaultHttpHeaders().set(wire.headers.attemptId, request.headers.get(wire.headers.attemptId))
+        if (request.uri.startsWith("/plain/")) {
+            responder.full(OK, headers, "answer".encodeToByteArray())
+            return
+        }
+        responder.begin(OK, headers.set("Content-Type", "text/event-stream"))
+        repeat(2) { responder.data("id: $it\ndata: event\n\n".encodeToByteArray()) }
+        responder.end()
+    }
+
+    private suspend fun request(to: NetworkAddress, path: String): Boolean = withContext(loop.dispatcher) {
+        val connected = Connector(loop).connect(to)
+        if (connected.isErr) return@withContext false
+        val connection = connected.value
+        val headers = DefaultHttpHeaders().set("Host", HOST).set(wire.headers.attemptId, "1").set("Content-Length", 1)
+        connection.send("POST", path, headers, ByteArray(1))
+        statusOf(connection).also { connection.close() } == OK
+    }
+
+    private suspend fun statusOf(connection: UpstreamConnection): Int {
+        var status = 0
+        while (true) {
+            when (val event = connection.receive()) {
+                is UpstreamEvent.Head -> status = event.status
+                is UpstreamEvent.Data -> Unit
+                is UpstreamEvent.Broken -> return 0
+                UpstreamEvent.End -> return status
+            }
+        }
+    }
+
+    /** Published state that never changes. */
+    private class FixedFeed(private val snapshot: FeedSnapshot) : PlatformFeed {
+        override suspend fun snapshot(): Result<FeedSnapshot, FeedFailure> = Ok(snapshot)
+
+        override suspend fun changes(revision: Long, waitMs: Long): Result<FeedChanges, FeedFailure> {
+            delay(waitMs)
+            return Err(FeedFailure.Unavailable("nothing changes"))
+        }
+    }
+
+    private companion object {
+        const val OK = 200
+        const val HOST = "self-check"
+        const val SERVICE = "service"
+        const val REQUESTS = 20
+        const val TIMEOUT_MS = 20_000L
+        const val RETRY_MS = 20L
+        val ZONE = ZoneId("zone")
+        val ANY_PORT = NetworkAddress("127.0.0.1", 0)
+    }
+}
--- a/gateway/src/main/kotlin/io/oriolehall/gateway/requests/RequestService.kt
+++ b/gateway/src/main/kotlin/io/oriolehall/gateway/requests/RequestService.kt
@@ -1,6 +1,7 @@
 package io.oriolehall.gateway.requests
 
 import io.netty.handler.codec.http.DefaultHttpHeaders
+import io.oriolehall.dispatch.admission.StageAdmission
 import io.oriolehall.dispatch.endpoints.EndpointLife
 import io.oriolehall.dispatch.limits.RepeatAllowance
 import io.oriolehall.gateway.TrafficLoop
@@ -23,6 +24,7 @@
     private val intake: Intake,
     private val stages: StageService,
     private val chooser: EndpointChooser,
+    private val admission: StageAdmission,
     private val repeats: (String) -> RepeatAllowance,
     private val instances: () -> Int,
     private val wire: WireProtocol,
@@ -87,7 +89,9 @@
                 context.request.headers.get(wire.headers.pieceCounts),
                 context.route.stages.size,
             ) ?: return Rejection.Malformed("header ${wire.headers.pieceCounts} does not name the pieces of each stage")
-            val plan = StagePlan(context, counts, stages, wire)
+            val target = chooser.choose(context, null, emptySet()) ?: return noEndpoint()
+            val plan = StagePlan(context, counts, stages, wire, target.endpoint.zone)
+            if (counts.any { it > 0 }) refuseByLoad(plan)?.let { return it }
             this.plan = plan
             try {
                 if (!plan.run()) return StagePlan.rejection(requireNotNull(plan.failure))
@@ -97,6 +101,17 @@
             }
         }
 
+        private fun noEndpoint() = Rejection.NotExecuted("no endpoint can be used", NO_ENDPOINT_RETRY_MS)
+
+        private fun refuseByLoad(plan: StagePlan): Rejection? {
+            val nowMs = TrafficLoop.nowMs()
+            val expectedMs = plan.expectedMs()
+            val objectiveMs = context.objectiveAtMs - nowMs
+            val decision = admission.decide(expectedMs, objectiveMs, context.leftMs(nowMs), context.priority)
+            if (decision !is StageAdmission.Decision.Refused) return null
+            return Rejection.NotExecuted("stages take ${expectedMs.toLong()} ms now", decision.retryAfterMs)
+        }
+
         private suspend fun attempts(plan: StagePlan): Rejection? {
             val inputs = plan.inputs
             val zone = inputs.groupingBy { it.zone }.eachCount().maxByOrNull { it.value }?.key
--- a/gateway/src/main/kotlin/io/oriolehall/gateway/requests/StagePlan.kt
+++ b/gateway/src/main/kotlin/io/oriolehall/gateway/requests/StagePlan.kt
@@ -1,5 +1,6 @@
 package io.oriolehall.gateway.requests
 
+import io.oriolehall.dispatch.config.PieceLimits
 import io.oriolehall.gateway.TrafficLoop
 import io.oriolehall.gateway.stages.StageAnswer
 import io.oriolehall.gateway.stages.StageFailure
@@ -7,6 +8,7 @@
 import io.oriolehall.gateway.stages.StageResult
 import io.oriolehall.gateway.stages.StageService
 import io.oriolehall.gateway.wire.WireProtocol
+import io.oriolehall.model.ZoneId
 import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.Job
 import kotlinx.coroutines.coroutineScope
@@ -21,6 +23,7 @@
     private val counts: List<Int>,
     private val stages: StageService,
     private val wire: WireProtocol,
+    private val serviceZone: ZoneId?,
 ) {
     private val specs = context.route.stages
     private val done = List(specs.size) { CompletableDeferred<StageAnswer>() }
@@ -75,9 +78,23 @@
             objectiveInMs = stageObjectiveMs(stage, nowMs),
             deadlineInMs = context.leftMs(nowMs),
             priority = context.priority,
+            preferredZone = serviceZone.takeIf { spec.resultBytes >= LARGE_RESULT_BYTES },
         )
     }
 
+    /** Time that the stages on the longest way and the first event take now, milliseconds. */
+    fun expectedMs(): Double {
+        val ends = DoubleArray(specs.size)
+        for (stage in specs.indices) {
+            val limits = context.table.service(specs[stage].service)?.pieces
+            val ownMs = if (counts[stage] == 0 || limits == null) 0.0 else expectedMs(stage, limits)
+            ends[stage] = ownMs + (specs[stage].after.maxOfOrNull { ends[it] } ?: 0.0)
+        }
+        return (ends.maxOrNull() ?: 0.0) + GENERATION_MS
+    }
+
+    private fun expectedMs(stage: Int, limits: PieceLimits) = stages.loads.expectedMs(specs[stage].service, limits)
+
     /** The stages that follow on the longest way get equal parts of what is left until the objective. */
     private fun stageObjectiveMs(stage: Int, nowMs: Long): Long {
         val leftMs = context.objectiveAtMs - GENERATION_MS - nowMs
@@ -107,6 +124,9 @@
     }
 
     companion object {
+        /** Results from this size on are made in the zone where they are fetched; smaller ones cost less to move. */
+        private const val LARGE_RESULT_BYTES = 100_000L
+
         /** Time that the request's own service needs until its first event, milliseconds; a typical prompt. */
         private const val GENERATION_MS = 200L
 
--- a/gateway/src/main/kotlin/io/oriolehall/gateway/stages/StageMessages.kt
+++ b/gateway/src/main/kotlin/io/oriolehall/gateway/stages/StageMessages.kt
@@ -12,6 +12,7 @@
  * @property key input of a stage without predecessors; null for the others.
  * @property inputs handles of the results of the stages before.
  * @property objectiveInMs time until this stage has to be done for the request to be on time, milliseconds.
+ * @property preferredZone zone where large results will be fetched; null when it does not matter.
  * @property deadlineInMs time until the request is given up, milliseconds.
  */
 @Serializable
@@ -26,6 +27,7 @@
     @SerialName("o") val objectiveInMs: Long,
     @SerialName("d") val deadlineInMs: Long,
     @SerialName("u") val priority: Int,
+    @SerialName("z") val preferredZone: ZoneId? = null,
 )
 
 /** A result that lies at [worker] in [zone]. */
@@ -58,12 +60,17 @@
     NOT_OWNER,
 }
 
-/** Results in the order of the pieces, or a failure. */
+/**
+ * Results in the order of the pieces, or a failure.
+ *
+ * @property expectedMs time that another stage request would take now, milliseconds.
+ */
 @Serializable
 data class StageAnswer(
     @SerialName("h") val results: List<StageResult> = emptyList(),
     @SerialName("f") val failure: StageFailure? = null,
     @SerialName("a") val retryAfterMs: Long = 0,
+    @SerialName("e") val expectedMs: Long = 0,
 )
 
 /** Gives up results of a service's workers. */
--- a/gateway/src/main/kotlin/io/oriolehall/gateway/stages/StageOwner.kt
+++ b/gateway/src/main/kotlin/io/oriolehall/gateway/stages/StageOwner.kt
@@ -48,19 +48,22 @@
     /** Computes the pieces of [request] and waits for them. Cancelling the call drops those that still wait. */
     suspend fun run(request: StageRequest): StageAnswer {
         val nowMs = TrafficLoop.nowMs()
-        refuse(request, nowMs)?.let { return it }
+        refuse(request, nowMs)?.let { return it.copy(expectedMs = expectedMs()) }
         val id = nextGroup++
         val group = Group(request)
         groups[id] = group
         queue.add(List(request.pieces) { work(request, it, id, nowMs) })
         try {
             dispatch()
-            return group.done.await()
+            return group.done.await().copy(expectedMs = expectedMs())
         } finally {
             if (groups.remove(id) != null) abandon(group)
         }
     }
 
+    private fun expectedMs(): Long =
+        queue.expectedMs(currentWorkers(), TrafficLoop.nowMs()).coerceAtMost(MAX_EXPECTED_MS).toLong()
+
     private fun refuse(request: StageRequest, nowMs: Long): StageAnswer? {
         val usable = currentWorkers()
         if (usable.isEmpty()) return StageAnswer(failure = StageFailure.NO_WORKER, retryAfterMs = NO_WORKER_RETRY_MS)
@@ -76,6 +79,8 @@
         piece = piece,
         input = request.key?.let { PieceInput.Key(it) } ?: PieceInput.Results(request.inputs),
         group = group,
+        arrivedAtMs = nowMs,
+        preferredZone = request.preferredZone,
         resultBytes = request.resultBytes,
         objectiveAtMs = nowMs + request.objectiveInMs,
         deadlineAtMs = nowMs + request.deadlineInMs,
@@ -229,6 +234,7 @@
     private companion object {
         /** Part of the time left that the estimate may take; the rest is for the stages that follow. */
         const val USABLE_SHARE = 0.7
+        const val MAX_EXPECTED_MS = 60_000.0
         const val NO_WORKER_RETRY_MS = 500L
         const val MAX_RETRY_MS = 3_000.0
         const val LOOK_AGAIN_MS = 50L
--- a/gateway/src/main/kotlin/io/oriolehall/gateway/stages/StageService.kt
+++ b/gateway/src/main/kotlin/io/oriolehall/gateway/stages/StageService.kt
@@ -31,6 +31,9 @@
 ) {
     private val owned = HashMap<String, StageOwner>()
 
+    /** How long stages take now. */
+    internal val loads = StageLoads()
+
     /** Answers the requests of other instances. */
     fun start(server: PeerServer) {
         server.answer(StageChannels.RUN) { request ->
@@ -42,7 +45,10 @@
     }
 
     /** Computes the pieces of [request] at the owner of the queue. */
-    suspend fun run(request: StageRequest): StageAnswer {
+    suspend fun run(request: StageRequest): StageAnswer =
+        runAtOwner(request).also { loads.note(request.service, it.expectedMs) }
+
+    private suspend fun runAtOwner(request: StageRequest): StageAnswer {
         val owner = ownerOf(request.service)
         if (owner == null || owner.id == self) return runHere(request)
         val startMs = TrafficLoop.nowMs()
