--- a/dispatch/src/main/kotlin/io/oriolehall/dispatch/admission/StageAdmission.kt
+++ b/dispatch/src/main/kotlin/io/oriolehall/dispatch/admission/StageAdmission.kt
@@ -5,9 +5,9 @@
 /**
  * Decides at the door whether a request with stages is let in, from the time that its stages take now.
  *
- * The load that it answers: bursts above what the stage workers can bear. Letting everyone in makes everyone late, since
- * each stage has a large fixed time and one deadline covers all. Above the objective a growing part is refused, the
- * least urgent first, so that those who are let in are on time. A request that could not end before its deadline is
+ * The load that it answers: bursts above what the stage workers can bear. Letting everyone in makes everyone late,
+ * since each stage has a large fixed time and one deadline covers all. Above the objective a growing part is refused,
+ * the least urgent first, so that those who are let in are on time. A request that could not end before its deadline is
  * refused in any case.
  */
 class StageAdmission(private val random: Random = Random.Default) {
@@ -43,7 +43,7 @@
 
         /** Expected time relative to the objective at which the most urgent requests begin to be refused. */
         const val FIRST_REFUSALS_AT = 1.3
-        const val RANK_STEP = 0.15
+        const val RANK_STEP = 0.2
         const val LOWEST_RANK = 2
 
         /** From the first refusals to refusing all of a rank, relative to the objective. */
--- a/gateway/src/main/kotlin/io/oriolehall/gateway/Gateway.kt
+++ b/gateway/src/main/kotlin/io/oriolehall/gateway/Gateway.kt
@@ -177,9 +177,11 @@
     }
 
     private suspend fun sweep() {
+        var rounds = 0
         while (true) {
             delay(SWEEP_MS)
-            pools.sweep(state.endpoints)
+            stages.handOver()
+            if (++rounds % ROUNDS_PER_POOL_SWEEP == 0) pools.sweep(state.endpoints)
         }
     }
 
@@ -194,7 +196,8 @@
         /** A request may reach its endpoint this much later than it was let in, milliseconds. */
         const val KEY_TRUST_MARGIN_MS = 400L
         const val EXPIRE_MS = 250L
-        const val SWEEP_MS = 1_000L
+        const val SWEEP_MS = 50L
+        const val ROUNDS_PER_POOL_SWEEP = 20
 
         /** Time in which the balancer notices that the instance is not ready: two questions, a second apart. */
         const val BALANCER_MS = 2_300L
--- a/gateway/src/main/kotlin/io/oriolehall/gateway/requests/StagePlan.kt
+++ b/gateway/src/main/kotlin/io/oriolehall/gateway/requests/StagePlan.kt
@@ -12,6 +12,7 @@
 import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.Job
 import kotlinx.coroutines.coroutineScope
+import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
 
 /**
@@ -50,8 +51,13 @@
         val failed = before.firstOrNull { it.failure != null }
         val answer = when {
             failed != null -> failed
+
             counts[stage] == 0 -> StageAnswer()
-            else -> stages.run(request(stage, before))
+
+            else -> {
+                delay(headStartMs(stage))
+                stages.run(request(stage, before)) { releaseInputsOf(stage) }
+            }
         }
         if (answer.failure == null) {
             held[stage] = answer.results
@@ -82,6 +88,18 @@
         )
     }
 
+    /**
+     * A stage with large results whose own way is short waits, so that the results do not take memory at their worker
+     * until the longer way is done.
+     */
+    private fun headStartMs(stage: Int): Long {
+        val alone = specs[stage].after.isEmpty() && stage in context.route.finalStages
+        val limits = context.table.service(specs[stage].service)?.pieces
+        if (!alone || limits == null || specs[stage].resultBytes < LARGE_RESULT_BYTES) return 0
+        val spareMs = expectedMs() - GENERATION_MS - expectedMs(stage, limits) * HEAD_START_MARGIN
+        return maxOf(0, spareMs.toLong())
+    }
+
     /** Time that the stages on the longest way and the first event take now, milliseconds. */
     fun expectedMs(): Double {
         val ends = DoubleArray(specs.size)
@@ -127,6 +145,9 @@
         /** Results from this size on are made in the zone where they are fetched; smaller ones cost less to move. */
         private const val LARGE_RESULT_BYTES = 100_000L
 
+        /** A waiting stage is begun this many times its expected time before the longest way ends. */
+        private const val HEAD_START_MARGIN = 1.5
+
         /** Time that the request's own service needs until its first event, milliseconds; a typical prompt. */
         private const val GENERATION_MS = 200L
 
--- a/gateway/src/main/kotlin/io/oriolehall/gateway/stages/StageMessages.kt
+++ b/gateway/src/main/kotlin/io/oriolehall/gateway/stages/StageMessages.kt
@@ -56,13 +56,14 @@
     /** The workers failed to compute it. */
     FAILED,
 
-    /** The asked instance does not own the queue. */
+    /** The asked instance does not own the queue, or not any more; the pieces that waited have not been computed. */
     NOT_OWNER,
 }
 
 /**
- * Results in the order of the pieces, or a failure.
+ * Results in the order of the pieces, or a failure; or, before that, the news that the inputs are no longer needed.
  *
+ * @property inputsFetched true when all pieces are being computed; results or a failure follow.
  * @property expectedMs time that another stage request would take now, milliseconds.
  */
 @Serializable
@@ -71,6 +72,7 @@
     @SerialName("f") val failure: StageFailure? = null,
     @SerialName("a") val retryAfterMs: Long = 0,
     @SerialName("e") val expectedMs: Long = 0,
+    @SerialName("i") val inputsFetched: Boolean = false,
 )
 
 /** Gives up results of a service's workers. */
--- a/gateway/src/main/kotlin/io/oriolehall/gateway/stages/StageOwner.kt
+++ b/gateway/src/main/kotlin/io/oriolehall/gateway/stages/StageOwner.kt
@@ -32,9 +32,10 @@
     private val scope: CoroutineScope,
     private val log: EventLog,
 ) {
-    private class Group(val request: StageRequest) {
+    private class Group(val request: StageRequest, val onInputsFetched: suspend () -> Unit) {
         val results = arrayOfNulls<StageResult>(request.pieces)
         val done = CompletableDeferred<StageAnswer>()
+        var waiting = request.pieces
         val complete: Boolean get() = results.all { it != null }
     }
 
@@ -45,12 +46,15 @@
     private var nextGroup = 0L
     private var wakeUp: Job? = null
 
-    /** Computes the pieces of [request] and waits for them. Cancelling the call drops those that still wait. */
-    suspend fun run(request: StageRequest): StageAnswer {
+    /**
+     * Computes the pieces of [request] and waits for them. Cancelling the call drops those that still wait.
+     * [onInputsFetched] is called once when all pieces are being computed: a worker fetches the inputs when it begins.
+     */
+    suspend fun run(request: StageRequest, onInputsFetched: suspend () -> Unit): StageAnswer {
         val nowMs = TrafficLoop.nowMs()
         refuse(request, nowMs)?.let { return it.copy(expectedMs = expectedMs()) }
         val id = nextGroup++
-        val group = Group(request)
+        val group = Group(request, onInputsFetched)
         groups[id] = group
         queue.add(List(request.pieces) { work(request, it, id, nowMs) })
         try {
@@ -92,6 +96,12 @@
         release(group.results.filterNotNull())
     }
 
+    /** Gives the groups of which nothing has begun back to the instances that asked: another one owns the queue now. */
+    fun handOver() {
+        val idle = groups.filterValues { it.waiting == it.request.pieces }.keys.toList()
+        idle.forEach { fail(it, StageFailure.NOT_OWNER) }
+    }
+
     private fun fail(id: Long, failure: StageFailure) {
         val group = groups.remove(id) ?: return
         group.done.complete(StageAnswer(failure = failure))
@@ -113,11 +123,30 @@
         while (true) {
             val call = queue.next(usable, TrafficLoop.nowMs()) ?: break
             val expectedEndMs = call.worker.began(call, TrafficLoop.nowMs())
+            noteStarted(call)
             scope.launch { perform(call, expectedEndMs) }
         }
         if (queue.size > 0) wakeLater()
     }
 
+    private fun noteStarted(call: PlannedCall) {
+        for (piece in call.pieces) {
+            val group = groups[piece.group] ?: continue
+            group.waiting--
+            if (group.waiting > 0 || group.request.inputs.isEmpty()) continue
+            scope.launch {
+                delay(FETCH_MS)
+                if (groups[piece.group] === group && group.waiting == 0) group.onInputsFetched()
+            }
+        }
+    }
+
+    private fun requeue(piece: PieceWork) {
+        val group = groups[piece.group] ?: return
+        group.waiting++
+        queue.add(listOf(piece))
+    }
+
     /** Looks again soon: a worker that was left out may be tried, and pieces may run out of time. */
     private fun wakeLater() {
         if (wakeUp?.isActive == true) return
@@ -144,7 +173,7 @@
 
             is StageCallAnswer.Declined -> {
                 worker.health.overloaded(nowMs)
-                queue.add(call.pieces.filter { it.group in groups })
+                call.pieces.forEach(::requeue)
             }
 
             is StageCallAnswer.Broken -> {
@@ -181,7 +210,7 @@
 
             PieceOutcome.NoRoom -> {
                 worker.lacksRoom(nowMs)
-                if (piece.group in groups) queue.add(listOf(piece))
+                requeue(piece)
             }
         }
     }
@@ -206,7 +235,7 @@
             fail(piece.group, StageFailure.FAILED)
             return
         }
-        if (piece.group in groups) queue.add(listOf(piece))
+        requeue(piece)
     }
 
     /** Frees [results] at their workers, a few at a time. */
@@ -243,6 +272,9 @@
         const val TIMEOUT_FACTOR = 2.5
         const val TIMEOUT_SLACK_MS = 300L
         const val MAX_FAILURES = 2
+
+        /** Time in which a worker that begins a call has fetched its inputs, milliseconds; a few MB at some Gbit/s. */
+        const val FETCH_MS = 60L
         const val COLLECT_RELEASES_MS = 10L
     }
 }
--- a/gateway/src/main/kotlin/io/oriolehall/gateway/stages/StageService.kt
+++ b/gateway/src/main/kotlin/io/oriolehall/gateway/stages/StageService.kt
@@ -36,33 +36,58 @@
 
     /** Answers the requests of other instances. */
     fun start(server: PeerServer) {
-        server.answer(StageChannels.RUN) { request ->
-            withContext(scope.coroutineContext.minusJob()) { runHere(request) }
+        server.serve(StageChannels.RUN) { request, emit ->
+            val answer = withContext(scope.coroutineContext.minusJob()) {
+                if (owns(request.service)) {
+                    runHere(request) { emit(StageAnswer(inputsFetched = true)) }
+                } else {
+                    StageAnswer(failure = StageFailure.NOT_OWNER)
+                }
+            }
+            emit(answer)
         }
         server.answer(StageChannels.RELEASE) { release ->
             withContext(scope.coroutineContext.minusJob()) { releaseHere(release) }
         }
     }
 
-    /** Computes the pieces of [request] at the owner of the queue. */
-    suspend fun run(request: StageRequest): StageAnswer =
-        runAtOwner(request).also { loads.note(request.service, it.expectedMs) }
-
-    private suspend fun runAtOwner(request: StageRequest): StageAnswer {
-        val owner = ownerOf(request.service)
-        if (owner == null || owner.id == self) return runHere(request)
+    /**
+     * Computes the pieces of [request] at the owner of the queue; when the queue changes its owner, at the new one.
+     * [onInputsFetched] is called when the inputs are no longer needed.
+     */
+    suspend fun run(request: StageRequest, onInputsFetched: () -> Unit): StageAnswer {
         val startMs = TrafficLoop.nowMs()
-        val answer = peers.call(owner.address, StageChannels.RUN, request, request.deadlineInMs)
-        if (answer.isOk && answer.value.failure != StageFailure.NOT_OWNER) return answer.value
-        val elapsedMs = TrafficLoop.nowMs() - startMs
-        return runHere(
-            request.copy(
-                objectiveInMs = request.objectiveInMs - elapsedMs,
-                deadlineInMs = request.deadlineInMs - elapsedMs,
-            ),
-        )
+        var asked: InstanceId? = null
+        repeat(MAX_OWNERS) {
+            val owner = ownerOf(request.service)
+            if (owner == null || owner.id == self || owner.id == asked) return@repeat
+            asked = owner.id
+            val answer = ask(owner, request.after(TrafficLoop.nowMs() - startMs), onInputsFetched)
+            if (answer != null) return answer
+        }
+        val answer = runHere(request.after(TrafficLoop.nowMs() - startMs), onInputsFetched)
+        return answer.also { loads.note(request.service, it.expectedMs) }
+    }
+
+    /** The answer of [owner]; null when it cannot be reached or does not own the queue. */
+    private suspend fun ask(owner: Member, request: StageRequest, onInputsFetched: () -> Unit): StageAnswer? {
+        var answer: StageAnswer? = null
+        peers.stream(owner.address, StageChannels.RUN, request, maxOf(1, request.deadlineInMs)) { item ->
+            if (item.inputsFetched) onInputsFetched() else answer = item
+        }
+        val last = answer?.takeIf { it.failure != StageFailure.NOT_OWNER }
+        if (last != null) loads.note(request.service, last.expectedMs)
+        return last
     }
 
+    private fun StageRequest.after(elapsedMs: Long) =
+        copy(objectiveInMs = objectiveInMs - elapsedMs, deadlineInMs = deadlineInMs - elapsedMs)
+
+    private fun owns(service: String): Boolean = ownerOf(service)?.let { it.id == self } ?: true
+
+    /** Gives waiting pieces back where another instance owns the queue now. */
+    fun handOver() = owned.forEach { (service, owner) -> if (!owns(service)) owner.handOver() }
+
     /** Frees [results] of [service]; nobody waits for it. */
     fun release(service: String, results: List<StageResult>) {
         if (results.isEmpty()) return
@@ -83,8 +108,8 @@
         return Rendezvous.ranked("stage queue $service", members.keys).firstOrNull()?.let(members::get)
     }
 
-    private suspend fun runHere(request: StageRequest): StageAnswer =
-        owner(request.service)?.run(request) ?: StageAnswer(failure = StageFailure.NO_WORKER)
+    private suspend fun runHere(request: StageRequest, onInputsFetched: suspend () -> Unit): StageAnswer =
+        owner(request.service)?.run(request, onInputsFetched) ?: StageAnswer(failure = StageFailure.NO_WORKER)
 
     private fun releaseHere(release: StageRelease): StageReleased {
         owner(release.service)?.release(release.results)
@@ -101,5 +126,8 @@
 
     private companion object {
         const val RELEASE_TIMEOUT_MS = 500L
+
+        /** Owners that are asked for one stage before this instance runs it itself. */
+        const val MAX_OWNERS = 2
     }
 }
--- a/runtime/src/main/kotlin/io/oriolehall/runtime/Event.kt
+++ b/runtime/src/main/kotlin/io/oriolehall/runtime/Event.kt
@@ -53,7 +53,7 @@
     STREAM_RESUMED(408, EventLevel.INFO, "stream continues at another endpoint"),
     STREAM_BROKEN_OFF(409, EventLevel.INFO, "stream broken off"),
     CALLER_LEFT(410, EventLevel.DEBUG, "caller left before the answer"),
-    STAGE_CALL_ENDED(411, EventLevel.DEBUG, "stage call ended"),
+    STAGE_CALL_ENDED(411, EventLevel.INFO, "stage call ended"),
     STAGE_CALL_FAILED(412, EventLevel.INFO, "stage call failed"),
     STAGE_FAILED(413, EventLevel.INFO, "stage of a request failed"),
     KEY_HOLDER_SILENT(451, EventLevel.WARN, "holder of an idempotency key did not answer"),
