--- a/dispatch/src/main/kotlin/io/oriolehall/dispatch/admission/StageAdmission.kt
+++ b/dispatch/src/main/kotlin/io/oriolehall/dispatch/admission/StageAdmission.kt
@@ -42,12 +42,12 @@
         const val DEADLINE_SHARE = 0.8
 
         /** Expected time relative to the objective at which the most urgent requests begin to be refused. */
-        const val FIRST_REFUSALS_AT = 1.3
-        const val RANK_STEP = 0.2
+        const val FIRST_REFUSALS_AT = 1.1
+        const val RANK_STEP = 0.1
         const val LOWEST_RANK = 2
 
         /** From the first refusals to refusing all of a rank, relative to the objective. */
-        const val REFUSAL_SPAN = 0.4
+        const val REFUSAL_SPAN = 0.5
         const val MIN_RETRY_MS = 200.0
         const val MAX_RETRY_MS = 2_000.0
     }
--- a/dispatch/src/main/kotlin/io/oriolehall/dispatch/stages/StageQueue.kt
+++ b/dispatch/src/main/kotlin/io/oriolehall/dispatch/stages/StageQueue.kt
@@ -8,7 +8,7 @@
  * a large fixed cost, so a worker never gets more than one call at a time and takes as many pieces as fit: under little
  * load a piece starts at once, and under much load calls are full, without a timer.
  *
- * Order: pieces that continue a request go by their due time, late ones too, because their inputs take memory at other
+ * Order: pieces that continue a request go as they came, late ones too, because their inputs take memory at other
  * workers until they are done. Pieces that begin a request go by due time and priority as long as they can be on time;
  * late ones take what is left. Pieces of one stage of one request stay together where they fit, and large results are
  * made in the zone where they are fetched unless that takes too long.
@@ -18,6 +18,8 @@
  */
 class StageQueue(private val limits: PieceLimits) {
     private val waiting = mutableListOf<PieceWork>()
+    private var recentMs = 0.0
+    private var recentAtMs = 0L
 
     val size: Int get() = waiting.size
 
@@ -65,14 +67,22 @@
         return untilFreeMs + batchesMs + usable.minOf { it.expectedMs(minOf(limits.batch, ahead + pieces)) }
     }
 
+    /** Notes that a group has taken [tookMs] from its arrival to its last result. */
+    fun completed(tookMs: Long, nowMs: Long) {
+        recentMs =
+            if (nowMs - recentAtMs > RECENT_MS) tookMs.toDouble() else recentMs + (tookMs - recentMs) * RECENT_STEP
+        recentAtMs = nowMs
+    }
+
     /**
-     * Time that a group would take now, milliseconds: the estimate, or what the oldest waiting piece has taken already
-     * where memory for results holds it up.
+     * Time that a group would take now, milliseconds: the highest of the estimate, of what groups took lately, and of
+     * what the oldest waiting piece has taken already where memory for results holds it up.
      */
     fun expectedMs(workers: Collection<StageWorker>, nowMs: Long): Double {
         val oldestMs = waiting.minOfOrNull(PieceWork::arrivedAtMs)?.let { nowMs - it } ?: 0
         val callMs = limits.callMs + limits.batch * limits.pieceMs
-        return maxOf(estimateMs(workers, 1, nowMs), if (oldestMs > 0) oldestMs + callMs else 0.0)
+        val seenMs = if (nowMs - recentAtMs <= RECENT_MS) recentMs else 0.0
+        return maxOf(estimateMs(workers, 1, nowMs), seenMs, if (oldestMs > 0) oldestMs + callMs else 0.0)
     }
 
     private fun isBacklogged(workers: Collection<StageWorker>): Boolean = waiting.size > limits.batch * workers.size
@@ -101,15 +111,17 @@
     private fun isLate(piece: PieceWork, doneAtMs: Double): Boolean =
         piece.input is PieceInput.Key && piece.objectiveAtMs < doneAtMs
 
-    private fun virtualDueMs(piece: PieceWork): Long {
-        val rank = if (piece.input is PieceInput.Key) piece.priority else 0
-        return piece.objectiveAtMs + rank * PRIORITY_STEP_MS
+    private fun virtualDueMs(piece: PieceWork): Long = when (piece.input) {
+        is PieceInput.Key -> piece.objectiveAtMs + piece.priority * PRIORITY_STEP_MS
+        is PieceInput.Results -> piece.arrivedAtMs
     }
 
     /** A piece waits a little for a worker of the zone where its result is fetched. */
     private fun mayRunIn(zone: ZoneId, piece: PieceWork, zones: Set<ZoneId>, nowMs: Long): Boolean {
         val preferred = piece.preferredZone ?: return true
-        return preferred == zone || preferred !in zones || nowMs - piece.arrivedAtMs >= ZONE_PATIENCE_MS
+        if (preferred == zone || preferred !in zones) return true
+        val spareMs = piece.objectiveAtMs - nowMs - limits.callMs - limits.batch * limits.pieceMs
+        return nowMs - piece.arrivedAtMs >= minOf(ZONE_PATIENCE_MS, spareMs.toLong() / 2)
     }
 
     private companion object {
@@ -119,6 +131,10 @@
         /** Time by which a rank of priority moves a piece's due time, milliseconds: about one call. */
         const val PRIORITY_STEP_MS = 400L
 
+        /** Groups that ended longer ago than this say nothing about now, milliseconds: about two calls. */
+        const val RECENT_MS = 1_000L
+        const val RECENT_STEP = 0.15
+
         /** Longest wait for a worker of the preferred zone, milliseconds: about half a call. */
         const val ZONE_PATIENCE_MS = 200L
     }
--- a/gateway/src/main/kotlin/io/oriolehall/gateway/SelfCheck.kt
+++ b/gateway/src/main/kotlin/io/oriolehall/gateway/SelfCheck.kt
@@ -96,7 +96,9 @@
     )
 
     private suspend fun answer(request: CallerRequest, responder: Responder) {
-        val headers = DefaultHttpHeaders().set(wire.headers.attemptId, request.headers.get(wire.headers.attemptId))
+        val headers = DefaultHttpHeaders()
+            .set(wire.headers.attemptId, request.headers.get(wire.headers.attemptId))
+            .set(wire.headers.signature, "self-check")
         if (request.uri.startsWith("/plain/")) {
             responder.full(OK, headers, "answer".encodeToByteArray())
             return
--- a/gateway/src/main/kotlin/io/oriolehall/gateway/requests/Attempt.kt
+++ b/gateway/src/main/kotlin/io/oriolehall/gateway/requests/Attempt.kt
@@ -26,10 +26,6 @@
     private var startedAtMs = 0L
     private var ranBefore = false
 
-    /** When the head of the answer arrived, milliseconds after the send; null before. */
-    var headAfterMs: Long? = null
-        private set
-
     /**
      * Sends the request with [inputs] and passes the answer on.
      *
@@ -68,16 +64,19 @@
             withTimeoutOrNull(headTimeoutMs) { connection.receive() } ?: return silent(headTimeoutMs)
         }
         val head = first as? UpstreamEvent.Head ?: return lost((first as? UpstreamEvent.Broken)?.reason ?: "no head")
-        headAfterMs = TrafficLoop.nowMs() - startedAtMs
-        if (head.headers.contains(wire.headers.notExecuted) ||
-            head.status == MISDIRECTED
-        ) {
-            return declined(connection, head)
+        val declined = head.headers.contains(wire.headers.notExecuted) || head.status == MISDIRECTED
+        return if (declined) decline(connection, head) else passOn(connection, head)
+    }
+
+    /** An answer that names another request, or a success without a signature, is not this endpoint's whole answer. */
+    private suspend fun passOn(connection: UpstreamConnection, head: UpstreamEvent.Head): AttemptOutcome {
+        val success = head.status in SUCCESS
+        return when {
+            head.headers.get(wire.headers.attemptId) != context.attemptId -> lost("not the answer to this request")
+            success && !head.headers.contains(wire.headers.signature) -> lost("answer not signed")
+            success && isEvents(head) -> relayEvents(connection, head)
+            else -> relayWhole(connection, head)
         }
-        val echoed = head.headers.get(wire.headers.attemptId)
-        if (echoed != null && echoed != context.attemptId) return lost("answer to another request")
-        val streamed = head.status in SUCCESS && isEvents(head)
-        return if (streamed) relayEvents(connection, head) else relayWhole(connection, head)
     }
 
     private fun silent(ms: Long): AttemptOutcome {
@@ -93,7 +92,7 @@
     private fun isEvents(head: UpstreamEvent.Head): Boolean =
         head.headers.get("Content-Type").orEmpty().startsWith("text/event-stream")
 
-    private suspend fun declined(connection: UpstreamConnection, head: UpstreamEvent.Head): AttemptOutcome {
+    private suspend fun decline(connection: UpstreamConnection, head: UpstreamEvent.Head): AttemptOutcome {
         context.mayHaveRun = ranBefore
         readBody(connection)
         if (head.status == UNAVAILABLE) pool.health.overloaded(TrafficLoop.nowMs())
--- a/gateway/src/main/kotlin/io/oriolehall/gateway/stages/StageOwner.kt
+++ b/gateway/src/main/kotlin/io/oriolehall/gateway/stages/StageOwner.kt
@@ -35,6 +35,7 @@
     private class Group(val request: StageRequest, val onInputsFetched: suspend () -> Unit) {
         val results = arrayOfNulls<StageResult>(request.pieces)
         val done = CompletableDeferred<StageAnswer>()
+        val arrivedAtMs = TrafficLoop.nowMs()
         var waiting = request.pieces
         val complete: Boolean get() = results.all { it != null }
     }
@@ -226,6 +227,7 @@
         group.results[piece.piece] = result
         if (!group.complete) return
         groups.remove(piece.group)
+        queue.completed(nowMs - group.arrivedAtMs, nowMs)
         if (!group.done.complete(StageAnswer(group.results.filterNotNull()))) release(group.results.filterNotNull())
     }
 
--- a/gateway/src/main/kotlin/io/oriolehall/gateway/wire/WireProtocol.kt
+++ b/gateway/src/main/kotlin/io/oriolehall/gateway/wire/WireProtocol.kt
@@ -17,6 +17,8 @@
     val organisation: String,
     /** Name of the endpoint for which a request is meant; another one declines it. */
     val expectedEndpoint: String,
+    /** Signature that endpoints put on each answer; one without it was cut in its head. */
+    val signature: String,
     /** Present when the endpoint did not run the request. */
     val notExecuted: String,
     /** Parts of the prompt in order, each as an identifier and a number of tokens. */
--- /dev/null
+++ b/gateway/src/test/kotlin/io/oriolehall/gateway/path/GatewayPathTest.kt
@@ -0,0 +1,188 @@
+package io.oriolehall.gateway.path
+
+import io.oriolehall.gateway.path.GatewayUnderTest.Companion.KEYED
+import org.junit.jupiter.api.Test
+import strikt.api.expectThat
+import strikt.assertions.contains
+import strikt.assertions.doesNotContain
+import strikt.assertions.endsWith
+import strikt.assertions.isEqualTo
+import strikt.assertions.isFalse
+import strikt.assertions.startsWith
+import java.util.concurrent.CopyOnWriteArrayList
+import java.util.concurrent.TimeUnit
+
+class GatewayPathTest {
+    private fun waitUntil(condition: () -> Boolean) {
+        val endNanos = System.nanoTime() + TimeUnit.SECONDS.toNanos(8)
+        while (!condition()) {
+            check(System.nanoTime() < endNanos) { "the condition did not come true within 8 s" }
+            Thread.sleep(5)
+        }
+    }
+
+    private fun GatewayUnderTest.ready(): GatewayUnderTest = apply {
+        waitUntil { request("/none/").startsWith("HTTP/1.1 404") }
+    }
+
+    private fun served(vararg endpoints: ScriptedEndpoint, test: GatewayUnderTest.() -> Unit) {
+        GatewayUnderTest(endpoints.toList()).use { it.ready().test() }
+        endpoints.forEach(ScriptedEndpoint::close)
+    }
+
+    @Test
+    fun `a request that runs at most once is not sent again after a reset, and is not said to have not run`() {
+        val endpoints = List(2) { ScriptedEndpoint { reset() } }
+        served(*endpoints.toTypedArray()) {
+            expectThat(request("/once/x")).startsWith("HTTP/1.1 502")
+            expectThat(endpoints.sumOf { it.requests }).isEqualTo(1)
+        }
+    }
+
+    @Test
+    fun `a request that its endpoint declined goes to another one`() {
+        val declines = ScriptedEndpoint { answer("503 Service Unavailable", "", "N: 1\r\n") }
+        val serves = ScriptedEndpoint { answer() }
+        served(declines, serves) {
+            repeat(5) { expectThat(request("/once/x")).startsWith("HTTP/1.1 200").endsWith("body") }
+        }
+    }
+
+    @Test
+    fun `an idempotent request is sent again after a reset`() {
+        val breaks = ScriptedEndpoint { reset() }
+        val serves = ScriptedEndpoint { answer() }
+        served(breaks, serves) {
+            repeat(5) { expectThat(request("/plain/x")).startsWith("HTTP/1.1 200") }
+        }
+    }
+
+    /** Found by the bench: a worker crashed while it wrote its head, which ended before the signature. */
+    @Test
+    fun `a success without a signature is not passed on`() {
+        served(ScriptedEndpoint { answer(extra = "") }) {
+            expectThat(request("/once/x")).startsWith("HTTP/1.1 502")
+        }
+    }
+
+    @Test
+    fun `the answer to another request is not passed on`() {
+        val other = ScriptedEndpoint { write("HTTP/1.1 200 OK\r\nA: other\r\nS: 1\r\nContent-Length: 1\r\n\r\nx") }
+        served(other) { expectThat(request("/once/x")).startsWith("HTTP/1.1 502") }
+    }
+
+    @Test
+    fun `a connection on which more than the answer came is not used again`() {
+        val ports = CopyOnWriteArrayList<Int>()
+        val endpoint = ScriptedEndpoint {
+            ports += socket.port
+            answer()
+            write("HTTP/1.1 200 OK\r\nA: r1\r\nS: 1\r\nContent-Length: 5\r\n\r\nwrong")
+        }
+        served(endpoint) {
+            repeat(5) { expectThat(request("/once/x")).endsWith("body") }
+            expectThat(ports.distinct().size).isEqualTo(5)
+        }
+    }
+
+    @Test
+    fun `an answer that is cut short is not passed on`() {
+        val cuts = ScriptedEndpoint {
+            write("HTTP/1.1 200 OK\r\nA: r1\r\nS: 1\r\nContent-Length: 9\r\n\r\nhalf")
+            socket.close()
+        }
+        served(cuts) {
+            val answer = request("/once/x")
+            expectThat(answer).startsWith("HTTP/1.1 502")
+            expectThat("half" in answer).isFalse()
+        }
+    }
+
+    @Test
+    fun `a stream that breaks inside an event continues at another endpoint after the last whole one`() {
+        val breaks = ScriptedEndpoint {
+            write(
+                "HTTP/1.1 200 OK\r\nA: r1\r\nS: first\r\nContent-Type: text/event-stream\r\nConnection: close\r\n\r\n",
+            )
+            write("id: 1\ndata: a\n\nid: 2\ndata: lo")
+            Thread.sleep(100)
+            reset()
+        }
+        val resumed = CopyOnWriteArrayList<String>()
+        val serves = ScriptedEndpoint {
+            val after = header("L")?.toInt() ?: 0
+            resumed += after.toString()
+            val events = (after + 1..3).joinToString("") { "id: $it\ndata: whole\n\n" }
+            answer(body = events, extra = "S: second\r\nContent-Type: text/event-stream\r\n")
+        }
+        served(breaks, serves) {
+            repeat(4) {
+                val answer = request("/events/x")
+                expectThat(answer).startsWith("HTTP/1.1 200").endsWith("0\r\n\r\n")
+                expectThat("data: lo" in answer).isFalse()
+                expectThat(Regex("id: (\\d)").findAll(answer).map { it.groupValues[1] }.toList())
+                    .isEqualTo(listOf("1", "2", "3"))
+            }
+        }
+    }
+
+    @Test
+    fun `work is cancelled when the caller leaves`() {
+        val silent = ScriptedEndpoint { socket.getInputStream().read() }
+        served(silent) {
+            val caller = open("/once/x")
+            waitUntil { silent.requests == 1 }
+            caller.close()
+            waitUntil { silent.openConnections == 0 }
+        }
+    }
+
+    @Test
+    fun `a request without an answer is ended at its deadline, without a promise`() {
+        served(ScriptedEndpoint { Thread.sleep(10_000) }) {
+            expectThat(request("/once/x", deadlineMs = 300)).startsWith("HTTP/1.1 504")
+        }
+    }
+
+    @Test
+    fun `headers that only the gateway may set are not passed on, nor is the key`() {
+        val heads = CopyOnWriteArrayList<List<String>>()
+        val endpoint = ScriptedEndpoint {
+            heads += head
+            answer()
+        }
+        GatewayUnderTest(listOf(endpoint), organisations = KEYED).use {
+            it.ready().request("/once/x", headers = "Authorization: Bearer k\r\nO: forged\r\nU: 0\r\nI: h\r\n")
+        }
+        val names = heads.single().drop(1).map { it.substringBefore(':').lowercase() }
+        expectThat(names).doesNotContain("authorization", "u", "i")
+        expectThat(heads.single()).contains("O: o")
+    }
+
+    @Test
+    fun `keyed requests are refused once the configuration can no longer be confirmed`() {
+        val endpoint = ScriptedEndpoint { answer() }
+        var away = false
+        GatewayUnderTest(listOf(endpoint), 1_000, KEYED, storeAnswers = { !away }).use { gateway ->
+            gateway.ready()
+            val key = "Authorization: Bearer k\r\n"
+            expectThat(gateway.request("/once/x", headers = key)).startsWith("HTTP/1.1 200")
+            expectThat(gateway.request("/once/x", headers = "")).startsWith("HTTP/1.1 401")
+            away = true
+            waitUntil { gateway.request("/once/x", headers = key).startsWith("HTTP/1.1 503") }
+            val before = endpoint.requests
+            expectThat(gateway.request("/once/x", headers = key)).startsWith("HTTP/1.1 503")
+            expectThat(endpoint.requests).isEqualTo(before)
+        }
+        endpoint.close()
+    }
+
+    @Test
+    fun `a request with two framings is rejected, so that nothing can be smuggled`() {
+        val endpoint = ScriptedEndpoint { answer() }
+        served(endpoint) {
+            expectThat(request("/once/x", headers = "Transfer-Encoding: chunked\r\n")).startsWith("HTTP/1.1 400")
+            expectThat(endpoint.requests).isEqualTo(0)
+        }
+    }
+}
--- /dev/null
+++ b/gateway/src/test/kotlin/io/oriolehall/gateway/path/GatewayUnderTest.kt
@@ -0,0 +1,155 @@
+package io.oriolehall.gateway.path
+
+import com.github.michaelbull.result.Err
+import com.github.michaelbull.result.Ok
+import io.oriolehall.dispatch.config.CallerLimits
+import io.oriolehall.dispatch.config.Organisation
+import io.oriolehall.dispatch.config.Route
+import io.oriolehall.dispatch.config.RouteKind
+import io.oriolehall.dispatch.config.RouteTarget
+import io.oriolehall.dispatch.config.Service
+import io.oriolehall.dispatch.config.ServingConfig
+import io.oriolehall.dispatch.endpoints.EndpointRecord
+import io.oriolehall.dispatch.stages.PieceWork
+import io.oriolehall.gateway.Bounds
+import io.oriolehall.gateway.Gateway
+import io.oriolehall.gateway.GatewaySettings
+import io.oriolehall.gateway.feed.FeedChanges
+import io.oriolehall.gateway.feed.FeedFailure
+import io.oriolehall.gateway.feed.FeedSnapshot
+import io.oriolehall.gateway.feed.PlatformFeed
+import io.oriolehall.gateway.wire.HeaderNames
+import io.oriolehall.gateway.wire.PieceOutcome
+import io.oriolehall.gateway.wire.StageCalls
+import io.oriolehall.gateway.wire.WireProtocol
+import io.oriolehall.model.EndpointId
+import io.oriolehall.model.Instance
+import io.oriolehall.model.InstanceId
+import io.oriolehall.model.NetworkAddress
+import io.oriolehall.model.OrganisationId
+import io.oriolehall.model.ZoneId
+import io.oriolehall.runtime.EventLog
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.runBlocking
+import java.net.Socket
+
+/** A gateway on loopback with routes `/plain/`, `/once/` and `/events/` to the given endpoints. */
+internal class GatewayUnderTest(
+    private val endpoints: List<ScriptedEndpoint>,
+    private val keyTrustMs: Long? = null,
+    private val organisations: List<Organisation> = emptyList(),
+    private val storeAnswers: () -> Boolean = { true },
+) : AutoCloseable {
+    private val gateway = Gateway(settings(), WIRE, EventLog { _, _ -> }) { _ -> Feed() }
+    val callers: NetworkAddress = runBlocking { gateway.start() }
+
+    /** The whole answer to one request on a connection of its own, as text; it may break off. */
+    fun request(path: String, deadlineMs: Long = 5_000, headers: String = ""): String =
+        open(path, deadlineMs, headers).use { socket ->
+            runCatching { socket.getInputStream().readAllBytes().decodeToString() }.getOrElse { "broken: $it" }
+        }
+
+    /** Sends a request and leaves the connection open. */
+    fun open(path: String, deadlineMs: Long = 5_000, headers: String = ""): Socket {
+        val socket = Socket(callers.host, callers.port)
+        socket.soTimeout = READ_TIMEOUT_MS
+        val text = "POST $path HTTP/1.1\r\nHost: h\r\nA: r1\r\nD: $deadlineMs\r\n$headers" +
+            "Connection: close\r\nContent-Length: 2\r\n\r\nhi"
+        socket.getOutputStream().write(text.encodeToByteArray())
+        return socket
+    }
+
+    private fun settings() = GatewaySettings(
+        instance = Instance(InstanceId("i"), ZoneId("z"), NetworkAddress("127.0.0.1", 0)),
+        callers = NetworkAddress("127.0.0.1", 0),
+        readiness = NetworkAddress("127.0.0.1", 0),
+        seeds = emptyList(),
+        bounds = Bounds(
+            stopMs = 1_000,
+            keyTrustMs = keyTrustMs,
+            repeatRatio = 10.0,
+            repeatAllowance = 100.0,
+            repeatWindowMs = 10_000,
+            coldFactor = 1.0,
+            coldSlack = 0.0,
+        ),
+    )
+
+    private fun snapshot(): FeedSnapshot {
+        val routes = listOf(
+            route("/plain/", RouteKind.IDEMPOTENT),
+            route("/once/", RouteKind.AT_MOST_ONCE),
+            route("/events/", RouteKind.STREAMING),
+        )
+        val services = listOf(Service("s", "/", maxConnections = 0, coldPerSecond = 0.0))
+        val config = ServingConfig(1, routes, services, CallerLimits(), organisations)
+        val records = endpoints.mapIndexed { i, endpoint ->
+            EndpointRecord(EndpointId("e$i"), 1, "s", endpoint.address, ZoneId("z"), 1, draining = false, coldForMs = 0)
+        }
+        return FeedSnapshot(1, 1, config, records, emptyList())
+    }
+
+    private fun route(prefix: String, kind: RouteKind) = Route(
+        name = prefix,
+        host = "h",
+        prefix = prefix,
+        kind = kind,
+        timeoutMs = 5_000,
+        objectiveMs = 1_000,
+        priority = 0,
+        targets = listOf(RouteTarget("s", 1)),
+        maxAttempts = 2,
+        resumable = kind == RouteKind.STREAMING,
+    )
+
+    private inner class Feed : PlatformFeed {
+        override suspend fun snapshot() = Ok(this@GatewayUnderTest.snapshot())
+
+        override suspend fun changes(revision: Long, waitMs: Long) = if (storeAnswers()) {
+            delay(waitMs)
+            Ok(FeedChanges(revision, emptyList()))
+        } else {
+            delay(RETRY_MS)
+            Err(FeedFailure.Unavailable("away"))
+        }
+    }
+
+    override fun close() = gateway.close()
+
+    companion object {
+        const val READ_TIMEOUT_MS = 8_000
+        const val RETRY_MS = 20L
+        val KEYED = listOf(Organisation(OrganisationId("o"), listOf("k")))
+
+        private val WIRE = WireProtocol(
+            HeaderNames(
+                attemptId = "A",
+                deadlineMs = "D",
+                organisation = "O",
+                expectedEndpoint = "E",
+                signature = "S",
+                notExecuted = "N",
+                promptParts = "P",
+                pieceCounts = "C",
+                pieceKey = "K",
+                inputs = "I",
+                requestPriority = "U",
+                lastEventId = "L",
+                reserved = setOf("U"),
+            ),
+            object : StageCalls {
+                override val runPath = "/run"
+                override val freePath = "/free"
+                override val contentType = "text/plain"
+
+                override fun encodeRun(pieces: List<PieceWork>, nowMs: Long) = ByteArray(0)
+
+                override fun decodeRun(body: ByteArray): List<PieceOutcome>? = null
+
+                override fun encodeFree(handles: List<String>) = ByteArray(0)
+            },
+            keyScheme = "Bearer",
+            readyPath = "/ready",
+        )
+    }
+}
--- /dev/null
+++ b/gateway/src/test/kotlin/io/oriolehall/gateway/path/ScriptedEndpoint.kt
@@ -0,0 +1,85 @@
+package io.oriolehall.gateway.path
+
+import io.oriolehall.model.NetworkAddress
+import java.io.BufferedReader
+import java.io.OutputStream
+import java.net.InetAddress
+import java.net.ServerSocket
+import java.net.Socket
+import java.util.concurrent.CopyOnWriteArrayList
+import java.util.concurrent.atomic.AtomicInteger
+import kotlin.concurrent.thread
+
+/**
+ * An endpoint on a loopback socket that does to each request what [script] says, byte by byte. It counts the requests
+ * that it has read.
+ */
+internal class ScriptedEndpoint(private val script: Exchange.() -> Unit) : AutoCloseable {
+    /** One request as read, and the raw connection to answer on. */
+    class Exchange(val socket: Socket, val head: List<String>, val number: Int) {
+        private val output: OutputStream = socket.getOutputStream()
+
+        fun header(name: String): String? = head.firstOrNull { it.startsWith("$name: ", ignoreCase = true) }
+            ?.substringAfter(": ")
+
+        fun write(text: String) {
+            output.write(text.encodeToByteArray())
+            output.flush()
+        }
+
+        /** A whole answer that repeats the request's identifier. */
+        fun answer(status: String = "200 OK", body: String = "body", extra: String = "S: 1\r\n") = write(
+            "HTTP/1.1 $status\r\nA: ${header("A")}\r\n${extra}Content-Length: ${body.length}\r\n\r\n$body",
+        )
+
+        /** Ends the connection with a reset. */
+        fun reset() {
+            socket.setSoLinger(true, 0)
+            socket.close()
+        }
+    }
+
+    private val server = ServerSocket(0, BACKLOG, InetAddress.getByName("127.0.0.1"))
+    private val sockets = CopyOnWriteArrayList<Socket>()
+    private val count = AtomicInteger()
+
+    val address = NetworkAddress("127.0.0.1", server.localPort)
+    val requests: Int get() = count.get()
+    val openConnections: Int get() = sockets.count { !it.isClosed }
+
+    init {
+        thread(isDaemon = true) {
+            runCatching {
+                while (true) {
+                    val socket = server.accept()
+                    sockets += socket
+                    thread(isDaemon = true) { runCatching { serve(socket) }.also { socket.close() } }
+                }
+            }
+        }
+    }
+
+    private fun serve(socket: Socket) {
+        val input = socket.getInputStream().bufferedReader(Charsets.ISO_8859_1)
+        while (true) {
+            val head = generateSequence { input.readLine() }.takeWhile(String::isNotEmpty).toList()
+            if (head.isEmpty()) return
+            input.skipBody(head)
+            Exchange(socket, head, count.incrementAndGet()).script()
+        }
+    }
+
+    private fun BufferedReader.skipBody(head: List<String>) {
+        val length = head.firstOrNull { it.startsWith("content-length: ", ignoreCase = true) }
+        repeat(length?.substringAfter(": ")?.toInt() ?: 0) { read() }
+    }
+
+    override fun close() {
+        server.close()
+        sockets.forEach { it.close() }
+    }
+
+    private companion object {
+        const val BACKLOG = 50
+    }
+}
