What an instance runs because the owner is away is not given back; a connection made for a caller that left is closed

Test: StageOwnerTest.

By reading: a connection whose caller left between its making and its use stayed open and uncounted.

--- a/gateway/src/main/kotlin/io/oriolehall/gateway/stages/StageOwner.kt
+++ b/gateway/src/main/kotlin/io/oriolehall/gateway/stages/StageOwner.kt
@@ -32,7 +32,7 @@
     private val scope: CoroutineScope,
     private val log: EventLog,
 ) {
-    private class Group(val request: StageRequest, val onInputsFetched: suspend () -> Unit) {
+    private class Group(val request: StageRequest, val fallback: Boolean, val onInputsFetched: suspend () -> Unit) {
         val results = arrayOfNulls<StageResult>(request.pieces)
         val done = CompletableDeferred<StageAnswer>()
         val arrivedAtMs = TrafficLoop.nowMs()
@@ -49,13 +49,18 @@
 
     /**
      * Computes the pieces of [request] and waits for them. Cancelling the call drops those that still wait.
+     * [fallback] is true when this instance runs them although another one owns the queue and cannot be asked.
      * [onInputsFetched] is called once when all pieces are being computed: a worker fetches the inputs when it begins.
      */
-    suspend fun run(request: StageRequest, onInputsFetched: suspend () -> Unit): StageAnswer {
+    suspend fun run(
+        request: StageRequest,
+        fallback: Boolean = false,
+        onInputsFetched: suspend () -> Unit = {},
+    ): StageAnswer {
         val nowMs = TrafficLoop.nowMs()
         refuse(request, nowMs)?.let { return it.copy(expectedMs = expectedMs()) }
         val id = nextGroup++
-        val group = Group(request, onInputsFetched)
+        val group = Group(request, fallback, onInputsFetched)
         groups[id] = group
         queue.add(List(request.pieces) { work(request, it, id, nowMs) })
         try {
@@ -99,7 +104,7 @@
 
     /** Gives the groups of which nothing has begun back to the instances that asked: another one owns the queue now. */
     fun handOver() {
-        val idle = groups.filterValues { it.waiting == it.request.pieces }.keys.toList()
+        val idle = groups.filterValues { !it.fallback && it.waiting == it.request.pieces }.keys.toList()
         idle.forEach { fail(it, StageFailure.NOT_OWNER) }
     }
 
--- a/gateway/src/main/kotlin/io/oriolehall/gateway/stages/StageService.kt
+++ b/gateway/src/main/kotlin/io/oriolehall/gateway/stages/StageService.kt
@@ -109,7 +109,8 @@
     }
 
     private suspend fun runHere(request: StageRequest, onInputsFetched: suspend () -> Unit): StageAnswer =
-        owner(request.service)?.run(request, onInputsFetched) ?: StageAnswer(failure = StageFailure.NO_WORKER)
+        owner(request.service)?.run(request, fallback = !owns(request.service), onInputsFetched)
+            ?: StageAnswer(failure = StageFailure.NO_WORKER)
 
     private fun releaseHere(release: StageRelease): StageReleased {
         owner(release.service)?.release(release.results)
--- a/gateway/src/main/kotlin/io/oriolehall/gateway/upstream/Connector.kt
+++ b/gateway/src/main/kotlin/io/oriolehall/gateway/upstream/Connector.kt
@@ -14,7 +14,6 @@
 import io.oriolehall.model.NetworkAddress
 import jdk.net.ExtendedSocketOptions
 import kotlinx.coroutines.suspendCancellableCoroutine
-import kotlin.coroutines.resume
 
 /** No connection could be made; nothing was sent. */
 data class ConnectFailure(val address: NetworkAddress, val reason: String) {
@@ -49,7 +48,7 @@
         .option(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPCOUNT), PROBES)
 
     private suspend fun ChannelFuture.awaitCause(): Throwable? = suspendCancellableCoroutine { waiting ->
-        addListener { done -> waiting.resume(done.cause()) }
+        addListener { done -> waiting.resume(done.cause()) { _, _, _ -> channel().close() } }
         waiting.invokeOnCancellation {
             cancel(true)
             channel().close()
--- a/gateway/src/test/kotlin/io/oriolehall/gateway/path/GatewayUnderTest.kt
+++ b/gateway/src/test/kotlin/io/oriolehall/gateway/path/GatewayUnderTest.kt
@@ -121,22 +121,24 @@
         const val RETRY_MS = 20L
         val KEYED = listOf(Organisation(OrganisationId("o"), listOf("k")))
 
+        val HEADERS = HeaderNames(
+            attemptId = "A",
+            deadlineMs = "D",
+            organisation = "O",
+            expectedEndpoint = "E",
+            signature = "S",
+            notExecuted = "N",
+            promptParts = "P",
+            pieceCounts = "C",
+            pieceKey = "K",
+            inputs = "I",
+            requestPriority = "U",
+            lastEventId = "L",
+            reserved = setOf("U"),
+        )
+
         private val WIRE = WireProtocol(
-            HeaderNames(
-                attemptId = "A",
-                deadlineMs = "D",
-                organisation = "O",
-                expectedEndpoint = "E",
-                signature = "S",
-                notExecuted = "N",
-                promptParts = "P",
-                pieceCounts = "C",
-                pieceKey = "K",
-                inputs = "I",
-                requestPriority = "U",
-                lastEventId = "L",
-                reserved = setOf("U"),
-            ),
+            HEADERS,
             object : StageCalls {
                 override val runPath = "/run"
                 override val freePath = "/free"
--- /dev/null
+++ b/gateway/src/test/kotlin/io/oriolehall/gateway/stages/StageOwnerTest.kt
@@ -0,0 +1,88 @@
+package io.oriolehall.gateway.stages
+
+import io.oriolehall.dispatch.config.PieceLimits
+import io.oriolehall.dispatch.endpoints.EndpointRecord
+import io.oriolehall.dispatch.stages.PieceWork
+import io.oriolehall.gateway.TrafficLoop
+import io.oriolehall.gateway.path.GatewayUnderTest
+import io.oriolehall.gateway.path.ScriptedEndpoint
+import io.oriolehall.gateway.upstream.Connector
+import io.oriolehall.gateway.upstream.EndpointPools
+import io.oriolehall.gateway.wire.PieceOutcome
+import io.oriolehall.gateway.wire.StageCalls
+import io.oriolehall.gateway.wire.WireProtocol
+import io.oriolehall.model.EndpointId
+import io.oriolehall.model.ZoneId
+import io.oriolehall.runtime.EventLog
+import kotlinx.coroutines.CoroutineStart
+import kotlinx.coroutines.async
+import kotlinx.coroutines.runBlocking
+import kotlinx.coroutines.withContext
+import org.junit.jupiter.api.Test
+import strikt.api.expectThat
+import strikt.assertions.hasSize
+import strikt.assertions.isEqualTo
+import strikt.assertions.isNull
+import java.util.concurrent.CountDownLatch
+
+class StageOwnerTest {
+    private val log = EventLog { _, _ -> }
+    private val limits = PieceLimits(1, batch = 1, 2_000.0, 10.0, resultRoomBytes = 1_000, resultLifetimeMs = 4_000)
+
+    /** A call's body holds the number of its pieces, an answer's body is ignored. */
+    private object CountCalls : StageCalls {
+        override val runPath = "/run"
+        override val freePath = "/free"
+        override val contentType = "text/plain"
+
+        override fun encodeRun(pieces: List<PieceWork>, nowMs: Long) = "${pieces.size}".encodeToByteArray()
+
+        override fun decodeRun(body: ByteArray): List<PieceOutcome> = listOf(PieceOutcome.Done("h"))
+
+        override fun encodeFree(handles: List<String>) = ByteArray(0)
+    }
+
+    private fun request(id: String) = StageRequest(
+        service = "s",
+        requestId = id,
+        stage = 0,
+        pieces = 1,
+        key = "k",
+        resultBytes = 1,
+        objectiveInMs = 20_000,
+        deadlineInMs = 30_000,
+        priority = 0,
+    )
+
+    /** Found in incident inc-1449: what an instance ran because its owner was away was given back at once. */
+    @Test
+    fun `what waits is given back when the queue moves, but not what no other instance could be asked for`() {
+        val goOn = CountDownLatch(1)
+        val worker = ScriptedEndpoint {
+            if (number == 1) goOn.await()
+            answer(body = "x")
+        }
+        val loop = TrafficLoop(log)
+        val wire = WireProtocol(GatewayUnderTest.HEADERS, CountCalls, "Bearer", "/ready")
+        val record = EndpointRecord(EndpointId("w"), 1, "s", worker.address, ZoneId("z"), 1, false, 0)
+        val client = StageWorkerClient(EndpointPools(Connector(loop)), wire)
+        val owner = StageOwner("s", limits, { listOf(record) }, client, loop.scope, log)
+        val (begun, waiting, fallback) = runBlocking {
+            withContext(loop.dispatcher) {
+                val answers = listOf(
+                    async(start = CoroutineStart.UNDISPATCHED) { owner.run(request("begun")) },
+                    async(start = CoroutineStart.UNDISPATCHED) { owner.run(request("waiting")) },
+                    async(start = CoroutineStart.UNDISPATCHED) { owner.run(request("fallback"), fallback = true) },
+                )
+                owner.handOver()
+                goOn.countDown()
+                answers.map { it.await() }
+            }
+        }
+        expectThat(begun.results).hasSize(1)
+        expectThat(waiting.failure).isEqualTo(StageFailure.NOT_OWNER)
+        expectThat(fallback.failure).isNull()
+        loop.close()
+        worker.close()
+    }
+}
