Links of the fault proxy take their own ports; late and served requests have a line; the log never holds up a request

Cause (RollingReplacementTest, KNOWN-RED): the port of a proxy link was picked by the harness and bound later by the proxy. The proxy now binds port 0 and reports the port. Served and late requests write where they ran and which part took the time; lines are bounded by event, what is left out is counted, and they are written by a queue that drops rather than waits.

--- a/gateway/src/main/kotlin/io/oriolehall/gateway/Gateway.kt
+++ b/gateway/src/main/kotlin/io/oriolehall/gateway/Gateway.kt
@@ -23,6 +23,7 @@
 import io.oriolehall.model.NetworkAddress
 import io.oriolehall.peer.PeerClient
 import io.oriolehall.peer.PeerServer
+import io.oriolehall.runtime.BoundedEventLog
 import io.oriolehall.runtime.ControlThread
 import io.oriolehall.runtime.CoroutineTimerService
 import io.oriolehall.runtime.Event
@@ -46,11 +47,12 @@
 class Gateway(
     private val settings: GatewaySettings,
     private val wire: WireProtocol,
-    private val log: EventLog,
+    eventLog: EventLog,
     feed: (TrafficLoop) -> PlatformFeed,
 ) {
     private val self = settings.instance
     private val incarnation = Incarnation(System.currentTimeMillis(), Random.nextInt())
+    private val log = BoundedEventLog(eventLog, TrafficLoop::nowMs)
     private val traffic = TrafficLoop(log)
     private val control = ControlThread()
     private val controlScope = CoroutineScope(control.dispatcher + SupervisorJob())
@@ -126,6 +128,7 @@
         fleet.start(peerServer)
         controlScope.launch { reader.run() }
         timers.every("expire lapsed endpoints", EXPIRE_MS) { state.expire() }
+        timers.every("report dropped lines", REPORT_LINES_MS) { log.report() }
         traffic.scope.launch { sweep() }
         readiness.start(settings.readiness)
         val address = callers.start(settings.callers)
@@ -196,6 +199,7 @@
         /** A request may reach its endpoint this much later than it was let in, milliseconds. */
         const val KEY_TRUST_MARGIN_MS = 400L
         const val EXPIRE_MS = 250L
+        const val REPORT_LINES_MS = 1_000L
         const val SWEEP_MS = 50L
         const val ROUNDS_PER_POOL_SWEEP = 20
 
--- a/gateway/src/main/kotlin/io/oriolehall/gateway/requests/Attempt.kt
+++ b/gateway/src/main/kotlin/io/oriolehall/gateway/requests/Attempt.kt
@@ -124,6 +124,7 @@
             return AttemptOutcome.Failure(head.status, headers, body)
         }
         pool.health.succeeded((TrafficLoop.nowMs() - startedAtMs).toDouble())
+        context.noteFirst()
         responder.full(head.status, headers, body)
         return AttemptOutcome.Delivered(head.status)
     }
@@ -152,6 +153,7 @@
         val ready = events.take(bytes)
         if (ready.isEmpty()) return
         if (!responder.started) {
+            context.noteFirst()
             responder.begin(head.status, policy.toCaller(head.headers))
             pool.health.succeeded((TrafficLoop.nowMs() - startedAtMs).toDouble())
         }
--- a/gateway/src/main/kotlin/io/oriolehall/gateway/requests/RequestContext.kt
+++ b/gateway/src/main/kotlin/io/oriolehall/gateway/requests/RequestContext.kt
@@ -26,8 +26,15 @@
 ) {
     val priority: Int get() = organisation?.priority ?: route.priority
 
+    val trace = RequestTrace()
+
     /** True once an endpoint may have begun to run the request. */
     var mayHaveRun = false
 
+    /** Notes that the answer begins to go to the caller. */
+    fun noteFirst() {
+        if (trace.firstMs == null) trace.firstMs = TrafficLoop.nowMs() - request.receivedAtMs
+    }
+
     fun leftMs(nowMs: Long = TrafficLoop.nowMs()): Long = deadlineAtMs - nowMs
 }
--- a/gateway/src/main/kotlin/io/oriolehall/gateway/requests/RequestService.kt
+++ b/gateway/src/main/kotlin/io/oriolehall/gateway/requests/RequestService.kt
@@ -13,6 +13,7 @@
 import io.oriolehall.model.ZoneId
 import io.oriolehall.runtime.Event
 import io.oriolehall.runtime.EventLog
+import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.withTimeoutOrNull
 import java.util.Locale
 
@@ -40,11 +41,29 @@
         }
         val context = admitted.value
         repeats(context.service).onFirst(TrafficLoop.nowMs())
-        val rejection = withTimeoutOrNull(context.leftMs()) { Run(context, responder).serve() ?: Served }
-            ?: timeOut(context)
-        if (rejection is Rejection) reject(request, context, responder, rejection)
+        val rejection = try {
+            withTimeoutOrNull(context.leftMs()) { Run(context, responder).serve() ?: Served } ?: timeOut(context)
+        } catch (e: CancellationException) {
+            log.write(Event.CALLER_LEFT, *describe(context))
+            throw e
+        }
+        if (rejection is Rejection) reject(request, context, responder, rejection) else logServed(context)
+    }
+
+    private fun logServed(context: RequestContext) {
+        val answeredAtMs = context.request.receivedAtMs + (context.trace.firstMs ?: 0)
+        val event = if (answeredAtMs > context.objectiveAtMs) Event.REQUEST_LATE else Event.REQUEST_SERVED
+        log.write(event, *describe(context))
     }
 
+    private fun describe(context: RequestContext): Array<Pair<String, Any?>> = arrayOf(
+        "request" to context.attemptId,
+        "route" to context.route.name,
+        "organisation" to context.organisation?.id,
+        "ms" to TrafficLoop.nowMs() - context.request.receivedAtMs,
+        *context.trace.fields(),
+    )
+
     private object Served
 
     private fun timeOut(context: RequestContext): Rejection = if (context.mayHaveRun) {
@@ -61,8 +80,10 @@
             "route" to context?.route?.name,
             "status" to rejection.status,
             "reason" to rejection.reason,
+            "organisation" to context?.organisation?.id,
             "afterMs" to TrafficLoop.nowMs() - request.receivedAtMs,
             "configVersion" to context?.table?.config?.version,
+            *(context?.trace?.fields() ?: emptyArray()),
         )
         if (responder.started) {
             responder.abort()
@@ -114,7 +135,10 @@
 
         private suspend fun attempts(plan: StagePlan): Rejection? {
             val inputs = plan.inputs
-            val zone = inputs.groupingBy { it.zone }.eachCount().maxByOrNull { it.value }?.key
+            val zones = inputs.groupingBy { it.zone }.eachCount()
+            val zone = zones.maxByOrNull { it.value }?.key
+            context.trace.resultZones = zones
+            if (inputs.isNotEmpty()) context.trace.stagesMs = TrafficLoop.nowMs() - context.request.receivedAtMs
             var sends = 0
             var reason = "no endpoint can be used"
             var again = true
@@ -139,6 +163,9 @@
         private suspend fun attempt(inputs: List<String>, zone: ZoneId?): AttemptOutcome? {
             val pool = chooser.choose(context, zone, tried) ?: return null
             tried += pool.endpoint.life
+            context.trace.sends++
+            context.trace.endpoint = pool.endpoint.id
+            context.trace.endpointZone = pool.endpoint.zone
             val lastEventId = events.lastEventId
             if (lastEventId != null) {
                 log.write(
--- /dev/null
+++ b/gateway/src/main/kotlin/io/oriolehall/gateway/requests/RequestTrace.kt
@@ -0,0 +1,32 @@
+package io.oriolehall.gateway.requests
+
+import io.oriolehall.model.EndpointId
+import io.oriolehall.model.ZoneId
+
+/** What has become of a request so far, for its line in the log. Times are milliseconds since its arrival. */
+internal class RequestTrace {
+    /** When the last stage had its results; null for a request without stages. */
+    var stagesMs: Long? = null
+
+    /** When the first bytes of the answer went to the caller. */
+    var firstMs: Long? = null
+
+    /** Number of sends to endpoints of the request's service. */
+    var sends = 0
+
+    /** Endpoint of the last send, and its zone. */
+    var endpoint: EndpointId? = null
+    var endpointZone: ZoneId? = null
+
+    /** Zones of the stage results that the endpoint fetched, with their number. */
+    var resultZones: Map<ZoneId, Int> = emptyMap()
+
+    fun fields(): Array<Pair<String, Any?>> = arrayOf(
+        "stagesMs" to stagesMs,
+        "firstMs" to firstMs,
+        "sends" to sends,
+        "endpoint" to endpoint,
+        "endpointZone" to endpointZone,
+        "resultZones" to resultZones,
+    )
+}
--- a/harness/src/main/kotlin/io/oriolehall/harness/fleet/FleetStarter.kt
+++ b/harness/src/main/kotlin/io/oriolehall/harness/fleet/FleetStarter.kt
@@ -154,10 +154,10 @@
         return targets.associate { it.address to openLink(entry, it, faults) }
     }
 
+    /** The proxy takes the port itself: one that is picked here may be gone before the proxy listens. */
     private suspend fun openLink(entry: PlannedEntry, target: Target, faults: FaultControl): NetworkAddress {
         val link = Link(
             id = "${entry.spec.id}>${target.id}",
-            listen = ports.take().toString(),
             target = target.address.toString(),
             sourceId = entry.spec.id.value,
             sourceZone = entry.spec.zone.value,
--- a/proofs/src/test/kotlin/io/oriolehall/proofs/keys/KeyRandomisedTest.kt
+++ b/proofs/src/test/kotlin/io/oriolehall/proofs/keys/KeyRandomisedTest.kt
@@ -35,6 +35,7 @@
             withContext(Dispatchers.Default) { drive(fleet) }
             val ran = fleet.executionsByKey()
             report(ran)
+            reportDisputes(fleet, ran)
             expectThat(ran.filterValues { it > 1 }).isEmpty()
             expectThat(keysTold { it.refusedAs == RunOutcome.NOT_RUN }.filter { it in ran }).isEmpty()
             expectThat(keysTold { it is CallOutcome.Whole || it.refusedAs == RunOutcome.RAN }.filter { it !in ran })
@@ -141,6 +142,20 @@
         )
     }
 
+    /** Everything known of the keys that were told one thing and did another, before the checks below end the test. */
+    private fun reportDisputes(fleet: Fleet, ran: Map<String, Int>) {
+        val disputed = told.filter { (key, outcomes) ->
+            val certain = outcomes.any { it is CallOutcome.Whole || it.refusedAs == RunOutcome.RAN }
+            val denied = outcomes.any { it.refusedAs == RunOutcome.NOT_RUN }
+            val strange = answers[key]?.let { customers.getValue(key) !in it } == true
+            (certain && key !in ran) || (denied && key in ran) || strange
+        }
+        disputed.forEach { (key, outcomes) -> println("$key of ${customers[key]}, ran ${ran[key]}: $outcomes") }
+        if (disputed.isNotEmpty()) {
+            println("endpoints: " + fleet.endpoints.map { "${it.spec.id} ${it.process.alive}" })
+        }
+    }
+
     private companion object {
         const val CALLERS = 24
         const val SENDINGS = 3
--- a/runtime/src/main/kotlin/io/oriolehall/runtime/Event.kt
+++ b/runtime/src/main/kotlin/io/oriolehall/runtime/Event.kt
@@ -16,6 +16,7 @@
     TIMER_ACTION_FAILED(104, EventLevel.ERROR, "periodic action failed"),
     HTTP_HANDLER_FAILED(105, EventLevel.ERROR, "request handler failed"),
     CHANGE_RECORDED(106, EventLevel.INFO, "change recorded"),
+    LINES_DROPPED(107, EventLevel.WARN, "lines left out of the log"),
 
     PLATFORM_UNREACHABLE(201, EventLevel.WARN, "configuration service cannot be read"),
     PLATFORM_REACHED(202, EventLevel.INFO, "configuration service answers again"),
@@ -45,17 +46,18 @@
 
     CALLER_CONNECTION_LOST(404, EventLevel.DEBUG, "connection to a caller lost"),
     REQUEST_REFUSED(401, EventLevel.INFO, "request refused"),
-    REQUEST_SERVED(402, EventLevel.DEBUG, "request served"),
+    REQUEST_SERVED(402, EventLevel.INFO, "request served"),
     STAGE_ATTEMPT_FAILED(403, EventLevel.WARN, "stage attempt failed"),
     ENDPOINT_CHOSEN(405, EventLevel.DEBUG, "endpoint chosen"),
     ATTEMPT_FAILED(406, EventLevel.INFO, "attempt at an endpoint failed"),
     REQUEST_FAILED(407, EventLevel.INFO, "request failed"),
     STREAM_RESUMED(408, EventLevel.INFO, "stream continues at another endpoint"),
     STREAM_BROKEN_OFF(409, EventLevel.INFO, "stream broken off"),
-    CALLER_LEFT(410, EventLevel.DEBUG, "caller left before the answer"),
+    CALLER_LEFT(410, EventLevel.INFO, "caller left before the answer"),
     STAGE_CALL_ENDED(411, EventLevel.INFO, "stage call ended"),
     STAGE_CALL_FAILED(412, EventLevel.INFO, "stage call failed"),
     STAGE_FAILED(413, EventLevel.INFO, "stage of a request failed"),
+    REQUEST_LATE(414, EventLevel.INFO, "request served late"),
     KEY_HOLDER_SILENT(451, EventLevel.WARN, "holder of an idempotency key did not answer"),
     KEY_NOT_CLAIMED(452, EventLevel.WARN, "witnesses did not grant an idempotency key"),
 
