Stage workers take work of their own zone first; memory for results is accounted as the worker has it

Inputs now stay until their successor is done unless they fill their workers' memory; freed memory counts as taken until the worker has answered; sizes of results are learnt from pieces that find no room; results that have gone are computed again.

--- a/dispatch/src/main/kotlin/io/oriolehall/dispatch/stages/StageQueue.kt
+++ b/dispatch/src/main/kotlin/io/oriolehall/dispatch/stages/StageQueue.kt
@@ -89,7 +89,11 @@
 
     private fun choose(worker: StageWorker, workers: Collection<StageWorker>, nowMs: Long): List<PieceWork> {
         val doneAtMs = nowMs + worker.expectedMs(limits.batch)
-        val order = compareBy<PieceWork>({ isLate(it, doneAtMs) }, ::virtualDueMs, PieceWork::group)
+        val order = compareBy<PieceWork>(
+            { isLate(it, doneAtMs) },
+            { virtualDueMs(it) + foreignMs(it, worker) },
+            PieceWork::group,
+        )
         val zones = workers.mapTo(HashSet()) { it.endpoint.zone }
         val eligible = waiting.filter { mayRunIn(worker.endpoint.zone, it, zones, nowMs) }
         val chosen = mutableListOf<PieceWork>()
@@ -116,6 +120,12 @@
         is PieceInput.Results -> piece.arrivedAtMs
     }
 
+    /** Among pieces of about one age, a worker takes those first that belong to its zone. */
+    private fun foreignMs(piece: PieceWork, worker: StageWorker): Long {
+        val preferred = piece.preferredZone ?: return 0
+        return if (preferred == worker.endpoint.zone) 0 else FOREIGN_MS
+    }
+
     /** A piece waits a little for a worker of the zone where its result is fetched. */
     private fun mayRunIn(zone: ZoneId, piece: PieceWork, zones: Set<ZoneId>, nowMs: Long): Boolean {
         val preferred = piece.preferredZone ?: return true
@@ -137,5 +147,8 @@
 
         /** Longest wait for a worker of the preferred zone, milliseconds: about half a call. */
         const val ZONE_PATIENCE_MS = 200L
+
+        /** A piece of another zone goes as if it had come this much later, milliseconds: about one call. */
+        const val FOREIGN_MS = 350L
     }
 }
--- a/dispatch/src/main/kotlin/io/oriolehall/dispatch/stages/StageWorker.kt
+++ b/dispatch/src/main/kotlin/io/oriolehall/dispatch/stages/StageWorker.kt
@@ -16,6 +16,9 @@
     private val callEnds = mutableListOf<Long>()
     private var noRoomUntilMs = Long.MIN_VALUE
 
+    /** Size of results relative to what the configuration says, at least 1. */
+    private var sizeFactor = 1.0
+
     val health = EndpointHealth()
 
     /** Time of recent calls relative to what the configuration promises. */
@@ -34,7 +37,8 @@
     /** Bytes left for results. */
     fun roomBytes(nowMs: Long): Long {
         results.values.removeIf { it.untilMs <= nowMs }
-        return limits.resultRoomBytes - reservedBytes - results.values.sumOf(Held::bytes)
+        val taken = reservedBytes + results.values.sumOf(Held::bytes)
+        return (limits.resultRoomBytes / sizeFactor).toLong() - taken
     }
 
     /** Notes the start of a call; the returned value is passed to [ended]. */
@@ -63,9 +67,13 @@
         results.remove(handle)
     }
 
-    /** The worker had no room although this owner thought so: another owner's results lie there. */
+    /**
+     * The worker had no room although this owner thought so: results are larger than configured, or another owner's
+     * lie there.
+     */
     fun lacksRoom(nowMs: Long) {
         noRoomUntilMs = nowMs + ROOM_RETRY_MS
+        sizeFactor = minOf(MAX_SIZE_FACTOR, sizeFactor * SIZE_STEP)
     }
 
     private companion object {
@@ -75,6 +83,10 @@
 
         /** Wait before a worker without room is tried again; results are freed within about a call's time. */
         const val ROOM_RETRY_MS = 250L
+
+        /** Configured sizes are approximate; the estimate grows by this with each piece that finds no room. */
+        const val SIZE_STEP = 1.02
+        const val MAX_SIZE_FACTOR = 1.2
     }
 }
 
--- a/dispatch/src/test/kotlin/io/oriolehall/dispatch/stages/StageQueueTest.kt
+++ b/dispatch/src/test/kotlin/io/oriolehall/dispatch/stages/StageQueueTest.kt
@@ -104,6 +104,28 @@
         expectThat(queue.next(workers, nowMs = 200)).isNotNull().get { worker }.isEqualTo(workers[0])
     }
 
+    @Test
+    fun `with work for several zones a worker takes that of its own first`() {
+        val own = worker("y", zone = "b")
+        val workers = listOf(worker("x"), own)
+        queue.add(pieces("far", 4, input = PieceInput.Results(listOf("h")), zone = "a"))
+        queue.add(pieces("near", 4, input = PieceInput.Results(listOf("h")), zone = "b"))
+        workers.first().began(PlannedCall(workers.first(), emptyList()), nowMs = 0)
+        expectThat(queue.next(workers, nowMs = 300)).isNotNull().get { requests() }
+            .containsExactly(List(4) { "near" })
+        own.ended(PlannedCall(own, emptyList()), 0, elapsedMs = null)
+        expectThat(queue.next(workers, nowMs = 300)).isNotNull().get { requests() }
+            .containsExactly(List(4) { "far" })
+    }
+
+    @Test
+    fun `results that turn out larger than configured leave room for fewer`() {
+        val worker = worker("x")
+        repeat(5) { worker.lacksRoom(nowMs = 0) }
+        queue.add(pieces("a", 4, bytes = 250))
+        expectThat(queue.next(listOf(worker), nowMs = 1_000)).isNotNull().get { pieces }.hasSize(3)
+    }
+
     @Test
     fun `a call takes no more results than its worker has room for`() {
         val worker = worker("x")
--- a/gateway/src/main/kotlin/io/oriolehall/gateway/requests/StagePlan.kt
+++ b/gateway/src/main/kotlin/io/oriolehall/gateway/requests/StagePlan.kt
@@ -1,6 +1,7 @@
 package io.oriolehall.gateway.requests
 
 import io.oriolehall.dispatch.config.PieceLimits
+import io.oriolehall.dispatch.config.StageSpec
 import io.oriolehall.gateway.TrafficLoop
 import io.oriolehall.gateway.stages.StageAnswer
 import io.oriolehall.gateway.stages.StageFailure
@@ -30,6 +31,7 @@
     private val done = List(specs.size) { CompletableDeferred<StageAnswer>() }
     private val held = HashMap<Int, List<StageResult>>()
     private val running = mutableListOf<Job>()
+    private var recomputed = 0
 
     /** The first failure; null when all stages have results. */
     var failure: StageAnswer? = null
@@ -46,8 +48,7 @@
     }
 
     private suspend fun runStage(stage: Int) {
-        val spec = specs[stage]
-        val before = spec.after.map { done[it].await() }
+        val before = specs[stage].after.map { done[it].await() }
         val failed = before.firstOrNull { it.failure != null }
         val answer = when {
             failed != null -> failed
@@ -56,7 +57,7 @@
 
             else -> {
                 delay(headStartMs(stage))
-                stages.run(request(stage, before)) { releaseInputsOf(stage) }
+                compute(stage)
             }
         }
         if (answer.failure == null) {
@@ -69,8 +70,34 @@
         done[stage].complete(answer)
     }
 
-    private fun request(stage: Int, before: List<StageAnswer>): StageRequest {
+    /** Computes [stage]. Inputs that have gone, with their worker or by time, are computed again before. */
+    private suspend fun compute(stage: Int): StageAnswer {
+        var answer = runOnce(stage)
+        while (answer.failure == StageFailure.INPUT_GONE && mayRecompute()) {
+            recomputed++
+            val lost = specs[stage].after.map { recompute(it) }.firstOrNull { it.failure != null }
+            answer = lost ?: runOnce(stage)
+        }
+        return answer
+    }
+
+    private suspend fun runOnce(stage: Int): StageAnswer =
+        stages.run(request(stage)) { releaseInputsOf(stage, scarceOnly = true) }
+
+    private fun mayRecompute(): Boolean = recomputed < MAX_RECOMPUTED && context.leftMs() > expectedMs()
+
+    private suspend fun recompute(stage: Int): StageAnswer {
+        if (counts[stage] == 0) return StageAnswer()
+        release(stage)
+        val before = specs[stage].after.filter { it !in held }.map { recompute(it) }
+        val answer = before.firstOrNull { it.failure != null } ?: compute(stage)
+        if (answer.failure == null) held[stage] = answer.results
+        return answer
+    }
+
+    private fun request(stage: Int): StageRequest {
         val spec = specs[stage]
+        val inputs = spec.after.flatMap { held[it].orEmpty() }
         val nowMs = TrafficLoop.nowMs()
         val key = context.request.headers.get(wire.headers.pieceKey).takeIf { spec.after.isEmpty() }
         return StageRequest(
@@ -79,15 +106,26 @@
             stage = stage,
             pieces = counts[stage],
             key = key,
-            inputs = before.flatMap(StageAnswer::results).map(StageResult::handle),
+            inputs = inputs.map(StageResult::handle),
             resultBytes = spec.resultBytes,
             objectiveInMs = stageObjectiveMs(stage, nowMs),
             deadlineInMs = context.leftMs(nowMs),
             priority = context.priority,
-            preferredZone = serviceZone.takeIf { spec.resultBytes >= LARGE_RESULT_BYTES },
+            preferredZone = preferredZone(spec, inputs),
         )
     }
 
+    /** Every piece fetches all inputs, so large ones are not moved; else large results are made where they are fetched. */
+    private fun preferredZone(spec: StageSpec, inputs: List<StageResult>): ZoneId? {
+        val inputBytes = spec.after.sumOf { specs[it].resultBytes * counts[it] }
+        val inputZone = inputs.groupingBy(StageResult::zone).eachCount().maxByOrNull { it.value }?.key
+        return when {
+            inputBytes >= LARGE_RESULT_BYTES && inputZone != null -> inputZone
+            spec.resultBytes >= LARGE_RESULT_BYTES -> serviceZone
+            else -> null
+        }
+    }
+
     /**
      * A stage with large results whose own way is short waits, so that the results do not take memory at their worker
      * until the longer way is done.
@@ -124,15 +162,23 @@
         return next.maxOfOrNull { 1 + following(it) } ?: 0
     }
 
-    /** Results of stages whose last successor is done are given up. */
-    private fun releaseInputsOf(stage: Int) {
+    /**
+     * Gives up results that no stage needs any more. With [scarceOnly] only those that fill their workers' memory: a
+     * piece that fails after it has fetched its inputs needs them again.
+     */
+    private fun releaseInputsOf(stage: Int, scarceOnly: Boolean = false) {
         val finals = context.route.finalStages
-        for (input in specs[stage].after.filter { it !in finals }) {
+        for (input in specs[stage].after.filter { it !in finals && (!scarceOnly || isScarce(it)) }) {
             val open = specs.indices.filter { input in specs[it].after && it != stage && !done[it].isCompleted }
             if (open.isEmpty()) release(input)
         }
     }
 
+    private fun isScarce(stage: Int): Boolean {
+        val limits = context.table.service(specs[stage].service)?.pieces ?: return false
+        return limits.resultRoomBytes < SCARCE_CALLS * limits.batch * specs[stage].resultBytes
+    }
+
     /** Gives up all results. */
     fun releaseAll() = held.keys.toList().forEach(::release)
 
@@ -145,6 +191,12 @@
         /** Results from this size on are made in the zone where they are fetched; smaller ones cost less to move. */
         private const val LARGE_RESULT_BYTES = 100_000L
 
+        /** Times that gone results are computed again for one request. */
+        private const val MAX_RECOMPUTED = 2
+
+        /** A worker's memory for results is scarce when it holds less than this many full calls. */
+        private const val SCARCE_CALLS = 4
+
         /** A waiting stage is begun this many times its expected time before the longest way ends. */
         private const val HEAD_START_MARGIN = 1.5
 
--- a/gateway/src/main/kotlin/io/oriolehall/gateway/stages/StageOwner.kt
+++ b/gateway/src/main/kotlin/io/oriolehall/gateway/stages/StageOwner.kt
@@ -250,8 +250,6 @@
         if (results.isEmpty()) return
         val first = releases.isEmpty()
         results.forEach { releases.getOrPut(it.worker) { mutableListOf() } += it.handle }
-        val byAddress = states.values.associateBy { it.endpoint.address }
-        results.forEach { byAddress[it.worker]?.freed(it.handle) }
         if (first) scope.launch { sendReleases() }
     }
 
@@ -262,8 +260,14 @@
         val byAddress = currentWorkers().associateBy { it.endpoint.address }
         for ((address, handles) in batch) {
             val worker = byAddress[address] ?: continue
-            scope.launch { client.free(worker.endpoint, handles) }
+            scope.launch { free(worker, handles) }
         }
+    }
+
+    /** The memory counts as taken until the worker has answered: a call that begins before finds no room there. */
+    private suspend fun free(worker: StageWorker, handles: List<String>) {
+        if (!client.free(worker.endpoint, handles)) return
+        handles.forEach(worker::freed)
         dispatch()
     }
 
--- a/gateway/src/main/kotlin/io/oriolehall/gateway/stages/StageWorkerClient.kt
+++ b/gateway/src/main/kotlin/io/oriolehall/gateway/stages/StageWorkerClient.kt
@@ -47,9 +47,10 @@
         return StageCallAnswer.Done(outcomes)
     }
 
-    /** Frees results; a failure is harmless, because results expire. */
-    suspend fun free(endpoint: EndpointRecord, handles: List<String>) {
-        call(endpoint, wire.stageCalls.freePath, wire.stageCalls.encodeFree(handles), FREE_TIMEOUT_MS)
+    /** Frees results. False when the worker did not say that it has: they expire later. */
+    suspend fun free(endpoint: EndpointRecord, handles: List<String>): Boolean {
+        val answer = call(endpoint, wire.stageCalls.freePath, wire.stageCalls.encodeFree(handles), FREE_TIMEOUT_MS)
+        return answer is CallOutcome.Answered && answer.answer.status == OK
     }
 
     private sealed interface CallOutcome {
--- a/gateway/src/test/kotlin/io/oriolehall/gateway/stages/StageOwnerTest.kt
+++ b/gateway/src/test/kotlin/io/oriolehall/gateway/stages/StageOwnerTest.kt
@@ -20,10 +20,13 @@
 import kotlinx.coroutines.withContext
 import org.junit.jupiter.api.Test
 import strikt.api.expectThat
+import strikt.assertions.containsExactly
 import strikt.assertions.hasSize
 import strikt.assertions.isEqualTo
 import strikt.assertions.isNull
+import java.util.concurrent.CopyOnWriteArrayList
 import java.util.concurrent.CountDownLatch
+import java.util.concurrent.TimeUnit
 
 class StageOwnerTest {
     private val log = EventLog { _, _ -> }
@@ -85,4 +88,36 @@
         loop.close()
         worker.close()
     }
+
+    /** Found on quiet-1 of pcta-fittings: calls found no room (46 pieces), and their inputs had been freed by then. */
+    @Test
+    fun `memory counts as taken until the worker has answered that it is free`() {
+        val order = CopyOnWriteArrayList<String>()
+        val secondRun = CountDownLatch(2)
+        val worker = ScriptedEndpoint {
+            order += head.first().split(' ')[1]
+            if (order.last() == CountCalls.runPath) secondRun.countDown()
+            if (order.last() == CountCalls.freePath) secondRun.await(300, TimeUnit.MILLISECONDS)
+            order += "answered"
+            answer(body = "x")
+        }
+        val small = limits.copy(resultRoomBytes = 1)
+        val loop = TrafficLoop(log)
+        val wire = WireProtocol(GatewayUnderTest.HEADERS, CountCalls, "Bearer", "/ready")
+        val record = EndpointRecord(EndpointId("w"), 1, "s", worker.address, ZoneId("z"), 1, false, 0)
+        val client = StageWorkerClient(EndpointPools(Connector(loop)), wire)
+        val owner = StageOwner("s", small, { listOf(record) }, client, loop.scope, log)
+        runBlocking {
+            withContext(loop.dispatcher) {
+                val first = owner.run(request("first"))
+                val second = async(start = CoroutineStart.UNDISPATCHED) { owner.run(request("second")) }
+                owner.release(first.results)
+                second.await()
+            }
+        }
+        expectThat(order.toList())
+            .containsExactly("/run", "answered", "/free", "answered", "/run", "answered")
+        loop.close()
+        worker.close()
+    }
 }
