--- a/dispatch/src/main/kotlin/io/oriolehall/dispatch/stages/PieceWork.kt
+++ b/dispatch/src/main/kotlin/io/oriolehall/dispatch/stages/PieceWork.kt
@@ -17,6 +17,7 @@
  * @property group pieces of one stage of one request, in the order in which they arrived.
  * @property preferredZone zone where the result is fetched; null when it does not matter.
  * @property resultBytes memory that its result takes at the worker.
+ * @property holdsMemory true while its inputs take scarce memory at the workers that made them.
  * @property objectiveAtMs until when this stage has to be done for the request to be on time.
  * @property deadlineAtMs when the request is given up.
  * @property priority rank of the request, 0 is the most urgent.
@@ -30,6 +31,7 @@
     val arrivedAtMs: Long,
     val preferredZone: ZoneId?,
     val resultBytes: Long,
+    val holdsMemory: Boolean,
     val objectiveAtMs: Long,
     val deadlineAtMs: Long,
     val priority: Int,
--- a/dispatch/src/main/kotlin/io/oriolehall/dispatch/stages/StageQueue.kt
+++ b/dispatch/src/main/kotlin/io/oriolehall/dispatch/stages/StageQueue.kt
@@ -8,10 +8,10 @@
  * a large fixed cost, so a worker never gets more than one call at a time and takes as many pieces as fit: under little
  * load a piece starts at once, and under much load calls are full, without a timer.
  *
- * Order: pieces that continue a request go as they came, late ones too, because their inputs take memory at other
- * workers until they are done. Pieces that begin a request go by due time and priority as long as they can be on time;
- * late ones take what is left. Pieces of one stage of one request stay together where they fit, and large results are
- * made in the zone where they are fetched unless that takes too long.
+ * Order: pieces whose inputs take scarce memory at other workers go as they came, late ones too. The others go by due
+ * time and priority as long as they can be on time; late ones take what is left. Pieces of one stage of one request
+ * stay together, because the first results would take memory while the others wait. Large results are made in the zone
+ * where they are fetched unless that takes too long.
  *
  * The load that it answers: many small requests over few workers with a fixed cost a call, with bursts above what full
  * calls can bear. Pure: no clock, no I/O. Times are monotonic milliseconds.
@@ -101,24 +101,24 @@
         for ((_, group) in eligible.sortedWith(order).groupBy(PieceWork::group)) {
             val left = limits.batch - chosen.size
             if (left == 0) break
-            val keepWhole = group.size <= limits.batch && chosen.size * 2 >= limits.batch
-            if (group.size > left && keepWhole) continue
-            for (piece in group.take(left)) {
-                if (piece.resultBytes > roomBytes) break
-                roomBytes -= piece.resultBytes
-                chosen += piece
-            }
+            val bytes = maxOf(1, group.first().resultBytes)
+            val fitting = minOf(left.toLong(), roomBytes / bytes).toInt()
+            if (group.size > fitting && (mayWait(group, bytes, worker) || chosen.size * 2 >= limits.batch)) continue
+            chosen += group.take(fitting)
+            roomBytes -= minOf(fitting, group.size) * bytes
         }
         return chosen
     }
 
+    /** True when all pieces of [group] fit into a later call of [worker] together. */
+    private fun mayWait(group: List<PieceWork>, bytes: Long, worker: StageWorker): Boolean =
+        group.size <= limits.batch && group.size * bytes <= worker.totalRoomBytes
+
     private fun isLate(piece: PieceWork, doneAtMs: Double): Boolean =
-        piece.input is PieceInput.Key && piece.objectiveAtMs < doneAtMs
+        !piece.holdsMemory && piece.objectiveAtMs < doneAtMs
 
-    private fun virtualDueMs(piece: PieceWork): Long = when (piece.input) {
-        is PieceInput.Key -> piece.objectiveAtMs + piece.priority * PRIORITY_STEP_MS
-        is PieceInput.Results -> piece.arrivedAtMs
-    }
+    private fun virtualDueMs(piece: PieceWork): Long =
+        if (piece.holdsMemory) piece.arrivedAtMs else piece.objectiveAtMs + piece.priority * PRIORITY_STEP_MS
 
     /** Among pieces of about one age, a worker takes those first that belong to its zone. */
     private fun foreignMs(piece: PieceWork, worker: StageWorker): Long {
--- a/dispatch/src/main/kotlin/io/oriolehall/dispatch/stages/StageWorker.kt
+++ b/dispatch/src/main/kotlin/io/oriolehall/dispatch/stages/StageWorker.kt
@@ -34,11 +34,13 @@
 
     fun expectedMs(pieces: Int): Double = (limits.callMs + pieces * limits.pieceMs) * slowness
 
+    /** Bytes for results, in terms of the configured sizes. */
+    val totalRoomBytes: Long get() = (limits.resultRoomBytes / sizeFactor).toLong()
+
     /** Bytes left for results. */
     fun roomBytes(nowMs: Long): Long {
         results.values.removeIf { it.untilMs <= nowMs }
-        val taken = reservedBytes + results.values.sumOf(Held::bytes)
-        return (limits.resultRoomBytes / sizeFactor).toLong() - taken
+        return totalRoomBytes - reservedBytes - results.values.sumOf(Held::bytes)
     }
 
     /** Notes the start of a call; the returned value is passed to [ended]. */
--- a/dispatch/src/test/kotlin/io/oriolehall/dispatch/stages/StageQueueTest.kt
+++ b/dispatch/src/test/kotlin/io/oriolehall/dispatch/stages/StageQueueTest.kt
@@ -42,6 +42,7 @@
         bytes: Long = 10,
         input: PieceInput = PieceInput.Key("k"),
         zone: String? = null,
+        holdsMemory: Boolean = input is PieceInput.Results,
     ): List<PieceWork> {
         val group = groups++
         return List(count) {
@@ -54,6 +55,7 @@
                 arrivedAtMs = 0,
                 preferredZone = zone?.let(::ZoneId),
                 resultBytes = bytes,
+                holdsMemory = holdsMemory,
                 objectiveAtMs = objectiveAtMs,
                 deadlineAtMs = deadlineAtMs,
                 priority = priority,
@@ -118,6 +120,26 @@
             .containsExactly(List(4) { "far" })
     }
 
+    /** Found on scale-1 of pcta-fittings: pieces that continue requests without holding memory made all of them late. */
+    @Test
+    fun `late pieces that hold no scarce memory wait for those that can be on time`() {
+        val input = PieceInput.Results(listOf("h"))
+        queue.add(pieces("late", 4, objectiveAtMs = 100, input = input, holdsMemory = false))
+        queue.add(pieces("timely", 4, objectiveAtMs = 2_000, input = input, holdsMemory = false))
+        expectThat(queue.next(listOf(worker("x")), nowMs = 0)).isNotNull().get { requests() }
+            .containsExactly(List(4) { "timely" })
+    }
+
+    @Test
+    fun `a group waits for room for all of it`() {
+        val worker = worker("x")
+        worker.holds("h", 700, nowMs = 0)
+        queue.add(pieces("a", 2, bytes = 200))
+        expectThat(queue.next(listOf(worker), nowMs = 0)).isNull()
+        worker.freed("h")
+        expectThat(queue.next(listOf(worker), nowMs = 0)).isNotNull().get { pieces }.hasSize(2)
+    }
+
     @Test
     fun `results that turn out larger than configured leave room for fewer`() {
         val worker = worker("x")
--- a/gateway/src/main/kotlin/io/oriolehall/gateway/requests/StagePlan.kt
+++ b/gateway/src/main/kotlin/io/oriolehall/gateway/requests/StagePlan.kt
@@ -108,6 +108,7 @@
             key = key,
             inputs = inputs.map(StageResult::handle),
             resultBytes = spec.resultBytes,
+            inputsScarce = spec.after.any(::isScarce),
             objectiveInMs = stageObjectiveMs(stage, nowMs),
             deadlineInMs = context.leftMs(nowMs),
             priority = context.priority,
--- a/gateway/src/main/kotlin/io/oriolehall/gateway/stages/StageMessages.kt
+++ b/gateway/src/main/kotlin/io/oriolehall/gateway/stages/StageMessages.kt
@@ -13,6 +13,7 @@
  * @property inputs handles of the results of the stages before.
  * @property objectiveInMs time until this stage has to be done for the request to be on time, milliseconds.
  * @property preferredZone zone where large results will be fetched; null when it does not matter.
+ * @property inputsScarce true when the inputs take scarce memory at the workers that made them.
  * @property deadlineInMs time until the request is given up, milliseconds.
  */
 @Serializable
@@ -24,6 +25,7 @@
     @SerialName("k") val key: String? = null,
     @SerialName("i") val inputs: List<String> = emptyList(),
     @SerialName("b") val resultBytes: Long,
+    @SerialName("m") val inputsScarce: Boolean = false,
     @SerialName("o") val objectiveInMs: Long,
     @SerialName("d") val deadlineInMs: Long,
     @SerialName("u") val priority: Int,
--- a/gateway/src/main/kotlin/io/oriolehall/gateway/stages/StageOwner.kt
+++ b/gateway/src/main/kotlin/io/oriolehall/gateway/stages/StageOwner.kt
@@ -92,6 +92,7 @@
         arrivedAtMs = nowMs,
         preferredZone = request.preferredZone,
         resultBytes = request.resultBytes,
+        holdsMemory = request.inputsScarce,
         objectiveAtMs = nowMs + request.objectiveInMs,
         deadlineAtMs = nowMs + request.deadlineInMs,
         priority = request.priority,
