--- a/dispatch/src/main/kotlin/io/oriolehall/dispatch/limits/ColdLimit.kt
+++ b/dispatch/src/main/kotlin/io/oriolehall/dispatch/limits/ColdLimit.kt
@@ -1,19 +1,17 @@
 package io.oriolehall.dispatch.limits
 
-import kotlin.math.floor
-
 /**
  * Bounds what this instance sends to one endpoint in any second, so that the sum over all instances stays within what
- * a cold endpoint bears. It holds all the time, because an endpoint may turn cold without notice. Each instance takes
- * an equal part; where the part is below one request a second, the caller uses a subset of the endpoints instead.
+ * a cold endpoint bears. It holds all the time, because an endpoint may turn cold without notice. [ColdShare] says how
+ * much of it is this instance's.
  */
 class ColdLimit {
     private val sent = ArrayDeque<Long>()
 
-    /** True when one more request may be sent at [nowMs], of [perSecond] for all [senders] together. */
-    fun allows(nowMs: Long, perSecond: Double, senders: Int): Boolean {
+    /** True when one more request may be sent at [nowMs], of [share] in any second. */
+    fun allows(nowMs: Long, share: Int): Boolean {
         while (sent.isNotEmpty() && sent.first() <= nowMs - WINDOW_MS) sent.removeFirst()
-        return sent.size < maxOf(1, floor(perSecond / maxOf(1, senders)).toInt())
+        return sent.size < share
     }
 
     fun onSent(nowMs: Long) {
--- a/gateway/src/main/kotlin/io/oriolehall/gateway/Gateway.kt
+++ b/gateway/src/main/kotlin/io/oriolehall/gateway/Gateway.kt
@@ -12,6 +12,7 @@
 import io.oriolehall.gateway.fleet.FleetService
 import io.oriolehall.gateway.http.CallerListener
 import io.oriolehall.gateway.requests.EndpointChooser
+import io.oriolehall.gateway.requests.GatewayMetrics
 import io.oriolehall.gateway.requests.Intake
 import io.oriolehall.gateway.requests.RequestService
 import io.oriolehall.gateway.stages.StageService
@@ -78,6 +79,7 @@
     private val reader = FeedReader(feed(traffic), state, fleet, watchMs, timers, log)
 
     private val pools = EndpointPools(Connector(traffic))
+    private val metrics = GatewayMetrics()
     private val stages = StageService(
         self = self.id,
         fleet = fleet,
@@ -87,16 +89,17 @@
         client = StageWorkerClient(pools, wire),
         scope = traffic.scope,
         log = log,
+        observer = metrics::stageCall,
     )
     private val allowances = HashMap<String, RepeatAllowance>()
     private val requests = RequestService(
         intake = Intake(state, wire, settings.bounds.keyTrustMs?.minus(KEY_TRUST_MARGIN_MS), Random.Default),
         stages = stages,
         chooser = EndpointChooser(
-            ownZone = self.zone,
+            self = self,
             pools = pools,
             snapshot = { state.endpoints },
-            senders = fleet::liveCount,
+            instances = fleet::live,
             placement = AffinityPlacement(),
             wire = wire,
             coldFactor = settings.bounds.coldFactor,
@@ -104,8 +107,9 @@
         ),
         admission = StageAdmission(),
         repeats = ::allowance,
-        instances = fleet::liveCount,
+        instances = { fleet.live.size },
         wire = wire,
+        metrics = metrics,
         log = log,
     )
 
@@ -121,6 +125,11 @@
         responder.full(if (ready()) OK else UNAVAILABLE, DefaultHttpHeaders(), ByteArray(0))
     })
 
+    private val metricsPage = CallerListener(traffic, { _, responder ->
+        val headers = DefaultHttpHeaders().set("Content-Type", "text/plain; version=0.0.4")
+        responder.full(OK, headers, metrics.scrape().encodeToByteArray())
+    })
+
     /** Starts all parts and listens. Returns the address where callers connect. */
     suspend fun start(): NetworkAddress {
         peerServer.start(self.peerAddress)
@@ -131,6 +140,7 @@
         timers.every("report dropped lines", REPORT_LINES_MS) { log.report() }
         traffic.scope.launch { sweep() }
         readiness.start(settings.readiness)
+        settings.metrics?.let(metricsPage::start)
         val address = callers.start(settings.callers)
         log.write(Event.INSTANCE_STARTED, "callers" to address, "incarnation" to incarnation)
         return address
@@ -166,6 +176,7 @@
     fun close() {
         callers.close()
         readiness.close()
+        metricsPage.close()
         peerServer.close()
         controlScope.cancel()
         peerScope.cancel()
--- a/gateway/src/main/kotlin/io/oriolehall/gateway/GatewaySettings.kt
+++ b/gateway/src/main/kotlin/io/oriolehall/gateway/GatewaySettings.kt
@@ -8,6 +8,7 @@
  *
  * @property callers address where callers connect.
  * @property readiness address where the balancer asks whether the instance takes callers.
+ * @property metrics address where counters and histograms are served as text; null for none.
  * @property seeds addresses of other instances, for first contacts.
  */
 data class GatewaySettings(
@@ -16,6 +17,7 @@
     val readiness: NetworkAddress,
     val seeds: List<NetworkAddress>,
     val bounds: Bounds,
+    val metrics: NetworkAddress? = null,
 )
 
 /**
--- a/gateway/src/main/kotlin/io/oriolehall/gateway/fleet/FleetService.kt
+++ b/gateway/src/main/kotlin/io/oriolehall/gateway/fleet/FleetService.kt
@@ -81,8 +81,10 @@
         spread()
     }
 
-    /** Live instances, this one among them; never less than one. */
-    fun liveCount(): Int = maxOf(1, view.members.values.count { it.reachable })
+    /** Live instances, this one among them. The same set is returned until it changes. */
+    @Volatile
+    var live: Set<InstanceId> = setOf(self.id)
+        private set
 
     private suspend fun round() {
         val targets = membership.beginRound(timers.nowMs())
@@ -211,6 +213,8 @@
         val before = view
         val after = membership.view()
         view = after
+        val reachable = after.members.values.filter { it.reachable }.mapTo(HashSet()) { it.id } + self.id
+        if (reachable != live) live = reachable
         for (member in after.members.values) {
             val old = before.member(member.id)
             if (old?.incarnation == member.incarnation && old.ownable == member.ownable) continue
--- a/gateway/src/main/kotlin/io/oriolehall/gateway/requests/Intake.kt
+++ b/gateway/src/main/kotlin/io/oriolehall/gateway/requests/Intake.kt
@@ -26,7 +26,9 @@
 ) {
     fun admit(request: CallerRequest): Result<RequestContext, Rejection> {
         val trusted = state.trust.current
-            ?: return Err(Rejection.NotExecuted("no configuration yet", NO_CONFIG_RETRY_MS))
+            ?: return Err(
+                Rejection.NotExecuted(RefusalCause.NO_CONFIGURATION, "no configuration yet", NO_CONFIG_RETRY_MS),
+            )
         val table = trusted.table
         val attemptId = request.headers.get(wire.headers.attemptId)
             ?: return Err(Rejection.Malformed("header ${wire.headers.attemptId} is missing"))
@@ -40,7 +42,7 @@
 
     private fun refuseKey(trusted: TrustedConfig, organisation: Organisation?): Rejection? = when {
         keyTrustMs != null && !trusted.mayHonourKeys(state.now(), keyTrustMs) ->
-            Rejection.NotExecuted("configuration is not confirmed", UNCONFIRMED_RETRY_MS)
+            Rejection.NotExecuted(RefusalCause.UNCONFIRMED, "configuration is not confirmed", UNCONFIRMED_RETRY_MS)
 
         organisation == null -> Rejection.UnknownKey("API key is missing or not known")
 
--- a/gateway/src/main/kotlin/io/oriolehall/gateway/requests/Outcome.kt
+++ b/gateway/src/main/kotlin/io/oriolehall/gateway/requests/Outcome.kt
@@ -30,29 +30,47 @@
  */
 internal sealed interface Rejection {
     val status: Int
+
+    /** Why, for the log; it may name figures. */
     val reason: String
 
-    data class NotExecuted(override val reason: String, val retryAfterMs: Long) : Rejection {
+    /** Why, for counters: one of a few words. */
+    val kind: String
+
+    data class NotExecuted(
+        val cause: RefusalCause,
+        override val reason: String,
+        val retryAfterMs: Long,
+    ) : Rejection {
         override val status get() = 503
+        override val kind get() = cause.name.lowercase()
     }
 
     data class UnknownRoute(override val reason: String) : Rejection {
         override val status get() = 404
+        override val kind get() = "unknown_route"
     }
 
     data class UnknownKey(override val reason: String) : Rejection {
         override val status get() = 401
+        override val kind get() = "unknown_key"
     }
 
     data class Malformed(override val reason: String) : Rejection {
         override val status get() = 400
+        override val kind get() = "malformed"
     }
 
     data class OutcomeUnknown(override val reason: String) : Rejection {
         override val status get() = 502
+        override val kind get() = "outcome_unknown"
     }
 
     data class TimedOut(override val reason: String) : Rejection {
         override val status get() = 504
+        override val kind get() = "timed_out"
     }
 }
+
+/** Why a request was refused that has not run. */
+internal enum class RefusalCause { NO_CONFIGURATION, UNCONFIRMED, NO_ENDPOINT, OVERLOADED, STAGE, TIMED_OUT, DECLINED }
--- a/gateway/src/main/kotlin/io/oriolehall/gateway/requests/RequestService.kt
+++ b/gateway/src/main/kotlin/io/oriolehall/gateway/requests/RequestService.kt
@@ -13,6 +13,7 @@
 import io.oriolehall.model.ZoneId
 import io.oriolehall.runtime.Event
 import io.oriolehall.runtime.EventLog
+import io.oriolehall.runtime.write
 import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.withTimeoutOrNull
 import java.util.Locale
@@ -29,6 +30,7 @@
     private val repeats: (String) -> RepeatAllowance,
     private val instances: () -> Int,
     private val wire: WireProtocol,
+    private val metrics: GatewayMetrics,
     private val log: EventLog,
 ) : RequestHandler {
     private val policy = HeaderPolicy(wire)
@@ -44,7 +46,8 @@
         val rejection = try {
             withTimeoutOrNull(context.leftMs()) { Run(context, responder).serve() ?: Served } ?: timeOut(context)
         } catch (e: CancellationException) {
-            log.write(Event.CALLER_LEFT, *describe(context))
+            log.write(Event.CALLER_LEFT, describe(context))
+            metrics.ended(context, "caller_left")
             throw e
         }
         if (rejection is Rejection) reject(request, context, responder, rejection) else logServed(context)
@@ -53,29 +56,29 @@
     private fun logServed(context: RequestContext) {
         val answeredAtMs = context.request.receivedAtMs + (context.trace.firstMs ?: 0)
         val event = if (answeredAtMs > context.objectiveAtMs) Event.REQUEST_LATE else Event.REQUEST_SERVED
-        log.write(event, *describe(context))
+        log.write(event, describe(context))
+        val outcome = if (event == Event.REQUEST_LATE) "late" else "on_time"
+        metrics.answered(context, outcome, context.trace.firstMs ?: 0)
     }
 
-    private fun describe(context: RequestContext): Array<Pair<String, Any?>> = arrayOf(
+    private fun describe(context: RequestContext): List<Pair<String, Any?>> = listOf(
         "request" to context.attemptId,
         "route" to context.route.name,
         "organisation" to context.organisation?.id,
         "ms" to TrafficLoop.nowMs() - context.request.receivedAtMs,
-        *context.trace.fields(),
-    )
+    ) + context.trace.fields()
 
     private object Served
 
     private fun timeOut(context: RequestContext): Rejection = if (context.mayHaveRun) {
         Rejection.TimedOut("no answer in time")
     } else {
-        Rejection.NotExecuted("no endpoint could begin in time", 0)
+        Rejection.NotExecuted(RefusalCause.TIMED_OUT, "no endpoint could begin in time", 0)
     }
 
     private fun reject(request: CallerRequest, context: RequestContext?, responder: Responder, rejection: Rejection) {
         val truthful = rejection !is Rejection.NotExecuted
-        log.write(
-            if (truthful) Event.REQUEST_FAILED else Event.REQUEST_REFUSED,
+        val fields = listOf(
             "request" to request.headers.get(wire.headers.attemptId),
             "route" to context?.route?.name,
             "status" to rejection.status,
@@ -83,8 +86,10 @@
             "organisation" to context?.organisation?.id,
             "afterMs" to TrafficLoop.nowMs() - request.receivedAtMs,
             "configVersion" to context?.table?.config?.version,
-            *(context?.trace?.fields() ?: emptyArray()),
         )
+        val event = if (truthful) Event.REQUEST_FAILED else Event.REQUEST_REFUSED
+        log.write(event, fields + context?.trace?.fields().orEmpty())
+        metrics.rejected(context, rejection)
         if (responder.started) {
             responder.abort()
             return
@@ -122,7 +127,8 @@
             }
         }
 
-        private fun noEndpoint() = Rejection.NotExecuted("no endpoint can be used", NO_ENDPOINT_RETRY_MS)
+        private fun noEndpoint() =
+            Rejection.NotExecuted(RefusalCause.NO_ENDPOINT, "no endpoint can be used", NO_ENDPOINT_RETRY_MS)
 
         private fun refuseByLoad(plan: StagePlan): Rejection? {
             val nowMs = TrafficLoop.nowMs()
@@ -130,7 +136,8 @@
             val objectiveMs = context.objectiveAtMs - nowMs
             val decision = admission.decide(expectedMs, objectiveMs, context.leftMs(nowMs), context.priority)
             if (decision !is StageAdmission.Decision.Refused) return null
-            return Rejection.NotExecuted("stages take ${expectedMs.toLong()} ms now", decision.retryAfterMs)
+            val reason = "stages take ${expectedMs.toLong()} ms now"
+            return Rejection.NotExecuted(RefusalCause.OVERLOADED, reason, decision.retryAfterMs)
         }
 
         private suspend fun attempts(plan: StagePlan): Rejection? {
@@ -177,6 +184,7 @@
             }
             val attempt = Attempt(context, pool, wire, policy, responder, events) { plan?.releaseAll() }
             val outcome = attempt.run(inputs, lastEventId, headTimeoutMs())
+            metrics.attempted(context.service, outcome)
             if (outcome !is AttemptOutcome.Delivered) logAttempt(pool.endpoint.id.value, outcome)
             return outcome
         }
@@ -207,7 +215,7 @@
 
                 context.mayHaveRun -> Rejection.OutcomeUnknown(reason)
 
-                else -> Rejection.NotExecuted(reason, NO_ENDPOINT_RETRY_MS)
+                else -> Rejection.NotExecuted(RefusalCause.DECLINED, reason, NO_ENDPOINT_RETRY_MS)
             }
         }
     }
--- a/gateway/src/main/kotlin/io/oriolehall/gateway/requests/RequestTrace.kt
+++ b/gateway/src/main/kotlin/io/oriolehall/gateway/requests/RequestTrace.kt
@@ -21,7 +21,7 @@
     /** Zones of the stage results that the endpoint fetched, with their number. */
     var resultZones: Map<ZoneId, Int> = emptyMap()
 
-    fun fields(): Array<Pair<String, Any?>> = arrayOf(
+    fun fields(): List<Pair<String, Any?>> = listOf(
         "stagesMs" to stagesMs,
         "firstMs" to firstMs,
         "sends" to sends,
--- a/gateway/src/main/kotlin/io/oriolehall/gateway/requests/StagePlan.kt
+++ b/gateway/src/main/kotlin/io/oriolehall/gateway/requests/StagePlan.kt
@@ -116,7 +116,7 @@
         )
     }
 
-    /** Every piece fetches all inputs, so large ones are not moved; else large results are made where they are fetched. */
+    /** Every piece fetches all inputs, so large ones are not moved; large results are made where they are fetched. */
     private fun preferredZone(spec: StageSpec, inputs: List<StageResult>): ZoneId? {
         val inputBytes = spec.after.sumOf { specs[it].resultBytes * counts[it] }
         val inputZone = inputs.groupingBy(StageResult::zone).eachCount().maxByOrNull { it.value }?.key
@@ -216,6 +216,7 @@
 
         /** What a caller is told about a stage's failure. */
         fun rejection(answer: StageAnswer): Rejection = Rejection.NotExecuted(
+            cause = RefusalCause.STAGE,
             reason = "stage: ${answer.failure ?: StageFailure.FAILED}",
             retryAfterMs = answer.retryAfterMs,
         )
--- a/gateway/src/main/kotlin/io/oriolehall/gateway/stages/StageOwner.kt
+++ b/gateway/src/main/kotlin/io/oriolehall/gateway/stages/StageOwner.kt
@@ -19,6 +19,11 @@
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
 
+/** Hears of each call to a stage worker, with its pieces and its time in milliseconds. */
+internal fun interface StageCallObserver {
+    fun ended(service: String, pieces: Int, elapsedMs: Long, answered: Boolean)
+}
+
 /**
  * Runs the stage queue of one service for all instances that consider this one its owner: collects pieces into calls,
  * follows the workers, and releases results. Two owners at once are harmless: a worker declines what it has no place
@@ -31,6 +36,7 @@
     private val client: StageWorkerClient,
     private val scope: CoroutineScope,
     private val log: EventLog,
+    private val observer: StageCallObserver = StageCallObserver { _, _, _, _ -> },
 ) {
     private class Group(val request: StageRequest, val fallback: Boolean, val onInputsFetched: suspend () -> Unit) {
         val results = arrayOfNulls<StageResult>(request.pieces)
@@ -193,6 +199,7 @@
     }
 
     private fun logCall(call: PlannedCall, answer: StageCallAnswer, elapsedMs: Long) {
+        observer.ended(service, call.pieces.size, elapsedMs, answer is StageCallAnswer.Done)
         val event = if (answer is StageCallAnswer.Done) Event.STAGE_CALL_ENDED else Event.STAGE_CALL_FAILED
         log.write(
             event,
--- a/gateway/src/main/kotlin/io/oriolehall/gateway/stages/StageService.kt
+++ b/gateway/src/main/kotlin/io/oriolehall/gateway/stages/StageService.kt
@@ -28,6 +28,7 @@
     private val client: StageWorkerClient,
     private val scope: CoroutineScope,
     private val log: EventLog,
+    private val observer: StageCallObserver,
 ) {
     private val owned = HashMap<String, StageOwner>()
 
@@ -120,7 +121,9 @@
     private fun owner(service: String): StageOwner? {
         owned[service]?.let { return it }
         val limits = table()?.service(service)?.pieces ?: return null
-        return StageOwner(service, limits, { workers(service) }, client, scope, log).also { owned[service] = it }
+        val owner = StageOwner(service, limits, { workers(service) }, client, scope, log, observer)
+        owned[service] = owner
+        return owner
     }
 
     private fun kotlin.coroutines.CoroutineContext.minusJob() = minusKey(kotlinx.coroutines.Job)
--- a/gateway/src/main/kotlin/io/oriolehall/gateway/upstream/EndpointPool.kt
+++ b/gateway/src/main/kotlin/io/oriolehall/gateway/upstream/EndpointPool.kt
@@ -21,14 +21,23 @@
     /** Requests that have been sent and not ended. */
     var outstanding = 0
 
-    /** Connections in use or kept. */
+    /** Connections in use, kept or being made. */
     var connections = 0
         private set
 
+    /** True when a request may be sent without having more than [most] connections. */
+    fun hasConnection(most: Int): Boolean = idle.isNotEmpty() || connections < most
+
     /** An idle connection, or a new one. */
     suspend fun acquire(): Result<UpstreamConnection, ConnectFailure> {
         takeIdle()?.let { return Ok(it) }
-        return connector.connect(endpoint.address).onSuccess { connections++ }
+        connections++
+        var made = false
+        try {
+            return connector.connect(endpoint.address).onSuccess { made = true }
+        } finally {
+            if (!made) connections--
+        }
     }
 
     /** Gives [connection] back; it is closed when it cannot be used again. */
--- a/runtime/src/main/kotlin/io/oriolehall/runtime/EventLog.kt
+++ b/runtime/src/main/kotlin/io/oriolehall/runtime/EventLog.kt
@@ -9,6 +9,10 @@
     fun write(event: Event, vararg fields: Pair<String, Any?>)
 }
 
+/** Writes [event] with fields that are put together in parts. */
+@Suppress("SpreadOperator") // One copy of a few pairs a line.
+fun EventLog.write(event: Event, fields: List<Pair<String, Any?>>) = write(event, *fields.toTypedArray())
+
 /** Event log on kotlin-logging; the logging back end writes it as one JSON object a line. */
 class StructuredEventLog(name: String) : EventLog {
     private val logger = KotlinLogging.logger(name)
