--- a/dispatch/src/main/kotlin/io/oriolehall/dispatch/stages/StageWorker.kt
+++ b/dispatch/src/main/kotlin/io/oriolehall/dispatch/stages/StageWorker.kt
@@ -51,7 +51,7 @@
         return endMs
     }
 
-    /** Notes the end of [call] after [elapsedMs]; null when it brought no answer. */
+    /** Notes the end of [call] after [elapsedMs]; null when that says nothing of the worker's speed. */
     fun ended(call: PlannedCall, expectedEndMs: Long, elapsedMs: Long?) {
         callEnds.remove(expectedEndMs)
         reservedBytes -= call.bytes
--- a/gateway/src/main/kotlin/io/oriolehall/gateway/Gateway.kt
+++ b/gateway/src/main/kotlin/io/oriolehall/gateway/Gateway.kt
@@ -82,7 +82,7 @@
     private val metrics = GatewayMetrics()
     private val stages = StageService(
         self = self.id,
-        fleet = fleet,
+        ownerOf = { fleet.ownerOf("stage queue $it") },
         peers = peerClient,
         table = { state.trust.current?.table },
         workers = { state.endpoints.usable(it) },
--- a/gateway/src/main/kotlin/io/oriolehall/gateway/fleet/FleetService.kt
+++ b/gateway/src/main/kotlin/io/oriolehall/gateway/fleet/FleetService.kt
@@ -9,6 +9,7 @@
 import io.oriolehall.model.NetworkAddress
 import io.oriolehall.peer.PeerClient
 import io.oriolehall.peer.PeerServer
+import io.oriolehall.policy.hashing.Rendezvous
 import io.oriolehall.policy.membership.Member
 import io.oriolehall.policy.membership.MemberRecord
 import io.oriolehall.policy.membership.MemberState
@@ -81,6 +82,12 @@
         spread()
     }
 
+    /** The instance that owns [subject]: all that see the same members name the same one. Null before there are any. */
+    fun ownerOf(subject: String): Member? {
+        val members = view.members.values.filter { it.ownable }.associateBy(Member::id)
+        return Rendezvous.ranked(subject, members.keys).firstOrNull()?.let(members::get)
+    }
+
     /** Live instances, this one among them. The same set is returned until it changes. */
     @Volatile
     var live: Set<InstanceId> = setOf(self.id)
--- a/gateway/src/main/kotlin/io/oriolehall/gateway/stages/StageOwner.kt
+++ b/gateway/src/main/kotlin/io/oriolehall/gateway/stages/StageOwner.kt
@@ -177,7 +177,8 @@
         val answer = client.run(worker.endpoint, call.pieces, timeoutMs)
         val elapsedMs = TrafficLoop.nowMs() - startedAtMs
         val nowMs = TrafficLoop.nowMs()
-        worker.ended(call, expectedEndMs, elapsedMs.takeIf { answer is StageCallAnswer.Done })
+        val overdue = elapsedMs > worker.expectedMs(call.pieces.size)
+        worker.ended(call, expectedEndMs, elapsedMs.takeIf { answer is StageCallAnswer.Done || overdue })
         when (answer) {
             is StageCallAnswer.Done -> {
                 worker.health.succeeded(elapsedMs.toDouble())
--- a/gateway/src/main/kotlin/io/oriolehall/gateway/stages/StageService.kt
+++ b/gateway/src/main/kotlin/io/oriolehall/gateway/stages/StageService.kt
@@ -3,11 +3,9 @@
 import io.oriolehall.dispatch.config.RouteTable
 import io.oriolehall.dispatch.endpoints.EndpointRecord
 import io.oriolehall.gateway.TrafficLoop
-import io.oriolehall.gateway.fleet.FleetService
 import io.oriolehall.model.InstanceId
 import io.oriolehall.peer.PeerClient
 import io.oriolehall.peer.PeerServer
-import io.oriolehall.policy.hashing.Rendezvous
 import io.oriolehall.policy.membership.Member
 import io.oriolehall.runtime.EventLog
 import kotlinx.coroutines.CoroutineScope
@@ -15,13 +13,15 @@
 import kotlinx.coroutines.withContext
 
 /**
- * Sends the pieces of a stage to the owner of the service's queue, which is one instance of the fleet by rendezvous
- * hashing, so that calls are filled from all instances. When the owner cannot be reached, this instance runs the queue
- * itself. Used on the traffic thread only.
+ * Sends the pieces of a stage to the owner of the service's queue, which is one instance of the fleet, so that calls are
+ * filled from all instances. When the owner cannot be reached, this instance runs the queue itself. Used on the traffic
+ * thread only.
+ *
+ * @param ownerOf the instance that owns the queue of a service now.
  */
 class StageService internal constructor(
     private val self: InstanceId,
-    private val fleet: FleetService,
+    private val ownerOf: (String) -> Member?,
     private val peers: PeerClient,
     private val table: () -> RouteTable?,
     private val workers: (String) -> List<EndpointRecord>,
@@ -40,7 +40,7 @@
         server.serve(StageChannels.RUN) { request, emit ->
             val answer = withContext(scope.coroutineContext.minusJob()) {
                 if (owns(request.service)) {
-                    runHere(request) { emit(StageAnswer(inputsFetched = true)) }
+                    runHere(request, fallback = false) { emit(StageAnswer(inputsFetched = true)) }
                 } else {
                     StageAnswer(failure = StageFailure.NOT_OWNER)
                 }
@@ -58,18 +58,24 @@
      */
     suspend fun run(request: StageRequest, onInputsFetched: () -> Unit): StageAnswer {
         val startMs = TrafficLoop.nowMs()
-        var asked: InstanceId? = null
+        val asked = mutableSetOf<InstanceId>()
         repeat(MAX_OWNERS) {
-            val owner = ownerOf(request.service)
-            if (owner == null || owner.id == self || owner.id == asked) return@repeat
-            asked = owner.id
-            val answer = ask(owner, request.after(TrafficLoop.nowMs() - startMs), onInputsFetched)
+            val owner = ownerOf(request.service)?.takeIf { asked.add(it.id) } ?: return@repeat
+            val rest = request.after(TrafficLoop.nowMs() - startMs)
+            val answer = if (owner.id == self) runOwned(rest, onInputsFetched) else ask(owner, rest, onInputsFetched)
             if (answer != null) return answer
         }
-        val answer = runHere(request.after(TrafficLoop.nowMs() - startMs), onInputsFetched)
+        val answer = runHere(request.after(TrafficLoop.nowMs() - startMs), fallback = true, onInputsFetched)
         return answer.also { loads.note(request.service, it.expectedMs) }
     }
 
+    /** The answer of this instance as the owner; null when another one has become the owner. */
+    private suspend fun runOwned(request: StageRequest, onInputsFetched: () -> Unit): StageAnswer? {
+        val answer = runHere(request, fallback = false, onInputsFetched)
+        loads.note(request.service, answer.expectedMs)
+        return answer.takeIf { it.failure != StageFailure.NOT_OWNER }
+    }
+
     /** The answer of [owner]; null when it cannot be reached or does not own the queue. */
     private suspend fun ask(owner: Member, request: StageRequest, onInputsFetched: () -> Unit): StageAnswer? {
         var answer: StageAnswer? = null
@@ -104,14 +110,12 @@
         }
     }
 
-    private fun ownerOf(service: String): Member? {
-        val members = fleet.view.members.values.filter { it.ownable }.associateBy(Member::id)
-        return Rendezvous.ranked("stage queue $service", members.keys).firstOrNull()?.let(members::get)
-    }
-
-    private suspend fun runHere(request: StageRequest, onInputsFetched: suspend () -> Unit): StageAnswer =
-        owner(request.service)?.run(request, fallback = !owns(request.service), onInputsFetched)
-            ?: StageAnswer(failure = StageFailure.NO_WORKER)
+    private suspend fun runHere(
+        request: StageRequest,
+        fallback: Boolean,
+        onInputsFetched: suspend () -> Unit,
+    ): StageAnswer = owner(request.service)?.run(request, fallback, onInputsFetched)
+        ?: StageAnswer(failure = StageFailure.NO_WORKER)
 
     private fun releaseHere(release: StageRelease): StageReleased {
         owner(release.service)?.release(release.results)
@@ -131,7 +135,7 @@
     private companion object {
         const val RELEASE_TIMEOUT_MS = 500L
 
-        /** Owners that are asked for one stage before this instance runs it itself. */
+        /** Owners that are tried for one stage before this instance runs it whoever owns the queue. */
         const val MAX_OWNERS = 2
     }
 }
--- /dev/null
+++ b/gateway/src/test/kotlin/io/oriolehall/gateway/stages/StageFixtures.kt
@@ -0,0 +1,30 @@
+package io.oriolehall.gateway.stages
+
+import io.oriolehall.dispatch.stages.PieceWork
+import io.oriolehall.gateway.wire.PieceOutcome
+import io.oriolehall.gateway.wire.StageCalls
+
+/** A call's body holds the number of its pieces, an answer's body is ignored. */
+internal object CountCalls : StageCalls {
+    override val runPath = "/run"
+    override val freePath = "/free"
+    override val contentType = "text/plain"
+
+    override fun encodeRun(pieces: List<PieceWork>, nowMs: Long) = "${pieces.size}".encodeToByteArray()
+
+    override fun decodeRun(body: ByteArray): List<PieceOutcome> = listOf(PieceOutcome.Done("h"))
+
+    override fun encodeFree(handles: List<String>) = ByteArray(0)
+}
+
+internal fun stageRequest(id: String) = StageRequest(
+    service = "s",
+    requestId = id,
+    stage = 0,
+    pieces = 1,
+    key = "k",
+    resultBytes = 1,
+    objectiveInMs = 20_000,
+    deadlineInMs = 30_000,
+    priority = 0,
+)
--- /dev/null
+++ b/gateway/src/test/kotlin/io/oriolehall/gateway/stages/StageServiceTest.kt
@@ -0,0 +1,92 @@
+package io.oriolehall.gateway.stages
+
+import io.ktor.network.selector.SelectorManager
+import io.oriolehall.dispatch.config.CallerLimits
+import io.oriolehall.dispatch.config.PieceLimits
+import io.oriolehall.dispatch.config.RouteTable
+import io.oriolehall.dispatch.config.Service
+import io.oriolehall.dispatch.config.ServingConfig
+import io.oriolehall.dispatch.endpoints.EndpointRecord
+import io.oriolehall.gateway.TrafficLoop
+import io.oriolehall.gateway.path.GatewayUnderTest
+import io.oriolehall.gateway.path.ScriptedEndpoint
+import io.oriolehall.gateway.upstream.Connector
+import io.oriolehall.gateway.upstream.EndpointPools
+import io.oriolehall.gateway.wire.WireProtocol
+import io.oriolehall.model.EndpointId
+import io.oriolehall.model.Incarnation
+import io.oriolehall.model.InstanceId
+import io.oriolehall.model.NetworkAddress
+import io.oriolehall.model.ZoneId
+import io.oriolehall.peer.PeerClient
+import io.oriolehall.policy.membership.Member
+import io.oriolehall.policy.membership.MemberState
+import io.oriolehall.runtime.EventLog
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.CoroutineStart
+import kotlinx.coroutines.Dispatchers
+import kotlinx.coroutines.async
+import kotlinx.coroutines.cancel
+import kotlinx.coroutines.runBlocking
+import kotlinx.coroutines.withContext
+import org.junit.jupiter.api.Test
+import strikt.api.expectThat
+import strikt.assertions.hasSize
+import strikt.assertions.isNull
+import java.util.concurrent.CountDownLatch
+
+class StageServiceTest {
+    private val log = EventLog { _, _ -> }
+    private val self = member("self")
+    private val limits = PieceLimits(1, batch = 1, 2_000.0, 10.0, resultRoomBytes = 1_000, resultLifetimeMs = 4_000)
+    private val service = Service("s", "/", maxConnections = 0, coldPerSecond = 0.0, pieces = limits)
+    private val table = RouteTable(ServingConfig(1, emptyList(), listOf(service), CallerLimits(), emptyList()))
+
+    /** Nothing listens at the address of a member. */
+    private fun member(name: String) =
+        Member(InstanceId(name), ZoneId("z"), NetworkAddress("127.0.0.1", 1), Incarnation(1, 1), MemberState.ALIVE, 0)
+
+    /** Found on trouble-2 of pcta-fittings: callers were refused with the reason NOT_OWNER. */
+    @Test
+    fun `what waits here when the queue moves to an instance that cannot be reached is run here`() {
+        val goOn = CountDownLatch(1)
+        val worker = ScriptedEndpoint {
+            if (number == 1) goOn.await()
+            answer(body = "x")
+        }
+        val loop = TrafficLoop(log)
+        val wire = WireProtocol(GatewayUnderTest.HEADERS, CountCalls, "Bearer", "/ready")
+        val record = EndpointRecord(EndpointId("w"), 1, "s", worker.address, ZoneId("z"), 1, false, 0)
+        val selector = SelectorManager(Dispatchers.IO)
+        val peerScope = CoroutineScope(Dispatchers.Default)
+        var owner = self
+        val stages = StageService(
+            self = self.id,
+            ownerOf = { owner },
+            peers = PeerClient(selector, peerScope),
+            table = { table },
+            workers = { listOf(record) },
+            client = StageWorkerClient(EndpointPools(Connector(loop)), wire),
+            scope = loop.scope,
+            log = log,
+            observer = { _, _, _, _ -> },
+        )
+        val (begun, waiting) = runBlocking {
+            withContext(loop.dispatcher) {
+                val answers = listOf("begun", "waiting").map {
+                    async(start = CoroutineStart.UNDISPATCHED) { stages.run(stageRequest(it)) {} }
+                }
+                owner = member("other")
+                stages.handOver()
+                goOn.countDown()
+                answers.map { it.await() }
+            }
+        }
+        expectThat(begun.results).hasSize(1)
+        expectThat(waiting.failure).isNull()
+        peerScope.cancel()
+        selector.close()
+        loop.close()
+        worker.close()
+    }
+}
