--- a/dispatch/src/main/kotlin/io/oriolehall/dispatch/stages/StageQueue.kt
+++ b/dispatch/src/main/kotlin/io/oriolehall/dispatch/stages/StageQueue.kt
@@ -145,8 +145,8 @@
         const val RECENT_MS = 1_000L
         const val RECENT_STEP = 0.15
 
-        /** Longest wait for a worker of the preferred zone, milliseconds: about one call. */
-        const val ZONE_PATIENCE_MS = 400L
+        /** Longest wait for a worker of the preferred zone, milliseconds: about half a call. */
+        const val ZONE_PATIENCE_MS = 200L
 
         /** A piece of another zone goes as if it had come this much later, milliseconds: about one call. */
         const val FOREIGN_MS = 350L
--- a/dispatch/src/test/kotlin/io/oriolehall/dispatch/stages/StageQueueTest.kt
+++ b/dispatch/src/test/kotlin/io/oriolehall/dispatch/stages/StageQueueTest.kt
@@ -102,8 +102,8 @@
         queue.add(pieces("a", 1, zone = "b"))
         near.began(requireNotNull(queue.next(workers, nowMs = 0)), nowMs = 0)
         queue.add(pieces("c", 1, zone = "b"))
-        expectThat(queue.next(workers, nowMs = 399)).isNull()
-        expectThat(queue.next(workers, nowMs = 400)).isNotNull().get { worker }.isEqualTo(workers[0])
+        expectThat(queue.next(workers, nowMs = 199)).isNull()
+        expectThat(queue.next(workers, nowMs = 200)).isNotNull().get { worker }.isEqualTo(workers[0])
     }
 
     @Test
--- a/gateway/src/main/kotlin/io/oriolehall/gateway/requests/EndpointChooser.kt
+++ b/gateway/src/main/kotlin/io/oriolehall/gateway/requests/EndpointChooser.kt
@@ -53,6 +53,10 @@
         return placement.choose(candidates, request)?.let { pools.of(it.endpoint) }
     }
 
+    /** True when endpoints are registered that only have no place now. */
+    fun mayComeFree(context: RequestContext, tried: Set<EndpointLife>): Boolean =
+        snapshot().usable(context.service).any { it.life !in tried }
+
     private fun coldShare(pool: EndpointPool, perSecond: Double): Int {
         val live = instances()
         if (live !== known) {
--- a/gateway/src/main/kotlin/io/oriolehall/gateway/requests/RequestService.kt
+++ b/gateway/src/main/kotlin/io/oriolehall/gateway/requests/RequestService.kt
@@ -9,12 +9,14 @@
 import io.oriolehall.gateway.http.RequestHandler
 import io.oriolehall.gateway.http.Responder
 import io.oriolehall.gateway.stages.StageService
+import io.oriolehall.gateway.upstream.EndpointPool
 import io.oriolehall.gateway.wire.WireProtocol
 import io.oriolehall.model.ZoneId
 import io.oriolehall.runtime.Event
 import io.oriolehall.runtime.EventLog
 import io.oriolehall.runtime.write
 import kotlinx.coroutines.CancellationException
+import kotlinx.coroutines.delay
 import kotlinx.coroutines.withTimeoutOrNull
 import java.util.Locale
 
@@ -115,7 +117,7 @@
                 context.request.headers.get(wire.headers.pieceCounts),
                 context.route.stages.size,
             ) ?: return Rejection.Malformed("header ${wire.headers.pieceCounts} does not name the pieces of each stage")
-            val target = chooser.choose(context, null, emptySet()) ?: return noEndpoint()
+            val target = choose(null) ?: return noEndpoint()
             val plan = StagePlan(context, counts, stages, wire, target.endpoint.zone)
             if (counts.any { it > 0 }) refuseByLoad(plan)?.let { return it }
             this.plan = plan
@@ -168,7 +170,7 @@
         }
 
         private suspend fun attempt(inputs: List<String>, zone: ZoneId?): AttemptOutcome? {
-            val pool = chooser.choose(context, zone, tried) ?: return null
+            val pool = choose(zone) ?: return null
             tried += pool.endpoint.life
             context.trace.sends++
             context.trace.endpoint = pool.endpoint.id
@@ -189,6 +191,19 @@
             return outcome
         }
 
+        /**
+         * An endpoint, or null when none has a place within a small part of the objective: connections and the second
+         * of a cold limit come free soon.
+         */
+        private suspend fun choose(inputZone: ZoneId?): EndpointPool? {
+            val untilMs = TrafficLoop.nowMs() + (context.route.objectiveMs * PLACE_WAIT_SHARE).toLong()
+            while (true) {
+                chooser.choose(context, inputZone, tried)?.let { return it }
+                if (!chooser.mayComeFree(context, tried) || TrafficLoop.nowMs() >= untilMs) return null
+                delay(PLACE_POLL_MS)
+            }
+        }
+
         /** A request that may be repeated is not left at a silent endpoint for all of its time. */
         private fun headTimeoutMs(): Long? {
             if (!context.route.repeatable || tried.size >= context.route.maxAttempts) return null
@@ -225,5 +240,9 @@
         const val NO_ENDPOINT_RETRY_MS = 250L
         const val HEAD_TIMEOUT_SHARE = 0.8
         const val MIN_HEAD_TIMEOUT_MS = 150L
+
+        /** Part of the objective that a request waits for a place at an endpoint before it is refused. */
+        const val PLACE_WAIT_SHARE = 0.125
+        const val PLACE_POLL_MS = 5L
     }
 }
--- a/gateway/src/main/kotlin/io/oriolehall/gateway/stages/StageService.kt
+++ b/gateway/src/main/kotlin/io/oriolehall/gateway/stages/StageService.kt
@@ -13,9 +13,9 @@
 import kotlinx.coroutines.withContext
 
 /**
- * Sends the pieces of a stage to the owner of the service's queue, which is one instance of the fleet, so that calls are
- * filled from all instances. When the owner cannot be reached, this instance runs the queue itself. Used on the traffic
- * thread only.
+ * Sends the pieces of a stage to the owner of the service's queue, which is one instance of the fleet, so that calls
+ * are filled from all instances. When the owner cannot be reached, this instance runs the queue itself. Used on the
+ * traffic thread only.
  *
  * @param ownerOf the instance that owns the queue of a service now.
  */
--- a/gateway/src/test/kotlin/io/oriolehall/gateway/path/GatewayPathTest.kt
+++ b/gateway/src/test/kotlin/io/oriolehall/gateway/path/GatewayPathTest.kt
@@ -49,6 +49,24 @@
         }
     }
 
+    /** Found on the first grown day: 83 requests were refused while a connection would have come free in 45 ms. */
+    @Test
+    fun `a request waits a moment for a connection within the endpoint's bound`() {
+        val held = CountDownLatch(1)
+        val endpoint = ScriptedEndpoint {
+            if (number == 1) held.await(60, TimeUnit.MILLISECONDS)
+            answer()
+        }
+        GatewayUnderTest(listOf(endpoint), maxConnections = 1).use { gateway ->
+            gateway.ready().open("/once/x").use {
+                waitUntil { endpoint.requests == 1 }
+                expectThat(gateway.request("/once/x")).startsWith("HTTP/1.1 200")
+                expectThat(endpoint.openConnections).isEqualTo(1)
+            }
+        }
+        endpoint.close()
+    }
+
     @Test
     fun `an idempotent request is sent again after a reset`() {
         val breaks = ScriptedEndpoint { reset() }
--- a/gateway/src/test/kotlin/io/oriolehall/gateway/path/GatewayUnderTest.kt
+++ b/gateway/src/test/kotlin/io/oriolehall/gateway/path/GatewayUnderTest.kt
@@ -38,6 +38,7 @@
     private val endpoints: List<ScriptedEndpoint>,
     private val keyTrustMs: Long? = null,
     private val organisations: List<Organisation> = emptyList(),
+    private val maxConnections: Int = 0,
     private val storeAnswers: () -> Boolean = { true },
 ) : AutoCloseable {
     private val gateway = Gateway(settings(), WIRE, EventLog { _, _ -> }) { _ -> Feed() }
@@ -81,7 +82,7 @@
             route("/once/", RouteKind.AT_MOST_ONCE),
             route("/events/", RouteKind.STREAMING),
         )
-        val services = listOf(Service("s", "/", maxConnections = 0, coldPerSecond = 0.0))
+        val services = listOf(Service("s", "/", maxConnections, coldPerSecond = 0.0))
         val config = ServingConfig(1, routes, services, CallerLimits(), organisations)
         val records = endpoints.mapIndexed { i, endpoint ->
             EndpointRecord(EndpointId("e$i"), 1, "s", endpoint.address, ZoneId("z"), 1, draining = false, coldForMs = 0)
