--- a/cli/src/main/kotlin/io/oriolehall/cli/Main.kt
+++ b/cli/src/main/kotlin/io/oriolehall/cli/Main.kt
@@ -4,6 +4,7 @@
 import com.github.ajalt.clikt.core.Context
 import com.github.ajalt.clikt.core.main
 import com.github.ajalt.clikt.core.subcommands
+import io.oriolehall.cli.logs.ExplainLogsCommand
 
 /*
  * The `oriolehall` command. Exit codes: 0 success; 1 wrong usage or input; 2 the request was refused or the answer is
@@ -21,6 +22,7 @@
     StatusCommand(),
     AuditCommand(),
     ExplainCommand(),
+    ExplainLogsCommand(),
 )
 
 private class OriolehallCommand : CliktCommand(name = "oriolehall") {
--- a/runtime/src/main/kotlin/io/oriolehall/runtime/Event.kt
+++ b/runtime/src/main/kotlin/io/oriolehall/runtime/Event.kt
@@ -17,6 +17,7 @@
     HTTP_HANDLER_FAILED(105, EventLevel.ERROR, "request handler failed"),
     CHANGE_RECORDED(106, EventLevel.INFO, "change recorded"),
     LINES_DROPPED(107, EventLevel.WARN, "lines left out of the log"),
+    SETTINGS_READ_AGAIN(108, EventLevel.INFO, "settings read again"),
 
     PLATFORM_UNREACHABLE(201, EventLevel.WARN, "configuration service cannot be read"),
     PLATFORM_REACHED(202, EventLevel.INFO, "configuration service answers again"),
