--- a/gateway/src/main/kotlin/io/oriolehall/gateway/Gateway.kt
+++ b/gateway/src/main/kotlin/io/oriolehall/gateway/Gateway.kt
@@ -125,6 +125,9 @@
         responder.full(if (ready()) OK else UNAVAILABLE, DefaultHttpHeaders(), ByteArray(0))
     })
 
+    /** Address where counters and histograms are served, once it has started; null for none. */
+    var metricsAddress: NetworkAddress? = null
+        private set
     private val metricsPage = CallerListener(traffic, { _, responder ->
         val headers = DefaultHttpHeaders().set("Content-Type", "text/plain; version=0.0.4")
         responder.full(OK, headers, metrics.scrape().encodeToByteArray())
@@ -140,7 +143,7 @@
         timers.every("report dropped lines", REPORT_LINES_MS) { log.report() }
         traffic.scope.launch { sweep() }
         readiness.start(settings.readiness)
-        settings.metrics?.let(metricsPage::start)
+        metricsAddress = settings.metrics?.let(metricsPage::start)
         val address = callers.start(settings.callers)
         log.write(Event.INSTANCE_STARTED, "callers" to address, "incarnation" to incarnation)
         return address
--- a/gateway/src/test/kotlin/io/oriolehall/gateway/path/GatewayPathTest.kt
+++ b/gateway/src/test/kotlin/io/oriolehall/gateway/path/GatewayPathTest.kt
@@ -40,6 +40,21 @@
         }
     }
 
+    @Test
+    fun `requests, attempts and refusals are counted`() {
+        served(ScriptedEndpoint { answer() }) {
+            request("/once/x")
+            request("/none/x")
+            waitUntil { "oriolehall_requests_total" in metrics() }
+            expectThat(metrics()) {
+                contains("oriolehall_requests_total{outcome=\"on_time\",route=\"/once/\"} 1.0")
+                contains("oriolehall_attempts_total{outcome=\"delivered\",service=\"s\"} 1.0")
+                contains("oriolehall_rejections_total{kind=\"unknown_route\",route=\"none\"}")
+                contains("oriolehall_request_first_byte_seconds_bucket{route=\"/once/\",le=\"0.2\"} 1")
+            }
+        }
+    }
+
     @Test
     fun `a request that its endpoint declined goes to another one`() {
         val declines = ScriptedEndpoint { answer("503 Service Unavailable", "", "N: 1\r\n") }
--- a/gateway/src/test/kotlin/io/oriolehall/gateway/path/GatewayUnderTest.kt
+++ b/gateway/src/test/kotlin/io/oriolehall/gateway/path/GatewayUnderTest.kt
@@ -32,6 +32,7 @@
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.runBlocking
 import java.net.Socket
+import java.net.URI
 
 /** A gateway on loopback with routes `/plain/`, `/once/` and `/events/` to the given endpoints. */
 internal class GatewayUnderTest(
@@ -44,6 +45,12 @@
     private val gateway = Gateway(settings(), WIRE, EventLog { _, _ -> }) { _ -> Feed() }
     val callers: NetworkAddress = runBlocking { gateway.start() }
 
+    /** The page of counters and histograms. */
+    fun metrics(): String {
+        val address = checkNotNull(gateway.metricsAddress)
+        return URI("http://$address/metrics").toURL().readText()
+    }
+
     /** The whole answer to one request on a connection of its own, as text; it may break off. */
     fun request(path: String, deadlineMs: Long = 5_000, headers: String = ""): String =
         open(path, deadlineMs, headers).use { socket ->
@@ -74,6 +81,7 @@
             coldFactor = 1.0,
             coldSlack = 0.0,
         ),
+        metrics = NetworkAddress("127.0.0.1", 0),
     )
 
     private fun snapshot(): FeedSnapshot {
