--- a/gateway/src/main/kotlin/io/oriolehall/gateway/requests/RequestService.kt
+++ b/gateway/src/main/kotlin/io/oriolehall/gateway/requests/RequestService.kt
@@ -52,15 +52,19 @@
             metrics.ended(context, "caller_left")
             throw e
         }
-        if (rejection is Rejection) reject(request, context, responder, rejection) else logServed(context)
+        if (rejection is Rejection) reject(request, context, responder, rejection) else noteAnswered(context)
     }
 
-    private fun logServed(context: RequestContext) {
-        val answeredAtMs = context.request.receivedAtMs + (context.trace.firstMs ?: 0)
-        val event = if (answeredAtMs > context.objectiveAtMs) Event.REQUEST_LATE else Event.REQUEST_SERVED
-        log.write(event, describe(context))
-        val outcome = if (event == Event.REQUEST_LATE) "late" else "on_time"
-        metrics.answered(context, outcome, context.trace.firstMs ?: 0)
+    private fun noteAnswered(context: RequestContext) {
+        val firstMs = context.trace.firstMs
+        if (firstMs == null) {
+            log.write(Event.FAILURE_PASSED_ON, describe(context))
+            metrics.ended(context, "endpoint_failure")
+            return
+        }
+        val late = context.request.receivedAtMs + firstMs > context.objectiveAtMs
+        log.write(if (late) Event.REQUEST_LATE else Event.REQUEST_SERVED, describe(context))
+        metrics.answered(context, if (late) "late" else "on_time", firstMs)
     }
 
     private fun describe(context: RequestContext): List<Pair<String, Any?>> = listOf(
@@ -224,6 +228,7 @@
                 responder.started -> Rejection.OutcomeUnknown(reason)
 
                 failure != null -> {
+                    context.trace.failureStatus = failure.status
                     responder.full(failure.status, failure.headers, failure.body)
                     null
                 }
--- a/gateway/src/main/kotlin/io/oriolehall/gateway/requests/RequestTrace.kt
+++ b/gateway/src/main/kotlin/io/oriolehall/gateway/requests/RequestTrace.kt
@@ -11,6 +11,9 @@
     /** When the first bytes of the answer went to the caller. */
     var firstMs: Long? = null
 
+    /** Status of an endpoint's failure that was passed on to the caller; null for any other end. */
+    var failureStatus: Int? = null
+
     /** Number of sends to endpoints of the request's service. */
     var sends = 0
 
@@ -24,6 +27,7 @@
     fun fields(): List<Pair<String, Any?>> = listOf(
         "stagesMs" to stagesMs,
         "firstMs" to firstMs,
+        "failureStatus" to failureStatus,
         "sends" to sends,
         "endpoint" to endpoint,
         "endpointZone" to endpointZone,
--- a/gateway/src/test/kotlin/io/oriolehall/gateway/path/GatewayPathTest.kt
+++ b/gateway/src/test/kotlin/io/oriolehall/gateway/path/GatewayPathTest.kt
@@ -55,6 +55,15 @@
         }
     }
 
+    @Test
+    fun `an endpoint's failure that is passed on does not count as served`() {
+        served(ScriptedEndpoint { answer("500 Internal Server Error") }) {
+            expectThat(request("/once/x")).startsWith("HTTP/1.1 500")
+            waitUntil { "endpoint_failure" in metrics() }
+            expectThat("on_time" in metrics()).isFalse()
+        }
+    }
+
     @Test
     fun `a request that its endpoint declined goes to another one`() {
         val declines = ScriptedEndpoint { answer("503 Service Unavailable", "", "N: 1\r\n") }
