--- a/gateway/src/main/kotlin/io/oriolehall/gateway/Gateway.kt
+++ b/gateway/src/main/kotlin/io/oriolehall/gateway/Gateway.kt
@@ -3,6 +3,7 @@
 import io.ktor.network.selector.SelectorManager
 import io.netty.handler.codec.http.DefaultHttpHeaders
 import io.oriolehall.dispatch.admission.StageAdmission
+import io.oriolehall.dispatch.admission.StopAdmission
 import io.oriolehall.dispatch.config.CallerLimits
 import io.oriolehall.dispatch.limits.RepeatAllowance
 import io.oriolehall.dispatch.placement.AffinityPlacement
@@ -109,12 +110,16 @@
         repeats = ::allowance,
         instances = { fleet.live.size },
         wire = wire,
+        stopping = { stopping },
         metrics = metrics,
         log = log,
     )
 
     @Volatile
     private var leaving = false
+
+    @Volatile
+    private var stopping: StopAdmission? = null
     private val callers = CallerListener(
         traffic,
         requests,
@@ -158,7 +163,9 @@
     suspend fun stop() {
         leaving = true
         log.write(Event.INSTANCE_STOPPING)
-        val untilMs = TrafficLoop.nowMs() + settings.bounds.stopMs - STOP_MARGIN_MS
+        val sinceMs = TrafficLoop.nowMs()
+        val untilMs = sinceMs + settings.bounds.stopMs - STOP_MARGIN_MS
+        stopping = StopAdmission(sinceMs, untilMs)
         fleet.announceLeaving()
         delay(BALANCER_MS)
         while (TrafficLoop.nowMs() < untilMs) {
--- a/gateway/src/main/kotlin/io/oriolehall/gateway/requests/Outcome.kt
+++ b/gateway/src/main/kotlin/io/oriolehall/gateway/requests/Outcome.kt
@@ -73,4 +73,13 @@
 }
 
 /** Why a request was refused that has not run. */
-internal enum class RefusalCause { NO_CONFIGURATION, UNCONFIRMED, NO_ENDPOINT, OVERLOADED, STAGE, TIMED_OUT, DECLINED }
+internal enum class RefusalCause {
+    NO_CONFIGURATION,
+    UNCONFIRMED,
+    STOPPING,
+    NO_ENDPOINT,
+    OVERLOADED,
+    STAGE,
+    TIMED_OUT,
+    DECLINED,
+}
--- a/gateway/src/main/kotlin/io/oriolehall/gateway/requests/RequestService.kt
+++ b/gateway/src/main/kotlin/io/oriolehall/gateway/requests/RequestService.kt
@@ -2,6 +2,7 @@
 
 import io.netty.handler.codec.http.DefaultHttpHeaders
 import io.oriolehall.dispatch.admission.StageAdmission
+import io.oriolehall.dispatch.admission.StopAdmission
 import io.oriolehall.dispatch.endpoints.EndpointLife
 import io.oriolehall.dispatch.limits.RepeatAllowance
 import io.oriolehall.gateway.TrafficLoop
@@ -32,6 +33,7 @@
     private val repeats: (String) -> RepeatAllowance,
     private val instances: () -> Int,
     private val wire: WireProtocol,
+    private val stopping: () -> StopAdmission?,
     private val metrics: GatewayMetrics,
     private val log: EventLog,
 ) : RequestHandler {
@@ -44,6 +46,16 @@
             return
         }
         val context = admitted.value
+        if (stopping()?.admits(request.receivedAtMs, context.deadlineAtMs) == false) {
+            val reason = "the instance stops before the request could end"
+            reject(
+                request,
+                context,
+                responder,
+                Rejection.NotExecuted(RefusalCause.STOPPING, reason, ELSEWHERE_RETRY_MS),
+            )
+            return
+        }
         repeats(context.service).onFirst(TrafficLoop.nowMs())
         val rejection = try {
             withTimeoutOrNull(context.leftMs()) { Run(context, responder).serve() ?: Served } ?: timeOut(context)
@@ -243,6 +255,9 @@
     private companion object {
         const val MS_PER_SECOND = 1_000.0
         const val NO_ENDPOINT_RETRY_MS = 250L
+
+        /** Another instance can serve at once; callers that come back are spread a little by their own arrival. */
+        const val ELSEWHERE_RETRY_MS = 50L
         const val HEAD_TIMEOUT_SHARE = 0.8
         const val MIN_HEAD_TIMEOUT_MS = 150L
 
--- a/gateway/src/test/kotlin/io/oriolehall/gateway/path/GatewayPathTest.kt
+++ b/gateway/src/test/kotlin/io/oriolehall/gateway/path/GatewayPathTest.kt
@@ -40,6 +40,16 @@
         }
     }
 
+    @Test
+    fun `a stopping instance refuses what may last longer than it does, and serves the rest`() {
+        served(ScriptedEndpoint { answer() }) {
+            stopSoon()
+            expectThat(request("/once/x", deadlineMs = 20_000)).startsWith("HTTP/1.1 200")
+            waitUntil { request("/once/x", deadlineMs = 20_000).startsWith("HTTP/1.1 503") }
+            expectThat(request("/once/x", deadlineMs = 100)).startsWith("HTTP/1.1 200")
+        }
+    }
+
     @Test
     fun `requests, attempts and refusals are counted`() {
         served(ScriptedEndpoint { answer() }) {
--- a/gateway/src/test/kotlin/io/oriolehall/gateway/path/GatewayUnderTest.kt
+++ b/gateway/src/test/kotlin/io/oriolehall/gateway/path/GatewayUnderTest.kt
@@ -33,6 +33,7 @@
 import kotlinx.coroutines.runBlocking
 import java.net.Socket
 import java.net.URI
+import kotlin.concurrent.thread
 
 /** A gateway on loopback with routes `/plain/`, `/once/` and `/events/` to the given endpoints. */
 internal class GatewayUnderTest(
@@ -45,6 +46,11 @@
     private val gateway = Gateway(settings(), WIRE, EventLog { _, _ -> }) { _ -> Feed() }
     val callers: NetworkAddress = runBlocking { gateway.start() }
 
+    /** Stops the gateway in the background. */
+    fun stopSoon() {
+        thread(isDaemon = true) { runBlocking { gateway.stop() } }
+    }
+
     /** The page of counters and histograms. */
     fun metrics(): String {
         val address = checkNotNull(gateway.metricsAddress)
@@ -73,7 +79,7 @@
         readiness = NetworkAddress("127.0.0.1", 0),
         seeds = emptyList(),
         bounds = Bounds(
-            stopMs = 1_000,
+            stopMs = 10_000,
             keyTrustMs = keyTrustMs,
             repeatRatio = 10.0,
             repeatAllowance = 100.0,
