--- a/cli/src/main/kotlin/io/oriolehall/cli/logs/RequestStory.kt
+++ b/cli/src/main/kotlin/io/oriolehall/cli/logs/RequestStory.kt
@@ -1,5 +1,6 @@
 package io.oriolehall.cli.logs
 
+import io.oriolehall.runtime.Event
 import java.time.Duration
 
 /**
@@ -38,7 +39,24 @@
 
     private companion object {
         /** Process, configuration, endpoints, zones and other instances. */
-        val Circumstances = setOf(101, 102, 107, 201, 202, 206, 208, 209, 210, 211, 212, 213, 214, 303, 304, 308)
+        val Circumstances = setOf(
+            Event.INSTANCE_STARTED,
+            Event.INSTANCE_STOPPING,
+            Event.LINES_DROPPED,
+            Event.PLATFORM_UNREACHABLE,
+            Event.PLATFORM_REACHED,
+            Event.CONFIG_IN_FORCE,
+            Event.FEED_HISTORY_GONE,
+            Event.FEED_READ_FROM_PEER,
+            Event.ENDPOINT_REGISTERED,
+            Event.ENDPOINT_DRAINING,
+            Event.ENDPOINT_WITHDRAWN,
+            Event.ZONE_EVACUATED,
+            Event.ZONE_RESTORED,
+            Event.MEMBERSHIP_JOINED,
+            Event.PROCESS_WAS_PAUSED,
+            Event.MEMBER_CHANGED,
+        ).mapTo(HashSet(), Event::number)
 
         /** How long before its arrival something may have decided a request. */
         val Before: Duration = Duration.ofSeconds(3)
