--- a/proofs/src/test/kotlin/io/oriolehall/proofs/keys/KeyDisagreementTest.kt
+++ b/proofs/src/test/kotlin/io/oriolehall/proofs/keys/KeyDisagreementTest.kt
@@ -63,14 +63,22 @@
 
     /** Cuts [alone] off from the instances [others] only, and waits until each side holds the other for dead. */
     private suspend fun Fleet.separate(alone: EntryProcess, others: List<EntryProcess>) {
+        println("known to it before the cut: " + alone.describePeers())
         for (other in others) {
             faults.add(Fault(link(alone, other), FaultMode.CUT))
             faults.add(Fault(link(other, alone), FaultMode.CUT))
         }
         awaitThat("the others hold it for dead") { others.all { it.sees(alone) == MemberState.DEAD } }
-        awaitThat("it holds the others for dead") { others.all { alone.sees(it) == MemberState.DEAD } }
+        try {
+            awaitThat("it holds the others for dead") { others.all { alone.sees(it) == MemberState.DEAD } }
+        } finally {
+            println("known to it after the cut: " + alone.describePeers())
+        }
     }
 
+    private suspend fun EntryProcess.describePeers(): String =
+        status().peers.joinToString { "${it.id} ${it.state}, heard ${it.heardMs} ms ago" }
+
     private fun link(from: EntryProcess, to: EntryProcess) =
         FaultMatch(sourceId = from.spec.id.value, targetId = to.spec.id.value)
 
