Instances of a large zone follow one that reads the platform

Cause: every instance watched the platform for itself.

Now three instances of a zone, or one in twelve, read; the others hold a query open at one of them and get its changes by number. A follower reads for itself when its reader is silent, has not been answered by the platform for 0.9 s, or knows less. Owners of subjects are ranked once for each view instead of at each request.

Not measured: processor time of a reader by its followers.

--- a/gateway/src/main/kotlin/io/oriolehall/gateway/Gateway.kt
+++ b/gateway/src/main/kotlin/io/oriolehall/gateway/Gateway.kt
@@ -77,7 +77,7 @@
         log = log,
     )
     private val watchMs = settings.bounds.keyTrustMs?.let { it / WATCHES_PER_TRUST } ?: UNBOUND_WATCH_MS
-    private val reader = FeedReader(feed(traffic), state, fleet, watchMs, timers, log)
+    private val reader = FeedReader(feed(traffic), state, fleet, { fleet.watchMs(watchMs) }, timers, log)
 
     private val pools = EndpointPools(Connector(traffic))
     private val metrics = GatewayMetrics()
--- a/gateway/src/main/kotlin/io/oriolehall/gateway/feed/FeedReader.kt
+++ b/gateway/src/main/kotlin/io/oriolehall/gateway/feed/FeedReader.kt
@@ -8,17 +8,17 @@
 import kotlin.random.Random
 
 /**
- * Keeps [state] up to date: reads everything once, then watches. When the platform does not answer, it asks other
- * instances through [peers] until it does. Runs on the control thread.
+ * Keeps [state] up to date: reads everything once, then watches, itself or through an instance that it follows. When
+ * the platform does not answer, it asks other instances through [peers] until it does. Runs on the control thread.
  *
- * @param watchMs longest wait of one watch, milliseconds; a confirmation of the configuration is never older than this
- *   while the platform answers.
+ * @param watchMs longest wait of the next watch, milliseconds; a confirmation of the configuration is never older than
+ *   this while the platform answers.
  */
 class FeedReader(
     private val feed: PlatformFeed,
     private val state: PublishedState,
     private val peers: PeerFeed,
-    private val watchMs: Long,
+    private val watchMs: () -> Long,
     private val timers: TimerService,
     private val log: EventLog,
     private val random: Random = Random.Default,
@@ -34,6 +34,7 @@
     suspend fun run() {
         var snapshotNeeded = true
         while (true) {
+            if (!snapshotNeeded && reachable && peers.follow()) continue
             val sentAt = state.now()
             val failure = if (snapshotNeeded) readAll(sentAt) else watch(sentAt)
             if (failure == null) {
@@ -61,7 +62,7 @@
     }
 
     private suspend fun watch(sentAt: Moment): FeedFailure? {
-        val answer = feed.changes(state.asOf ?: 0, watchMs)
+        val answer = feed.changes(state.asOf ?: 0, watchMs())
         if (answer.isErr) return answer.error
         noteReached()
         state.apply(answer.value, sentAt)
@@ -70,6 +71,7 @@
 
     private fun noteReached() {
         failures = 0
+        state.noteHeard()
         if (reachable) return
         reachable = true
         state.storeReturned()
@@ -100,4 +102,9 @@
 fun interface PeerFeed {
     /** Takes in what a reachable instance knows, if that is newer. Returns true when something was taken. */
     suspend fun refresh(state: PublishedState): Boolean
+
+    /**
+     * Follows another instance that reads the platform for this one. False when this instance has to read it itself.
+     */
+    suspend fun follow(): Boolean = false
 }
--- a/gateway/src/main/kotlin/io/oriolehall/gateway/feed/PlatformFeed.kt
+++ b/gateway/src/main/kotlin/io/oriolehall/gateway/feed/PlatformFeed.kt
@@ -8,19 +8,26 @@
 import kotlinx.serialization.Serializable
 
 /** One item that the platform publishes, decoded. */
+@Serializable
 sealed interface PublishedChange {
     /** The newest configuration. [revision] orders configurations. */
+    @Serializable
     data class ConfigPublished(val revision: Long, val config: ServingConfig) : PublishedChange
 
+    @Serializable
     data class EndpointRegistered(val record: EndpointRecord) : PublishedChange
 
+    @Serializable
     data class EndpointWithdrawn(val id: EndpointId) : PublishedChange
 
+    @Serializable
     data class ZoneEvacuated(val zone: ZoneId) : PublishedChange
 
+    @Serializable
     data class ZoneRestored(val zone: ZoneId) : PublishedChange
 
     /** An item that cannot be used. [reason] says why; an endpoint of that name is not used either. */
+    @Serializable
     data class Unreadable(val key: String, val reason: String) : PublishedChange
 }
 
--- a/gateway/src/main/kotlin/io/oriolehall/gateway/feed/PublishedState.kt
+++ b/gateway/src/main/kotlin/io/oriolehall/gateway/feed/PublishedState.kt
@@ -27,6 +27,9 @@
 
     val trust = ConfigTrust()
 
+    /** What has changed here, for the instances that follow this one. */
+    val journal = ChangeJournal()
+
     @Volatile
     var endpoints = EndpointSnapshot()
         private set
@@ -35,9 +38,18 @@
     var asOf: Long? = null
         private set
 
+    /** When the platform last answered this instance, monotonic milliseconds; null before it has. */
+    var heardAtMs: Long? = null
+        private set
+
     /** True once everything has been read. */
     val complete: Boolean get() = asOf != null && trust.current != null
 
+    /** Notes that the platform has just answered. */
+    fun noteHeard() {
+        heardAtMs = timers.nowMs()
+    }
+
     fun now() = Moment(timers.nowMs(), timers.wallClockMs())
 
     /**
@@ -58,14 +70,24 @@
 
     /** Takes in [news] of a watch that was sent at [sentAt]. */
     fun apply(news: FeedChanges, sentAt: Moment) {
-        news.changes.forEach { applyOne(it, sentAt) }
+        news.changes.forEach { applyOne(it, sentAt, "platform") }
         asOf = maxOf(asOf ?: 0, news.asOf)
         trust.current?.let { trust.confirm(it.revision, sentAt) }
         publish()
     }
 
-    private fun applyOne(change: PublishedChange, sentAt: Moment) = when (change) {
-        is ConfigPublished -> offer(change.config, change.revision, sentAt, "platform")
+    /**
+     * Takes in the changes of an instance that this one follows, up to [revision]. They are in force there: an
+     * endpoint that is withdrawn has been waited for already.
+     */
+    fun applyFollowed(changes: List<PublishedChange>, revision: Long, at: Moment, source: String) {
+        changes.forEach { applyOne(it, at, source) }
+        asOf = maxOf(asOf ?: 0, revision)
+        publish()
+    }
+
+    private fun applyOne(change: PublishedChange, sentAt: Moment, source: String) = when (change) {
+        is ConfigPublished -> offer(change.config, change.revision, sentAt, source)
         is EndpointRegistered -> register(change)
         is EndpointWithdrawn -> withdraw(change.id)
         is ZoneEvacuated -> setEvacuated(change.zone, true)
@@ -75,6 +97,7 @@
 
     private fun offer(config: ServingConfig, revision: Long, at: Moment, source: String) {
         if (!trust.offer(config, revision, at)) return
+        journal.add(listOf(ConfigPublished(revision, config)))
         log.write(
             Event.CONFIG_IN_FORCE,
             "version" to config.version,
@@ -132,7 +155,19 @@
     }
 
     private fun publish() {
+        val before = endpoints
         directory.setEvacuated(evacuated)
         endpoints = directory.snapshot
+        val changes = changesBetween(before, endpoints)
+        if (changes.isNotEmpty()) journal.add(changes)
+    }
+
+    private fun changesBetween(before: EndpointSnapshot, after: EndpointSnapshot): List<PublishedChange> {
+        if (before == after) return emptyList()
+        val written = after.endpoints.values.filter { before.endpoints[it.id] != it }.map(::EndpointRegistered)
+        val removed = before.endpoints.keys.filter { it !in after.endpoints }.map(::EndpointWithdrawn)
+        val evacuations = (after.evacuated - before.evacuated).map(::ZoneEvacuated)
+        val restorations = (before.evacuated - after.evacuated).map(::ZoneRestored)
+        return written + removed + evacuations + restorations
     }
 }
--- a/gateway/src/main/kotlin/io/oriolehall/gateway/fleet/FleetService.kt
+++ b/gateway/src/main/kotlin/io/oriolehall/gateway/fleet/FleetService.kt
@@ -9,7 +9,6 @@
 import io.oriolehall.model.NetworkAddress
 import io.oriolehall.peer.PeerClient
 import io.oriolehall.peer.PeerServer
-import io.oriolehall.policy.hashing.Rendezvous
 import io.oriolehall.policy.membership.Member
 import io.oriolehall.policy.membership.MemberRecord
 import io.oriolehall.policy.membership.MemberState
@@ -37,7 +36,7 @@
  */
 class FleetService(
     private val self: Instance,
-    incarnation: Incarnation,
+    private val incarnation: Incarnation,
     private val seeds: List<NetworkAddress>,
     private val client: PeerClient,
     private val state: PublishedState,
@@ -49,6 +48,7 @@
     private val random: Random = Random.Default,
 ) : PeerFeed {
     private val membership = Membership(self, incarnation, settings, random, timers.nowMs())
+    private val follower = StateFollower(incarnation, state, client, timers, log, ::confirmedAgoMs)
     private var fetching = false
 
     /** The newest view. */
@@ -64,6 +64,9 @@
         server.answer(FleetChannels.STATE) {
             withContext(control) { StateAnswer(state.snapshot(), confirmedAgoMs()) }
         }
+        server.serve(FleetChannels.FOLLOW) { query, emit ->
+            withContext(control) { follower.answer(query) }?.let { emit(it) }
+        }
         membership.join()
         timers.after("first probes", 0) { scope.launch { round() } }
         timers.every("membership round", settings.probePeriodMs, JITTER) { scope.launch { round() } }
@@ -83,10 +86,10 @@
     }
 
     /** The instance that owns [subject]: all that see the same members name the same one. Null before there are any. */
-    fun ownerOf(subject: String): Member? {
-        val members = view.members.values.filter { it.ownable }.associateBy(Member::id)
-        return Rendezvous.ranked(subject, members.keys).firstOrNull()?.let(members::get)
-    }
+    fun ownerOf(subject: String): Member? = owners.of(subject)
+
+    @Volatile
+    private var owners = Owners(view)
 
     /** Live instances, this one among them. The same set is returned until it changes. */
     @Volatile
@@ -204,6 +207,11 @@
         return true
     }
 
+    /** Longest wait of a watch of the platform, milliseconds: [aloneMs] unless others follow this instance. */
+    fun watchMs(aloneMs: Long): Long = if (follower.followed) minOf(aloneMs, StateFollower.WATCH_MS) else aloneMs
+
+    override suspend fun follow(): Boolean = PlatformReaders.followedBy(view)?.let { follower.follow(it) } ?: false
+
     override suspend fun refresh(state: PublishedState): Boolean {
         val others = view.members.values.filter { it.reachable && it.id != self.id }.map(Member::address)
         val asked = others.shuffled(random).take(REFRESH_FROM)
@@ -220,6 +228,7 @@
         val before = view
         val after = membership.view()
         view = after
+        if (!owners.isOf(after)) owners = Owners(after)
         val reachable = after.members.values.filter { it.reachable }.mapTo(HashSet()) { it.id } + self.id
         if (reachable != live) live = reachable
         for (member in after.members.values) {
--- /dev/null
+++ b/gateway/src/test/kotlin/io/oriolehall/gateway/fleet/PlatformReadersTest.kt
@@ -0,0 +1,68 @@
+package io.oriolehall.gateway.fleet
+
+import io.oriolehall.model.Incarnation
+import io.oriolehall.model.InstanceId
+import io.oriolehall.model.NetworkAddress
+import io.oriolehall.model.ZoneId
+import io.oriolehall.policy.membership.Member
+import io.oriolehall.policy.membership.MemberState
+import io.oriolehall.policy.membership.MembershipView
+import kotlinx.collections.immutable.toPersistentMap
+import org.junit.jupiter.api.Test
+import strikt.api.expectThat
+import strikt.assertions.all
+import strikt.assertions.contains
+import strikt.assertions.hasSize
+import strikt.assertions.isEqualTo
+import strikt.assertions.isLessThanOrEqualTo
+import strikt.assertions.isNotEqualTo
+import strikt.assertions.isNull
+
+class PlatformReadersTest {
+    private fun member(number: Int, zone: String, state: MemberState = MemberState.ALIVE) = Member(
+        id = InstanceId("i$number"),
+        zone = ZoneId(zone),
+        address = NetworkAddress("127.0.0.1", number),
+        incarnation = Incarnation(1, 1),
+        state = state,
+        sinceMs = 0,
+    )
+
+    private fun fleet(perZone: Int, zones: Int): List<Member> =
+        List(perZone * zones) { member(it + 1, "z${it % zones}") }
+
+    private fun followed(self: Member, members: List<Member>): Member? = PlatformReaders.followedBy(
+        MembershipView(self.id, self.zone, members.associateBy(Member::id).toPersistentMap()),
+    )
+
+    @Test
+    fun `all instances of a small zone read the platform`() {
+        val members = fleet(perZone = 3, zones = 3)
+        expectThat(members.map { followed(it, members) }).all { isNull() }
+    }
+
+    @Test
+    fun `in a large fleet a few of each zone read and the others follow one of those`() {
+        val members = fleet(perZone = 44, zones = 8)
+        val (readers, followers) = members.partition { followed(it, members) == null }
+        expectThat(readers).hasSize(3 * 8)
+        for (follower in followers) {
+            val reader = checkNotNull(followed(follower, members))
+            expectThat(readers).contains(reader)
+            expectThat(reader.zone) isEqualTo follower.zone
+        }
+        val most = followers.groupingBy { followed(it, members) }.eachCount().values.max()
+        expectThat(most).describedAs("followers of one reader").isLessThanOrEqualTo(2 * 44 / 3)
+    }
+
+    @Test
+    fun `a reader that leaves or is dead is followed no more`() {
+        val members = fleet(perZone = 20, zones = 1)
+        val follower = members.first { followed(it, members) != null }
+        val reader = checkNotNull(followed(follower, members))
+        for (state in listOf(MemberState.LEAVING, MemberState.DEAD, MemberState.LEFT)) {
+            val after = members.map { if (it.id == reader.id) it.copy(state = state) else it }
+            expectThat(followed(follower, after)?.id) isNotEqualTo reader.id
+        }
+    }
+}
--- /dev/null
+++ b/gateway/src/test/kotlin/io/oriolehall/gateway/fleet/StateFollowerTest.kt
@@ -0,0 +1,163 @@
+package io.oriolehall.gateway.fleet
+
+import io.ktor.network.selector.SelectorManager
+import io.oriolehall.dispatch.config.CallerLimits
+import io.oriolehall.dispatch.config.ServingConfig
+import io.oriolehall.dispatch.endpoints.EndpointRecord
+import io.oriolehall.gateway.feed.FeedChanges
+import io.oriolehall.gateway.feed.FeedSnapshot
+import io.oriolehall.gateway.feed.PublishedChange
+import io.oriolehall.gateway.feed.PublishedState
+import io.oriolehall.model.EndpointId
+import io.oriolehall.model.Incarnation
+import io.oriolehall.model.InstanceId
+import io.oriolehall.model.NetworkAddress
+import io.oriolehall.model.ZoneId
+import io.oriolehall.peer.PeerClient
+import io.oriolehall.peer.PeerServer
+import io.oriolehall.policy.membership.Member
+import io.oriolehall.policy.membership.MemberState
+import io.oriolehall.runtime.CoroutineTimerService
+import io.oriolehall.runtime.EventLog
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Dispatchers
+import kotlinx.coroutines.ExperimentalCoroutinesApi
+import kotlinx.coroutines.SupervisorJob
+import kotlinx.coroutines.async
+import kotlinx.coroutines.cancel
+import kotlinx.coroutines.runBlocking
+import kotlinx.coroutines.withContext
+import kotlinx.coroutines.yield
+import org.junit.jupiter.api.AfterEach
+import org.junit.jupiter.api.Test
+import strikt.api.expectThat
+import strikt.assertions.isEmpty
+import strikt.assertions.isEqualTo
+import strikt.assertions.isFalse
+import strikt.assertions.isGreaterThanOrEqualTo
+import strikt.assertions.isLessThanOrEqualTo
+import strikt.assertions.isTrue
+
+/** A reader and a follower on loopback, with the platform's news put into the reader by hand. */
+class StateFollowerTest {
+    private val log = EventLog { _, _ -> }
+
+    @OptIn(ExperimentalCoroutinesApi::class)
+    private val control = Dispatchers.Default.limitedParallelism(1)
+    private val scope = CoroutineScope(control + SupervisorJob())
+    private val timers = CoroutineTimerService(scope, log)
+    private val selector = SelectorManager(Dispatchers.IO)
+    private val client = PeerClient(selector, scope)
+    private val server = PeerServer(selector, scope, log)
+    private val readerState = PublishedState(timers, log)
+    private val state = PublishedState(timers, log)
+    private val life = Incarnation(1, 1)
+    private var confirmedAgoMs = 0L
+    private val reader = StateFollower(life, readerState, client, timers, log) { confirmedAgoMs }
+    private val follower = StateFollower(Incarnation(2, 2), state, client, timers, log) { 0 }
+    private val config = ServingConfig(1, emptyList(), emptyList(), CallerLimits(), emptyList())
+
+    @AfterEach
+    fun end() {
+        server.close()
+        scope.cancel()
+        selector.close()
+    }
+
+    private fun record(id: String, draining: Boolean = false) =
+        EndpointRecord(EndpointId(id), 1, "s", NetworkAddress("127.0.0.1", 1), ZoneId("z"), 1, draining, coldForMs = 0)
+
+    private fun played(play: suspend (Member) -> Unit) = runBlocking {
+        server.serve(FleetChannels.FOLLOW) { query, emit ->
+            withContext(control) { reader.answer(query) }?.let { emit(it) }
+        }
+        val address = server.start(NetworkAddress("127.0.0.1", 0))
+        withContext(control) {
+            val snapshot = FeedSnapshot(10, 7, config, listOf(record("a"), record("b")), listOf(ZoneId("y")))
+            readerState.noteHeard()
+            readerState.replace(snapshot, readerState.now(), orderly = true, source = "test")
+            play(Member(InstanceId("r"), ZoneId("z"), address, life, MemberState.ALIVE, 0))
+        }
+    }
+
+    private fun news(revision: Long, vararg changes: PublishedChange) {
+        readerState.noteHeard()
+        readerState.apply(FeedChanges(revision, changes.toList()), readerState.now())
+    }
+
+    @Test
+    fun `a follower takes everything first and then each change as it comes`() = played { member ->
+        expectThat(follower.follow(member)).isTrue()
+        expectThat(state.endpoints) isEqualTo readerState.endpoints
+        expectThat(state.trust.current?.revision) isEqualTo 7
+        val waiting = scope.async { follower.follow(member) }
+        yield()
+        news(
+            12,
+            PublishedChange.EndpointRegistered(record("a", draining = true)),
+            PublishedChange.EndpointWithdrawn(EndpointId("b")),
+            PublishedChange.ZoneRestored(ZoneId("y")),
+            PublishedChange.ConfigPublished(12, config.copy(version = 3)),
+        )
+        expectThat(waiting.await()).isTrue()
+        expectThat(state.endpoints) isEqualTo readerState.endpoints
+        expectThat(state.endpoints.usable("s")).isEmpty()
+        expectThat(state.endpoints.evacuated).isEmpty()
+        expectThat(state.trust.current?.table?.config?.version) isEqualTo 3
+        expectThat(state.asOf) isEqualTo 12
+    }
+
+    @Test
+    fun `a follower that fell out of the kept changes takes everything`() = played { member ->
+        follower.follow(member)
+        repeat(3_000) { news(11L + it, PublishedChange.EndpointRegistered(record("n$it"))) }
+        readerState.noteHeard()
+        expectThat(follower.follow(member)).isTrue()
+        expectThat(state.endpoints) isEqualTo readerState.endpoints
+    }
+
+    @Test
+    fun `a confirmation is not made younger on its way`() = played { member ->
+        confirmedAgoMs = 1_200
+        val beforeMs = state.now().ms
+        follower.follow(member)
+        val confirmed = checkNotNull(state.trust.current).confirmedAt.ms
+        expectThat(confirmed).isLessThanOrEqualTo(state.now().ms - 1_200)
+        expectThat(confirmed).isGreaterThanOrEqualTo(beforeMs - 1_200)
+    }
+
+    @Test
+    fun `a reader that suspends keys is not followed`() = played { member ->
+        confirmedAgoMs = -1
+        expectThat(follower.follow(member)).isFalse()
+    }
+
+    /** The shortest bound on putting a configuration in force is 2 s; the reader alone may be cut off. */
+    @Test
+    fun `a reader that the platform does not answer any more is left in time`() = played { member ->
+        expectThat(follower.follow(member)).isTrue()
+        val lostAtMs = timers.nowMs()
+        while (follower.follow(member)) check(timers.nowMs() - lostAtMs < 10_000) { "it is followed for ever" }
+        expectThat(timers.nowMs() - lostAtMs).isLessThanOrEqualTo(1_800)
+    }
+
+    @Test
+    fun `nothing goes back where the follower knows more than its reader`() = played { member ->
+        follower.follow(member)
+        state.apply(
+            FeedChanges(20, listOf(PublishedChange.EndpointRegistered(record("a", draining = true)))),
+            state.now(),
+        )
+        news(15, PublishedChange.EndpointRegistered(record("c")))
+        expectThat(follower.follow(member)).isFalse()
+        expectThat(state.endpoints.endpoints[EndpointId("a")]?.draining) isEqualTo true
+        expectThat(state.asOf) isEqualTo 20
+    }
+
+    @Test
+    fun `a reader that is gone is not followed`() = played { member ->
+        follower.follow(member)
+        val gone = member.copy(address = NetworkAddress("127.0.0.1", 1))
+        expectThat(follower.follow(gone)).isFalse()
+    }
+}
--- a/runtime/src/main/kotlin/io/oriolehall/runtime/Event.kt
+++ b/runtime/src/main/kotlin/io/oriolehall/runtime/Event.kt
@@ -35,6 +35,8 @@
     ZONE_EVACUATED(213, EventLevel.INFO, "zone is evacuated"),
     ZONE_RESTORED(214, EventLevel.INFO, "zone takes work again"),
     KEYS_SUSPENDED(215, EventLevel.WARN, "configuration is not confirmed; keyed requests are refused"),
+    STATE_FOLLOWED(216, EventLevel.INFO, "published state followed at another instance"),
+    STATE_NOT_FOLLOWED(217, EventLevel.INFO, "published state read from the platform by this instance itself"),
 
     PEER_FRAME_REJECTED(301, EventLevel.WARN, "frame from a peer rejected"),
     PEER_CONNECTION_LOST(302, EventLevel.DEBUG, "connection to a peer lost"),
