--- a/dispatch/src/main/kotlin/io/oriolehall/dispatch/limits/ColdShare.kt
+++ b/dispatch/src/main/kotlin/io/oriolehall/dispatch/limits/ColdShare.kt
@@ -7,8 +7,7 @@
 /**
  * Divides the requests that a cold endpoint bears in a second among all instances. With few instances each gets the
  * same part. Where it is below one request, only some instances send to the endpoint, by rendezvous hashing: all that
- * see the same instances choose alike without a message, and every instance reaches some endpoints of each service. The
- * others ask the owner of the endpoint's limit for single requests, of which it has [permits] a second to give.
+ * see the same instances choose alike without a message, and every instance reaches some endpoints of each service.
  *
  * @param instances all live instances.
  */
@@ -22,18 +21,14 @@
     }
 
     private fun singlePart(endpoint: EndpointId, perSecond: Double): Int {
+        val senders = (perSecond * SAFETY).toInt().coerceAtLeast(1)
         val own = Rendezvous.weight(endpoint.value, self.value)
         val before = instances.count { it != self && Rendezvous.weight(endpoint.value, it.value) > own }
-        return if (before < senders(perSecond)) 1 else 0
+        return if (before < senders) 1 else 0
     }
 
-    companion object {
-        /** Part of the bound that is divided among the instances; the owner of the limit gives out the rest. */
-        private const val SENDERS_SHARE = 0.8
-
-        private fun senders(perSecond: Double): Int = (perSecond * SENDERS_SHARE).toInt().coerceAtLeast(1)
-
-        /** Requests a second that the owner of the limit may grant beside the fixed parts. */
-        fun permits(perSecond: Double): Int = maxOf(0, perSecond.toInt() - senders(perSecond))
+    private companion object {
+        /** Part of the bound that is given out; the rest covers instances that see the fleet differently. */
+        const val SAFETY = 0.8
     }
 }
--- a/gateway/src/main/kotlin/io/oriolehall/gateway/Gateway.kt
+++ b/gateway/src/main/kotlin/io/oriolehall/gateway/Gateway.kt
@@ -12,7 +12,6 @@
 import io.oriolehall.gateway.feed.PublishedState
 import io.oriolehall.gateway.fleet.FleetService
 import io.oriolehall.gateway.http.CallerListener
-import io.oriolehall.gateway.limits.ColdPermits
 import io.oriolehall.gateway.requests.EndpointChooser
 import io.oriolehall.gateway.requests.GatewayMetrics
 import io.oriolehall.gateway.requests.Intake
@@ -93,12 +92,6 @@
         log = log,
         observer = metrics::stageCall,
     )
-    private val permits = ColdPermits(
-        self = self.id,
-        ownerOf = { fleet.ownerOf("cold limit of $it") },
-        peers = peerClient,
-        scope = traffic.scope,
-    )
     private val allowances = HashMap<String, RepeatAllowance>()
     private val requests = RequestService(
         intake = Intake(state, wire, settings.bounds.keyTrustMs?.minus(KEY_TRUST_MARGIN_MS), Random.Default),
@@ -110,7 +103,6 @@
             instances = fleet::live,
             placement = AffinityPlacement(),
             wire = wire,
-            permits = permits,
             coldFactor = settings.bounds.coldFactor,
             coldSlack = settings.bounds.coldSlack,
         ),
@@ -150,7 +142,6 @@
     suspend fun start(): NetworkAddress {
         peerServer.start(self.peerAddress)
         stages.start(peerServer)
-        permits.start(peerServer)
         fleet.start(peerServer)
         controlScope.launch { reader.run() }
         timers.every("expire lapsed endpoints", EXPIRE_MS) { state.expire() }
--- a/gateway/src/main/kotlin/io/oriolehall/gateway/requests/EndpointChooser.kt
+++ b/gateway/src/main/kotlin/io/oriolehall/gateway/requests/EndpointChooser.kt
@@ -6,9 +6,7 @@
 import io.oriolehall.dispatch.placement.Placement
 import io.oriolehall.dispatch.placement.PlacementCandidate
 import io.oriolehall.dispatch.placement.PlacementRequest
-import io.oriolehall.dispatch.placement.PromptAffinity
 import io.oriolehall.gateway.TrafficLoop
-import io.oriolehall.gateway.limits.ColdPermits
 import io.oriolehall.gateway.upstream.EndpointPool
 import io.oriolehall.gateway.upstream.EndpointPools
 import io.oriolehall.gateway.wire.WireProtocol
@@ -21,7 +19,6 @@
  * their cold and connection limits.
  *
  * @param instances all live instances; they send to the same endpoints.
- * @param permits single requests to endpoints of whose cold limit this instance has no part.
  * @param coldFactor factor on a service's cold limit within which its endpoints bear requests.
  * @param coldSlack requests a second above it.
  */
@@ -32,56 +29,27 @@
     private val instances: () -> Set<InstanceId>,
     private val placement: Placement,
     private val wire: WireProtocol,
-    private val permits: ColdPermits,
     private val coldFactor: Double,
     private val coldSlack: Double,
 ) {
-    private val affinities = PromptAffinity()
     private var known = emptySet<InstanceId>()
     private var shares = ColdShare(self.id, known)
 
-    /**
-     * The endpoint that suits [context] best, whether it has a place now or not; null when none is registered. Called
-     * once for a request, before [choose]: it decides by which part of the prompt the request goes.
-     */
-    fun best(context: RequestContext, inputZone: ZoneId?): EndpointPool? {
-        val nowMs = TrafficLoop.nowMs()
-        val all = snapshot().usable(context.service).map(pools::of)
-        context.promptAffinity = context.request.headers.get(wire.headers.promptParts)
-            ?.let { affinities.choose(PromptAffinity.parse(it), all.size, nowMs) }
-        return place(context, all, inputZone, nowMs)
-    }
-
-    /** An endpoint for [context] other than those [tried] that has a place now, or null when there is none. */
-    suspend fun choose(context: RequestContext, inputZone: ZoneId?, tried: Set<EndpointLife>): EndpointPool? {
+    /** An endpoint for [context] other than those [tried], or null when there is none. */
+    fun choose(context: RequestContext, inputZone: ZoneId?, tried: Set<EndpointLife>): EndpointPool? {
         val nowMs = TrafficLoop.nowMs()
         val service = context.table.service(context.service)
         val perSecond = service?.coldPerSecond?.takeIf { it > 0 }?.let { it * coldFactor + coldSlack }
         val perInstance = service?.maxConnections?.takeIf { it > 0 }?.let(::connectionShare)
-        val connected = snapshot().usable(context.service)
-            .filter { it.life !in tried }
-            .map(pools::of)
+        val all = snapshot().usable(context.service).filter { it.life !in tried }.map(pools::of)
+        val open = all.filter { perSecond == null || it.coldLimit.allows(nowMs, coldShare(it, perSecond)) }
             .filter { perInstance == null || it.hasConnection(perInstance) }
-        if (perSecond == null) return place(context, connected, inputZone, nowMs)
-        val open = connected.filter { it.coldLimit.allows(nowMs, coldShare(it, perSecond)) }
-        if (context.promptAffinity == null) return place(context, open, inputZone, nowMs)
-        val best = place(context, connected, inputZone, nowMs) ?: return null
-        if (best in open || permits.ask(best.endpoint.id, perSecond)) return best
-        return place(context, open, inputZone, nowMs)
-    }
-
-    private fun place(
-        context: RequestContext,
-        among: List<EndpointPool>,
-        inputZone: ZoneId?,
-        nowMs: Long,
-    ): EndpointPool? {
-        val healthy = among.filterNot { it.health.isExcluded(nowMs) }.ifEmpty { among }
+        val healthy = open.filterNot { it.health.isExcluded(nowMs) }.ifEmpty { open }
         val typicalMs = healthy.map {
             it.health.responseMs
         }.filter { it > 0 }.sorted().let { it.getOrNull(it.size / 2) }
         val candidates = healthy.map { PlacementCandidate(it.endpoint, it.outstanding, slowness(it, typicalMs)) }
-        val request = PlacementRequest(context.promptAffinity, inputZone, self.zone)
+        val request = PlacementRequest(affinity(context), inputZone, self.zone)
         return placement.choose(candidates, request)?.let { pools.of(it.endpoint) }
     }
 
@@ -107,6 +75,12 @@
         return if (typicalMs == null || known == 0.0) 1.0 else maxOf(1.0, known / typicalMs) + pool.health.failureShare
     }
 
+    /** Requests that share all parts of the prompt but the last one profit from the same cache. */
+    private fun affinity(context: RequestContext): String? {
+        val parts = context.request.headers.get(wire.headers.promptParts)?.split(',') ?: return null
+        return parts.getOrNull(parts.size - 2)?.substringBefore(':')
+    }
+
     private companion object {
         /** Part of an endpoint's connections that is used; the rest covers closed ones that it still counts. */
         const val CONNECTION_SHARE = 0.9
--- a/gateway/src/main/kotlin/io/oriolehall/gateway/requests/RequestContext.kt
+++ b/gateway/src/main/kotlin/io/oriolehall/gateway/requests/RequestContext.kt
@@ -31,9 +31,6 @@
     /** True once an endpoint may have begun to run the request. */
     var mayHaveRun = false
 
-    /** The part of the prompt by which requests are kept together at an endpoint; null when there is none. */
-    var promptAffinity: String? = null
-
     /** Notes that the answer begins to go to the caller. */
     fun noteFirst() {
         if (trace.firstMs == null) trace.firstMs = TrafficLoop.nowMs() - request.receivedAtMs
--- a/gateway/src/main/kotlin/io/oriolehall/gateway/requests/RequestService.kt
+++ b/gateway/src/main/kotlin/io/oriolehall/gateway/requests/RequestService.kt
@@ -133,7 +133,7 @@
                 context.request.headers.get(wire.headers.pieceCounts),
                 context.route.stages.size,
             ) ?: return Rejection.Malformed("header ${wire.headers.pieceCounts} does not name the pieces of each stage")
-            val target = chooser.best(context, null) ?: return noEndpoint()
+            val target = choose(null) ?: return noEndpoint()
             val plan = StagePlan(context, counts, stages, wire, target.endpoint.zone)
             if (counts.any { it > 0 }) refuseByLoad(plan)?.let { return it }
             this.plan = plan
