KeyDisagreementTest waits until the instances know each other before it cuts them off

Cause: a fleet counts as started when every instance is ready, and an instance may be ready before it has heard of the last one. Whom an instance does not know when the cut begins it never holds for dead, so that the wait failed after 30 s.

Mend: the precondition is waited for; no bound changed.

--- a/proofs/src/test/kotlin/io/oriolehall/proofs/config/CallerTraffic.kt
+++ b/proofs/src/test/kotlin/io/oriolehall/proofs/config/CallerTraffic.kt
@@ -126,3 +126,12 @@
         is CallOutcome.Unreachable -> "${record.pipeline} unreachable (${outcome.reason.substringAfter(": ")})"
     }
 }.eachCount().toSortedMap()
+
+/** When and why calls were refused, counted from the first call, for the report. */
+internal fun List<CallRecord>.refusals(): List<String> {
+    val startMs = minOfOrNull(CallRecord::sentAtMs) ?: return emptyList()
+    return sortedBy(CallRecord::sentAtMs).mapNotNull { record ->
+        val refused = record.outcome as? CallOutcome.Refused ?: return@mapNotNull null
+        "${record.sentAtMs - startMs} ms, ${record.entry.spec.id}, ${record.pipeline}: ${refused.problem.detail}"
+    }
+}
--- a/proofs/src/test/kotlin/io/oriolehall/proofs/config/ZonesTest.kt
+++ b/proofs/src/test/kotlin/io/oriolehall/proofs/config/ZonesTest.kt
@@ -38,6 +38,7 @@
 
     private fun List<CallRecord>.checkNothingCutOff(name: String) {
         ProofReport.line("$name: ${summary()}")
+        refusals().forEach(::println)
         expectThat(filter { it.cutOff }).describedAs("requests cut off").isEmpty()
     }
 
--- a/proofs/src/test/kotlin/io/oriolehall/proofs/keys/KeyDisagreementTest.kt
+++ b/proofs/src/test/kotlin/io/oriolehall/proofs/keys/KeyDisagreementTest.kt
@@ -61,8 +61,15 @@
             }
         }
 
-    /** Cuts [alone] off from the instances [others] only, and waits until each side holds the other for dead. */
+    /**
+     * Cuts [alone] off from the instances [others] only, and waits until each side holds the other for dead. All have to
+     * know each other before: an instance that is ready may not have heard of the last one yet, and would never hold
+     * dead whom it does not know.
+     */
     private suspend fun Fleet.separate(alone: EntryProcess, others: List<EntryProcess>) {
+        awaitThat("it knows the others, and they know it") {
+            others.all { alone.sees(it) == MemberState.ALIVE && it.sees(alone) == MemberState.ALIVE }
+        }
         println("known to it before the cut: " + alone.describePeers())
         for (other in others) {
             faults.add(Fault(link(alone, other), FaultMode.CUT))
