--- a/dispatch/src/main/kotlin/io/oriolehall/dispatch/config/Route.kt
+++ b/dispatch/src/main/kotlin/io/oriolehall/dispatch/config/Route.kt
@@ -58,6 +58,9 @@
     /** True when a request may be sent again although an endpoint may have run it. */
     val repeatable: Boolean get() = kind == RouteKind.IDEMPOTENT || (kind == RouteKind.STREAMING && resumable)
 
+    /** Services that compute its stages. */
+    val stageServices: Set<String> get() = stages.mapTo(mutableSetOf(), StageSpec::service)
+
     /** Stages whose results go to the service itself: those that no other stage needs. */
     val finalStages: List<Int> get() = stages.indices - stages.flatMap(StageSpec::after).toSet()
 }
--- a/dispatch/src/main/kotlin/io/oriolehall/dispatch/config/RouteTable.kt
+++ b/dispatch/src/main/kotlin/io/oriolehall/dispatch/config/RouteTable.kt
@@ -15,6 +15,12 @@
 
     private val services: Map<String, Service> = config.services.associateBy(Service::name)
 
+    /** Ranks of the least urgent routes, by the services that compute their stages. */
+    private val lowestRanks: Map<Set<String>, Int> = config.routes
+        .filter { it.stages.isNotEmpty() }
+        .groupBy(Route::stageServices)
+        .mapValues { (_, routes) -> routes.maxOf(Route::priority) }
+
     /** True when callers have to name their organisation by an API key. */
     val keysRequired: Boolean = config.organisations.isNotEmpty()
 
@@ -25,6 +31,10 @@
         return byHost[name]?.firstOrNull { path.startsWith(it.prefix) }
     }
 
+    /** Rank of the least urgent route that uses all services that compute the stages of [route]. */
+    fun lowestRankBeside(route: Route): Int =
+        lowestRanks.filterKeys { it.containsAll(route.stageServices) }.values.maxOrNull() ?: route.priority
+
     fun organisation(apiKey: String): Organisation? = byKey[apiKey]
 
     fun service(name: String): Service? = services[name]
--- a/dispatch/src/main/kotlin/io/oriolehall/dispatch/stages/StageQueue.kt
+++ b/dispatch/src/main/kotlin/io/oriolehall/dispatch/stages/StageQueue.kt
@@ -63,7 +63,8 @@
         val perMs = usable.sumOf { limits.batch * limits.slots / it.expectedMs(limits.batch) }
         val untilFreeMs = usable.minOf { it.freeAtMs(nowMs) } - nowMs
         val ahead = waiting.size
-        val batchesMs = if (ahead + pieces <= limits.batch) 0.0 else (ahead + pieces - limits.batch) / perMs
+        val batchesMs =
+            if (ahead + pieces <= limits.batch) 0.0 else (ahead + pieces - limits.batch) / (perMs * USUAL_FILL)
         return untilFreeMs + batchesMs + usable.minOf { it.expectedMs(minOf(limits.batch, ahead + pieces)) }
     }
 
@@ -135,6 +136,9 @@
     }
 
     private companion object {
+        /** Part of a call that is filled under a backlog: groups stay whole, and memory for results runs short. */
+        const val USUAL_FILL = 0.75
+
         /** A worker this many times slower than the fastest gets work only when there is a backlog. */
         const val SLOW_FACTOR = 2.5
 
--- a/dispatch/src/test/kotlin/io/oriolehall/dispatch/admission/StageAdmissionTest.kt
+++ b/dispatch/src/test/kotlin/io/oriolehall/dispatch/admission/StageAdmissionTest.kt
@@ -12,8 +12,11 @@
 class StageAdmissionTest {
     private val admission = StageAdmission(Random(1))
 
-    private fun refused(expectedMs: Double, priority: Int): Int =
-        (1..1_000).count { admission.decide(expectedMs, 2_000, 15_000, priority) is Decision.Refused }
+    private fun decide(expectedMs: Double, priority: Int, othersGiveWay: Boolean = false) =
+        admission.decide(expectedMs, 2_000, 15_000, priority, othersGiveWay)
+
+    private fun refused(expectedMs: Double, priority: Int, othersGiveWay: Boolean = false): Int =
+        (1..1_000).count { decide(expectedMs, priority, othersGiveWay) is Decision.Refused }
 
     @Test
     fun `everyone is let in while the objective can be met with room to spare`() {
@@ -27,14 +30,21 @@
         expectThat(urgent).isLessThan(500)
     }
 
+    @Test
+    fun `where others give way, the urgent are let in and the others refused entirely`() {
+        expectThat(refused(expectedMs = 2_500.0, priority = 2, othersGiveWay = true)).isEqualTo(1_000)
+        expectThat(refused(expectedMs = 2_500.0, priority = 1, othersGiveWay = true)).isEqualTo(0)
+        expectThat(refused(expectedMs = 2_500.0, priority = 0, othersGiveWay = true)).isEqualTo(0)
+    }
+
     @Test
     fun `nobody is let in who could not be answered before the deadline`() {
-        expectThat(admission.decide(13_000.0, 2_000, 15_000, priority = 0)).isA<Decision.Refused>()
+        expectThat(decide(13_000.0, priority = 0)).isA<Decision.Refused>()
     }
 
     @Test
     fun `callers are told to come back at different times`() {
-        val times = (1..50).map { admission.decide(13_000.0, 2_000, 15_000, 0) as Decision.Refused }
+        val times = (1..50).map { decide(13_000.0, priority = 0) as Decision.Refused }
         expectThat(times.map { it.retryAfterMs }.distinct().size).isGreaterThan(30)
     }
 }
--- a/dispatch/src/test/kotlin/io/oriolehall/dispatch/config/RouteTableTest.kt
+++ b/dispatch/src/test/kotlin/io/oriolehall/dispatch/config/RouteTableTest.kt
@@ -8,14 +8,14 @@
 import strikt.assertions.isNull
 
 class RouteTableTest {
-    private fun route(prefix: String, stages: List<StageSpec> = emptyList()) = Route(
+    private fun route(prefix: String, stages: List<StageSpec> = emptyList(), priority: Int = 0) = Route(
         name = prefix,
         host = "a.example",
         prefix = prefix,
         kind = RouteKind.IDEMPOTENT,
         timeoutMs = 1_000,
         objectiveMs = 100,
-        priority = 0,
+        priority = priority,
         targets = listOf(RouteTarget("s", 1)),
         maxAttempts = 1,
         stages = stages,
@@ -39,6 +39,17 @@
         expectThat(table.route("b.example", "/a/")).isNull()
     }
 
+    @Test
+    fun `the least urgent route beside another one uses all of its stages' services`() {
+        fun stages(vararg services: String) = services.map { StageSpec(it, emptyList(), 1) }
+        val short = route("/short/", stages("x"), priority = 1)
+        val long = route("/long/", stages("x", "y"), priority = 0)
+        val last = route("/last/", stages("x"), priority = 3)
+        val table = RouteTable(ServingConfig(1, listOf(short, long, last), emptyList(), CallerLimits(), emptyList()))
+        expectThat(table.lowestRankBeside(short)).isEqualTo(3)
+        expectThat(table.lowestRankBeside(long)).isEqualTo(0)
+    }
+
     @Test
     fun `each key names its organisation`() {
         expectThat(table.organisation("k2")?.id?.value).isEqualTo("o")
--- a/gateway/src/main/kotlin/io/oriolehall/gateway/requests/RequestService.kt
+++ b/gateway/src/main/kotlin/io/oriolehall/gateway/requests/RequestService.kt
@@ -151,8 +151,14 @@
         private fun refuseByLoad(plan: StagePlan): Rejection? {
             val nowMs = TrafficLoop.nowMs()
             val expectedMs = plan.expectedMs()
-            val objectiveMs = context.objectiveAtMs - nowMs
-            val decision = admission.decide(expectedMs, objectiveMs, context.leftMs(nowMs), context.priority)
+            context.trace.expectedMs = expectedMs.toLong()
+            val decision = admission.decide(
+                expectedMs = expectedMs,
+                objectiveMs = context.objectiveAtMs - nowMs,
+                deadlineMs = context.leftMs(nowMs),
+                priority = context.priority,
+                othersGiveWay = StageAdmission.givesWay(context.table.lowestRankBeside(context.route)),
+            )
             if (decision !is StageAdmission.Decision.Refused) return null
             val reason = "stages take ${expectedMs.toLong()} ms now"
             return Rejection.NotExecuted(RefusalCause.OVERLOADED, reason, decision.retryAfterMs)
--- a/gateway/src/main/kotlin/io/oriolehall/gateway/requests/RequestTrace.kt
+++ b/gateway/src/main/kotlin/io/oriolehall/gateway/requests/RequestTrace.kt
@@ -5,6 +5,12 @@
 
 /** What has become of a request so far, for its line in the log. Times are milliseconds since its arrival. */
 internal class RequestTrace {
+    /** Time that stages and first event were expected to take at the door; null for a request without stages. */
+    var expectedMs: Long? = null
+
+    /** When each stage had its results, by its index. */
+    val stageEndsMs = sortedMapOf<Int, Long>()
+
     /** When the last stage had its results; null for a request without stages. */
     var stagesMs: Long? = null
 
@@ -25,6 +31,8 @@
     var resultZones: Map<ZoneId, Int> = emptyMap()
 
     fun fields(): List<Pair<String, Any?>> = listOf(
+        "expectedMs" to expectedMs,
+        "stageEndsMs" to stageEndsMs.takeIf { it.isNotEmpty() },
         "stagesMs" to stagesMs,
         "firstMs" to firstMs,
         "failureStatus" to failureStatus,
--- a/gateway/src/main/kotlin/io/oriolehall/gateway/requests/StagePlan.kt
+++ b/gateway/src/main/kotlin/io/oriolehall/gateway/requests/StagePlan.kt
@@ -62,6 +62,7 @@
         }
         if (answer.failure == null) {
             held[stage] = answer.results
+            if (counts[stage] > 0) context.trace.stageEndsMs[stage] = TrafficLoop.nowMs() - context.request.receivedAtMs
         } else if (failure == null) {
             failure = answer
             running.forEachIndexed { i, job -> if (i != stage) job.cancel() }
@@ -150,7 +151,8 @@
         return (ends.maxOrNull() ?: 0.0) + GENERATION_MS
     }
 
-    private fun expectedMs(stage: Int, limits: PieceLimits) = stages.loads.expectedMs(specs[stage].service, limits)
+    private fun expectedMs(stage: Int, limits: PieceLimits) =
+        stages.loads.expectedMs(specs[stage].service, limits, TrafficLoop.nowMs())
 
     /** The stages that follow on the longest way get equal parts of what is left until the objective. */
     private fun stageObjectiveMs(stage: Int, nowMs: Long): Long {
--- a/gateway/src/main/kotlin/io/oriolehall/gateway/stages/StageMessages.kt
+++ b/gateway/src/main/kotlin/io/oriolehall/gateway/stages/StageMessages.kt
@@ -63,8 +63,10 @@
 }
 
 /**
- * Results in the order of the pieces, or a failure; or, before that, the news that the inputs are no longer needed.
+ * Results in the order of the pieces, or a failure; or, before that, the news that the pieces wait in a queue or that
+ * the inputs are no longer needed.
  *
+ * @property queued true when the pieces wait behind others; results or a failure follow.
  * @property inputsFetched true when all pieces are being computed; results or a failure follow.
  * @property expectedMs time that another stage request would take now, milliseconds.
  */
@@ -75,6 +77,7 @@
     @SerialName("a") val retryAfterMs: Long = 0,
     @SerialName("e") val expectedMs: Long = 0,
     @SerialName("i") val inputsFetched: Boolean = false,
+    @SerialName("q") val queued: Boolean = false,
 )
 
 /** Gives up results of a service's workers. */
--- a/gateway/src/main/kotlin/io/oriolehall/gateway/stages/StageOwner.kt
+++ b/gateway/src/main/kotlin/io/oriolehall/gateway/stages/StageOwner.kt
@@ -77,9 +77,13 @@
         }
     }
 
-    private fun expectedMs(): Long =
+    /** Time that a stage request would take now, milliseconds. */
+    fun expectedMs(): Long =
         queue.expectedMs(currentWorkers(), TrafficLoop.nowMs()).coerceAtMost(MAX_EXPECTED_MS).toLong()
 
+    /** True when pieces wait, so that the next request takes longer than its calls. */
+    val backlogged: Boolean get() = queue.size > 0
+
     private fun refuse(request: StageRequest, nowMs: Long): StageAnswer? {
         val usable = currentWorkers()
         if (usable.isEmpty()) return StageAnswer(failure = StageFailure.NO_WORKER, retryAfterMs = NO_WORKER_RETRY_MS)
--- a/gateway/src/main/kotlin/io/oriolehall/gateway/stages/StageService.kt
+++ b/gateway/src/main/kotlin/io/oriolehall/gateway/stages/StageService.kt
@@ -1,5 +1,6 @@
 package io.oriolehall.gateway.stages
 
+import io.oriolehall.dispatch.admission.StageLoads
 import io.oriolehall.dispatch.config.RouteTable
 import io.oriolehall.dispatch.endpoints.EndpointRecord
 import io.oriolehall.gateway.TrafficLoop
@@ -40,6 +41,7 @@
         server.serve(StageChannels.RUN) { request, emit ->
             val answer = withContext(scope.coroutineContext.minusJob()) {
                 if (owns(request.service)) {
+                    backlogMs(request.service)?.let { emit(StageAnswer(queued = true, expectedMs = it)) }
                     runHere(request, fallback = false) { emit(StageAnswer(inputsFetched = true)) }
                 } else {
                     StageAnswer(failure = StageFailure.NOT_OWNER)
@@ -66,13 +68,14 @@
             if (answer != null) return answer
         }
         val answer = runHere(request.after(TrafficLoop.nowMs() - startMs), fallback = true, onInputsFetched)
-        return answer.also { loads.note(request.service, it.expectedMs) }
+        return answer.also { loads.note(request.service, it.expectedMs, TrafficLoop.nowMs()) }
     }
 
     /** The answer of this instance as the owner; null when another one has become the owner. */
     private suspend fun runOwned(request: StageRequest, onInputsFetched: () -> Unit): StageAnswer? {
+        backlogMs(request.service)?.let { loads.note(request.service, it, TrafficLoop.nowMs()) }
         val answer = runHere(request, fallback = false, onInputsFetched)
-        loads.note(request.service, answer.expectedMs)
+        loads.note(request.service, answer.expectedMs, TrafficLoop.nowMs())
         return answer.takeIf { it.failure != StageFailure.NOT_OWNER }
     }
 
@@ -80,13 +83,24 @@
     private suspend fun ask(owner: Member, request: StageRequest, onInputsFetched: () -> Unit): StageAnswer? {
         var answer: StageAnswer? = null
         peers.stream(owner.address, StageChannels.RUN, request, maxOf(1, request.deadlineInMs)) { item ->
-            if (item.inputsFetched) onInputsFetched() else answer = item
+            when {
+                item.queued -> loads.note(request.service, item.expectedMs, TrafficLoop.nowMs())
+                item.inputsFetched -> onInputsFetched()
+                else -> answer = item
+            }
         }
         val last = answer?.takeIf { it.failure != StageFailure.NOT_OWNER }
-        if (last != null) loads.note(request.service, last.expectedMs)
+        if (last != null) loads.note(request.service, last.expectedMs, TrafficLoop.nowMs())
         return last
     }
 
+    /**
+     * Time that a stage request takes where others wait before it; null where none do. Said when a request arrives: its
+     * answer comes only after that time, when a jump in traffic has already been let in.
+     */
+    private fun backlogMs(service: String): Long? =
+        owner(service)?.takeIf(StageOwner::backlogged)?.let(StageOwner::expectedMs)
+
     private fun StageRequest.after(elapsedMs: Long) =
         copy(objectiveInMs = objectiveInMs - elapsedMs, deadlineInMs = deadlineInMs - elapsedMs)
 
--- a/gateway/src/test/kotlin/io/oriolehall/gateway/stages/StageServiceTest.kt
+++ b/gateway/src/test/kotlin/io/oriolehall/gateway/stages/StageServiceTest.kt
@@ -32,6 +32,7 @@
 import org.junit.jupiter.api.Test
 import strikt.api.expectThat
 import strikt.assertions.hasSize
+import strikt.assertions.isGreaterThan
 import strikt.assertions.isNull
 import java.util.concurrent.CountDownLatch
 
@@ -46,6 +47,48 @@
     private fun member(name: String) =
         Member(InstanceId(name), ZoneId("z"), NetworkAddress("127.0.0.1", 1), Incarnation(1, 1), MemberState.ALIVE, 0)
 
+    /** Found on trouble-2 of pcta-fittings: an instance learnt of a full queue only with the answer, seconds later. */
+    @Test
+    fun `a request that finds others waiting tells at once how long its stage takes`() {
+        val goOn = CountDownLatch(1)
+        val worker = ScriptedEndpoint {
+            goOn.await()
+            answer(body = "x")
+        }
+        val loop = TrafficLoop(log)
+        val wire = WireProtocol(GatewayUnderTest.HEADERS, CountCalls, "Bearer", "/ready")
+        val record = EndpointRecord(EndpointId("w"), 1, "s", worker.address, ZoneId("z"), 1, false, 0)
+        val selector = SelectorManager(Dispatchers.IO)
+        val peerScope = CoroutineScope(Dispatchers.Default)
+        val stages = StageService(
+            self = self.id,
+            ownerOf = { self },
+            peers = PeerClient(selector, peerScope),
+            table = { table },
+            workers = { listOf(record) },
+            client = StageWorkerClient(EndpointPools(Connector(loop)), wire),
+            scope = loop.scope,
+            log = log,
+            observer = { _, _, _, _ -> },
+        )
+        val expectedMs = runBlocking {
+            withContext(loop.dispatcher) {
+                val answers = listOf("begun", "waiting", "last").map {
+                    async(start = CoroutineStart.UNDISPATCHED) { stages.run(stageRequest(it)) {} }
+                }
+                val known = stages.loads.expectedMs("s", limits, TrafficLoop.nowMs())
+                goOn.countDown()
+                answers.forEach { it.cancel() }
+                known
+            }
+        }
+        expectThat(expectedMs).isGreaterThan(2 * limits.callMs)
+        peerScope.cancel()
+        selector.close()
+        loop.close()
+        worker.close()
+    }
+
     /** Found on trouble-2 of pcta-fittings: callers were refused with the reason NOT_OWNER. */
     @Test
     fun `what waits here when the queue moves to an instance that cannot be reached is run here`() {
