A service's repeats count from the process's start; a line when a request is let in

Ruled out: attempts of the route (two), places at other endpoints (three were free). SharedLimitsTest has the case; it cannot be written for the old code, which had no type for the parts of all services.

Cost not measured yet.

--- a/dispatch/src/test/kotlin/io/oriolehall/dispatch/limits/SharedLimitsTest.kt
+++ b/dispatch/src/test/kotlin/io/oriolehall/dispatch/limits/SharedLimitsTest.kt
@@ -41,6 +41,14 @@
         expectThat(allowance.tryTake(nowMs = 10_000, instances = 7)).isTrue()
     }
 
+    /** Found on scale-2 of fagaras-sucursale: failures of the first seconds of traffic were passed on. */
+    @Test
+    fun `a service that is used for the first time long after the start has its whole part`() {
+        val allowances = RepeatAllowances(0.2, 54.0, windowMs = 10_000, startedAtMs = 0)
+        expectThat(allowances.of("s").tryTake(nowMs = 15_000, instances = 7)).isTrue()
+        expectThat(allowances.of("s")).isEqualTo(allowances.of("s"))
+    }
+
     private fun instances(count: Int) = List(count) { InstanceId("i-$it") }.toSet()
 
     /** Sends whenever allowed; the most that arrived in any second. */
--- a/gateway/src/main/kotlin/io/oriolehall/gateway/Gateway.kt
+++ b/gateway/src/main/kotlin/io/oriolehall/gateway/Gateway.kt
@@ -5,7 +5,7 @@
 import io.oriolehall.dispatch.admission.StageAdmission
 import io.oriolehall.dispatch.admission.StopAdmission
 import io.oriolehall.dispatch.config.CallerLimits
-import io.oriolehall.dispatch.limits.RepeatAllowance
+import io.oriolehall.dispatch.limits.RepeatAllowances
 import io.oriolehall.dispatch.placement.AffinityPlacement
 import io.oriolehall.gateway.feed.FeedReader
 import io.oriolehall.gateway.feed.PlatformFeed
@@ -92,7 +92,12 @@
         log = log,
         observer = metrics::stageCall,
     )
-    private val allowances = HashMap<String, RepeatAllowance>()
+    private val allowances = RepeatAllowances(
+        ratio = settings.bounds.repeatRatio,
+        allowance = settings.bounds.repeatAllowance,
+        windowMs = settings.bounds.repeatWindowMs,
+        startedAtMs = TrafficLoop.nowMs(),
+    )
     private val requests = RequestService(
         intake = Intake(state, wire, settings.bounds.keyTrustMs?.minus(KEY_TRUST_MARGIN_MS), Random.Default),
         stages = stages,
@@ -107,7 +112,7 @@
             coldSlack = settings.bounds.coldSlack,
         ),
         admission = StageAdmission(),
-        repeats = ::allowance,
+        repeats = allowances::of,
         instances = { fleet.live.size },
         wire = wire,
         stopping = { stopping },
@@ -195,11 +200,6 @@
         selector.close()
     }
 
-    private fun allowance(service: String): RepeatAllowance = allowances.getOrPut(service) {
-        val bounds = settings.bounds
-        RepeatAllowance(bounds.repeatRatio, bounds.repeatAllowance, bounds.repeatWindowMs, TrafficLoop.nowMs())
-    }
-
     private suspend fun sweep() {
         var rounds = 0
         while (true) {
--- a/gateway/src/main/kotlin/io/oriolehall/gateway/requests/RequestService.kt
+++ b/gateway/src/main/kotlin/io/oriolehall/gateway/requests/RequestService.kt
@@ -136,6 +136,7 @@
             val target = choose(null) ?: return noEndpoint()
             val plan = StagePlan(context, counts, stages, wire, target.endpoint.zone)
             if (counts.any { it > 0 }) refuseByLoad(plan)?.let { return it }
+            noteAdmitted()
             this.plan = plan
             try {
                 if (!plan.run()) return StagePlan.rejection(requireNotNull(plan.failure))
@@ -145,6 +146,16 @@
             }
         }
 
+        private fun noteAdmitted() = log.write(
+            Event.REQUEST_ADMITTED,
+            "request" to context.attemptId,
+            "route" to context.route.name,
+            "organisation" to context.organisation?.id,
+            "expectedMs" to context.trace.expectedMs,
+            "leftMs" to context.leftMs(),
+            "configVersion" to context.table.config.version,
+        )
+
         private fun noEndpoint() =
             Rejection.NotExecuted(RefusalCause.NO_ENDPOINT, "no endpoint can be used", NO_ENDPOINT_RETRY_MS)
 
@@ -172,23 +183,26 @@
             if (inputs.isNotEmpty()) context.trace.stagesMs = TrafficLoop.nowMs() - context.request.receivedAtMs
             var sends = 0
             var reason = "no endpoint can be used"
-            var again = true
-            while (again && mayFollow(sends)) {
-                val outcome = attempt(inputs.map { it.handle }, zone) ?: break
-                sends++
+            var obstacle: String? = null
+            while (obstacle == null) {
+                val outcome = attempt(inputs.map { it.handle }, zone)
                 if (outcome is AttemptOutcome.Delivered) return null
+                obstacle = if (outcome == null) "no other endpoint has a place" else obstacleAfter(outcome, ++sends)
+                if (outcome == null) continue
                 reason = outcome.describe()
-                again = outcome is AttemptOutcome.NotRun || context.route.repeatable
                 if (outcome is AttemptOutcome.Failure) lastFailure = outcome
                 events.dropRemainder()
             }
+            context.trace.notSentAgain = obstacle
             return conclude(reason)
         }
 
-        private fun mayFollow(sends: Int): Boolean = when {
-            sends == 0 -> true
-            sends >= context.route.maxAttempts -> false
-            else -> repeats(context.service).tryTake(TrafficLoop.nowMs(), instances())
+        /** Why [outcome] may not be followed by another send; null when it may. */
+        private fun obstacleAfter(outcome: AttemptOutcome, sends: Int): String? = when {
+            outcome !is AttemptOutcome.NotRun && !context.route.repeatable -> "may have run and runs at most once"
+            sends >= context.route.maxAttempts -> "all attempts of the route are used"
+            repeats(context.service).tryTake(TrafficLoop.nowMs(), instances()) -> null
+            else -> "no repeat is left in this instance's part"
         }
 
         private suspend fun attempt(inputs: List<String>, zone: ZoneId?): AttemptOutcome? {
--- a/gateway/src/main/kotlin/io/oriolehall/gateway/requests/RequestTrace.kt
+++ b/gateway/src/main/kotlin/io/oriolehall/gateway/requests/RequestTrace.kt
@@ -23,6 +23,9 @@
     /** Number of sends to endpoints of the request's service. */
     var sends = 0
 
+    /** Why the last failure was not followed by another send; null when there was none. */
+    var notSentAgain: String? = null
+
     /** Endpoint of the last send, and its zone. */
     var endpoint: EndpointId? = null
     var endpointZone: ZoneId? = null
@@ -37,6 +40,7 @@
         "firstMs" to firstMs,
         "failureStatus" to failureStatus,
         "sends" to sends,
+        "notSentAgain" to notSentAgain,
         "endpoint" to endpoint,
         "endpointZone" to endpointZone,
         "resultZones" to resultZones,
--- a/runtime/src/main/kotlin/io/oriolehall/runtime/BoundedEventLog.kt
+++ b/runtime/src/main/kotlin/io/oriolehall/runtime/BoundedEventLog.kt
@@ -42,7 +42,8 @@
     }
 
     private companion object {
-        val Routine = setOf(Event.REQUEST_SERVED, Event.STAGE_CALL_ENDED, Event.CALLER_LEFT)
+        val Routine =
+            setOf(Event.REQUEST_ADMITTED, Event.REQUEST_SERVED, Event.STAGE_CALL_ENDED, Event.CALLER_LEFT)
 
         /** Lines a second of an event about work that went well; an instance serves about 31 requests a second. */
         const val ROUTINE_PER_SECOND = 20.0
