--- a/gateway/src/test/kotlin/io/oriolehall/gateway/stages/StageServiceTest.kt
+++ b/gateway/src/test/kotlin/io/oriolehall/gateway/stages/StageServiceTest.kt
@@ -47,14 +47,13 @@
     private fun member(name: String) =
         Member(InstanceId(name), ZoneId("z"), NetworkAddress("127.0.0.1", 1), Incarnation(1, 1), MemberState.ALIVE, 0)
 
-    /** Found on trouble-2 of pcta-fittings: an instance learnt of a full queue only with the answer, seconds later. */
-    @Test
-    fun `a request that finds others waiting tells at once how long its stage takes`() {
-        val goOn = CountDownLatch(1)
-        val worker = ScriptedEndpoint {
-            goOn.await()
-            answer(body = "x")
-        }
+    /** Plays [test] on the traffic thread, with a stage service whose only worker does what [script] says. */
+    private fun <T> withStages(
+        ownerOf: () -> Member,
+        script: ScriptedEndpoint.Exchange.() -> Unit,
+        test: suspend CoroutineScope.(StageService) -> T,
+    ): T {
+        val worker = ScriptedEndpoint(script)
         val loop = TrafficLoop(log)
         val wire = WireProtocol(GatewayUnderTest.HEADERS, CountCalls, "Bearer", "/ready")
         val record = EndpointRecord(EndpointId("w"), 1, "s", worker.address, ZoneId("z"), 1, false, 0)
@@ -62,7 +61,7 @@
         val peerScope = CoroutineScope(Dispatchers.Default)
         val stages = StageService(
             self = self.id,
-            ownerOf = { self },
+            ownerOf = { ownerOf() },
             peers = PeerClient(selector, peerScope),
             table = { table },
             workers = { listOf(record) },
@@ -71,65 +70,54 @@
             log = log,
             observer = { _, _, _, _ -> },
         )
-        val expectedMs = runBlocking {
-            withContext(loop.dispatcher) {
-                val answers = listOf("begun", "waiting", "last").map {
-                    async(start = CoroutineStart.UNDISPATCHED) { stages.run(stageRequest(it)) {} }
-                }
-                val known = stages.loads.expectedMs("s", limits, TrafficLoop.nowMs())
-                goOn.countDown()
-                answers.forEach { it.cancel() }
-                known
-            }
+        try {
+            return runBlocking { withContext(loop.dispatcher) { test(stages) } }
+        } finally {
+            peerScope.cancel()
+            selector.close()
+            loop.close()
+            worker.close()
+        }
+    }
+
+    private fun CoroutineScope.ask(stages: StageService, request: String) =
+        async(start = CoroutineStart.UNDISPATCHED) { stages.run(stageRequest(request)) {} }
+
+    /** Found on trouble-2 of pcta-fittings: an instance learnt of a full queue only with the answer, seconds later. */
+    @Test
+    fun `a request that finds others waiting tells at once how long its stage takes`() {
+        val goOn = CountDownLatch(1)
+        val script: ScriptedEndpoint.Exchange.() -> Unit = {
+            goOn.await()
+            answer(body = "x")
+        }
+        val expectedMs = withStages({ self }, script) { stages ->
+            val answers = listOf("begun", "waiting", "last").map { ask(stages, it) }
+            val known = stages.loads.expectedMs("s", limits, TrafficLoop.nowMs())
+            goOn.countDown()
+            answers.forEach { it.cancel() }
+            known
         }
         expectThat(expectedMs).isGreaterThan(2 * limits.callMs)
-        peerScope.cancel()
-        selector.close()
-        loop.close()
-        worker.close()
     }
 
     /** Found on trouble-2 of pcta-fittings: callers were refused with the reason NOT_OWNER. */
     @Test
     fun `what waits here when the queue moves to an instance that cannot be reached is run here`() {
         val goOn = CountDownLatch(1)
-        val worker = ScriptedEndpoint {
+        var owner = self
+        val script: ScriptedEndpoint.Exchange.() -> Unit = {
             if (number == 1) goOn.await()
             answer(body = "x")
         }
-        val loop = TrafficLoop(log)
-        val wire = WireProtocol(GatewayUnderTest.HEADERS, CountCalls, "Bearer", "/ready")
-        val record = EndpointRecord(EndpointId("w"), 1, "s", worker.address, ZoneId("z"), 1, false, 0)
-        val selector = SelectorManager(Dispatchers.IO)
-        val peerScope = CoroutineScope(Dispatchers.Default)
-        var owner = self
-        val stages = StageService(
-            self = self.id,
-            ownerOf = { owner },
-            peers = PeerClient(selector, peerScope),
-            table = { table },
-            workers = { listOf(record) },
-            client = StageWorkerClient(EndpointPools(Connector(loop)), wire),
-            scope = loop.scope,
-            log = log,
-            observer = { _, _, _, _ -> },
-        )
-        val (begun, waiting) = runBlocking {
-            withContext(loop.dispatcher) {
-                val answers = listOf("begun", "waiting").map {
-                    async(start = CoroutineStart.UNDISPATCHED) { stages.run(stageRequest(it)) {} }
-                }
-                owner = member("other")
-                stages.handOver()
-                goOn.countDown()
-                answers.map { it.await() }
-            }
+        val (begun, waiting) = withStages({ owner }, script) { stages ->
+            val answers = listOf("begun", "waiting").map { ask(stages, it) }
+            owner = member("other")
+            stages.handOver()
+            goOn.countDown()
+            answers.map { it.await() }
         }
         expectThat(begun.results).hasSize(1)
         expectThat(waiting.failure).isNull()
-        peerScope.cancel()
-        selector.close()
-        loop.close()
-        worker.close()
     }
 }
