--- a/dispatch/src/main/kotlin/io/oriolehall/dispatch/admission/StageLoads.kt
+++ b/dispatch/src/main/kotlin/io/oriolehall/dispatch/admission/StageLoads.kt
@@ -3,24 +3,24 @@
 import io.oriolehall.dispatch.config.PieceLimits
 
 /**
- * How long stages take now, from what their owners said last. A queue that nobody asked about is taken to drain in real
- * time. Times are monotonic milliseconds. Not safe for use by several threads.
+ * Estimates how long stages currently take, from the latest report of each queue's owner. Between reports the backlog
+ * is assumed to shrink by one millisecond per millisecond. Times are monotonic milliseconds. Not thread-safe.
  */
 class StageLoads {
-    private class Said(val expectedMs: Long, val atMs: Long)
+    private class Report(val expectedMs: Long, val atMs: Long)
 
-    private val said = HashMap<String, Said>()
+    private val reports = HashMap<String, Report>()
 
-    /** Notes what the owner of the queue of [service] says now. */
+    /** Records the time that the owner of the queue of [service] reports. */
     fun note(service: String, expectedMs: Long, nowMs: Long) {
-        if (expectedMs > 0) said[service] = Said(expectedMs, nowMs)
+        if (expectedMs > 0) reports[service] = Report(expectedMs, nowMs)
     }
 
-    /** Expected time of a stage request to [service], at least that of a call of one piece, milliseconds. */
+    /** Expected time of a stage request to [service], at least that of a call with one piece, milliseconds. */
     fun expectedMs(service: String, limits: PieceLimits, nowMs: Long): Double {
-        val leastMs = limits.callMs + limits.pieceMs
-        val last = said[service] ?: return leastMs
-        val ageMs = nowMs - last.atMs
-        return maxOf(leastMs, (last.expectedMs - ageMs).toDouble())
+        val minimumMs = limits.callMs + limits.pieceMs
+        val report = reports[service] ?: return minimumMs
+        val ageMs = nowMs - report.atMs
+        return maxOf(minimumMs, (report.expectedMs - ageMs).toDouble())
     }
 }
--- a/dispatch/src/main/kotlin/io/oriolehall/dispatch/admission/StopAdmission.kt
+++ b/dispatch/src/main/kotlin/io/oriolehall/dispatch/admission/StopAdmission.kt
@@ -1,22 +1,25 @@
 package io.oriolehall.dispatch.admission
 
 /**
- * Decides which requests a stopping instance still takes. The balancer needs a while to notice that the instance
- * leaves, and sends on when it has nobody else; what comes after that while is taken only if it ends before the process
- * does.
+ * Decides which requests an instance still admits while it shuts down. The load balancer needs some time to notice the
+ * shutdown, and keeps sending requests afterwards when it has no other instance. After that time a request is admitted
+ * only if its deadline is before the exit of the process.
  *
  * All times are monotonic milliseconds.
  *
- * @param sinceMs when the instance was told to stop.
- * @param untilMs when the process ends.
+ * @param stopRequestedAtMs when the instance was told to stop.
+ * @param exitAtMs when the process ends.
  */
-class StopAdmission(private val sinceMs: Long, private val untilMs: Long) {
-    /** True when a request that came at [arrivedAtMs] and may last until [deadlineAtMs] is taken. */
+class StopAdmission(private val stopRequestedAtMs: Long, private val exitAtMs: Long) {
+    /** True when a request that arrived at [arrivedAtMs] and may run until [deadlineAtMs] is admitted. */
     fun admits(arrivedAtMs: Long, deadlineAtMs: Long): Boolean =
-        arrivedAtMs - sinceMs <= UNNOTICED_MS || deadlineAtMs <= untilMs
+        arrivedAtMs - stopRequestedAtMs <= BALANCER_DETECTION_MS || deadlineAtMs <= exitAtMs
 
     private companion object {
-        /** The balancer asks once a second and takes an instance out after two misses; the rest is for the way. */
-        const val UNNOTICED_MS = 2_800L
+        /**
+         * The load balancer checks readiness once a second and removes an instance after two failed checks; the
+         * remainder covers network delay.
+         */
+        const val BALANCER_DETECTION_MS = 2_800L
     }
 }
--- a/dispatch/src/main/kotlin/io/oriolehall/dispatch/config/ConfigTrust.kt
+++ b/dispatch/src/main/kotlin/io/oriolehall/dispatch/config/ConfigTrust.kt
@@ -1,57 +1,59 @@
 package io.oriolehall.dispatch.config
 
 /*
- * Which configuration is in force and how sure the instance is that it is the newest. Configurations come from the
- * platform and from other instances, in any order; the one with the highest revision wins, so that none is ever taken
- * back. A confirmation is the news that a revision was the newest at some moment; API keys are honoured only as long
- * as the last confirmation is young enough.
+ * The active configuration and how recently it was confirmed to be the newest. Configurations arrive from the platform
+ * and from other instances in any order; the highest revision wins, so the active revision never decreases. A
+ * confirmation states that a revision was the newest at some moment. API keys are accepted only while the last
+ * confirmation is recent enough.
  */
 
 /**
- * A moment by both clocks of the machine.
+ * Simultaneous readings of the monotonic clock and the wall clock of the machine.
  *
  * @property ms monotonic milliseconds.
  * @property wallMs wall clock, milliseconds since the epoch.
  */
 data class Moment(val ms: Long, val wallMs: Long) {
-    /** Grows when the machine was suspended, which the monotonic clock does not show. */
+    /** Grows when the machine is suspended, because the monotonic clock stops during a suspension. */
     val clockOffsetMs: Long get() = wallMs - ms
 
-    /** The moment [durationMs] before this one. */
+    /** The readings [durationMs] earlier. */
     fun before(durationMs: Long) = Moment(ms - durationMs, wallMs - durationMs)
 }
 
 /**
- * A configuration and its revision in the platform's store.
+ * An active configuration and its revision in the platform's store.
  *
- * @property confirmedAt last moment at which it was known to be the newest.
+ * @property confirmedAt latest moment at which it was confirmed to be the newest.
  */
 data class TrustedConfig(val table: RouteTable, val revision: Long, val confirmedAt: Moment) {
     /**
-     * True when requests with an API key may be sent on: the last confirmation is younger than [maxAgeMs], and the
-     * machine has not been suspended since.
+     * True when requests with an API key may be forwarded: the last confirmation is more recent than [maxAgeMs], and
+     * the machine has not been suspended since.
      */
     fun mayHonourKeys(now: Moment, maxAgeMs: Long): Boolean {
         val suspendedMs = now.clockOffsetMs - confirmedAt.clockOffsetMs
-        return now.ms - confirmedAt.ms < maxAgeMs && suspendedMs < SUSPENSION_MS
+        return now.ms - confirmedAt.ms < maxAgeMs && suspendedMs < MIN_SUSPENSION_MS
     }
 
     private companion object {
-        /** Forward step of the wall clock that is taken for a suspension, milliseconds; clocks drift far less. */
-        const val SUSPENSION_MS = 400L
+        /** Smallest forward step of the wall clock that counts as a suspension, milliseconds; clocks drift far less. */
+        const val MIN_SUSPENSION_MS = 400L
     }
 }
 
-/** Holds the newest configuration. Its changes belong to the control thread; [current] may be read by any thread. */
+/** Holds the newest configuration. Only the control thread changes it; any thread may read [current]. */
 class ConfigTrust {
     @Volatile
     var current: TrustedConfig? = null
         private set
 
-    /** Takes [config] in force unless a revision as high is there already. Returns true when it changed. */
+    /**
+     * Activates [config] unless the active revision is as high or higher. Returns true when the configuration changed.
+     */
     fun offer(config: ServingConfig, revision: Long, confirmedAt: Moment): Boolean {
-        val old = current
-        if (old != null && old.revision >= revision) {
+        val previous = current
+        if (previous != null && previous.revision >= revision) {
             confirm(revision, confirmedAt)
             return false
         }
@@ -59,10 +61,10 @@
         return true
     }
 
-    /** Notes that [revision] was the newest at [at]. Ignored when it is not the one in force. */
+    /** Records that [revision] was the newest at [at]. Ignored when it is not the active revision. */
     fun confirm(revision: Long, at: Moment) {
-        val old = current ?: return
-        if (old.revision != revision || at.ms <= old.confirmedAt.ms) return
-        current = old.copy(confirmedAt = at)
+        val previous = current ?: return
+        if (previous.revision != revision || at.ms <= previous.confirmedAt.ms) return
+        current = previous.copy(confirmedAt = at)
     }
 }
--- a/dispatch/src/main/kotlin/io/oriolehall/dispatch/config/Route.kt
+++ b/dispatch/src/main/kotlin/io/oriolehall/dispatch/config/Route.kt
@@ -3,7 +3,7 @@
 import io.oriolehall.model.OrganisationId
 import kotlinx.serialization.Serializable
 
-/** What may be repeated when an attempt at an endpoint fails. */
+/** Which requests may be retried when an attempt at an endpoint fails. */
 @Serializable
 enum class RouteKind {
     /** May run any number of times. */
@@ -12,16 +12,16 @@
     /** Runs at most once. */
     AT_MOST_ONCE,
 
-    /** Answers with a series of events. It runs at most once unless the route is resumable. */
+    /** Responds with a stream of events. Runs at most once unless the route is resumable. */
     STREAMING,
 }
 
-/** One of the services that a route sends its requests to. [weight] is relative to the other targets. */
+/** A service to which a route sends requests. [weight] is relative to the other targets of the route. */
 @Serializable
 data class RouteTarget(val service: String, val weight: Int)
 
 /**
- * Work that is done before a request is sent to its service.
+ * A computation that is done before a request is sent to its service.
  *
  * @property after indexes of the stages whose results it needs.
  * @property resultBytes approximate size of one result, bytes.
@@ -30,15 +30,15 @@
 data class StageSpec(val service: String, val after: List<Int>, val resultBytes: Long)
 
 /**
- * How requests of one host and path prefix are served.
+ * How requests for one host and path prefix are served.
  *
  * @property prefix path prefix; it begins and ends with a slash.
- * @property timeoutMs longest time that a caller is kept waiting, milliseconds.
- * @property objectiveMs time within which an answer (or the first event of a stream) is on time, milliseconds.
- * @property priority rank of the route, 0 is the most urgent.
- * @property maxAttempts most endpoints to which one request is sent.
+ * @property timeoutMs longest time that a caller waits for the response, milliseconds.
+ * @property objectiveMs latency objective for the response, or for the first event of a stream, milliseconds.
+ * @property priority priority of the route; 0 is the most urgent.
+ * @property maxAttempts maximum number of endpoints to which one request is sent.
  * @property anonymous true when no API key is needed.
- * @property resumable true when a broken stream may continue at another endpoint.
+ * @property resumable true when an interrupted stream may continue at another endpoint.
  */
 @Serializable
 data class Route(
@@ -55,25 +55,25 @@
     val anonymous: Boolean = false,
     val resumable: Boolean = false,
 ) {
-    /** True when a request may be sent again although an endpoint may have run it. */
+    /** True when a request may be retried even if an endpoint may already have run it. */
     val repeatable: Boolean get() = kind == RouteKind.IDEMPOTENT || (kind == RouteKind.STREAMING && resumable)
 
-    /** Services that compute its stages. */
+    /** Services that compute the stages of this route. */
     val stageServices: Set<String> get() = stages.mapTo(mutableSetOf(), StageSpec::service)
 
-    /** Stages whose results go to the service itself: those that no other stage needs. */
+    /** Indexes of the stages whose results go to the target service: those that no other stage needs. */
     val finalStages: List<Int> get() = stages.indices - stages.flatMap(StageSpec::after).toSet()
 }
 
 /**
  * Limits of a worker of a service that computes stage pieces.
  *
- * @property slots calls that a worker computes at the same time.
- * @property batch most pieces in a call.
- * @property callMs time of a call without its pieces, milliseconds.
- * @property pieceMs time that a piece adds, milliseconds; approximate.
+ * @property slots calls that a worker runs concurrently.
+ * @property batch maximum number of pieces in a call.
+ * @property callMs fixed time of a call, without its pieces, milliseconds.
+ * @property pieceMs approximate time that each piece adds to a call, milliseconds.
  * @property resultRoomBytes memory of a worker for results that have not been freed.
- * @property resultLifetimeMs time after which a worker drops a result by itself, milliseconds.
+ * @property resultLifetimeMs time after which a worker discards a result that was not freed, milliseconds.
  */
 @Serializable
 data class PieceLimits(
@@ -88,8 +88,8 @@
 /**
  * Limits of a model engine.
  *
- * @property slots requests that it runs at the same time.
- * @property cacheTokens tokens that its memory holds.
+ * @property slots requests that it runs concurrently.
+ * @property cacheTokens tokens that fit into its cache.
  */
 @Serializable
 data class EngineLimits(val slots: Int, val cacheTokens: Long)
@@ -97,8 +97,8 @@
 /**
  * A service and the limits of each of its endpoints.
  *
- * @property maxConnections connections that an endpoint accepts from all instances together.
- * @property coldPerSecond requests a second that an endpoint bears while it is cold; 0 when it is never cold.
+ * @property maxConnections connections that an endpoint accepts from all instances combined.
+ * @property coldPerSecond requests per second that an endpoint can handle while it is cold; 0 when it is never cold.
  */
 @Serializable
 data class Service(
@@ -110,7 +110,7 @@
     val pieces: PieceLimits? = null,
 )
 
-/** Bounds on what a caller may send and how long it may take. */
+/** Limits on the size of a caller's request and on the time that the caller may take to send it. */
 @Serializable
 data class CallerLimits(
     val maxHeaderBytes: Int = 16_384,
@@ -119,11 +119,11 @@
     val idleTimeoutMs: Long = 15_000,
 )
 
-/** An organisation with its API keys. [priority] goes before the route's when it is set. */
+/** An organisation and its API keys. [priority], when set, overrides that of the route. */
 @Serializable
 data class Organisation(val id: OrganisationId, val apiKeys: List<String>, val priority: Int? = null)
 
-/** One whole configuration. A higher [version] is newer. */
+/** A complete configuration. A higher [version] is newer. */
 @Serializable
 data class ServingConfig(
     val version: Long,
--- a/dispatch/src/main/kotlin/io/oriolehall/dispatch/endpoints/EndpointDirectory.kt
+++ b/dispatch/src/main/kotlin/io/oriolehall/dispatch/endpoints/EndpointDirectory.kt
@@ -8,9 +8,9 @@
 import kotlinx.collections.immutable.persistentSetOf
 
 /**
- * The endpoints that may be used, as traffic reads them.
+ * Immutable view of the registered endpoints, read by request threads.
  *
- * @property evacuated zones whose endpoints get nothing new.
+ * @property evacuated zones whose endpoints receive no new work.
  */
 data class EndpointSnapshot(
     val endpoints: PersistentMap<EndpointId, EndpointRecord> = persistentMapOf(),
@@ -20,58 +20,65 @@
         .filter { !it.draining && it.zone !in evacuated }
         .groupBy(EndpointRecord::service)
 
-    /** Endpoints of [service] that may get new work. */
+    /** Endpoints of [service] that may receive new work. */
     fun usable(service: String): List<EndpointRecord> = byService[service].orEmpty()
 
-    /** True when [endpoint] is still registered, not draining and not in an evacuated zone. */
+    /** True when this incarnation of [endpoint] is still registered, not draining and not in an evacuated zone. */
     fun isUsable(endpoint: EndpointRecord): Boolean {
-        val known = endpoints[endpoint.id] ?: return false
-        return known.bornAtMs == endpoint.bornAtMs && !known.draining && known.zone !in evacuated
+        val registered = endpoints[endpoint.id] ?: return false
+        return registered.bornAtMs == endpoint.bornAtMs && !registered.draining && registered.zone !in evacuated
     }
 }
 
 /**
- * Keeps the directory from what the store publishes. Entries that lapse around an outage of the store are kept for
- * [lapseGraceMs] after its return, because an endpoint that lives registers again within that time.
+ * Maintains the endpoint directory from the entries in the platform's store. Entries that are lost around an outage of
+ * the store are kept for [reRegistrationGraceMs] after it recovers, because a live endpoint registers again within that
+ * time.
  *
- * All times are monotonic milliseconds. Not safe for use by several threads; [snapshot] is immutable.
+ * All times are monotonic milliseconds. Not thread-safe; [snapshot] is immutable.
  */
-class EndpointDirectory(private val lapseGraceMs: Long = DEFAULT_LAPSE_GRACE_MS) {
-    private val lapsing = mutableMapOf<EndpointId, Long>()
-    private var graceUntilMs = Long.MIN_VALUE
+class EndpointDirectory(private val reRegistrationGraceMs: Long = DEFAULT_RE_REGISTRATION_GRACE_MS) {
+    private val removalTimesMs = mutableMapOf<EndpointId, Long>()
+    private var graceEndsAtMs = Long.MIN_VALUE
 
     var snapshot = EndpointSnapshot()
         private set
 
-    /** The store answers again after an outage. */
+    /** Starts the grace period for registrations after the store has recovered from an outage. */
     fun storeReturned(nowMs: Long) {
-        graceUntilMs = nowMs + lapseGraceMs
+        graceEndsAtMs = nowMs + reRegistrationGraceMs
     }
 
     fun register(record: EndpointRecord) {
-        lapsing.remove(record.id)
+        removalTimesMs.remove(record.id)
         snapshot = snapshot.copy(endpoints = snapshot.endpoints.put(record.id, record))
     }
 
-    /** The entry of [id] is gone. [orderly] is true when the store was serving all the while. */
+    /**
+     * Handles the removal of the entry of [id] from the store. [orderly] is true when the store was available
+     * throughout, so that the removal is not a result of an outage.
+     */
     fun withdraw(id: EndpointId, nowMs: Long, orderly: Boolean) {
-        val known = snapshot.endpoints[id] ?: return
-        val lapsed = !orderly || nowMs < graceUntilMs
-        if (lapsed && !known.draining) {
-            lapsing.putIfAbsent(id, maxOf(graceUntilMs, nowMs))
+        val registered = snapshot.endpoints[id] ?: return
+        val mayRegisterAgain = !orderly || nowMs < graceEndsAtMs
+        if (mayRegisterAgain && !registered.draining) {
+            removalTimesMs.putIfAbsent(id, maxOf(graceEndsAtMs, nowMs))
             return
         }
         remove(id)
     }
 
-    /** Removes entries whose time to register again is over. Returns their names. */
+    /** Removes entries whose grace period for registering again is over. Returns their ids. */
     fun expire(nowMs: Long): List<EndpointId> {
-        val gone = lapsing.filterValues { it <= nowMs }.keys.toList()
-        gone.forEach(::remove)
-        return gone
+        val expired = removalTimesMs.filterValues { it <= nowMs }.keys.toList()
+        expired.forEach(::remove)
+        return expired
     }
 
-    /** All entries of the store at one moment: what is not among them has gone. */
+    /**
+     * Replaces the directory by [records], all entries of the store at one moment; entries not among them are
+     * withdrawn.
+     */
     fun replaceAll(records: Collection<EndpointRecord>, nowMs: Long, orderly: Boolean) {
         records.forEach(::register)
         val present = records.mapTo(mutableSetOf(), EndpointRecord::id)
@@ -83,12 +90,12 @@
     }
 
     private fun remove(id: EndpointId) {
-        lapsing.remove(id)
+        removalTimesMs.remove(id)
         snapshot = snapshot.copy(endpoints = snapshot.endpoints.remove(id))
     }
 
     private companion object {
-        /** The operators' bound: a live endpoint is registered again two seconds after the store's return. */
-        const val DEFAULT_LAPSE_GRACE_MS = 2_000L
+        /** Bound set by the operators: a live endpoint registers again within two seconds after the store recovers. */
+        const val DEFAULT_RE_REGISTRATION_GRACE_MS = 2_000L
     }
 }
--- a/dispatch/src/main/kotlin/io/oriolehall/dispatch/endpoints/EndpointHealth.kt
+++ b/dispatch/src/main/kotlin/io/oriolehall/dispatch/endpoints/EndpointHealth.kt
@@ -1,53 +1,53 @@
 package io.oriolehall.dispatch.endpoints
 
 /**
- * What the instance's own traffic says of one endpoint. Health checks cost a slot and are priced, so failures of real
- * requests decide: after each run of failures the endpoint is left out for a while that doubles, and one request tries
- * it again.
+ * Passive health check of one endpoint, based on the requests of this instance. Active health checks occupy a slot and
+ * are billed, so failures of real requests decide: each connection failure excludes the endpoint for a time that
+ * doubles with every further failure in a row, after which the next request tries it again.
  *
- * Times are monotonic milliseconds. Not safe for use by several threads.
+ * Times are monotonic milliseconds. Not thread-safe.
  */
 class EndpointHealth {
-    private var failures = 0
+    private var consecutiveFailures = 0
     private var excludedUntilMs = Long.MIN_VALUE
 
-    /** Mean of recent response times, milliseconds; 0 before the first answer. */
+    /** Moving average of response times, milliseconds; 0 before the first response. */
     var responseMs = 0.0
         private set
 
-    /** Share of recent requests that failed, 0 to 1. */
+    /** Moving average of the share of requests that failed, 0 to 1. */
     var failureShare = 0.0
         private set
 
     fun isExcluded(nowMs: Long): Boolean = nowMs < excludedUntilMs
 
     fun succeeded(elapsedMs: Double) {
-        failures = 0
-        failureShare *= 1 - SHARE_STEP
-        responseMs = if (responseMs == 0.0) elapsedMs else responseMs + (elapsedMs - responseMs) * TIME_STEP
+        consecutiveFailures = 0
+        failureShare *= 1 - FAILURE_SMOOTHING
+        responseMs = if (responseMs == 0.0) elapsedMs else responseMs + (elapsedMs - responseMs) * RESPONSE_SMOOTHING
     }
 
-    /** The endpoint answered with a failure of its own; it lives. */
+    /** Records an error response: the endpoint is reachable and is not excluded. */
     fun answeredWithFailure() {
-        failureShare += (1 - failureShare) * SHARE_STEP
+        failureShare += (1 - failureShare) * FAILURE_SMOOTHING
     }
 
-    /** The connection was refused, reset or silent. */
+    /** Records that the connection was refused, was reset or timed out. */
     fun failed(nowMs: Long) {
-        failures++
-        failureShare += (1 - failureShare) * SHARE_STEP
-        val backoffMs = minOf(MAX_EXCLUSION_MS, FIRST_EXCLUSION_MS shl minOf(failures - 1, MAX_DOUBLINGS))
+        consecutiveFailures++
+        failureShare += (1 - failureShare) * FAILURE_SMOOTHING
+        val backoffMs = minOf(MAX_EXCLUSION_MS, FIRST_EXCLUSION_MS shl minOf(consecutiveFailures - 1, MAX_DOUBLINGS))
         excludedUntilMs = nowMs + backoffMs
     }
 
-    /** The endpoint is full; it gets nothing for a moment. */
-    fun overloaded(nowMs: Long, forMs: Long = OVERLOAD_EXCLUSION_MS) {
-        excludedUntilMs = maxOf(excludedUntilMs, nowMs + forMs)
+    /** Records that the endpoint is at capacity, and excludes it for [durationMs]. */
+    fun overloaded(nowMs: Long, durationMs: Long = OVERLOAD_EXCLUSION_MS) {
+        excludedUntilMs = maxOf(excludedUntilMs, nowMs + durationMs)
     }
 
     private companion object {
-        const val SHARE_STEP = 0.2
-        const val TIME_STEP = 0.2
+        const val FAILURE_SMOOTHING = 0.2
+        const val RESPONSE_SMOOTHING = 0.2
         const val FIRST_EXCLUSION_MS = 300L
         const val MAX_EXCLUSION_MS = 2_400L
         const val MAX_DOUBLINGS = 3
--- a/dispatch/src/main/kotlin/io/oriolehall/dispatch/endpoints/EndpointRecord.kt
+++ b/dispatch/src/main/kotlin/io/oriolehall/dispatch/endpoints/EndpointRecord.kt
@@ -6,11 +6,11 @@
 import kotlinx.serialization.Serializable
 
 /**
- * An endpoint as it registered itself.
+ * The registration of an endpoint.
  *
- * @property bornAtMs start of its process, milliseconds since the epoch; another start under the same name differs.
+ * @property bornAtMs start of its process, milliseconds since the epoch; differs after a restart under the same id.
  * @property draining true when it has announced that it will stop.
- * @property coldForMs how much longer it stays cold, milliseconds from when the entry was written.
+ * @property coldForMs remaining time until it is warm when the entry was written, milliseconds.
  */
 @Serializable
 data class EndpointRecord(
@@ -23,10 +23,10 @@
     val draining: Boolean,
     val coldForMs: Long,
 ) {
-    /** One life of the endpoint. */
+    /** Identifies this incarnation of the endpoint. */
     val life: EndpointLife get() = EndpointLife(id, bornAtMs)
 }
 
-/** Name of an endpoint and the start of its process: state about one life says nothing about the next. */
+/** Id of an endpoint and the start of its process. State about one incarnation does not apply to the next. */
 @Serializable
 data class EndpointLife(val id: EndpointId, val bornAtMs: Long)
--- a/dispatch/src/main/kotlin/io/oriolehall/dispatch/limits/ColdLimit.kt
+++ b/dispatch/src/main/kotlin/io/oriolehall/dispatch/limits/ColdLimit.kt
@@ -1,25 +1,25 @@
 package io.oriolehall.dispatch.limits
 
 /**
- * Bounds what this instance sends to one endpoint in any second, so that the sum over all instances stays within what
- * a cold endpoint bears. It holds all the time, because an endpoint may turn cold without notice. [ColdShare] says how
- * much of it is this instance's.
+ * Limits the requests that this instance sends to one endpoint in any second, so that all instances together stay
+ * within the capacity of a cold endpoint. The limit always applies, because an endpoint may become cold without notice.
+ * [ColdShare] computes this instance's share of that capacity.
  */
 class ColdLimit {
-    private val sent = ArrayDeque<Long>()
+    private val sentAtMs = ArrayDeque<Long>()
 
-    /** True when one more request may be sent at [nowMs], of [share] in any second. */
+    /** True when one more request may be sent at [nowMs], with at most [share] requests in any second. */
     fun allows(nowMs: Long, share: Int): Boolean {
-        while (sent.isNotEmpty() && sent.first() <= nowMs - WINDOW_MS) sent.removeFirst()
-        return sent.size < share
+        while (sentAtMs.isNotEmpty() && sentAtMs.first() <= nowMs - WINDOW_MS) sentAtMs.removeFirst()
+        return sentAtMs.size < share
     }
 
     fun onSent(nowMs: Long) {
-        sent.addLast(nowMs)
+        sentAtMs.addLast(nowMs)
     }
 
     private companion object {
-        /** A second and the time by which a request may arrive later than its neighbours, milliseconds. */
+        /** One second plus the jitter in the arrival times of requests at the endpoint, milliseconds. */
         const val WINDOW_MS = 1_050L
     }
 }
--- a/dispatch/src/main/kotlin/io/oriolehall/dispatch/limits/ColdShare.kt
+++ b/dispatch/src/main/kotlin/io/oriolehall/dispatch/limits/ColdShare.kt
@@ -5,30 +5,34 @@
 import io.oriolehall.policy.hashing.Rendezvous
 
 /**
- * Divides the requests that a cold endpoint bears in a second among all instances. With few instances each gets the
- * same part. Where it is below one request, only some instances send to the endpoint, by rendezvous hashing: all that
- * see the same instances choose alike without a message, and every instance reaches some endpoints of each service.
+ * Divides the requests that a cold endpoint can handle in a second among all instances. With few instances each gets an
+ * equal share. Where that share is below one request, rendezvous hashing selects the instances that send to the
+ * endpoint: instances with the same member list select the same senders without coordination, and every instance
+ * reaches some endpoints of each service.
  *
  * @param instances all live instances.
  */
 class ColdShare(private val self: InstanceId, private val instances: Set<InstanceId>) {
     private val shares = HashMap<Pair<EndpointId, Double>, Int>()
 
-    /** Requests that this instance may send to [endpoint] in any second, of [perSecond] for all; 0 for none. */
+    /**
+     * Requests that this instance may send to [endpoint] in any second, out of [perSecond] for all instances. 0 means
+     * that it may not send to the endpoint.
+     */
     fun of(endpoint: EndpointId, perSecond: Double): Int = shares.getOrPut(endpoint to perSecond) {
-        val equalPart = (perSecond / maxOf(1, instances.size)).toInt()
-        if (equalPart >= 1) equalPart else singlePart(endpoint, perSecond)
+        val equalShare = (perSecond / maxOf(1, instances.size)).toInt()
+        if (equalShare >= 1) equalShare else singleRequestShare(endpoint, perSecond)
     }
 
-    private fun singlePart(endpoint: EndpointId, perSecond: Double): Int {
-        val senders = (perSecond * SAFETY).toInt().coerceAtLeast(1)
-        val own = Rendezvous.weight(endpoint.value, self.value)
-        val before = instances.count { it != self && Rendezvous.weight(endpoint.value, it.value) > own }
-        return if (before < senders) 1 else 0
+    private fun singleRequestShare(endpoint: EndpointId, perSecond: Double): Int {
+        val senderCount = (perSecond * ALLOCATED_SHARE).toInt().coerceAtLeast(1)
+        val ownWeight = Rendezvous.weight(endpoint.value, self.value)
+        val higherWeights = instances.count { it != self && Rendezvous.weight(endpoint.value, it.value) > ownWeight }
+        return if (higherWeights < senderCount) 1 else 0
     }
 
     private companion object {
-        /** Part of the bound that is given out; the rest covers instances that see the fleet differently. */
-        const val SAFETY = 0.8
+        /** Share of the capacity that is allocated; the rest covers instances whose member lists differ. */
+        const val ALLOCATED_SHARE = 0.8
     }
 }
--- a/dispatch/src/main/kotlin/io/oriolehall/dispatch/limits/RepeatAllowance.kt
+++ b/dispatch/src/main/kotlin/io/oriolehall/dispatch/limits/RepeatAllowance.kt
@@ -1,13 +1,15 @@
 package io.oriolehall.dispatch.limits
 
 /**
- * This instance's part of the repeats that all instances together may send to a service in a sliding window. A part of
- * the first requests earns repeats; the fixed allowance is divided by the number of instances. A young process gets
- * less, because the one before it may have used the window already.
+ * Retry budget: this instance's share of the retries that all instances together may send to a service in a sliding
+ * window. The budget is a ratio of the first attempts of this instance plus a fixed allowance divided by the number of
+ * instances. A recently started process gets less of the allowance, because its predecessor may already have used up
+ * the current window.
  *
- * @param ratio repeats per first request.
- * @param allowance repeats in a window over all instances, besides the ratio.
+ * @param ratio retries per first attempt.
+ * @param allowance retries in a window over all instances, in addition to the ratio.
  * @param windowMs length of the window, milliseconds.
+ * @param startedAtMs when the process started, monotonic milliseconds.
  */
 class RepeatAllowance(
     private val ratio: Double,
@@ -15,31 +17,31 @@
     private val windowMs: Long,
     private val startedAtMs: Long,
 ) {
-    private val firsts = ArrayDeque<Long>()
-    private val repeats = ArrayDeque<Long>()
+    private val firstAttempts = ArrayDeque<Long>()
+    private val retries = ArrayDeque<Long>()
 
     fun onFirst(nowMs: Long) {
-        firsts.addLast(nowMs)
+        firstAttempts.addLast(nowMs)
         trim(nowMs)
     }
 
-    /** Takes one repeat when the window has one left for this instance among [instances]. */
+    /** Takes one retry from the budget if the window has one left for this instance, one of [instances]. */
     fun tryTake(nowMs: Long, instances: Int): Boolean {
         trim(nowMs)
-        val age = ((nowMs - startedAtMs).toDouble() / windowMs).coerceIn(0.0, 1.0)
-        val share = allowance / maxOf(1, instances) * age
-        if (repeats.size + 1 > SAFETY * (ratio * firsts.size + share)) return false
-        repeats.addLast(nowMs)
+        val startupShare = ((nowMs - startedAtMs).toDouble() / windowMs).coerceIn(0.0, 1.0)
+        val share = allowance / maxOf(1, instances) * startupShare
+        if (retries.size + 1 > USED_SHARE * (ratio * firstAttempts.size + share)) return false
+        retries.addLast(nowMs)
         return true
     }
 
     private fun trim(nowMs: Long) {
-        while (firsts.isNotEmpty() && firsts.first() <= nowMs - windowMs) firsts.removeFirst()
-        while (repeats.isNotEmpty() && repeats.first() <= nowMs - windowMs) repeats.removeFirst()
+        while (firstAttempts.isNotEmpty() && firstAttempts.first() <= nowMs - windowMs) firstAttempts.removeFirst()
+        while (retries.isNotEmpty() && retries.first() <= nowMs - windowMs) retries.removeFirst()
     }
 
     private companion object {
-        /** Part of the bound that is used; the rest covers instances that disagree about their number. */
-        const val SAFETY = 0.8
+        /** Share of the budget that is used; the rest covers instances that disagree on the number of instances. */
+        const val USED_SHARE = 0.8
     }
 }
--- a/dispatch/src/main/kotlin/io/oriolehall/dispatch/limits/RepeatAllowances.kt
+++ b/dispatch/src/main/kotlin/io/oriolehall/dispatch/limits/RepeatAllowances.kt
@@ -1,10 +1,10 @@
 package io.oriolehall.dispatch.limits
 
 /**
- * The [RepeatAllowance] of each service. All count from the start of the process, not from a service's first request: a
- * service that is used for the first time long after the start has its whole part. Not safe for use by several threads.
+ * The [RepeatAllowance] of each service. All of them count from the start of the process, not from the first request to
+ * a service, so a service first used long after the start has its full share of the allowance. Not thread-safe.
  *
- * @param startedAtMs when the process started, monotonic milliseconds; the others as in [RepeatAllowance].
+ * The parameters are those of [RepeatAllowance].
  */
 class RepeatAllowances(
     private val ratio: Double,
--- a/dispatch/src/main/kotlin/io/oriolehall/dispatch/placement/GenerationPlacement.kt
+++ b/dispatch/src/main/kotlin/io/oriolehall/dispatch/placement/GenerationPlacement.kt
@@ -5,19 +5,19 @@
 import io.oriolehall.policy.hashing.Rendezvous
 
 /**
- * An endpoint that may take a request.
+ * An endpoint that may receive a request.
  *
- * @property outstanding requests of this instance that it has not finished.
- * @property slowness its response time relative to its peers, 1 when unknown.
+ * @property outstanding unfinished requests of this instance at the endpoint.
+ * @property slowness its response time relative to that of its peers; 1 when unknown.
  */
 data class PlacementCandidate(val endpoint: EndpointRecord, val outstanding: Int, val slowness: Double = 1.0)
 
 /**
- * What is known of a request when its endpoint is chosen.
+ * Properties of a request that influence the choice of its endpoint.
  *
- * @property affinity text that requests with the same cached prompt share; null when there is none.
- * @property inputZone zone where the results that the endpoint has to fetch lie; null when there are none.
- * @property ownZone zone of the choosing instance.
+ * @property affinity text that is the same for requests with the same cached prompt; null when there is none.
+ * @property inputZone zone that stores the stage results which the endpoint has to fetch; null when there are none.
+ * @property ownZone zone of the instance that chooses.
  */
 data class PlacementRequest(val affinity: String?, val inputZone: ZoneId?, val ownZone: ZoneId)
 
@@ -27,7 +27,10 @@
     fun choose(candidates: List<PlacementCandidate>, request: PlacementRequest): PlacementCandidate?
 }
 
-/** Baseline: the endpoint with the fewest outstanding requests of this instance, own zone first at equal counts. */
+/**
+ * Baseline: the endpoint with the fewest outstanding requests of this instance, weighted by slowness; ties go to the
+ * instance's own zone.
+ */
 object LeastOutstanding : Placement {
     override fun choose(candidates: List<PlacementCandidate>, request: PlacementRequest): PlacementCandidate? =
         candidates.minWithOrNull(
@@ -36,21 +39,22 @@
 }
 
 /**
- * Keeps requests that share a prompt together: rendezvous hashing with bounded loads, which all instances compute alike
- * without a message. An endpoint above the bound is passed over, so that a hot prompt spreads. Reading a shared prompt
- * again costs more than fetching inputs from another zone; the zone of the inputs decides only without a shared prompt.
+ * Sends requests that share a prompt to the same endpoint by rendezvous hashing with bounded loads, which all instances
+ * compute alike without coordination. Endpoints above the load bound are skipped, so that a hot prompt spreads to more
+ * endpoints. Recomputing a shared prompt costs more than fetching inputs from another zone, so the zone of the inputs
+ * matters only for requests without a shared prompt.
  */
 class AffinityPlacement(private val loadFactor: Double = DEFAULT_LOAD_FACTOR) : Placement {
     override fun choose(candidates: List<PlacementCandidate>, request: PlacementRequest): PlacementCandidate? {
-        val healthy = candidates.filter { it.slowness <= SLOW_FACTOR }.ifEmpty { candidates }
-        val affinity = request.affinity ?: return LeastOutstanding.choose(near(healthy, request), request)
-        val mean = healthy.sumOf(PlacementCandidate::outstanding).toDouble() / maxOf(1, healthy.size)
-        val bound = mean * loadFactor + HEADROOM
-        return healthy.filter { it.outstanding < bound }.ifEmpty { healthy }
+        val healthy = candidates.filter { it.slowness <= MAX_SLOWNESS }.ifEmpty { candidates }
+        val affinity = request.affinity ?: return LeastOutstanding.choose(preferZone(healthy, request), request)
+        val meanOutstanding = healthy.sumOf(PlacementCandidate::outstanding).toDouble() / maxOf(1, healthy.size)
+        val loadBound = meanOutstanding * loadFactor + LOAD_HEADROOM
+        return healthy.filter { it.outstanding < loadBound }.ifEmpty { healthy }
             .maxByOrNull { Rendezvous.weight(affinity, it.endpoint.id.value) }
     }
 
-    private fun near(candidates: List<PlacementCandidate>, request: PlacementRequest): List<PlacementCandidate> {
+    private fun preferZone(candidates: List<PlacementCandidate>, request: PlacementRequest): List<PlacementCandidate> {
         val zone = request.inputZone ?: request.ownZone
         return candidates.filter { it.endpoint.zone == zone }.ifEmpty { candidates }
     }
@@ -58,10 +62,10 @@
     private companion object {
         const val DEFAULT_LOAD_FACTOR = 2.0
 
-        /** Requests above the bound that any endpoint may have, so that a quiet instance keeps its affinity. */
-        const val HEADROOM = 4
+        /** Requests that any endpoint may have beyond the relative bound, so that affinity holds under low load. */
+        const val LOAD_HEADROOM = 4
 
-        /** An endpoint this many times slower than its peers is left out while others are there. */
-        const val SLOW_FACTOR = 2.0
+        /** An endpoint more than this many times slower than its peers is used only when no faster one is available. */
+        const val MAX_SLOWNESS = 2.0
     }
 }
--- a/dispatch/src/main/kotlin/io/oriolehall/dispatch/stages/PieceWork.kt
+++ b/dispatch/src/main/kotlin/io/oriolehall/dispatch/stages/PieceWork.kt
@@ -2,25 +2,25 @@
 
 import io.oriolehall.model.ZoneId
 
-/** What a piece is computed from. */
+/** Input from which a piece is computed. */
 sealed interface PieceInput {
-    /** A stage without predecessors: the request's own key. */
+    /** For a stage without predecessors: the key of the request. */
     data class Key(val value: String) : PieceInput
 
-    /** Handles of all results of the stages before. */
+    /** Handles of all results of the preceding stages. */
     data class Results(val handles: List<String>) : PieceInput
 }
 
 /**
- * One piece that waits to be computed. Times are monotonic milliseconds.
+ * One piece to be computed by a stage worker. Times are monotonic milliseconds.
  *
- * @property group pieces of one stage of one request, in the order in which they arrived.
- * @property preferredZone zone where the result is fetched; null when it does not matter.
- * @property resultBytes memory that its result takes at the worker.
- * @property holdsMemory true while its inputs take scarce memory at the workers that made them.
- * @property objectiveAtMs until when this stage has to be done for the request to be on time.
- * @property deadlineAtMs when the request is given up.
- * @property priority rank of the request, 0 is the most urgent.
+ * @property group number shared by the pieces of one stage of one request; numbers increase in order of arrival.
+ * @property preferredZone zone from which the result will be fetched; null when the zone does not matter.
+ * @property resultBytes memory that its result occupies at the worker.
+ * @property holdsMemory true while its inputs occupy scarce memory at the workers that computed them.
+ * @property objectiveAtMs when this stage has to be complete for the request to be on time.
+ * @property deadlineAtMs when the request is abandoned.
+ * @property priority priority of the request; 0 is the most urgent.
  */
 class PieceWork(
     val requestId: String,
@@ -36,6 +36,6 @@
     val deadlineAtMs: Long,
     val priority: Int,
 ) {
-    /** Calls in which the piece was computed without a result. */
+    /** Number of calls that included this piece and returned no result for it. */
     var failures = 0
 }
--- a/dispatch/src/main/kotlin/io/oriolehall/dispatch/stages/StageQueue.kt
+++ b/dispatch/src/main/kotlin/io/oriolehall/dispatch/stages/StageQueue.kt
@@ -4,22 +4,22 @@
 import io.oriolehall.model.ZoneId
 
 /**
- * The pieces that wait for the workers of one service, from all instances, and the decision which go next. A call has
- * a large fixed cost, so a worker never gets more than one call at a time and takes as many pieces as fit: under little
- * load a piece starts at once, and under much load calls are full, without a timer.
+ * Queue of the pieces of all instances for the workers of one service; it plans the calls to the workers. A call has a
+ * large fixed cost, so a worker never has more calls than it has slots, and each call takes as many pieces as fit.
+ * Under low load a piece starts immediately, and under high load calls are full, without a batching timer.
  *
- * Order: pieces whose inputs take scarce memory at other workers go as they came, late ones too. The others go by due
- * time and priority as long as they can be on time; late ones take what is left. Pieces of one stage of one request
- * stay together, because the first results would take memory while the others wait. Large results are made in the zone
- * where they are fetched unless that takes too long.
+ * Order: pieces whose inputs occupy scarce memory at other workers are served in order of arrival, even when late.
+ * Other pieces are served by due time and priority while they can be on time; late ones use the remaining capacity. The
+ * pieces of one stage of one request stay together, because the first results would occupy memory while the others
+ * wait. Large results are computed in the zone from which they are fetched, unless that takes too long.
  *
- * The load that it answers: many small requests over few workers with a fixed cost a call, with bursts above what full
- * calls can bear. Pure: no clock, no I/O. Times are monotonic milliseconds.
+ * Designed for many small requests on few workers with a fixed cost per call, and for bursts beyond the capacity of
+ * full calls. It uses no clock and no I/O. Times are monotonic milliseconds.
  */
 class StageQueue(private val limits: PieceLimits) {
     private val waiting = mutableListOf<PieceWork>()
-    private var recentMs = 0.0
-    private var recentAtMs = 0L
+    private var meanMs = 0.0
+    private var lastGroupAtMs = 0L
 
     val size: Int get() = waiting.size
 
@@ -27,28 +27,28 @@
         waiting += pieces
     }
 
-    /** Removes the pieces of [requestId]: its caller has left. */
+    /** Removes and returns the pieces of [requestId], whose caller has disconnected. */
     fun cancel(requestId: String): List<PieceWork> {
         val removed = waiting.filter { it.requestId == requestId }
         waiting.removeAll(removed)
         return removed
     }
 
-    /** Removes and returns the pieces whose request can no longer be served, even if they started now. */
+    /** Removes and returns the pieces that cannot meet their deadline even if they start now. */
     fun removeHopeless(nowMs: Long): List<PieceWork> {
         val removed = waiting.filter { it.deadlineAtMs < nowMs + limits.callMs }
         waiting.removeAll(removed)
         return removed
     }
 
-    /** The next call for one of [workers], or null when none is free or nothing waits. */
+    /** Plans the next call for one of [workers]; null when no worker is suitable or no piece may run now. */
     fun next(workers: Collection<StageWorker>, nowMs: Long): PlannedCall? {
         if (waiting.isEmpty()) return null
         val fastest = workers.minOfOrNull(StageWorker::slowness) ?: return null
-        val free = workers.filter { it.isFree(nowMs) }.sortedBy(StageWorker::slowness)
-        for (worker in free) {
+        val freeWorkers = workers.filter { it.isFree(nowMs) }.sortedBy(StageWorker::slowness)
+        for (worker in freeWorkers) {
             if (worker.slowness > fastest * SLOW_FACTOR && !isBacklogged(workers)) continue
-            val pieces = choose(worker, workers, nowMs)
+            val pieces = choosePieces(worker, workers, nowMs)
             if (pieces.isEmpty()) continue
             waiting.removeAll(pieces.toSet())
             return PlannedCall(worker, pieces)
@@ -56,64 +56,67 @@
         return null
     }
 
-    /** Time until a group of [pieces] that arrives now would be done, milliseconds; infinite without workers. */
+    /**
+     * Time until a group of [pieces] that arrives now would complete, milliseconds; infinite without usable workers.
+     */
     fun estimateMs(workers: Collection<StageWorker>, pieces: Int, nowMs: Long): Double {
         val usable = workers.filter { !it.health.isExcluded(nowMs) }
         if (usable.isEmpty()) return Double.POSITIVE_INFINITY
-        val perMs = usable.sumOf { limits.batch * limits.slots / it.expectedMs(limits.batch) }
+        val piecesPerMs = usable.sumOf { limits.batch * limits.slots / it.expectedMs(limits.batch) }
         val untilFreeMs = usable.minOf { it.freeAtMs(nowMs) } - nowMs
-        val ahead = waiting.size
-        val batchesMs =
-            if (ahead + pieces <= limits.batch) 0.0 else (ahead + pieces - limits.batch) / (perMs * USUAL_FILL)
-        return untilFreeMs + batchesMs + usable.minOf { it.expectedMs(minOf(limits.batch, ahead + pieces)) }
+        val queued = waiting.size
+        val queuedMs =
+            if (queued + pieces <= limits.batch) 0.0 else (queued + pieces - limits.batch) / (piecesPerMs * FILL_SHARE)
+        return untilFreeMs + queuedMs + usable.minOf { it.expectedMs(minOf(limits.batch, queued + pieces)) }
     }
 
-    /** Notes that a group has taken [tookMs] from its arrival to its last result. */
+    /** Records that a group took [tookMs] from its arrival to its last result. */
     fun completed(tookMs: Long, nowMs: Long) {
-        recentMs =
-            if (nowMs - recentAtMs > RECENT_MS) tookMs.toDouble() else recentMs + (tookMs - recentMs) * RECENT_STEP
-        recentAtMs = nowMs
+        meanMs =
+            if (nowMs - lastGroupAtMs > MAX_RECENT_MS) tookMs.toDouble() else meanMs + (tookMs - meanMs) * SMOOTHING
+        lastGroupAtMs = nowMs
     }
 
     /**
-     * Time that a group would take now, milliseconds: the highest of the estimate, of what groups took lately, and of
-     * what the oldest waiting piece has taken already where memory for results holds it up.
+     * Time that a group would currently take, milliseconds: the maximum of the estimate, the time that recent groups
+     * took, and the age of the oldest waiting piece plus one full call. The age covers pieces that are blocked by a
+     * lack of memory for results.
      */
     fun expectedMs(workers: Collection<StageWorker>, nowMs: Long): Double {
-        val oldestMs = waiting.minOfOrNull(PieceWork::arrivedAtMs)?.let { nowMs - it } ?: 0
-        val callMs = limits.callMs + limits.batch * limits.pieceMs
-        val seenMs = if (nowMs - recentAtMs <= RECENT_MS) recentMs else 0.0
-        return maxOf(estimateMs(workers, 1, nowMs), seenMs, if (oldestMs > 0) oldestMs + callMs else 0.0)
+        val oldestAgeMs = waiting.minOfOrNull(PieceWork::arrivedAtMs)?.let { nowMs - it } ?: 0
+        val fullCallMs = limits.callMs + limits.batch * limits.pieceMs
+        val observedMs = if (nowMs - lastGroupAtMs <= MAX_RECENT_MS) meanMs else 0.0
+        return maxOf(estimateMs(workers, 1, nowMs), observedMs, if (oldestAgeMs > 0) oldestAgeMs + fullCallMs else 0.0)
     }
 
     private fun isBacklogged(workers: Collection<StageWorker>): Boolean = waiting.size > limits.batch * workers.size
 
-    private fun choose(worker: StageWorker, workers: Collection<StageWorker>, nowMs: Long): List<PieceWork> {
+    private fun choosePieces(worker: StageWorker, workers: Collection<StageWorker>, nowMs: Long): List<PieceWork> {
         val doneAtMs = nowMs + worker.expectedMs(limits.batch)
         val order = compareBy<PieceWork>(
             { isLate(it, doneAtMs) },
-            { virtualDueMs(it) + foreignMs(it, worker) },
+            { virtualDueMs(it) + crossZonePenaltyMs(it, worker) },
             PieceWork::group,
         )
         val zones = workers.mapTo(HashSet()) { it.endpoint.zone }
         val eligible = waiting.filter { mayRunIn(worker.endpoint.zone, it, zones, nowMs) }
         val chosen = mutableListOf<PieceWork>()
-        var roomBytes = worker.roomBytes(nowMs)
+        var freeBytes = worker.freeResultBytes(nowMs)
         for ((_, group) in eligible.sortedWith(order).groupBy(PieceWork::group)) {
-            val left = limits.batch - chosen.size
-            if (left == 0) break
+            val remaining = limits.batch - chosen.size
+            if (remaining == 0) break
             val bytes = maxOf(1, group.first().resultBytes)
-            val fitting = minOf(left.toLong(), roomBytes / bytes).toInt()
-            if (group.size > fitting && (mayWait(group, bytes, worker) || chosen.size * 2 >= limits.batch)) continue
+            val fitting = minOf(remaining.toLong(), freeBytes / bytes).toInt()
+            if (group.size > fitting && (fitsLater(group, bytes, worker) || chosen.size * 2 >= limits.batch)) continue
             chosen += group.take(fitting)
-            roomBytes -= minOf(fitting, group.size) * bytes
+            freeBytes -= minOf(fitting, group.size) * bytes
         }
         return chosen
     }
 
-    /** True when all pieces of [group] fit into a later call of [worker] together. */
-    private fun mayWait(group: List<PieceWork>, bytes: Long, worker: StageWorker): Boolean =
-        group.size <= limits.batch && group.size * bytes <= worker.totalRoomBytes
+    /** True when all pieces of [group] together can fit into a later call of [worker]. */
+    private fun fitsLater(group: List<PieceWork>, bytes: Long, worker: StageWorker): Boolean =
+        group.size <= limits.batch && group.size * bytes <= worker.resultCapacityBytes
 
     private fun isLate(piece: PieceWork, doneAtMs: Double): Boolean =
         !piece.holdsMemory && piece.objectiveAtMs < doneAtMs
@@ -121,38 +124,41 @@
     private fun virtualDueMs(piece: PieceWork): Long =
         if (piece.holdsMemory) piece.arrivedAtMs else piece.objectiveAtMs + piece.priority * PRIORITY_STEP_MS
 
-    /** Among pieces of about one age, a worker takes those first that belong to its zone. */
-    private fun foreignMs(piece: PieceWork, worker: StageWorker): Long {
+    /** Makes a worker prefer pieces of its own zone among those with similar due times. */
+    private fun crossZonePenaltyMs(piece: PieceWork, worker: StageWorker): Long {
         val preferred = piece.preferredZone ?: return 0
-        return if (preferred == worker.endpoint.zone) 0 else FOREIGN_MS
+        return if (preferred == worker.endpoint.zone) 0 else CROSS_ZONE_PENALTY_MS
     }
 
-    /** A piece waits a little for a worker of the zone where its result is fetched. */
+    /** True unless [piece] should still wait for a worker in its preferred zone. */
     private fun mayRunIn(zone: ZoneId, piece: PieceWork, zones: Set<ZoneId>, nowMs: Long): Boolean {
         val preferred = piece.preferredZone ?: return true
         if (preferred == zone || preferred !in zones) return true
-        val spareMs = piece.objectiveAtMs - nowMs - limits.callMs - limits.batch * limits.pieceMs
-        return nowMs - piece.arrivedAtMs >= minOf(ZONE_PATIENCE_MS, spareMs.toLong() / 2)
+        val slackMs = piece.objectiveAtMs - nowMs - limits.callMs - limits.batch * limits.pieceMs
+        return nowMs - piece.arrivedAtMs >= minOf(MAX_ZONE_WAIT_MS, slackMs.toLong() / 2)
     }
 
     private companion object {
-        /** Part of a call that is filled under a backlog: groups stay whole, and memory for results runs short. */
-        const val USUAL_FILL = 0.75
+        /**
+         * Share of a call that is filled under a backlog; keeping groups together and a lack of memory leave the rest
+         * empty.
+         */
+        const val FILL_SHARE = 0.75
 
-        /** A worker this many times slower than the fastest gets work only when there is a backlog. */
+        /** A worker more than this many times slower than the fastest gets work only when there is a backlog. */
         const val SLOW_FACTOR = 2.5
 
-        /** Time by which a rank of priority moves a piece's due time, milliseconds: about one call. */
+        /** Delay of the due time of a piece per level of priority, milliseconds: about one call. */
         const val PRIORITY_STEP_MS = 400L
 
-        /** Groups that ended longer ago than this say nothing about now, milliseconds: about two calls. */
-        const val RECENT_MS = 1_000L
-        const val RECENT_STEP = 0.15
+        /** Age after which the time of completed groups is ignored, milliseconds: about two calls. */
+        const val MAX_RECENT_MS = 1_000L
+        const val SMOOTHING = 0.15
 
-        /** Longest wait for a worker of the preferred zone, milliseconds: about half a call. */
-        const val ZONE_PATIENCE_MS = 200L
+        /** Longest wait for a worker in the preferred zone, milliseconds: about half a call. */
+        const val MAX_ZONE_WAIT_MS = 200L
 
-        /** A piece of another zone goes as if it had come this much later, milliseconds: about one call. */
-        const val FOREIGN_MS = 350L
+        /** Added to the due time of pieces that prefer another zone than the worker's, milliseconds: about one call. */
+        const val CROSS_ZONE_PENALTY_MS = 350L
     }
 }
--- a/dispatch/src/main/kotlin/io/oriolehall/dispatch/stages/StageWorker.kt
+++ b/dispatch/src/main/kotlin/io/oriolehall/dispatch/stages/StageWorker.kt
@@ -5,64 +5,64 @@
 import io.oriolehall.dispatch.endpoints.EndpointRecord
 
 /**
- * What the owner of a stage queue knows of one worker: its running calls, the memory that results take there, and how
- * much slower it is than the service's configuration says. Times are monotonic milliseconds.
+ * The state of one worker as tracked by the owner of a stage queue: its running calls, the memory that results occupy
+ * there, and its speed relative to the configuration of the service. Times are monotonic milliseconds.
  */
 class StageWorker(val endpoint: EndpointRecord, private val limits: PieceLimits) {
-    private class Held(val bytes: Long, val untilMs: Long)
+    private class StoredResult(val bytes: Long, val expiresAtMs: Long)
 
-    private val results = LinkedHashMap<String, Held>()
+    private val results = LinkedHashMap<String, StoredResult>()
     private var reservedBytes = 0L
-    private val callEnds = mutableListOf<Long>()
-    private var noRoomUntilMs = Long.MIN_VALUE
+    private val expectedCallEndsMs = mutableListOf<Long>()
+    private var noMemoryUntilMs = Long.MIN_VALUE
 
-    /** Size of results relative to what the configuration says, at least 1. */
+    /** Estimated size of results relative to the configured size, at least 1. */
     private var sizeFactor = 1.0
 
     val health = EndpointHealth()
 
-    /** Time of recent calls relative to what the configuration promises. */
+    /** Moving average of the time of calls relative to the configured time. */
     var slowness = 1.0
         private set
 
-    val calls: Int get() = callEnds.size
+    val calls: Int get() = expectedCallEndsMs.size
 
-    fun isFree(nowMs: Long): Boolean = calls < limits.slots && !health.isExcluded(nowMs) && nowMs >= noRoomUntilMs
+    fun isFree(nowMs: Long): Boolean = calls < limits.slots && !health.isExcluded(nowMs) && nowMs >= noMemoryUntilMs
 
-    /** When the worker is expected to be free, at least [nowMs]. */
-    fun freeAtMs(nowMs: Long): Long = if (calls < limits.slots) nowMs else maxOf(nowMs, callEnds.min())
+    /** When the worker is expected to have a free slot, at least [nowMs]. */
+    fun freeAtMs(nowMs: Long): Long = if (calls < limits.slots) nowMs else maxOf(nowMs, expectedCallEndsMs.min())
 
     fun expectedMs(pieces: Int): Double = (limits.callMs + pieces * limits.pieceMs) * slowness
 
-    /** Bytes for results, in terms of the configured sizes. */
-    val totalRoomBytes: Long get() = (limits.resultRoomBytes / sizeFactor).toLong()
+    /** Memory for results in terms of configured result sizes, bytes. */
+    val resultCapacityBytes: Long get() = (limits.resultRoomBytes / sizeFactor).toLong()
 
-    /** Bytes left for results. */
-    fun roomBytes(nowMs: Long): Long {
-        results.values.removeIf { it.untilMs <= nowMs }
-        return totalRoomBytes - reservedBytes - results.values.sumOf(Held::bytes)
+    /** Memory left for results in terms of configured result sizes, bytes. */
+    fun freeResultBytes(nowMs: Long): Long {
+        results.values.removeIf { it.expiresAtMs <= nowMs }
+        return resultCapacityBytes - reservedBytes - results.values.sumOf(StoredResult::bytes)
     }
 
-    /** Notes the start of a call; the returned value is passed to [ended]. */
+    /** Records the start of [call] and returns its expected end, which has to be passed to [ended]. */
     fun began(call: PlannedCall, nowMs: Long): Long {
         val endMs = nowMs + expectedMs(call.pieces.size).toLong()
-        callEnds += endMs
+        expectedCallEndsMs += endMs
         reservedBytes += call.bytes
         return endMs
     }
 
-    /** Notes the end of [call] after [elapsedMs]; null when that says nothing of the worker's speed. */
+    /** Records the end of [call] after [elapsedMs], which is null when it does not reflect the worker's speed. */
     fun ended(call: PlannedCall, expectedEndMs: Long, elapsedMs: Long?) {
-        callEnds.remove(expectedEndMs)
+        expectedCallEndsMs.remove(expectedEndMs)
         reservedBytes -= call.bytes
         if (elapsedMs == null) return
-        val promised = limits.callMs + call.pieces.size * limits.pieceMs
-        slowness += (elapsedMs / promised - slowness) * SLOWNESS_STEP
+        val configuredMs = limits.callMs + call.pieces.size * limits.pieceMs
+        slowness += (elapsedMs / configuredMs - slowness) * SLOWNESS_SMOOTHING
         slowness = slowness.coerceIn(MIN_SLOWNESS, MAX_SLOWNESS)
     }
 
     fun holds(handle: String, bytes: Long, nowMs: Long) {
-        results[handle] = Held(bytes, nowMs + limits.resultLifetimeMs)
+        results[handle] = StoredResult(bytes, nowMs + limits.resultLifetimeMs)
     }
 
     fun freed(handle: String) {
@@ -70,29 +70,29 @@
     }
 
     /**
-     * The worker had no room although this owner thought so: results are larger than configured, or another owner's
-     * lie there.
+     * Records that the worker had no memory for a result although this owner expected it to: results are larger than
+     * configured, or the worker also stores results of another owner.
      */
     fun lacksRoom(nowMs: Long) {
-        noRoomUntilMs = nowMs + ROOM_RETRY_MS
-        sizeFactor = minOf(MAX_SIZE_FACTOR, sizeFactor * SIZE_STEP)
+        noMemoryUntilMs = nowMs + MEMORY_RETRY_MS
+        sizeFactor = minOf(MAX_SIZE_FACTOR, sizeFactor * SIZE_GROWTH_FACTOR)
     }
 
     private companion object {
-        const val SLOWNESS_STEP = 0.4
+        const val SLOWNESS_SMOOTHING = 0.4
         const val MIN_SLOWNESS = 0.5
         const val MAX_SLOWNESS = 20.0
 
-        /** Wait before a worker without room is tried again; results are freed within about a call's time. */
-        const val ROOM_RETRY_MS = 250L
+        /** Delay before a worker without memory is tried again; results are freed within about the time of a call. */
+        const val MEMORY_RETRY_MS = 250L
 
-        /** Configured sizes are approximate; the estimate grows by this with each piece that finds no room. */
-        const val SIZE_STEP = 1.02
+        /** Configured sizes are approximate; the size estimate grows by this factor for each piece without memory. */
+        const val SIZE_GROWTH_FACTOR = 1.02
         const val MAX_SIZE_FACTOR = 1.2
     }
 }
 
-/** Pieces that go to a worker in one call. */
+/** Pieces that are sent to a worker in one call. */
 class PlannedCall(val worker: StageWorker, val pieces: List<PieceWork>) {
     val bytes: Long = pieces.sumOf(PieceWork::resultBytes)
 }
--- a/dispatch/src/test/kotlin/io/oriolehall/dispatch/admission/StageAdmissionTest.kt
+++ b/dispatch/src/test/kotlin/io/oriolehall/dispatch/admission/StageAdmissionTest.kt
@@ -15,26 +15,26 @@
     private fun decide(expectedMs: Double, priority: Int, othersGiveWay: Boolean = false) =
         admission.decide(expectedMs, 2_000, 15_000, priority, othersGiveWay)
 
-    private fun refused(expectedMs: Double, priority: Int, othersGiveWay: Boolean = false): Int =
+    private fun refusedCount(expectedMs: Double, priority: Int, othersGiveWay: Boolean = false): Int =
         (1..1_000).count { decide(expectedMs, priority, othersGiveWay) is Decision.Refused }
 
     @Test
     fun `everyone is let in while the objective can be met with room to spare`() {
-        expectThat(refused(expectedMs = 1_700.0, priority = 2)).isEqualTo(0)
+        expectThat(refusedCount(expectedMs = 1_700.0, priority = 2)).isEqualTo(0)
     }
 
     @Test
     fun `above the objective the least urgent are refused first`() {
-        val urgent = refused(expectedMs = 2_300.0, priority = 0)
-        expectThat(refused(expectedMs = 2_300.0, priority = 2)).isGreaterThan(urgent)
+        val urgent = refusedCount(expectedMs = 2_300.0, priority = 0)
+        expectThat(refusedCount(expectedMs = 2_300.0, priority = 2)).isGreaterThan(urgent)
         expectThat(urgent).isLessThan(500)
     }
 
     @Test
     fun `where others give way, the urgent are let in and the others refused entirely`() {
-        expectThat(refused(expectedMs = 2_500.0, priority = 2, othersGiveWay = true)).isEqualTo(1_000)
-        expectThat(refused(expectedMs = 2_500.0, priority = 1, othersGiveWay = true)).isEqualTo(0)
-        expectThat(refused(expectedMs = 2_500.0, priority = 0, othersGiveWay = true)).isEqualTo(0)
+        expectThat(refusedCount(expectedMs = 2_500.0, priority = 2, othersGiveWay = true)).isEqualTo(1_000)
+        expectThat(refusedCount(expectedMs = 2_500.0, priority = 1, othersGiveWay = true)).isEqualTo(0)
+        expectThat(refusedCount(expectedMs = 2_500.0, priority = 0, othersGiveWay = true)).isEqualTo(0)
     }
 
     @Test
@@ -44,7 +44,7 @@
 
     @Test
     fun `callers are told to come back at different times`() {
-        val times = (1..50).map { decide(13_000.0, priority = 0) as Decision.Refused }
-        expectThat(times.map { it.retryAfterMs }.distinct().size).isGreaterThan(30)
+        val refusals = (1..50).map { decide(13_000.0, priority = 0) as Decision.Refused }
+        expectThat(refusals.map { it.retryAfterMs }.distinct().size).isGreaterThan(30)
     }
 }
--- a/dispatch/src/test/kotlin/io/oriolehall/dispatch/admission/StopAdmissionTest.kt
+++ b/dispatch/src/test/kotlin/io/oriolehall/dispatch/admission/StopAdmissionTest.kt
@@ -6,17 +6,17 @@
 import strikt.assertions.isTrue
 
 class StopAdmissionTest {
-    private val stop = StopAdmission(sinceMs = 10_000, untilMs = 17_700)
+    private val admission = StopAdmission(stopRequestedAtMs = 10_000, exitAtMs = 17_700)
 
     @Test
     fun `what the balancer sends before it has noticed is taken`() {
-        expectThat(stop.admits(arrivedAtMs = 12_300, deadlineAtMs = 27_300)).isTrue()
+        expectThat(admission.admits(arrivedAtMs = 12_300, deadlineAtMs = 27_300)).isTrue()
     }
 
-    /** Found on a hunted day of pcta-fittings: a stream that came 4.5 s after SIGTERM was cut off by the exit. */
+    /** Guards against a stream that arrived 4.5 s after SIGTERM and was cut off by the exit of the process. */
     @Test
     fun `later on only what ends before the process is taken`() {
-        expectThat(stop.admits(arrivedAtMs = 14_500, deadlineAtMs = 29_500)).isFalse()
-        expectThat(stop.admits(arrivedAtMs = 14_500, deadlineAtMs = 15_300)).isTrue()
+        expectThat(admission.admits(arrivedAtMs = 14_500, deadlineAtMs = 29_500)).isFalse()
+        expectThat(admission.admits(arrivedAtMs = 14_500, deadlineAtMs = 15_300)).isTrue()
     }
 }
--- a/dispatch/src/test/kotlin/io/oriolehall/dispatch/endpoints/EndpointDirectoryTest.kt
+++ b/dispatch/src/test/kotlin/io/oriolehall/dispatch/endpoints/EndpointDirectoryTest.kt
@@ -10,28 +10,28 @@
 import strikt.assertions.isFalse
 
 class EndpointDirectoryTest {
-    private val directory = EndpointDirectory(lapseGraceMs = 2_000)
+    private val directory = EndpointDirectory(reRegistrationGraceMs = 2_000)
 
-    private fun endpoint(name: String, born: Long = 1, draining: Boolean = false, zone: String = "a") =
-        EndpointRecord(EndpointId(name), born, "s", NetworkAddress("10.0.0.1", 1), ZoneId(zone), 1, draining, 0)
+    private fun endpoint(name: String, startedAtMs: Long = 1, draining: Boolean = false, zone: String = "a") =
+        EndpointRecord(EndpointId(name), startedAtMs, "s", NetworkAddress("10.0.0.1", 1), ZoneId(zone), 1, draining, 0)
 
-    private fun usable() = directory.snapshot.usable("s").map { it.id.value }
+    private fun usableIds() = directory.snapshot.usable("s").map { it.id.value }
 
     @Test
     fun `an endpoint that drains or whose zone is evacuated gets nothing`() {
         directory.register(endpoint("x", draining = true))
         directory.register(endpoint("y", zone = "b"))
         directory.setEvacuated(listOf(ZoneId("b")))
-        expectThat(usable()).isEmpty()
+        expectThat(usableIds()).isEmpty()
         directory.setEvacuated(emptyList())
-        expectThat(usable()).containsExactly("y")
+        expectThat(usableIds()).containsExactly("y")
     }
 
     @Test
     fun `an entry that is removed while the store serves is gone at once`() {
         directory.register(endpoint("x"))
         directory.withdraw(EndpointId("x"), nowMs = 10_000, orderly = true)
-        expectThat(usable()).isEmpty()
+        expectThat(usableIds()).isEmpty()
     }
 
     @Test
@@ -40,9 +40,9 @@
         directory.storeReturned(nowMs = 10_000)
         directory.replaceAll(emptyList(), nowMs = 10_010, orderly = false)
         directory.expire(nowMs = 11_900)
-        expectThat(usable()).containsExactly("x")
+        expectThat(usableIds()).containsExactly("x")
         directory.expire(nowMs = 12_000)
-        expectThat(usable()).isEmpty()
+        expectThat(usableIds()).isEmpty()
     }
 
     @Test
@@ -52,7 +52,7 @@
         directory.replaceAll(emptyList(), nowMs = 10_010, orderly = false)
         directory.register(endpoint("x"))
         directory.expire(nowMs = 20_000)
-        expectThat(usable()).containsExactly("x")
+        expectThat(usableIds()).containsExactly("x")
     }
 
     @Test
@@ -65,9 +65,9 @@
 
     @Test
     fun `another life under the same name is not the endpoint that was chosen`() {
-        val first = endpoint("x", born = 1)
+        val first = endpoint("x", startedAtMs = 1)
         directory.register(first)
-        directory.register(endpoint("x", born = 2))
+        directory.register(endpoint("x", startedAtMs = 2))
         expectThat(directory.snapshot.isUsable(first)).isFalse()
     }
 }
--- a/dispatch/src/test/kotlin/io/oriolehall/dispatch/limits/SharedLimitsTest.kt
+++ b/dispatch/src/test/kotlin/io/oriolehall/dispatch/limits/SharedLimitsTest.kt
@@ -16,21 +16,21 @@
     fun `all instances together stay within the repeats of any window`() {
         val instances = 7
         val allowances = List(instances) { RepeatAllowance(0.2, 54.0, windowMs = 10_000, startedAtMs = -20_000) }
-        val repeats = mutableListOf<Long>()
-        val firsts = mutableListOf<Long>()
+        val retries = mutableListOf<Long>()
+        val firstAttempts = mutableListOf<Long>()
         for (nowMs in 0L until 60_000L step 20) {
             for (allowance in allowances) {
                 if (nowMs % 400 == 0L) {
                     allowance.onFirst(nowMs)
-                    firsts += nowMs
+                    firstAttempts += nowMs
                 }
-                if (allowance.tryTake(nowMs, instances)) repeats += nowMs
+                if (allowance.tryTake(nowMs, instances)) retries += nowMs
             }
         }
         for (endMs in 10_000L..60_000L step 500) {
             val window = endMs - 10_000 until endMs
-            expectThat(repeats.count { it in window })
-                .isLessThanOrEqualTo((0.2 * firsts.count { it in window } + 54).toInt())
+            expectThat(retries.count { it in window })
+                .isLessThanOrEqualTo((0.2 * firstAttempts.count { it in window } + 54).toInt())
         }
     }
 
@@ -41,7 +41,10 @@
         expectThat(allowance.tryTake(nowMs = 10_000, instances = 7)).isTrue()
     }
 
-    /** Found on scale-2 of fagaras-sucursale: failures of the first seconds of traffic were passed on. */
+    /**
+     * Guards against counting the start-up period from the first request to a service, which left no retries for
+     * failures in the first seconds of its traffic.
+     */
     @Test
     fun `a service that is used for the first time long after the start has its whole part`() {
         val allowances = RepeatAllowances(0.2, 54.0, windowMs = 10_000, startedAtMs = 0)
@@ -51,40 +54,42 @@
 
     private fun instances(count: Int) = List(count) { InstanceId("i-$it") }.toSet()
 
-    /** Sends whenever allowed; the most that arrived in any second. */
-    private fun mostInASecond(instances: Int, perSecond: Double): Int {
+    /** Sends whenever the limits allow it. Returns the maximum number of requests sent in any second. */
+    private fun maxRequestsInASecond(instances: Int, perSecond: Double): Int {
         val all = instances(instances)
         val shares = all.map { ColdShare(it, all).of(EndpointId("e"), perSecond) }
         val limits = List(instances) { ColdLimit() }
-        val sent = mutableListOf<Long>()
+        val sentAtMs = mutableListOf<Long>()
         for (nowMs in 0L until 5_000L step 10) {
             limits.forEachIndexed { i, limit ->
                 if (limit.allows(nowMs, shares[i])) {
                     limit.onSent(nowMs)
-                    sent += nowMs
+                    sentAtMs += nowMs
                 }
             }
         }
-        return (0L..4_000L step 10).maxOf { start -> sent.count { it in start until start + 1_000 } }
+        return (0L..4_000L step 10).maxOf { start -> sentAtMs.count { it in start until start + 1_000 } }
     }
 
     @Test
     fun `a cold endpoint gets no more than it bears from all senders together`() {
-        expectThat(mostInASecond(instances = 7, perSecond = 24.5)).isEqualTo(21)
-        expectThat(mostInASecond(instances = 80, perSecond = 21.5)).isLessThanOrEqualTo(21)
+        expectThat(maxRequestsInASecond(instances = 7, perSecond = 24.5)).isEqualTo(21)
+        expectThat(maxRequestsInASecond(instances = 80, perSecond = 21.5)).isLessThanOrEqualTo(21)
     }
 
-    /** Load: 168 requests a second over 80 instances and 63 endpoints, each of which bears 21.5 while it is cold. */
+    /**
+     * Load: 168 requests per second over 80 instances and 63 endpoints, each of which can handle 21.5 while it is cold.
+     */
     @Test
     fun `with more instances than a cold endpoint bears, each reaches enough endpoints for its part of the load`() {
         val all = instances(80)
         val endpoints = List(63) { EndpointId("e-$it") }
-        val reached = all.map { self ->
+        val endpointsPerInstance = all.map { self ->
             val share = ColdShare(self, all)
             endpoints.sumOf { share.of(it, 21.5) }
         }
-        expectThat(reached).all { isGreaterThanOrEqualTo(5) }
-        val senders = endpoints.map { endpoint -> all.sumOf { ColdShare(it, all).of(endpoint, 21.5) } }
-        expectThat(senders).all { isEqualTo(17) }
+        expectThat(endpointsPerInstance).all { isGreaterThanOrEqualTo(5) }
+        val sendersPerEndpoint = endpoints.map { endpoint -> all.sumOf { ColdShare(it, all).of(endpoint, 21.5) } }
+        expectThat(sendersPerEndpoint).all { isEqualTo(17) }
     }
 }
--- a/dispatch/src/test/kotlin/io/oriolehall/dispatch/load/LoadModel.kt
+++ b/dispatch/src/test/kotlin/io/oriolehall/dispatch/load/LoadModel.kt
@@ -9,103 +9,106 @@
 import kotlin.math.ln
 import kotlin.random.Random
 
-/** What callers of one kind got. */
-internal class KindTally {
-    var asked = 0
+/** Outcomes of the requests of one kind. */
+internal class OutcomeCounts {
+    var sent = 0
     var onTime = 0
     var late = 0
     var refused = 0
 
-    val onTimeShare get() = onTime.toDouble() / maxOf(1, asked)
+    val onTimeShare get() = onTime.toDouble() / maxOf(1, sent)
 }
 
 /**
- * A day of a deployment in simulated time: callers, admission, stage queues and workers with their memory, and the
- * decisions of this module as they are. It plays what callers get in milliseconds, so that two policies are compared
- * over many seeds. Left out: the network, other faults than a lost zone, and the engines, which take a fixed time.
+ * Discrete-event simulation of a deployment under load: callers, admission, stage queues, and workers with their
+ * memory. Admission and queueing use the production classes of this module. A run takes milliseconds, so policies can
+ * be compared over many seeds. The simulation omits the network, faults other than lost workers, and the engines, which
+ * take a fixed time.
  */
-internal class LoadModel(private val deployment: Deployment, private val day: ModelDay, seed: Int) {
+internal class LoadModel(private val deployment: Deployment, private val scenario: LoadScenario, seed: Int) {
     private val timeline = Timeline()
     private val random = Random(seed)
     private val admission = StageAdmission(random)
 
-    /** False lets everyone in: the baseline. */
-    var refusing = true
-    private val owners = deployment.services.associate { it.name to ModelOwner(it, timeline, day, random) }
+    /** False admits every request, as a baseline. */
+    var admissionEnabled = true
+    private val owners = deployment.services.associate {
+        it.name to SimulatedQueueOwner(it, timeline, scenario, random)
+    }
     private val limits = deployment.services.associate { it.name to it.limits }
-    private val loads = List(deployment.instances) { StageLoads() }
-    private var requests = 0
+    private val loadEstimates = List(deployment.instances) { StageLoads() }
+    private var requestCount = 0
 
-    val tallies = deployment.kinds.associate { it.name to KindTally() }
+    val outcomes = deployment.kinds.associate { it.name to OutcomeCounts() }
 
-    /** Worth of what callers got, of what all requests in time would be worth. */
-    val worth: Double
+    /** Value of the responses relative to the value if all requests were answered on time. */
+    val value: Double
         get() {
-            val earned = deployment.kinds.sumOf {
-                val tally = tallies.getValue(it.name)
-                tally.onTime * it.worth + tally.late * it.lateWorth
+            val achieved = deployment.kinds.sumOf {
+                val outcomeCounts = outcomes.getValue(it.name)
+                outcomeCounts.onTime * it.value + outcomeCounts.late * it.lateValue
             }
-            return earned / deployment.kinds.sumOf { tallies.getValue(it.name).asked * it.worth }
+            return achieved / deployment.kinds.sumOf { outcomes.getValue(it.name).sent * it.value }
         }
 
-    /** Mean part of a full call that calls took while more work waited. */
-    fun fill(service: String): Double {
+    /** Mean fill of the calls that started while more pieces were waiting, relative to a full call. */
+    fun fillRatio(service: String): Double {
         val owner = owners.getValue(service)
-        return owner.fullCallPieces.toDouble() / maxOf(1, owner.fullCalls) / limits.getValue(service).batch
+        return owner.backloggedCallPieces.toDouble() / maxOf(1, owner.backloggedCalls) / limits.getValue(service).batch
     }
 
-    fun play(): LoadModel {
-        deployment.kinds.forEach(::arriveNext)
-        timeline.run(day.lengthMs + LAST_ANSWERS_MS)
+    fun simulate(): LoadModel {
+        deployment.kinds.forEach(::scheduleArrival)
+        timeline.run(scenario.durationMs + DRAIN_MS)
         return this
     }
 
-    private fun arriveNext(kind: ModelKind) {
-        val factor = day.bursts.filter {
+    private fun scheduleArrival(kind: RequestProfile) {
+        val factor = scenario.bursts.filter {
             timeline.nowMs in it.fromMs until it.untilMs && (it.kinds == null || kind.name in it.kinds)
         }.fold(1.0) { product, burst -> product * burst.factor }
-        val gapMs = -ln(1 - random.nextDouble()) * MS_PER_SECOND / (kind.perSecond * factor) * CLUMP
-        timeline.after(minOf(gapMs, MOST_GAP_MS).toLong()) {
-            if (timeline.nowMs >= day.lengthMs) return@after
-            if (gapMs <= MOST_GAP_MS) repeat(1 + random.nextInt(2 * CLUMP - 1)) { arrive(kind) }
-            arriveNext(kind)
+        val gapMs = -ln(1 - random.nextDouble()) * MS_PER_SECOND / (kind.perSecond * factor) * MEAN_GROUP_SIZE
+        timeline.schedule(minOf(gapMs, MAX_GAP_MS).toLong()) {
+            if (timeline.nowMs >= scenario.durationMs) return@schedule
+            if (gapMs <= MAX_GAP_MS) repeat(1 + random.nextInt(2 * MEAN_GROUP_SIZE - 1)) { arrive(kind) }
+            scheduleArrival(kind)
         }
     }
 
-    private fun arrive(kind: ModelKind) {
-        tallies.getValue(kind.name).asked++
-        val counts = kind.stages.map { if (random.nextDouble() < it.share) pieces(it) else 0 }
-        Attempt(kind, counts, timeline.nowMs, again = false).begin()
+    private fun arrive(kind: RequestProfile) {
+        outcomes.getValue(kind.name).sent++
+        val pieceCounts = kind.stages.map { if (random.nextDouble() < it.share) pieces(it) else 0 }
+        Attempt(kind, pieceCounts, timeline.nowMs, isRetry = false).begin()
     }
 
-    private fun pieces(stage: ModelStage): Int {
+    private fun pieces(stage: SimulatedStage): Int {
         if (stage.pieces == 1.0 || stage.pieces == 4.0 || stage.pieces == 8.0) return stage.pieces.toInt()
-        val normal = List(NORMAL_TERMS) { random.nextDouble() }.sum() - NORMAL_TERMS / 2.0
-        return (stage.pieces * exp(normal * SPREAD - SPREAD * SPREAD / 2)).toInt().coerceIn(1, stage.mostPieces)
+        val normal = List(UNIFORM_TERMS) { random.nextDouble() }.sum() - UNIFORM_TERMS / 2.0
+        return (stage.pieces * exp(normal * LOG_SIGMA - LOG_SIGMA * LOG_SIGMA / 2)).toInt().coerceIn(1, stage.maxPieces)
     }
 
-    /** One attempt of a caller; a refused one comes back once. */
+    /** One attempt of a caller; a refused request is retried once. */
     private inner class Attempt(
-        private val kind: ModelKind,
-        private val counts: List<Int>,
+        private val kind: RequestProfile,
+        private val pieceCounts: List<Int>,
         private val firstSentMs: Long,
-        private val again: Boolean,
+        private val isRetry: Boolean,
     ) {
-        private val id = "r${requests++}"
+        private val id = "r${requestCount++}"
         private val zone = deployment.zones.random(random)
-        private val heard = loads.random(random)
-        private val tally = tallies.getValue(kind.name)
-        private val held = HashMap<Int, List<ModelResult>>()
-        private val finals = kind.stages.indices - kind.stages.flatMap(ModelStage::after).toSet()
-        private val done = mutableSetOf<Int>()
-        private val begun = mutableSetOf<Int>()
-        private var over = false
+        private val stageLoads = loadEstimates.random(random)
+        private val outcomeCounts = outcomes.getValue(kind.name)
+        private val resultsByStage = HashMap<Int, List<SimulatedResult>>()
+        private val finalStages = kind.stages.indices - kind.stages.flatMap(SimulatedStage::after).toSet()
+        private val completed = mutableSetOf<Int>()
+        private val started = mutableSetOf<Int>()
+        private var finished = false
         private val objectiveAtMs = firstSentMs + kind.objectiveMs
         private val deadlineAtMs = firstSentMs + kind.deadlineMs
 
         fun begin() {
             val expectedMs = expectedMs()
-            val decision = if (refusing && counts.any { it > 0 }) {
+            val decision = if (admissionEnabled && pieceCounts.any { it > 0 }) {
                 admission.decide(
                     expectedMs,
                     objectiveAtMs - timeline.nowMs,
@@ -120,58 +123,60 @@
         }
 
         private fun refused(retryAfterMs: Long) {
-            if (again || timeline.nowMs + retryAfterMs > deadlineAtMs) {
-                tally.refused++
+            if (isRetry || timeline.nowMs + retryAfterMs > deadlineAtMs) {
+                outcomeCounts.refused++
             } else {
-                timeline.after(retryAfterMs) { Attempt(kind, counts, firstSentMs, again = true).begin() }
+                timeline.schedule(retryAfterMs) { Attempt(kind, pieceCounts, firstSentMs, isRetry = true).begin() }
             }
         }
 
         private fun expectedMs(): Double {
-            val ends = DoubleArray(counts.size)
-            for (stage in counts.indices) {
+            val stageEndsMs = DoubleArray(pieceCounts.size)
+            for (stage in pieceCounts.indices) {
                 val spec = kind.stages[stage]
-                val ownMs = if (counts[stage] == 0) 0.0 else stageMs(spec)
-                ends[stage] = ownMs + (spec.after.maxOfOrNull { ends[it] } ?: 0.0)
+                val ownMs = if (pieceCounts[stage] == 0) 0.0 else stageMs(spec)
+                stageEndsMs[stage] = ownMs + (spec.after.maxOfOrNull { stageEndsMs[it] } ?: 0.0)
             }
-            return (ends.maxOrNull() ?: 0.0) + GENERATION_MS
+            return (stageEndsMs.maxOrNull() ?: 0.0) + GENERATION_MS
         }
 
-        private fun stageMs(spec: ModelStage) =
-            heard.expectedMs(spec.service, limits.getValue(spec.service), timeline.nowMs)
+        private fun stageMs(spec: SimulatedStage) =
+            stageLoads.expectedMs(spec.service, limits.getValue(spec.service), timeline.nowMs)
 
         private fun advance() {
-            if (over) return
-            kind.stages.indices.filter { it !in begun && kind.stages[it].after.all(done::contains) }.forEach(::start)
-            if (!over && done.size == kind.stages.size) finish()
+            if (finished) return
+            kind.stages.indices.filter {
+                it !in started && kind.stages[it].after.all(completed::contains)
+            }.forEach(::start)
+            if (!finished && completed.size == kind.stages.size) finish()
         }
 
         private fun start(stage: Int) {
-            begun += stage
-            if (counts[stage] == 0) {
-                done += stage
+            started += stage
+            if (pieceCounts[stage] == 0) {
+                completed += stage
                 return advance()
             }
             val spec = kind.stages[stage]
             val owner = owners.getValue(spec.service)
-            heard.note(spec.service, owner.expectedMs(), timeline.nowMs)
-            owner.run(counts[stage], spec.effort, { piece, group ->
+            stageLoads.note(spec.service, owner.expectedMs(), timeline.nowMs)
+            owner.run(pieceCounts[stage], spec.relativeCost, { piece, group ->
                 work(stage, piece, group)
-            }, { freeScarce(stage) }) {
-                heard.note(spec.service, owner.expectedMs(), timeline.nowMs)
-                ended(stage, it)
+            }, { releaseScarceInputs(stage) }) {
+                stageLoads.note(spec.service, owner.expectedMs(), timeline.nowMs)
+                onStageEnded(stage, it)
             }
         }
 
-        private fun ended(stage: Int, results: List<ModelResult>?) {
-            if (results != null) held[stage] = results
-            if (over) return releaseAll()
+        private fun onStageEnded(stage: Int, results: List<SimulatedResult>?) {
+            if (results != null) resultsByStage[stage] = results
+            if (finished) return releaseAll()
             if (results == null) {
-                over = true
-                tally.refused++
+                finished = true
+                outcomeCounts.refused++
                 return releaseAll()
             }
-            done += stage
+            completed += stage
             kind.stages[stage].after.forEach(::release)
             advance()
         }
@@ -188,8 +193,8 @@
                 arrivedAtMs = timeline.nowMs,
                 preferredZone = preferredZone(stage),
                 resultBytes = spec.bytes,
-                holdsMemory = spec.after.any(::isScarce),
-                objectiveAtMs = timeline.nowMs + leftMs / (1 + following(stage)),
+                holdsMemory = spec.after.any(::isMemoryScarce),
+                objectiveAtMs = timeline.nowMs + leftMs / (1 + laterStages(stage)),
                 deadlineAtMs = deadlineAtMs,
                 priority = kind.priority,
             )
@@ -197,58 +202,60 @@
 
         private fun preferredZone(stage: Int): ZoneId? {
             val spec = kind.stages[stage]
-            val inputs = spec.after.flatMap { held[it].orEmpty() }
-            val bytes = spec.after.sumOf { kind.stages[it].bytes * counts[it] }
+            val inputs = spec.after.flatMap { resultsByStage[it].orEmpty() }
+            val bytes = spec.after.sumOf { kind.stages[it].bytes * pieceCounts[it] }
             return when {
-                bytes >= LARGE_BYTES -> inputs.firstOrNull()?.worker?.endpoint?.zone
-                spec.bytes >= LARGE_BYTES -> ZoneId(zone)
+                bytes >= LARGE_RESULT_BYTES -> inputs.firstOrNull()?.worker?.endpoint?.zone
+                spec.bytes >= LARGE_RESULT_BYTES -> ZoneId(zone)
                 else -> null
             }
         }
 
-        private fun isScarce(stage: Int): Boolean {
+        private fun isMemoryScarce(stage: Int): Boolean {
             val spec = kind.stages[stage]
             val service = limits.getValue(spec.service)
-            return service.resultRoomBytes < SCARCE_CALLS * service.batch * spec.bytes
+            return service.resultRoomBytes < SCARCE_MEMORY_CALLS * service.batch * spec.bytes
         }
 
-        private fun following(stage: Int): Int {
-            val next = kind.stages.indices.filter { stage in kind.stages[it].after }
-            return next.maxOfOrNull { 1 + following(it) } ?: 0
+        private fun laterStages(stage: Int): Int {
+            val successors = kind.stages.indices.filter { stage in kind.stages[it].after }
+            return successors.maxOfOrNull { 1 + laterStages(it) } ?: 0
         }
 
-        private fun freeScarce(stage: Int) = kind.stages[stage].after.filter(::isScarce).forEach(::release)
+        private fun releaseScarceInputs(stage: Int) = kind.stages[stage].after.filter(
+            ::isMemoryScarce,
+        ).forEach(::release)
 
         private fun release(stage: Int) {
-            if (stage in finals) return
-            held.remove(stage)?.let { it.first().owner.free(it) }
+            if (stage in finalStages) return
+            resultsByStage.remove(stage)?.let { it.first().owner.free(it) }
         }
 
         private fun releaseAll() {
-            held.values.forEach { it.first().owner.free(it) }
-            held.clear()
+            resultsByStage.values.forEach { it.first().owner.free(it) }
+            resultsByStage.clear()
         }
 
         private fun finish() {
-            over = true
-            timeline.after(kind.firstEventMs) {
+            finished = true
+            timeline.schedule(kind.firstEventMs) {
                 releaseAll()
-                if (timeline.nowMs <= objectiveAtMs) tally.onTime++ else tally.late++
+                if (timeline.nowMs <= objectiveAtMs) outcomeCounts.onTime++ else outcomeCounts.late++
             }
         }
     }
 
     private companion object {
-        const val LAST_ANSWERS_MS = 20_000L
+        const val DRAIN_MS = 20_000L
         const val MS_PER_SECOND = 1_000.0
-        const val MOST_GAP_MS = 100.0
+        const val MAX_GAP_MS = 100.0
 
-        /** Requests that arrive together, on average. */
-        const val CLUMP = 3
+        /** Mean number of requests that arrive together. */
+        const val MEAN_GROUP_SIZE = 3
         const val GENERATION_MS = 200L
-        const val LARGE_BYTES = 100_000L
-        const val SCARCE_CALLS = 4
-        const val NORMAL_TERMS = 12
-        const val SPREAD = 0.5
+        const val LARGE_RESULT_BYTES = 100_000L
+        const val SCARCE_MEMORY_CALLS = 4
+        const val UNIFORM_TERMS = 12
+        const val LOG_SIGMA = 0.5
     }
 }
--- a/dispatch/src/test/kotlin/io/oriolehall/dispatch/load/Timeline.kt
+++ b/dispatch/src/test/kotlin/io/oriolehall/dispatch/load/Timeline.kt
@@ -2,25 +2,25 @@
 
 import java.util.PriorityQueue
 
-/** Simulated time: actions in the order of their times, milliseconds. */
+/** Event queue of a simulation: runs actions in order of their simulated times, milliseconds. */
 internal class Timeline {
-    private class Planned(val atMs: Long, val number: Long, val action: () -> Unit)
+    private class ScheduledAction(val atMs: Long, val sequence: Long, val action: () -> Unit)
 
-    private val planned = PriorityQueue<Planned>(compareBy(Planned::atMs, Planned::number))
-    private var number = 0L
+    private val scheduled = PriorityQueue<ScheduledAction>(compareBy(ScheduledAction::atMs, ScheduledAction::sequence))
+    private var sequence = 0L
 
     var nowMs = 0L
         private set
 
-    fun after(delayMs: Long, action: () -> Unit) {
-        planned += Planned(nowMs + delayMs, number++, action)
+    fun schedule(delayMs: Long, action: () -> Unit) {
+        scheduled += ScheduledAction(nowMs + delayMs, sequence++, action)
     }
 
-    /** Plays everything that is planned until [untilMs]. */
+    /** Runs all actions that are due by [untilMs]. */
     fun run(untilMs: Long) {
         while (true) {
-            val next = planned.peek()?.takeIf { it.atMs <= untilMs } ?: return
-            planned.remove()
+            val next = scheduled.peek()?.takeIf { it.atMs <= untilMs } ?: return
+            scheduled.remove()
             nowMs = next.atMs
             next.action()
         }
--- a/dispatch/src/test/kotlin/io/oriolehall/dispatch/placement/AffinityPlacementTest.kt
+++ b/dispatch/src/test/kotlin/io/oriolehall/dispatch/placement/AffinityPlacementTest.kt
@@ -33,8 +33,8 @@
     @Test
     fun `a hot prompt spreads when its endpoint has much more to do than the others`() {
         val first = choose(idle, "p1")
-        val loaded = idle.map { if (it.endpoint == first) it.copy(outstanding = 20) else it }
-        expectThat(choose(loaded, "p1")).isNotEqualTo(first)
+        val withBusyEndpoint = idle.map { if (it.endpoint == first) it.copy(outstanding = 20) else it }
+        expectThat(choose(withBusyEndpoint, "p1")).isNotEqualTo(first)
     }
 
     @Test
--- a/dispatch/src/test/kotlin/io/oriolehall/dispatch/stages/StageQueueTest.kt
+++ b/dispatch/src/test/kotlin/io/oriolehall/dispatch/stages/StageQueueTest.kt
@@ -26,7 +26,7 @@
         resultLifetimeMs = 4_000,
     )
     private val queue = StageQueue(limits)
-    private var groups = 0L
+    private var nextGroup = 0L
 
     private fun worker(name: String, zone: String = "a") = StageWorker(
         EndpointRecord(EndpointId(name), 1, "s", NetworkAddress("10.0.0.1", 1), ZoneId(zone), 1, false, 0),
@@ -44,7 +44,7 @@
         zone: String? = null,
         holdsMemory: Boolean = input is PieceInput.Results,
     ): List<PieceWork> {
-        val group = groups++
+        val group = nextGroup++
         return List(count) {
             PieceWork(
                 requestId = request,
@@ -120,7 +120,7 @@
             .containsExactly(List(4) { "far" })
     }
 
-    /** Found on scale-1 of pcta-fittings: continued requests that held no memory made all others late. */
+    /** Guards against late pieces of later stages whose inputs occupied no scarce memory delaying all other pieces. */
     @Test
     fun `late pieces that hold no scarce memory wait for those that can be on time`() {
         val input = PieceInput.Results(listOf("h"))
@@ -160,10 +160,10 @@
         val worker = worker("x")
         worker.holds("h1", 600, nowMs = 0)
         worker.holds("h2", 400, nowMs = 0)
-        expectThat(worker.roomBytes(nowMs = 10)).isEqualTo(0)
+        expectThat(worker.freeResultBytes(nowMs = 10)).isEqualTo(0)
         worker.freed("h1")
-        expectThat(worker.roomBytes(nowMs = 10)).isEqualTo(600)
-        expectThat(worker.roomBytes(nowMs = 4_000)).isEqualTo(1_000)
+        expectThat(worker.freeResultBytes(nowMs = 10)).isEqualTo(600)
+        expectThat(worker.freeResultBytes(nowMs = 4_000)).isEqualTo(1_000)
     }
 
     @Test
@@ -183,21 +183,24 @@
         expectThat(queue.estimateMs(workers, 2, nowMs = 0)).isGreaterThan(empty + 1_500)
     }
 
-    /** Load: three workers, requests of two pieces at 28 pieces a second, which single-piece calls could not bear. */
+    /**
+     * Load: three workers and requests of two pieces at 28 pieces per second, beyond the capacity of single-piece
+     * calls.
+     */
     @Test
     fun `steady load below what full calls bear is served on time`() {
-        val done = play(workers = 3, pieceEveryMs = 36, untilMs = 20_000)
+        val done = simulate(workers = 3, pieceIntervalMs = 36, untilMs = 20_000)
         expectThat(done.filter { it.first < 18_000 }).all { get { second }.isLessThan(1_500) }
     }
 
-    /** Returns for each request its arrival and how long its pieces took, milliseconds. */
-    private fun play(workers: Int, pieceEveryMs: Long, untilMs: Long): List<Pair<Long, Long>> {
+    /** Simulates steady load. Returns the arrival time and the latency of each piece, milliseconds. */
+    private fun simulate(workers: Int, pieceIntervalMs: Long, untilMs: Long): List<Pair<Long, Long>> {
         class Running(val call: PlannedCall, val endMs: Long, val key: Long)
         val all = List(workers) { worker("w$it") }
         val running = mutableListOf<Running>()
         val done = mutableListOf<Pair<Long, Long>>()
         for (nowMs in 0 until untilMs) {
-            if (nowMs % (2 * pieceEveryMs) == 0L) queue.add(pieces("$nowMs", 2, objectiveAtMs = nowMs + 1_500))
+            if (nowMs % (2 * pieceIntervalMs) == 0L) queue.add(pieces("$nowMs", 2, objectiveAtMs = nowMs + 1_500))
             for (ended in running.filter { it.endMs == nowMs }) {
                 running.remove(ended)
                 ended.call.worker.ended(ended.call, ended.key, (ended.call.worker.expectedMs(4)).toLong())
