--- a/dispatch/src/main/kotlin/io/oriolehall/dispatch/admission/StageAdmission.kt
+++ b/dispatch/src/main/kotlin/io/oriolehall/dispatch/admission/StageAdmission.kt
@@ -24,8 +24,8 @@
     }
 
     /**
-     * @param expectedMs current time from admission to the first event, including all stages, milliseconds.
-     * @param objectiveMs time left until the answer is late, milliseconds.
+     * @param expectedMs expected time until the first event under the current load, including all stages, milliseconds.
+     * @param objectiveMs time left until the response is late, milliseconds.
      * @param deadlineMs time left until the request is abandoned, milliseconds.
      * @param priority priority of the request; 0 is the most urgent.
      * @param othersGiveWay true when requests that are shed first use the same stages.
@@ -40,12 +40,7 @@
         if (expectedMs > deadlineMs * MAX_DEADLINE_SHARE) return refuse(expectedMs, objectiveMs)
         if (objectiveMs <= 0) return Decision.Admitted
         if (othersGiveWay && !givesWay(priority)) return Decision.Admitted
-        val probability = REFUSAL_BANDS[
-            minOf(
-                priority,
-                REFUSAL_BANDS.lastIndex,
-            ),
-        ].refusalProbability(expectedMs / objectiveMs)
+        val probability = BANDS[minOf(priority, BANDS.lastIndex)].refusalProbability(expectedMs / objectiveMs)
         return if (random.nextDouble() < probability) refuse(expectedMs, objectiveMs) else Decision.Admitted
     }
 
@@ -65,12 +60,12 @@
         /** Largest share of the time to the deadline that the expected time may take. */
         private const val MAX_DEADLINE_SHARE = 0.8
 
-        /** Indexed by priority; requests in the last band are shed first. */
-        private val REFUSAL_BANDS = listOf(Band(1.1, 1.6), Band(1.0, 1.5), Band(0.9, 1.2))
+        /** Refusal bands by priority; requests in the last band are shed first. */
+        private val BANDS = listOf(Band(1.1, 1.6), Band(1.0, 1.5), Band(0.9, 1.2))
         private const val MIN_RETRY_AFTER_MS = 200.0
         private const val MAX_RETRY_AFTER_MS = 2_000.0
 
         /** True when requests of [priority] are shed first, before they delay others. */
-        fun givesWay(priority: Int): Boolean = priority >= REFUSAL_BANDS.lastIndex
+        fun givesWay(priority: Int): Boolean = priority >= BANDS.lastIndex
     }
 }
--- a/dispatch/src/main/kotlin/io/oriolehall/dispatch/endpoints/EndpointDirectory.kt
+++ b/dispatch/src/main/kotlin/io/oriolehall/dispatch/endpoints/EndpointDirectory.kt
@@ -16,12 +16,12 @@
     val endpoints: PersistentMap<EndpointId, EndpointRecord> = persistentMapOf(),
     val evacuated: PersistentSet<ZoneId> = persistentSetOf(),
 ) {
-    private val byService: Map<String, List<EndpointRecord>> = endpoints.values
+    private val endpointsByService: Map<String, List<EndpointRecord>> = endpoints.values
         .filter { !it.draining && it.zone !in evacuated }
         .groupBy(EndpointRecord::service)
 
     /** Endpoints of [service] that may receive new work. */
-    fun usable(service: String): List<EndpointRecord> = byService[service].orEmpty()
+    fun usable(service: String): List<EndpointRecord> = endpointsByService[service].orEmpty()
 
     /** True when this incarnation of [endpoint] is still registered, not draining and not in an evacuated zone. */
     fun isUsable(endpoint: EndpointRecord): Boolean {
--- a/dispatch/src/main/kotlin/io/oriolehall/dispatch/endpoints/EndpointRecord.kt
+++ b/dispatch/src/main/kotlin/io/oriolehall/dispatch/endpoints/EndpointRecord.kt
@@ -10,7 +10,7 @@
  *
  * @property bornAtMs start of its process, milliseconds since the epoch; differs after a restart under the same id.
  * @property draining true when it has announced that it will stop.
- * @property coldForMs remaining time until it is warm when the entry was written, milliseconds.
+ * @property coldForMs time that it stays cold, from when the entry was written, milliseconds.
  */
 @Serializable
 data class EndpointRecord(
--- a/dispatch/src/main/kotlin/io/oriolehall/dispatch/stages/StageQueue.kt
+++ b/dispatch/src/main/kotlin/io/oriolehall/dispatch/stages/StageQueue.kt
@@ -18,8 +18,10 @@
  */
 class StageQueue(private val limits: PieceLimits) {
     private val waiting = mutableListOf<PieceWork>()
-    private var meanMs = 0.0
-    private var lastGroupAtMs = 0L
+
+    /** Moving average of the time that groups took. */
+    private var meanGroupMs = 0.0
+    private var lastEndAtMs = 0L
 
     val size: Int get() = waiting.size
 
@@ -72,9 +74,9 @@
 
     /** Records that a group took [tookMs] from its arrival to its last result. */
     fun completed(tookMs: Long, nowMs: Long) {
-        meanMs =
-            if (nowMs - lastGroupAtMs > MAX_RECENT_MS) tookMs.toDouble() else meanMs + (tookMs - meanMs) * SMOOTHING
-        lastGroupAtMs = nowMs
+        meanGroupMs =
+            if (nowMs - lastEndAtMs > RECENT_MS) tookMs.toDouble() else meanGroupMs + (tookMs - meanGroupMs) * SMOOTHING
+        lastEndAtMs = nowMs
     }
 
     /**
@@ -85,7 +87,7 @@
     fun expectedMs(workers: Collection<StageWorker>, nowMs: Long): Double {
         val oldestAgeMs = waiting.minOfOrNull(PieceWork::arrivedAtMs)?.let { nowMs - it } ?: 0
         val fullCallMs = limits.callMs + limits.batch * limits.pieceMs
-        val observedMs = if (nowMs - lastGroupAtMs <= MAX_RECENT_MS) meanMs else 0.0
+        val observedMs = if (nowMs - lastEndAtMs <= RECENT_MS) meanGroupMs else 0.0
         return maxOf(estimateMs(workers, 1, nowMs), observedMs, if (oldestAgeMs > 0) oldestAgeMs + fullCallMs else 0.0)
     }
 
@@ -152,7 +154,7 @@
         const val PRIORITY_STEP_MS = 400L
 
         /** Age after which the time of completed groups is ignored, milliseconds: about two calls. */
-        const val MAX_RECENT_MS = 1_000L
+        const val RECENT_MS = 1_000L
         const val SMOOTHING = 0.15
 
         /** Longest wait for a worker in the preferred zone, milliseconds: about half a call. */
--- a/dispatch/src/main/kotlin/io/oriolehall/dispatch/stages/StageWorker.kt
+++ b/dispatch/src/main/kotlin/io/oriolehall/dispatch/stages/StageWorker.kt
@@ -25,12 +25,13 @@
     var slowness = 1.0
         private set
 
-    val calls: Int get() = expectedCallEndsMs.size
+    val runningCalls: Int get() = expectedCallEndsMs.size
 
-    fun isFree(nowMs: Long): Boolean = calls < limits.slots && !health.isExcluded(nowMs) && nowMs >= noMemoryUntilMs
+    fun isFree(nowMs: Long): Boolean =
+        runningCalls < limits.slots && !health.isExcluded(nowMs) && nowMs >= noMemoryUntilMs
 
     /** When the worker is expected to have a free slot, at least [nowMs]. */
-    fun freeAtMs(nowMs: Long): Long = if (calls < limits.slots) nowMs else maxOf(nowMs, expectedCallEndsMs.min())
+    fun freeAtMs(nowMs: Long): Long = if (runningCalls < limits.slots) nowMs else maxOf(nowMs, expectedCallEndsMs.min())
 
     fun expectedMs(pieces: Int): Double = (limits.callMs + pieces * limits.pieceMs) * slowness
 
--- a/dispatch/src/test/kotlin/io/oriolehall/dispatch/load/Deployment.kt
+++ b/dispatch/src/test/kotlin/io/oriolehall/dispatch/load/Deployment.kt
@@ -29,7 +29,7 @@
  *
  * @property perSecond mean arrivals per second over the whole deployment.
  * @property firstEventMs time that its service takes until the first event, milliseconds.
- * @property value value of a response on time to its caller, relative to other kinds.
+ * @property value value to the caller of a response on time, relative to other kinds.
  * @property lateValue value of a late response, on the same scale.
  */
 internal data class RequestProfile(
--- a/dispatch/src/test/kotlin/io/oriolehall/dispatch/load/LoadModel.kt
+++ b/dispatch/src/test/kotlin/io/oriolehall/dispatch/load/LoadModel.kt
@@ -77,11 +77,11 @@
 
     private fun arrive(kind: RequestProfile) {
         outcomes.getValue(kind.name).sent++
-        val pieceCounts = kind.stages.map { if (random.nextDouble() < it.share) pieces(it) else 0 }
+        val pieceCounts = kind.stages.map { if (random.nextDouble() < it.share) drawPieceCount(it) else 0 }
         Attempt(kind, pieceCounts, timeline.nowMs, isRetry = false).begin()
     }
 
-    private fun pieces(stage: SimulatedStage): Int {
+    private fun drawPieceCount(stage: SimulatedStage): Int {
         if (stage.pieces == 1.0 || stage.pieces == 4.0 || stage.pieces == 8.0) return stage.pieces.toInt()
         val normal = List(UNIFORM_TERMS) { random.nextDouble() }.sum() - UNIFORM_TERMS / 2.0
         return (stage.pieces * exp(normal * LOG_SIGMA - LOG_SIGMA * LOG_SIGMA / 2)).toInt().coerceIn(1, stage.maxPieces)
@@ -119,10 +119,10 @@
             } else {
                 StageAdmission.Decision.Admitted
             }
-            if (decision is StageAdmission.Decision.Refused) refused(decision.retryAfterMs) else advance()
+            if (decision is StageAdmission.Decision.Refused) onRefused(decision.retryAfterMs) else advance()
         }
 
-        private fun refused(retryAfterMs: Long) {
+        private fun onRefused(retryAfterMs: Long) {
             if (isRetry || timeline.nowMs + retryAfterMs > deadlineAtMs) {
                 outcomeCounts.refused++
             } else {
@@ -161,7 +161,7 @@
             val owner = owners.getValue(spec.service)
             stageLoads.note(spec.service, owner.expectedMs(), timeline.nowMs)
             owner.run(pieceCounts[stage], spec.relativeCost, { piece, group ->
-                work(stage, piece, group)
+                createPiece(stage, piece, group)
             }, { releaseScarceInputs(stage) }) {
                 stageLoads.note(spec.service, owner.expectedMs(), timeline.nowMs)
                 onStageEnded(stage, it)
@@ -181,9 +181,9 @@
             advance()
         }
 
-        private fun work(stage: Int, piece: Int, group: Long): PieceWork {
+        private fun createPiece(stage: Int, piece: Int, group: Long): PieceWork {
             val spec = kind.stages[stage]
-            val leftMs = objectiveAtMs - GENERATION_MS - timeline.nowMs
+            val remainingMs = objectiveAtMs - GENERATION_MS - timeline.nowMs
             return PieceWork(
                 requestId = id,
                 stage = stage,
@@ -193,8 +193,8 @@
                 arrivedAtMs = timeline.nowMs,
                 preferredZone = preferredZone(stage),
                 resultBytes = spec.bytes,
-                holdsMemory = spec.after.any(::isMemoryScarce),
-                objectiveAtMs = timeline.nowMs + leftMs / (1 + laterStages(stage)),
+                holdsMemory = spec.after.any(::isScarce),
+                objectiveAtMs = timeline.nowMs + remainingMs / (1 + laterStages(stage)),
                 deadlineAtMs = deadlineAtMs,
                 priority = kind.priority,
             )
@@ -211,7 +211,8 @@
             }
         }
 
-        private fun isMemoryScarce(stage: Int): Boolean {
+        /** True when the memory of a worker holds the results of only a few calls of [stage]. */
+        private fun isScarce(stage: Int): Boolean {
             val spec = kind.stages[stage]
             val service = limits.getValue(spec.service)
             return service.resultRoomBytes < SCARCE_MEMORY_CALLS * service.batch * spec.bytes
@@ -222,9 +223,7 @@
             return successors.maxOfOrNull { 1 + laterStages(it) } ?: 0
         }
 
-        private fun releaseScarceInputs(stage: Int) = kind.stages[stage].after.filter(
-            ::isMemoryScarce,
-        ).forEach(::release)
+        private fun releaseScarceInputs(stage: Int) = kind.stages[stage].after.filter(::isScarce).forEach(::release)
 
         private fun release(stage: Int) {
             if (stage in finalStages) return
--- a/dispatch/src/test/kotlin/io/oriolehall/dispatch/stages/StageQueueTest.kt
+++ b/dispatch/src/test/kotlin/io/oriolehall/dispatch/stages/StageQueueTest.kt
@@ -195,7 +195,7 @@
 
     /** Simulates steady load. Returns the arrival time and the latency of each piece, milliseconds. */
     private fun simulate(workers: Int, pieceIntervalMs: Long, untilMs: Long): List<Pair<Long, Long>> {
-        class Running(val call: PlannedCall, val endMs: Long, val key: Long)
+        class Running(val call: PlannedCall, val endMs: Long, val expectedEndMs: Long)
         val all = List(workers) { worker("w$it") }
         val running = mutableListOf<Running>()
         val done = mutableListOf<Pair<Long, Long>>()
@@ -203,13 +203,13 @@
             if (nowMs % (2 * pieceIntervalMs) == 0L) queue.add(pieces("$nowMs", 2, objectiveAtMs = nowMs + 1_500))
             for (ended in running.filter { it.endMs == nowMs }) {
                 running.remove(ended)
-                ended.call.worker.ended(ended.call, ended.key, (ended.call.worker.expectedMs(4)).toLong())
+                ended.call.worker.ended(ended.call, ended.expectedEndMs, (ended.call.worker.expectedMs(4)).toLong())
                 done += ended.call.pieces.map { it.requestId.toLong() to nowMs - it.requestId.toLong() }
             }
             while (true) {
                 val call = queue.next(all, nowMs) ?: break
-                val key = call.worker.began(call, nowMs)
-                running += Running(call, nowMs + 240 + 30L * call.pieces.size, key)
+                val expectedEndMs = call.worker.began(call, nowMs)
+                running += Running(call, nowMs + 240 + 30L * call.pieces.size, expectedEndMs)
             }
         }
         return done
