--- a/dispatch/src/main/kotlin/io/oriolehall/dispatch/config/RouteTable.kt
+++ b/dispatch/src/main/kotlin/io/oriolehall/dispatch/config/RouteTable.kt
@@ -15,7 +15,7 @@
 
     private val servicesByName: Map<String, Service> = config.services.associateBy(Service::name)
 
-    /** Lowest priority of the routes with the same stage services, by that set of services. */
+    /** Priority of the least urgent route with stages, by its set of stage services. */
     private val lowestPriorities: Map<Set<String>, Int> = config.routes
         .filter { it.stages.isNotEmpty() }
         .groupBy(Route::stageServices)
