--- a/gateway/src/main/kotlin/io/oriolehall/gateway/Gateway.kt
+++ b/gateway/src/main/kotlin/io/oriolehall/gateway/Gateway.kt
@@ -40,11 +40,11 @@
 import kotlin.random.Random
 
 /**
- * A gateway instance: takes callers' requests by host and path, runs their stages at stage workers, and passes them to
- * the endpoints of their services. This class puts the parts together.
+ * A gateway instance: routes callers' requests by host and path, runs their stages at stage workers, and forwards them
+ * to the endpoints of their services. This class creates, connects, starts and stops the components.
  *
- * @param feed the platform's published state, through an adapter.
- * @param wire names of the protocol that callers and endpoints speak.
+ * @param feed creates the adapter that reads the platform's published state.
+ * @param wire header names, paths and encodings of the protocol used with callers and endpoints.
  */
 class Gateway(
     private val settings: GatewaySettings,
@@ -76,7 +76,7 @@
         control = control.dispatcher,
         log = log,
     )
-    private val watchMs = settings.bounds.keyTrustMs?.let { it / WATCHES_PER_TRUST } ?: UNBOUND_WATCH_MS
+    private val watchMs = settings.bounds.keyTrustMs?.let { it / WATCHES_PER_KEY_PERIOD } ?: DEFAULT_WATCH_MS
     private val reader = FeedReader(feed(traffic), state, fleet, { fleet.watchMs(watchMs) }, timers, log)
 
     private val pools = EndpointPools(Connector(traffic))
@@ -92,30 +92,30 @@
         log = log,
         observer = metrics::stageCall,
     )
-    private val allowances = RepeatAllowances(
+    private val retryBudgets = RepeatAllowances(
         ratio = settings.bounds.repeatRatio,
         allowance = settings.bounds.repeatAllowance,
         windowMs = settings.bounds.repeatWindowMs,
         startedAtMs = TrafficLoop.nowMs(),
     )
     private val requests = RequestService(
-        intake = Intake(state, wire, settings.bounds.keyTrustMs?.minus(KEY_TRUST_MARGIN_MS), Random.Default),
+        intake = Intake(state, wire, settings.bounds.keyTrustMs?.minus(KEY_CHECK_MARGIN_MS), Random.Default),
         stages = stages,
         chooser = EndpointChooser(
             self = self,
             pools = pools,
             snapshot = { state.endpoints },
-            instances = fleet::live,
+            instances = fleet::liveInstances,
             placement = AffinityPlacement(),
             wire = wire,
             coldFactor = settings.bounds.coldFactor,
             coldSlack = settings.bounds.coldSlack,
         ),
         admission = StageAdmission(),
-        repeats = allowances::of,
-        instances = { fleet.live.size },
+        repeats = retryBudgets::of,
+        instances = { fleet.liveInstances.size },
         wire = wire,
-        stopping = { stopping },
+        stopping = { stopAdmission },
         metrics = metrics,
         log = log,
     )
@@ -124,37 +124,37 @@
     private var leaving = false
 
     @Volatile
-    private var stopping: StopAdmission? = null
-    private val callers = CallerListener(
+    private var stopAdmission: StopAdmission? = null
+    private val callerListener = CallerListener(
         traffic,
         requests,
         limits = { state.trust.current?.table?.config?.limits ?: CallerLimits() },
         leaving = { leaving },
     )
-    private val readiness = CallerListener(traffic, { _, responder ->
+    private val readinessListener = CallerListener(traffic, { _, responder ->
         responder.full(if (ready()) OK else UNAVAILABLE, DefaultHttpHeaders(), ByteArray(0))
     })
 
-    /** Address where counters and histograms are served, once it has started; null for none. */
+    /** Address of the metrics page after the start; null if metrics are not served. */
     var metricsAddress: NetworkAddress? = null
         private set
-    private val metricsPage = CallerListener(traffic, { _, responder ->
+    private val metricsListener = CallerListener(traffic, { _, responder ->
         val headers = DefaultHttpHeaders().set("Content-Type", "text/plain; version=0.0.4")
         responder.full(OK, headers, metrics.scrape().encodeToByteArray())
     })
 
-    /** Starts all parts and listens. Returns the address where callers connect. */
+    /** Starts all components and listeners. Returns the address for callers. */
     suspend fun start(): NetworkAddress {
         peerServer.start(self.peerAddress)
         stages.start(peerServer)
         fleet.start(peerServer)
         controlScope.launch { reader.run() }
-        timers.every("expire lapsed endpoints", EXPIRE_MS) { state.expire() }
-        timers.every("report dropped lines", REPORT_LINES_MS) { log.report() }
-        traffic.scope.launch { sweep() }
-        readiness.start(settings.readiness)
-        metricsAddress = settings.metrics?.let(metricsPage::start)
-        val address = callers.start(settings.callers)
+        timers.every("expire lapsed endpoints", EXPIRY_CHECK_MS) { state.expire() }
+        timers.every("report dropped lines", DROPPED_LINES_REPORT_MS) { log.report() }
+        traffic.scope.launch { runMaintenance() }
+        readinessListener.start(settings.readiness)
+        metricsAddress = settings.metrics?.let(metricsListener::start)
+        val address = callerListener.start(settings.callers)
         log.write(Event.INSTANCE_STARTED, "callers" to address, "incarnation" to incarnation)
         return address
     }
@@ -162,44 +162,45 @@
     private fun ready(): Boolean = !leaving && state.complete && state.endpoints.endpoints.isNotEmpty()
 
     /**
-     * Leaves: says that it is not ready, goes on serving what the balancer still sends, ends idle connections, and
-     * waits until the answers in progress have ended or the time for stopping is over. Then it takes no more
-     * connections, and ends those that came meanwhile in the same way: a request that is read is answered.
+     * Shuts down gracefully. The instance first reports that it is not ready, while it continues to serve requests that
+     * the load balancer still sends. It then closes idle connections until all responses in progress are complete or
+     * the time for stopping has expired. Finally it stops accepting connections, and closes those accepted meanwhile in
+     * the same way: every request that has been read is answered.
      */
     suspend fun stop() {
         leaving = true
         log.write(Event.INSTANCE_STOPPING)
-        val sinceMs = TrafficLoop.nowMs()
-        val untilMs = sinceMs + settings.bounds.stopMs - STOP_MARGIN_MS
-        stopping = StopAdmission(sinceMs, untilMs)
+        val stopStartedMs = TrafficLoop.nowMs()
+        val stopDeadlineMs = stopStartedMs + settings.bounds.stopMs - STOP_MARGIN_MS
+        stopAdmission = StopAdmission(stopStartedMs, stopDeadlineMs)
         fleet.announceLeaving()
-        delay(BALANCER_MS)
-        endConnections(untilMs)
-        callers.stopListening()
-        endConnections(untilMs)
-        val busy = withContext(traffic.dispatcher) { callers.registry.busy }
+        delay(BALANCER_DETECTION_MS)
+        closeConnections(stopDeadlineMs)
+        callerListener.stopListening()
+        closeConnections(stopDeadlineMs)
+        val busy = withContext(traffic.dispatcher) { callerListener.registry.busy }
         log.write(if (busy == 0) Event.WORK_FINISHED else Event.WORK_CUT_OFF, "busy" to busy)
         fleet.announceStopped()
         log.write(Event.INSTANCE_STOPPED)
     }
 
-    /** Ends callers' connections as they fall idle, until none is left or [untilMs] has come. */
-    private suspend fun endConnections(untilMs: Long) {
-        while (TrafficLoop.nowMs() < untilMs) {
+    /** Closes callers' connections as they become idle, until none is open or [stopDeadlineMs] is reached. */
+    private suspend fun closeConnections(stopDeadlineMs: Long) {
+        while (TrafficLoop.nowMs() < stopDeadlineMs) {
             val open = withContext(traffic.dispatcher) {
-                callers.registry.closeIdle()
-                callers.registry.open
+                callerListener.registry.closeIdle()
+                callerListener.registry.open
             }
             if (open == 0) return
             delay(STOP_CHECK_MS)
         }
     }
 
-    /** Ends at once, without waiting for anything. */
+    /** Stops immediately, without waiting for requests in progress. */
     fun close() {
-        callers.close()
-        readiness.close()
-        metricsPage.close()
+        callerListener.close()
+        readinessListener.close()
+        metricsListener.close()
         peerServer.close()
         controlScope.cancel()
         peerScope.cancel()
@@ -208,12 +209,12 @@
         selector.close()
     }
 
-    private suspend fun sweep() {
-        var rounds = 0
+    private suspend fun runMaintenance() {
+        var runs = 0
         while (true) {
-            delay(SWEEP_MS)
+            delay(MAINTENANCE_MS)
             stages.handOver()
-            if (++rounds % ROUNDS_PER_POOL_SWEEP == 0) pools.sweep(state.endpoints)
+            if (++runs % RUNS_PER_POOL_SWEEP == 0) pools.sweep(state.endpoints)
         }
     }
 
@@ -221,22 +222,22 @@
         const val OK = 200
         const val UNAVAILABLE = 503
 
-        /** Watches in the time for which keys are trusted: a confirmation may fail twice in a row. */
-        const val WATCHES_PER_TRUST = 4
-        const val UNBOUND_WATCH_MS = 15_000L
+        /** Watches per key revocation period, so that a confirmation may fail twice in a row. */
+        const val WATCHES_PER_KEY_PERIOD = 4
+        const val DEFAULT_WATCH_MS = 15_000L
 
-        /** A request may reach its endpoint this much later than it was let in, milliseconds. */
-        const val KEY_TRUST_MARGIN_MS = 400L
-        const val EXPIRE_MS = 250L
-        const val REPORT_LINES_MS = 1_000L
-        const val SWEEP_MS = 50L
-        const val ROUNDS_PER_POOL_SWEEP = 20
+        /** Maximum time between the admission of a request and its arrival at the endpoint, in milliseconds. */
+        const val KEY_CHECK_MARGIN_MS = 400L
+        const val EXPIRY_CHECK_MS = 250L
+        const val DROPPED_LINES_REPORT_MS = 1_000L
+        const val MAINTENANCE_MS = 50L
+        const val RUNS_PER_POOL_SWEEP = 20
 
-        /** Time in which the balancer notices that the instance is not ready: two questions, a second apart. */
-        const val BALANCER_MS = 2_300L
+        /** Time in which the load balancer detects that the instance is not ready: two checks, one second apart. */
+        const val BALANCER_DETECTION_MS = 2_300L
         const val STOP_CHECK_MS = 50L
 
-        /** Part of the time for stopping that is left for the exit itself, milliseconds. */
+        /** Time reserved for the exit of the process at the end of the time for stopping, in milliseconds. */
         const val STOP_MARGIN_MS = 300L
     }
 }
--- a/gateway/src/main/kotlin/io/oriolehall/gateway/GatewaySettings.kt
+++ b/gateway/src/main/kotlin/io/oriolehall/gateway/GatewaySettings.kt
@@ -4,12 +4,12 @@
 import io.oriolehall.model.NetworkAddress
 
 /**
- * What a gateway instance has to know to start.
+ * Settings of a gateway instance.
  *
- * @property callers address where callers connect.
- * @property readiness address where the balancer asks whether the instance takes callers.
- * @property metrics address where counters and histograms are served as text; null for none.
- * @property seeds addresses of other instances, for first contacts.
+ * @property callers address for callers.
+ * @property readiness address for the readiness checks of the load balancer.
+ * @property metrics address of the metrics page, with counters and histograms as text; null to serve no metrics.
+ * @property seeds addresses of other instances, for the first contacts.
  */
 data class GatewaySettings(
     val instance: Instance,
@@ -23,14 +23,14 @@
 /**
  * Bounds that the operators set for the whole deployment.
  *
- * @property stopMs time between SIGTERM and SIGKILL, milliseconds.
- * @property keyTrustMs time after which a key that was taken away may not be honoured any more, milliseconds; null when
- *   instances that cannot confirm their configuration may go on.
- * @property repeatRatio repeats that a service may get per request, over all instances.
- * @property repeatAllowance repeats in a window beyond that.
- * @property repeatWindowMs length of that window, milliseconds.
- * @property coldFactor factor on the requests that a cold endpoint bears.
- * @property coldSlack requests a second that it bears beyond that.
+ * @property stopMs time between SIGTERM and SIGKILL, in milliseconds.
+ * @property keyTrustMs time after which a revoked API key must no longer be accepted, in milliseconds; null if an
+ *   instance that cannot confirm its configuration may continue to accept keys.
+ * @property repeatRatio permitted retries per request of a service, over all instances.
+ * @property repeatAllowance retries per window that are permitted in addition to the ratio.
+ * @property repeatWindowMs length of the retry window, in milliseconds.
+ * @property coldFactor factor on the request rate that a cold endpoint can handle.
+ * @property coldSlack requests per second that a cold endpoint can handle in addition.
  */
 data class Bounds(
     val stopMs: Long,
--- a/gateway/src/main/kotlin/io/oriolehall/gateway/SelfCheck.kt
+++ b/gateway/src/main/kotlin/io/oriolehall/gateway/SelfCheck.kt
@@ -33,20 +33,20 @@
 import kotlinx.coroutines.withTimeoutOrNull
 
 /**
- * Runs a gateway on the loopback interface, with an endpoint of its own, and sends it a few requests of each kind. Says
- * whether the program works on a machine; the build also takes the list of classes from it that a start needs.
+ * Runs a gateway and an endpoint on the loopback interface, and sends a few requests of each kind. Checks that the
+ * program works on a machine; the build also runs it to obtain the list of classes that are loaded during a start.
  */
 class SelfCheck(private val wire: WireProtocol, private val log: EventLog) {
     private val loop = TrafficLoop(log)
 
-    /** True when all requests were served. */
+    /** Returns true if all requests succeeded. */
     suspend fun run(): Boolean {
-        val endpoint = CallerListener(loop, ::answer).start(ANY_PORT)
+        val endpoint = CallerListener(loop, ::respond).start(ANY_PORT)
         val gateway = Gateway(settings(), wire, log) { FixedFeed(snapshot(endpoint)) }
-        val callers = gateway.start()
+        val gatewayAddress = gateway.start()
         val served = withTimeoutOrNull(TIMEOUT_MS) {
-            while (!request(callers, "/plain/x")) delay(RETRY_MS)
-            (1..REQUESTS).all { request(callers, "/plain/x") && request(callers, "/events/x") }
+            while (!send(gatewayAddress, "/plain/x")) delay(RETRY_MS)
+            (1..REQUESTS_PER_KIND).all { send(gatewayAddress, "/plain/x") && send(gatewayAddress, "/events/x") }
         }
         gateway.close()
         loop.close()
@@ -95,7 +95,7 @@
         maxAttempts = 1,
     )
 
-    private suspend fun answer(request: CallerRequest, responder: Responder) {
+    private suspend fun respond(request: CallerRequest, responder: Responder) {
         val headers = DefaultHttpHeaders()
             .set(wire.headers.attemptId, request.headers.get(wire.headers.attemptId))
             .set(wire.headers.signature, "self-check")
@@ -108,8 +108,8 @@
         responder.end()
     }
 
-    private suspend fun request(to: NetworkAddress, path: String): Boolean = withContext(loop.dispatcher) {
-        val connected = Connector(loop).connect(to)
+    private suspend fun send(address: NetworkAddress, path: String): Boolean = withContext(loop.dispatcher) {
+        val connected = Connector(loop).connect(address)
         if (connected.isErr) return@withContext false
         val connection = connected.value
         val headers = DefaultHttpHeaders().set("Host", HOST).set(wire.headers.attemptId, "1").set("Content-Length", 1)
@@ -129,7 +129,7 @@
         }
     }
 
-    /** Published state that never changes. */
+    /** Feed whose published state never changes. */
     private class FixedFeed(private val snapshot: FeedSnapshot) : PlatformFeed {
         override suspend fun snapshot(): Result<FeedSnapshot, FeedFailure> = Ok(snapshot)
 
@@ -143,7 +143,7 @@
         const val OK = 200
         const val HOST = "self-check"
         const val SERVICE = "service"
-        const val REQUESTS = 20
+        const val REQUESTS_PER_KIND = 20
         const val TIMEOUT_MS = 20_000L
         const val RETRY_MS = 20L
         val ZONE = ZoneId("zone")
--- a/gateway/src/main/kotlin/io/oriolehall/gateway/TrafficLoop.kt
+++ b/gateway/src/main/kotlin/io/oriolehall/gateway/TrafficLoop.kt
@@ -14,8 +14,8 @@
 import java.util.concurrent.TimeUnit
 
 /**
- * The one thread that carries traffic: all sockets of callers and endpoints, and the coroutines that serve requests.
- * State that belongs to requests is therefore used without locks.
+ * The single event-loop thread for traffic: it handles all sockets of callers and endpoints, and runs the coroutines
+ * that serve requests. Request state is therefore accessed without locks.
  */
 class TrafficLoop(log: EventLog) : AutoCloseable {
     val group = MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory())
@@ -24,11 +24,11 @@
 
     val dispatcher: CoroutineDispatcher = eventLoop.asCoroutineDispatcher()
 
-    private val failures = CoroutineExceptionHandler { _, error ->
+    private val exceptionHandler = CoroutineExceptionHandler { _, error ->
         log.write(Event.HTTP_HANDLER_FAILED, "error" to error.stackTraceToString())
     }
 
-    val scope = CoroutineScope(dispatcher + SupervisorJob() + failures)
+    val scope = CoroutineScope(dispatcher + SupervisorJob() + exceptionHandler)
 
     override fun close() {
         scope.cancel()
@@ -38,7 +38,7 @@
     companion object {
         private const val SHUTDOWN_MS = 100L
 
-        /** Monotonic time, milliseconds. */
+        /** Monotonic time in milliseconds. */
         fun nowMs(): Long = TimeUnit.NANOSECONDS.toMillis(System.nanoTime())
     }
 }
--- a/gateway/src/main/kotlin/io/oriolehall/gateway/feed/ChangeJournal.kt
+++ b/gateway/src/main/kotlin/io/oriolehall/gateway/feed/ChangeJournal.kt
@@ -5,36 +5,36 @@
 import kotlinx.coroutines.withTimeoutOrNull
 
 /**
- * The newest changes of an instance's published state, numbered, for the instances that follow it. A follower that has
- * fallen out of the kept range takes everything instead. Used on the control thread only.
+ * Bounded, numbered log of the most recent changes to an instance's published state, read by the instances that follow
+ * it. A follower whose position is no longer retained fetches a full snapshot instead. Used on the control thread only.
  */
-class ChangeJournal(private val kept: Int = DEFAULT_KEPT) {
+class ChangeJournal(private val capacity: Int = DEFAULT_CAPACITY) {
     private val changes = ArrayDeque<PublishedChange>()
     private val mutablePosition = MutableStateFlow(0L)
 
-    /** Number of changes so far. */
+    /** Number of changes recorded so far. */
     val position: Long get() = mutablePosition.value
 
-    fun add(news: List<PublishedChange>) {
-        changes += news
-        while (changes.size > kept) changes.removeFirst()
-        mutablePosition.value += news.size
+    fun add(newChanges: List<PublishedChange>) {
+        changes += newChanges
+        while (changes.size > capacity) changes.removeFirst()
+        mutablePosition.value += newChanges.size
     }
 
-    /** The changes after [from], or null when they are no longer all kept. */
-    fun after(from: Long): List<PublishedChange>? {
+    /** Returns the changes after position [from], or null if some of them have been dropped. */
+    fun changesAfter(from: Long): List<PublishedChange>? {
         val missing = position - from
         if (missing < 0 || missing > changes.size) return null
         return changes.takeLast(missing.toInt())
     }
 
-    /** Waits at most [waitMs] milliseconds for a change after [from]. */
-    suspend fun awaitAfter(from: Long, waitMs: Long) {
+    /** Waits up to [waitMs] milliseconds for a change after position [from]. */
+    suspend fun awaitChange(from: Long, waitMs: Long) {
         withTimeoutOrNull(waitMs) { mutablePosition.first { it > from } }
     }
 
     private companion object {
-        /** Covers some seconds in which every endpoint of a large deployment changes. */
-        const val DEFAULT_KEPT = 2_048
+        /** Holds several seconds of changes even if every endpoint of a large deployment changes. */
+        const val DEFAULT_CAPACITY = 2_048
     }
 }
--- a/gateway/src/main/kotlin/io/oriolehall/gateway/feed/FeedReader.kt
+++ b/gateway/src/main/kotlin/io/oriolehall/gateway/feed/FeedReader.kt
@@ -8,11 +8,12 @@
 import kotlin.random.Random
 
 /**
- * Keeps [state] up to date: reads everything once, then watches, itself or through an instance that it follows. When
- * the platform does not answer, it asks other instances through [peers] until it does. Runs on the control thread.
+ * Keeps [state] up to date: reads a full snapshot, then receives changes by watching the platform or by following
+ * another instance. While the platform is unreachable, it refreshes [state] from other instances through [peers]. Runs
+ * on the control thread.
  *
- * @param watchMs longest wait of the next watch, milliseconds; a confirmation of the configuration is never older than
- *   this while the platform answers.
+ * @param watchMs maximum wait of the next watch, in milliseconds. While the platform answers, the last confirmation of
+ *   the configuration is never older than this.
  */
 class FeedReader(
     private val feed: PlatformFeed,
@@ -23,14 +24,14 @@
     private val log: EventLog,
     private val random: Random = Random.Default,
 ) {
-    /** True while the platform answers. */
+    /** True while the platform answers this instance. */
     var reachable = true
         private set
 
-    private var failures = 0
-    private var lostAtMs = 0L
+    private var consecutiveFailures = 0
+    private var unreachableSinceMs = 0L
 
-    /** Reads and watches until it is cancelled. */
+    /** Reads and watches the platform until cancelled. */
     suspend fun run() {
         var snapshotNeeded = true
         while (true) {
@@ -46,7 +47,7 @@
                 snapshotNeeded = true
                 continue
             }
-            noteLost(failure)
+            recordFailure(failure)
             if (peers.refresh(state)) log.write(Event.FEED_READ_FROM_PEER, "asOf" to state.asOf)
             delay(backoffMs())
         }
@@ -56,7 +57,7 @@
         val orderly = reachable
         val answer = feed.snapshot()
         if (answer.isErr) return answer.error
-        noteReached()
+        recordSuccess()
         state.replace(answer.value, sentAt, orderly, "platform")
         return null
     }
@@ -64,30 +65,30 @@
     private suspend fun watch(sentAt: Moment): FeedFailure? {
         val answer = feed.changes(state.asOf ?: 0, watchMs())
         if (answer.isErr) return answer.error
-        noteReached()
+        recordSuccess()
         state.apply(answer.value, sentAt)
         return null
     }
 
-    private fun noteReached() {
-        failures = 0
-        state.noteHeard()
+    private fun recordSuccess() {
+        consecutiveFailures = 0
+        state.recordPlatformAnswer()
         if (reachable) return
         reachable = true
         state.storeReturned()
-        log.write(Event.PLATFORM_REACHED, "afterMs" to timers.nowMs() - lostAtMs, "asOf" to state.asOf)
+        log.write(Event.PLATFORM_REACHED, "afterMs" to timers.nowMs() - unreachableSinceMs, "asOf" to state.asOf)
     }
 
-    private fun noteLost(failure: FeedFailure) {
-        failures++
+    private fun recordFailure(failure: FeedFailure) {
+        consecutiveFailures++
         if (!reachable) return
         reachable = false
-        lostAtMs = timers.nowMs()
+        unreachableSinceMs = timers.nowMs()
         log.write(Event.PLATFORM_UNREACHABLE, "error" to failure.message)
     }
 
     private fun backoffMs(): Long {
-        val base = minOf(MAX_BACKOFF_MS, FIRST_BACKOFF_MS shl minOf(failures, MAX_DOUBLINGS))
+        val base = minOf(MAX_BACKOFF_MS, FIRST_BACKOFF_MS shl minOf(consecutiveFailures, MAX_DOUBLINGS))
         return base / 2 + random.nextLong(base)
     }
 
@@ -98,13 +99,14 @@
     }
 }
 
-/** Other instances as a source of what the platform publishes. */
+/** Provides the platform's published state through other instances. */
 fun interface PeerFeed {
-    /** Takes in what a reachable instance knows, if that is newer. Returns true when something was taken. */
+    /** Updates [state] from a reachable instance that has a newer one. Returns true if a snapshot was applied. */
     suspend fun refresh(state: PublishedState): Boolean
 
     /**
-     * Follows another instance that reads the platform for this one. False when this instance has to read it itself.
+     * Receives the next changes from another instance that reads the platform. Returns false if this instance has to
+     * read the platform itself.
      */
     suspend fun follow(): Boolean = false
 }
--- a/gateway/src/main/kotlin/io/oriolehall/gateway/feed/PlatformFeed.kt
+++ b/gateway/src/main/kotlin/io/oriolehall/gateway/feed/PlatformFeed.kt
@@ -7,10 +7,10 @@
 import io.oriolehall.model.ZoneId
 import kotlinx.serialization.Serializable
 
-/** One item that the platform publishes, decoded. */
+/** A decoded change to the state that the platform publishes. */
 @Serializable
 sealed interface PublishedChange {
-    /** The newest configuration. [revision] orders configurations. */
+    /** A new configuration. Configurations are ordered by [revision]. */
     @Serializable
     data class ConfigPublished(val revision: Long, val config: ServingConfig) : PublishedChange
 
@@ -26,12 +26,12 @@
     @Serializable
     data class ZoneRestored(val zone: ZoneId) : PublishedChange
 
-    /** An item that cannot be used. [reason] says why; an endpoint of that name is not used either. */
+    /** An item that cannot be decoded, because of [reason]. An endpoint with that key is not used either. */
     @Serializable
     data class Unreadable(val key: String, val reason: String) : PublishedChange
 }
 
-/** Everything that is published, as of a revision. */
+/** The complete published state at revision [asOf]. */
 @Serializable
 data class FeedSnapshot(
     val asOf: Long,
@@ -41,25 +41,25 @@
     val evacuated: List<ZoneId>,
 )
 
-/** What has changed up to [asOf]. */
+/** Changes up to revision [asOf]. */
 data class FeedChanges(val asOf: Long, val changes: List<PublishedChange>)
 
-/** Why the feed gave no answer. */
+/** The reason why a call to the feed failed. */
 sealed interface FeedFailure {
     val message: String
 
-    /** The changes after the asked revision are no longer there: read everything. */
+    /** The store no longer has the changes after the requested revision; a full snapshot is needed. */
     data class HistoryGone(override val message: String) : FeedFailure
 
-    /** No answer, or one that says nothing. */
+    /** The platform did not answer, or its answer cannot be used. */
     data class Unavailable(override val message: String) : FeedFailure
 }
 
-/** The platform's published state. It can only be read. */
+/** Read-only access to the platform's published state. */
 interface PlatformFeed {
-    /** Reads everything. The answer is at least as new as the call. */
+    /** Reads the complete state, which is at least as recent as the start of the call. */
     suspend fun snapshot(): Result<FeedSnapshot, FeedFailure>
 
-    /** Waits at most [waitMs] for changes after [revision]. */
+    /** Waits up to [waitMs] milliseconds for changes after [revision]. */
     suspend fun changes(revision: Long, waitMs: Long): Result<FeedChanges, FeedFailure>
 }
--- a/gateway/src/main/kotlin/io/oriolehall/gateway/feed/PublishedState.kt
+++ b/gateway/src/main/kotlin/io/oriolehall/gateway/feed/PublishedState.kt
@@ -18,8 +18,8 @@
 import io.oriolehall.runtime.TimerService
 
 /**
- * The configuration in force, the endpoints and the evacuated zones, as this instance knows them. Changes belong to the
- * control thread; [trust] and [endpoints] may be read by any thread.
+ * This instance's copy of the published state: the configuration in force, the endpoints and the evacuated zones. It is
+ * changed on the control thread only; [trust] and [endpoints] may be read by any thread.
  */
 class PublishedState(private val timers: TimerService, private val log: EventLog) {
     private val directory = EndpointDirectory()
@@ -27,35 +27,35 @@
 
     val trust = ConfigTrust()
 
-    /** What has changed here, for the instances that follow this one. */
+    /** Recent changes to this state, for the instances that follow this one. */
     val journal = ChangeJournal()
 
     @Volatile
     var endpoints = EndpointSnapshot()
         private set
 
-    /** Revision up to which changes have been taken in; null before the first snapshot. */
+    /** Revision up to which changes have been applied; null before the first snapshot. */
     var asOf: Long? = null
         private set
 
-    /** When the platform last answered this instance, monotonic milliseconds; null before it has. */
-    var heardAtMs: Long? = null
+    /** Monotonic time in milliseconds at which the platform last answered this instance; null if it has not yet. */
+    var platformAnsweredAtMs: Long? = null
         private set
 
-    /** True once everything has been read. */
+    /** True once a snapshot with a configuration has been applied. */
     val complete: Boolean get() = asOf != null && trust.current != null
 
-    /** Notes that the platform has just answered. */
-    fun noteHeard() {
-        heardAtMs = timers.nowMs()
+    /** Records that the platform has just answered this instance. */
+    fun recordPlatformAnswer() {
+        platformAnsweredAtMs = timers.nowMs()
     }
 
     fun now() = Moment(timers.nowMs(), timers.wallClockMs())
 
     /**
-     * Takes in everything as of [readAt], when the read was sent.
+     * Replaces the state by [snapshot], unless the state is newer. [readAt] is when the read was sent.
      *
-     * @param orderly true when the store served all the while since the last news.
+     * @param orderly true if the store has been available without interruption since the last update.
      */
     fun replace(snapshot: FeedSnapshot, readAt: Moment, orderly: Boolean, source: String) {
         if ((asOf ?: -1) > snapshot.asOf) return
@@ -68,25 +68,25 @@
         publish()
     }
 
-    /** Takes in [news] of a watch that was sent at [sentAt]. */
-    fun apply(news: FeedChanges, sentAt: Moment) {
-        news.changes.forEach { applyOne(it, sentAt, "platform") }
-        asOf = maxOf(asOf ?: 0, news.asOf)
+    /** Applies [update], the result of a watch that was sent at [sentAt]. */
+    fun apply(update: FeedChanges, sentAt: Moment) {
+        update.changes.forEach { applyChange(it, sentAt, "platform") }
+        asOf = maxOf(asOf ?: 0, update.asOf)
         trust.current?.let { trust.confirm(it.revision, sentAt) }
         publish()
     }
 
     /**
-     * Takes in the changes of an instance that this one follows, up to [revision]. They are in force there: an
-     * endpoint that is withdrawn has been waited for already.
+     * Applies changes up to [revision] from an instance that this one follows. They are already in force there: for a
+     * withdrawn endpoint, that instance has already waited for it to register again.
      */
     fun applyFollowed(changes: List<PublishedChange>, revision: Long, at: Moment, source: String) {
-        changes.forEach { applyOne(it, at, source) }
+        changes.forEach { applyChange(it, at, source) }
         asOf = maxOf(asOf ?: 0, revision)
         publish()
     }
 
-    private fun applyOne(change: PublishedChange, sentAt: Moment, source: String) = when (change) {
+    private fun applyChange(change: PublishedChange, sentAt: Moment, source: String) = when (change) {
         is ConfigPublished -> offer(change.config, change.revision, sentAt, source)
         is EndpointRegistered -> register(change)
         is EndpointWithdrawn -> withdraw(change.id)
@@ -134,21 +134,21 @@
 
     fun storeReturned() = directory.storeReturned(timers.nowMs())
 
-    /** Drops entries whose time to register again is over. */
+    /** Removes lapsed endpoints that have not registered again within their grace period. */
     fun expire() {
-        val gone = directory.expire(timers.nowMs())
-        if (gone.isEmpty()) return
-        gone.forEach { log.write(Event.ENDPOINT_WITHDRAWN, "endpoint" to it, "cause" to "lapsed") }
+        val expired = directory.expire(timers.nowMs())
+        if (expired.isEmpty()) return
+        expired.forEach { log.write(Event.ENDPOINT_WITHDRAWN, "endpoint" to it, "cause" to "lapsed") }
         publish()
     }
 
-    /** Everything, for another instance that cannot read the platform. */
+    /** Returns the complete state for another instance, or null if it is not complete yet. */
     fun snapshot(): FeedSnapshot? {
-        val trusted = trust.current ?: return null
+        val confirmed = trust.current ?: return null
         return FeedSnapshot(
             asOf = asOf ?: return null,
-            configRevision = trusted.revision,
-            config = trusted.table.config,
+            configRevision = confirmed.revision,
+            config = confirmed.table.config,
             endpoints = directory.snapshot.endpoints.values.toList(),
             evacuated = evacuated.toList(),
         )
@@ -164,10 +164,10 @@
 
     private fun changesBetween(before: EndpointSnapshot, after: EndpointSnapshot): List<PublishedChange> {
         if (before == after) return emptyList()
-        val written = after.endpoints.values.filter { before.endpoints[it.id] != it }.map(::EndpointRegistered)
-        val removed = before.endpoints.keys.filter { it !in after.endpoints }.map(::EndpointWithdrawn)
+        val registrations = after.endpoints.values.filter { before.endpoints[it.id] != it }.map(::EndpointRegistered)
+        val withdrawals = before.endpoints.keys.filter { it !in after.endpoints }.map(::EndpointWithdrawn)
         val evacuations = (after.evacuated - before.evacuated).map(::ZoneEvacuated)
         val restorations = (before.evacuated - after.evacuated).map(::ZoneRestored)
-        return written + removed + evacuations + restorations
+        return registrations + withdrawals + evacuations + restorations
     }
 }
--- a/gateway/src/main/kotlin/io/oriolehall/gateway/fleet/FleetMessages.kt
+++ b/gateway/src/main/kotlin/io/oriolehall/gateway/fleet/FleetMessages.kt
@@ -10,12 +10,13 @@
 import kotlinx.serialization.Serializable
 
 /**
- * A probe between instances and also its answer.
+ * Message of a probe between instances, used for both the request and the answer.
  *
- * @property records what the sender has to say of the fleet; the first one is of itself.
- * @property fleetDigest digest of the live members as the sender knows them.
- * @property configRevision revision of the sender's configuration; 0 when it has none.
- * @property confirmedAgoMs how long ago that revision was known to be the newest; negative when keys are suspended.
+ * @property records member records that the sender disseminates; the first one describes the sender itself.
+ * @property fleetDigest digest of the sender's view of the live members.
+ * @property configRevision revision of the sender's configuration; 0 if it has none.
+ * @property confirmedAgoMs milliseconds since that revision was last confirmed to be the newest; negative while the
+ *   sender does not accept API keys.
  */
 @Serializable
 data class FleetGossip(
@@ -27,60 +28,60 @@
     val sender: MemberRecord get() = records.first()
 }
 
-/** Asks for a probe of the instance at [address]. */
+/** Asks the receiver to probe the instance at [address] on behalf of the sender (an indirect probe). */
 @Serializable
 data class ProbeRequest(@SerialName("a") val address: NetworkAddress)
 
-/** What the probed instance said; null when it did not answer. */
+/** Result of an indirect probe: the answer of the probed instance, or null if it did not answer. */
 @Serializable
 data class ProbeAnswer(@SerialName("g") val gossip: FleetGossip? = null)
 
-/** Asks for everything that the instance knows. */
+/** Asks the receiver for its complete state. */
 @Serializable
 data class StateQuery(@SerialName("d") val digest: Int = 0)
 
 @Serializable
 data class FleetRecords(@SerialName("r") val records: List<MemberRecord>)
 
-/** Published state as an instance knows it; [confirmedAgoMs] as in [FleetGossip]. */
+/** The sender's copy of the published state; [confirmedAgoMs] as in [FleetGossip]. */
 @Serializable
 data class StateAnswer(val snapshot: FeedSnapshot? = null, val confirmedAgoMs: Long = -1)
 
 /**
- * Asks for what has changed at the asked instance since [position], which is its own numbering of the life [life]; null
- * for everything. The answer comes with the first change, or after [waitMs] milliseconds.
+ * Asks the receiver for its changes after [position], a position in the journal of the receiver's [incarnation]; a null
+ * incarnation asks for the complete state. The answer is sent at the first change, or after [waitMs] milliseconds.
  */
 @Serializable
 data class FollowQuery(
-    @SerialName("l") val life: Incarnation?,
+    @SerialName("l") val incarnation: Incarnation?,
     @SerialName("p") val position: Long,
     @SerialName("w") val waitMs: Long,
 )
 
 /**
- * Changes up to [position], or everything where the position that was asked for is not known any more.
+ * Changes up to [position], or a full snapshot if the requested position is no longer retained.
  *
- * @property asOf revision of the platform up to which the answering instance knows all.
- * @property configRevision revision of its configuration.
- * @property confirmedAgoMs how long before the query came that revision was known to be the newest; negative when keys
- *   are suspended.
- * @property heardAgoMs how long ago the platform answered that instance itself, milliseconds.
+ * @property asOf platform revision up to which the sender has applied all changes.
+ * @property configRevision revision of the sender's configuration.
+ * @property confirmedAgoMs milliseconds between the last confirmation that this revision is the newest and the arrival
+ *   of the query; negative while the sender does not accept API keys.
+ * @property platformAnsweredAgoMs milliseconds since the platform last answered the sender directly.
  */
 @Serializable
 data class FollowAnswer(
-    @SerialName("l") val life: Incarnation,
+    @SerialName("l") val incarnation: Incarnation,
     @SerialName("p") val position: Long,
     @SerialName("r") val asOf: Long,
     @SerialName("c") val configRevision: Long,
     @SerialName("a") val confirmedAgoMs: Long,
-    @SerialName("h") val heardAgoMs: Long,
+    @SerialName("h") val platformAnsweredAgoMs: Long,
     @SerialName("n") val changes: List<PublishedChange> = emptyList(),
     @SerialName("s") val snapshot: FeedSnapshot? = null,
 )
 
 internal object FleetChannels {
     val PROBE = PeerChannel.of<FleetGossip, FleetGossip>("fleet")
-    val HELP = PeerChannel.of<ProbeRequest, ProbeAnswer>("fleet.help")
+    val INDIRECT_PROBE = PeerChannel.of<ProbeRequest, ProbeAnswer>("fleet.help")
     val RECORDS = PeerChannel.of<StateQuery, FleetRecords>("fleet.records")
     val FOLLOW = PeerChannel.of<FollowQuery, FollowAnswer>("state.follow")
     val STATE = PeerChannel.of<StateQuery, StateAnswer>("state")
--- a/gateway/src/main/kotlin/io/oriolehall/gateway/fleet/FleetService.kt
+++ b/gateway/src/main/kotlin/io/oriolehall/gateway/fleet/FleetService.kt
@@ -28,11 +28,12 @@
 import kotlin.random.Random
 
 /**
- * This instance's view of the others: it finds them through the seeds, probes them, and learns with each answer how new
- * their configuration is. A newer one is fetched at once; an equal one that was confirmed later confirms this
- * instance's. All state belongs to the control thread.
+ * Tracks the members of the fleet: finds them through the seeds, probes them, and receives the revision of their
+ * configuration with each answer. A newer configuration is fetched immediately; if the revisions are equal, a later
+ * confirmation at the other instance also confirms the configuration of this one. All state is confined to the control
+ * thread.
  *
- * @param seeds first addresses to ask; they may be stale or down.
+ * @param seeds addresses for the first contacts; they may be outdated or unreachable.
  */
 class FleetService(
     private val self: Instance,
@@ -51,15 +52,15 @@
     private val follower = StateFollower(incarnation, state, client, timers, log, ::confirmedAgoMs)
     private var fetching = false
 
-    /** The newest view. */
+    /** The current view of the members. */
     @Volatile
     var view: MembershipView = membership.view()
         private set
 
-    /** Answers probes and starts to send them. */
+    /** Registers the handlers on [server] and starts probing. */
     fun start(server: PeerServer) {
         server.answer(FleetChannels.PROBE) { withContext(control) { answer(it) } }
-        server.answer(FleetChannels.HELP) { ProbeAnswer(withContext(control) { exchange(it.address, null) }) }
+        server.answer(FleetChannels.INDIRECT_PROBE) { ProbeAnswer(withContext(control) { exchange(it.address, null) }) }
         server.answer(FleetChannels.RECORDS) { withContext(control) { FleetRecords(membership.table()) } }
         server.answer(FleetChannels.STATE) {
             withContext(control) { StateAnswer(state.snapshot(), confirmedAgoMs()) }
@@ -68,51 +69,51 @@
             withContext(control) { follower.answer(query) }?.let { emit(it) }
         }
         membership.join()
-        timers.after("first probes", 0) { scope.launch { round() } }
-        timers.every("membership round", settings.probePeriodMs, JITTER) { scope.launch { round() } }
+        timers.after("first probes", 0) { scope.launch { probeRound() } }
+        timers.every("membership round", settings.probePeriodMs, PROBE_JITTER_SHARE) { scope.launch { probeRound() } }
     }
 
-    /** Announces that this instance takes no new ownership. */
+    /** Announces that this instance is leaving and must not become the owner of anything. */
     suspend fun announceLeaving() = withContext(control) {
         membership.leave()
         publish()
-        spread()
+        gossipNow()
     }
 
     /** Announces that this instance has stopped. */
     suspend fun announceStopped() = withContext(control) {
         membership.stop()
-        spread()
+        gossipNow()
     }
 
-    /** The instance that owns [subject]: all that see the same members name the same one. Null before there are any. */
+    /** Returns the owner of [subject], the same for all instances with the same member view; null without members. */
     fun ownerOf(subject: String): Member? = owners.of(subject)
 
     @Volatile
     private var owners = Owners(view)
 
-    /** Live instances, this one among them. The same set is returned until it changes. */
+    /** Reachable instances, including this one. The same set object is returned until the membership changes. */
     @Volatile
-    var live: Set<InstanceId> = setOf(self.id)
+    var liveInstances: Set<InstanceId> = setOf(self.id)
         private set
 
-    private suspend fun round() {
+    private suspend fun probeRound() {
         val targets = membership.beginRound(timers.nowMs())
         if (membership.lastPauseMs > 0) log.write(Event.PROCESS_WAS_PAUSED, "ms" to membership.lastPauseMs)
         coroutineScope {
             targets.forEach { launch { probe(it) } }
-            unknownSeed()?.let { launch { joinAt(it) } }
+            uncontactedSeed()?.let { launch { contactSeed(it) } }
         }
         publish()
     }
 
-    /** A seed at which nobody that this instance knows is live. */
-    private fun unknownSeed(): NetworkAddress? {
-        val live = view.members.values.filter { it.reachable }.map { it.address }.toSet() + self.peerAddress
-        return seeds.filter { it !in live }.randomOrNull(random)
+    /** Returns a random seed whose address is not that of a reachable member, or null if there is none. */
+    private fun uncontactedSeed(): NetworkAddress? {
+        val liveAddresses = view.members.values.filter { it.reachable }.map { it.address }.toSet() + self.peerAddress
+        return seeds.filter { it !in liveAddresses }.randomOrNull(random)
     }
 
-    private suspend fun joinAt(address: NetworkAddress) {
+    private suspend fun contactSeed(address: NetworkAddress) {
         exchange(address, null) ?: return
         fetchRecords(address)
     }
@@ -120,18 +121,18 @@
     private suspend fun probe(target: MemberRecord) {
         if (exchange(target.instance.peerAddress, target.id) != null) return
         if (target.state == MemberState.DEAD || target.state == MemberState.LEFT) return
-        val heard = coroutineScope {
-            membership.helpers(target, random).map { async { askHelper(it, target) } }.awaitAll()
+        val reached = coroutineScope {
+            membership.helpers(target, random).map { async { probeThrough(it, target) } }.awaitAll()
         }
-        if (heard.none { it }) membership.silent(target.id, timers.nowMs())
+        if (reached.none { it }) membership.silent(target.id, timers.nowMs())
     }
 
-    private suspend fun askHelper(helper: MemberRecord, target: MemberRecord): Boolean {
+    private suspend fun probeThrough(helper: MemberRecord, target: MemberRecord): Boolean {
         val request = ProbeRequest(target.instance.peerAddress)
         val timeoutMs = settings.probeTimeoutMs * 2
-        val answer = client.call(helper.instance.peerAddress, FleetChannels.HELP, request, timeoutMs)
+        val answer = client.call(helper.instance.peerAddress, FleetChannels.INDIRECT_PROBE, request, timeoutMs)
         val gossip = if (answer.isOk) answer.value.gossip else null
-        gossip?.let { takeIn(it) }
+        gossip?.let { mergeGossip(it) }
         return gossip != null
     }
 
@@ -141,7 +142,7 @@
         val outcome = client.call(address, FleetChannels.PROBE, message, settings.probeTimeoutMs)
         if (outcome.isErr) return null
         val answer = outcome.value
-        takeIn(answer)
+        mergeGossip(answer)
         membership.answered(answer.sender.id, 0)
         confirmFrom(answer, sentAt)
         return answer
@@ -153,7 +154,7 @@
     }
 
     private fun answer(message: FleetGossip): FleetGossip {
-        takeIn(message)
+        mergeGossip(message)
         return gossip(membership.outgoing(message.sender.id, claimed = message.sender))
     }
 
@@ -165,25 +166,25 @@
     )
 
     private fun confirmedAgoMs(): Long {
-        val trusted = state.trust.current ?: return -1
+        val config = state.trust.current ?: return -1
         val now = state.now()
-        return if (trusted.mayHonourKeys(now, MAX_CONFIRMATION_AGE_MS)) now.ms - trusted.confirmedAt.ms else -1
+        return if (config.mayHonourKeys(now, MAX_CONFIRMATION_AGE_MS)) now.ms - config.confirmedAt.ms else -1
     }
 
-    private fun takeIn(gossip: FleetGossip) {
-        val news = membership.merge(gossip.records, timers.nowMs())
-        if (news.isNotEmpty()) publish()
+    private fun mergeGossip(gossip: FleetGossip) {
+        val changed = membership.merge(gossip.records, timers.nowMs())
+        if (changed.isNotEmpty()) publish()
         val address = gossip.sender.instance.peerAddress
-        if (gossip.fleetDigest != membership.digest()) fetchOnce { fetchRecords(address) }
-        if (gossip.configRevision > (state.trust.current?.revision ?: 0)) fetchOnce { fetchState(address) }
+        if (gossip.fleetDigest != membership.digest()) fetchUnlessRunning { fetchRecords(address) }
+        if (gossip.configRevision > (state.trust.current?.revision ?: 0)) fetchUnlessRunning { fetchState(address) }
     }
 
-    private fun fetchOnce(action: suspend () -> Unit) {
+    private fun fetchUnlessRunning(fetch: suspend () -> Unit) {
         if (fetching) return
         fetching = true
         scope.launch {
             try {
-                action()
+                fetch()
             } finally {
                 fetching = false
             }
@@ -207,30 +208,31 @@
         return true
     }
 
-    /** Longest wait of a watch of the platform, milliseconds: [aloneMs] unless others follow this instance. */
-    fun watchMs(aloneMs: Long): Long = if (follower.followed) minOf(aloneMs, StateFollower.WATCH_MS) else aloneMs
+    /** Maximum wait of a platform watch in milliseconds: [defaultMs], or less while other instances follow this one. */
+    fun watchMs(defaultMs: Long): Long =
+        if (follower.hasFollowers) minOf(defaultMs, StateFollower.READER_WATCH_MS) else defaultMs
 
-    override suspend fun follow(): Boolean = PlatformReaders.followedBy(view)?.let { follower.follow(it) } ?: false
+    override suspend fun follow(): Boolean = PlatformReaders.readerFor(view)?.let { follower.follow(it) } ?: false
 
     override suspend fun refresh(state: PublishedState): Boolean {
         val others = view.members.values.filter { it.reachable && it.id != self.id }.map(Member::address)
-        val asked = others.shuffled(random).take(REFRESH_FROM)
-        return coroutineScope { asked.map { async { fetchState(it) } }.awaitAll() }.any { it }
+        val sources = others.shuffled(random).take(REFRESH_SOURCES)
+        return coroutineScope { sources.map { async { fetchState(it) } }.awaitAll() }.any { it }
     }
 
-    /** Tells a few others at once, so that news need not wait for the next round. */
-    private suspend fun spread() {
+    /** Gossips with a few random members immediately instead of waiting for the next round. */
+    private suspend fun gossipNow() {
         val others = view.members.values.filter { it.reachable && it.id != self.id }.shuffled(random)
-        coroutineScope { others.take(SPREAD).forEach { launch { exchange(it.address, it.id) } } }
+        coroutineScope { others.take(GOSSIP_FANOUT).forEach { launch { exchange(it.address, it.id) } } }
     }
 
     private fun publish() {
         val before = view
         val after = membership.view()
         view = after
-        if (!owners.isOf(after)) owners = Owners(after)
+        if (!owners.hasMembersOf(after)) owners = Owners(after)
         val reachable = after.members.values.filter { it.reachable }.mapTo(HashSet()) { it.id } + self.id
-        if (reachable != live) live = reachable
+        if (reachable != liveInstances) liveInstances = reachable
         for (member in after.members.values) {
             val old = before.member(member.id)
             if (old?.incarnation == member.incarnation && old.ownable == member.ownable) continue
@@ -245,15 +247,15 @@
     }
 
     private companion object {
-        const val JITTER = 0.1
+        const val PROBE_JITTER_SHARE = 0.1
         const val FETCH_TIMEOUT_MS = 1_000L
-        const val SPREAD = 8
-        const val REFRESH_FROM = 2
+        const val GOSSIP_FANOUT = 8
+        const val REFRESH_SOURCES = 2
 
-        /** Confirmations older than this are not passed on, milliseconds; API keys are suspended before. */
+        /** Maximum age of a confirmation that is passed on, in milliseconds. API keys are suspended at a lower age. */
         const val MAX_CONFIRMATION_AGE_MS = 10_000L
 
-        /** Faster than the default, because work waits for the owner of a queue that is gone. */
+        /** Detects failures faster than the default settings, because requests wait while a queue owner is down. */
         val DEFAULT_SETTINGS = MembershipSettings(
             probePeriodMs = 350,
             probeTimeoutMs = 250,
--- a/gateway/src/main/kotlin/io/oriolehall/gateway/fleet/Owners.kt
+++ b/gateway/src/main/kotlin/io/oriolehall/gateway/fleet/Owners.kt
@@ -6,19 +6,19 @@
 import io.oriolehall.policy.membership.MembershipView
 import java.util.concurrent.ConcurrentHashMap
 
-/** The owners of subjects among the members of one view, each ranked once. Safe for use by several threads. */
+/** Assigns subjects to owners among the members of one view, and caches each assignment. Thread-safe. */
 internal class Owners(view: MembershipView) {
     private val members = ownable(view)
-    private val known = ConcurrentHashMap<String, InstanceId>()
+    private val ownerBySubject = ConcurrentHashMap<String, InstanceId>()
 
-    /** The owner of [subject], or null when there are no members. */
+    /** Returns the owner of [subject], or null if there are no members. */
     fun of(subject: String): Member? {
         if (members.isEmpty()) return null
-        return members[known.computeIfAbsent(subject) { Rendezvous.ranked(it, members.keys).first() }]
+        return members[ownerBySubject.computeIfAbsent(subject) { Rendezvous.ranked(it, members.keys).first() }]
     }
 
-    /** True when [view] has the same members, so that all owners are the same. */
-    fun isOf(view: MembershipView): Boolean = ownable(view).mapValues { it.value.address } ==
+    /** True if [view] has the same ownable members at the same addresses, so that no owner changes. */
+    fun hasMembersOf(view: MembershipView): Boolean = ownable(view).mapValues { it.value.address } ==
         members.mapValues { it.value.address }
 
     private fun ownable(view: MembershipView): Map<InstanceId, Member> =
--- a/gateway/src/main/kotlin/io/oriolehall/gateway/fleet/StateFollower.kt
+++ b/gateway/src/main/kotlin/io/oriolehall/gateway/fleet/StateFollower.kt
@@ -11,13 +11,14 @@
 import io.oriolehall.runtime.TimerService
 
 /**
- * Keeps the published state of this instance up to date from another one that reads the platform, so that the calls to
- * the platform do not grow with the fleet. All state belongs to the control thread.
+ * Keeps the published state of this instance up to date by following another instance that reads the platform, so that
+ * the number of calls to the platform does not grow with the fleet. Also serves the instances that follow this one. All
+ * state is confined to the control thread.
  *
- * @param life the process that this instance is.
+ * @param incarnation incarnation of this instance.
  */
 internal class StateFollower(
-    private val life: Incarnation,
+    private val incarnation: Incarnation,
     private val state: PublishedState,
     private val client: PeerClient,
     private val timers: TimerService,
@@ -25,90 +26,95 @@
     private val confirmedAgoMs: () -> Long,
 ) {
     private var reader: InstanceId? = null
-    private var readerLife: Incarnation? = null
+    private var readerIncarnation: Incarnation? = null
     private var position = 0L
-    private var askedAtMs = Long.MIN_VALUE / 2
+    private var lastQueryAtMs = Long.MIN_VALUE / 2
 
     /** True while other instances follow this one. */
-    val followed: Boolean get() = timers.nowMs() - askedAtMs < FOLLOWED_MS
+    val hasFollowers: Boolean get() = timers.nowMs() - lastQueryAtMs < FOLLOWER_TIMEOUT_MS
 
-    /** Answers an instance that follows this one; null while there is nothing to follow. */
+    /** Answers the query of a follower; null while this instance has no state, or the platform has not answered it. */
     suspend fun answer(query: FollowQuery): FollowAnswer? {
         val arrivedAtMs = timers.nowMs()
-        askedAtMs = arrivedAtMs
+        lastQueryAtMs = arrivedAtMs
         val journal = state.journal
-        if (query.life == life) journal.awaitAfter(query.position, query.waitMs.coerceIn(0, WAIT_MS))
+        if (query.incarnation == incarnation) journal.awaitChange(query.position, query.waitMs.coerceIn(0, MAX_WAIT_MS))
         val asOf = state.asOf ?: return null
-        val heardAtMs = state.heardAtMs ?: return null
-        val trusted = state.trust.current ?: return null
-        val changes = if (query.life == life) journal.after(query.position) else null
+        val platformAnsweredAtMs = state.platformAnsweredAtMs ?: return null
+        val config = state.trust.current ?: return null
+        val changes = if (query.incarnation == incarnation) journal.changesAfter(query.position) else null
         val agoMs = confirmedAgoMs()
         return FollowAnswer(
-            life = life,
+            incarnation = incarnation,
             position = journal.position,
             asOf = asOf,
-            configRevision = trusted.revision,
+            configRevision = config.revision,
             confirmedAgoMs = if (agoMs < 0) agoMs else maxOf(0, agoMs - (timers.nowMs() - arrivedAtMs)),
-            heardAgoMs = timers.nowMs() - heardAtMs,
+            platformAnsweredAgoMs = timers.nowMs() - platformAnsweredAtMs,
             changes = changes.orEmpty(),
             snapshot = if (changes == null) state.snapshot() else null,
         )
     }
 
     /**
-     * Takes in what [member] knows, as soon as something changes there. False when it does not answer, has heard
-     * nothing of the platform for long, or knows less than this instance, which has to read the platform then.
+     * Waits for changes at [member] and applies them. Returns false if it does not answer, has had no answer from the
+     * platform for too long, does not accept API keys, or has an older revision than this instance; this instance then
+     * has to read the platform itself.
      */
     suspend fun follow(member: Member): Boolean {
         val sentAt = state.now()
-        val query = FollowQuery(readerLife.takeIf { reader == member.id }, position, WAIT_MS)
-        val answer = client.call(member.address, FleetChannels.FOLLOW, query, WAIT_MS + ANSWER_MS)
-        val failure = if (answer.isErr) answer.error.message else unusable(answer.value)
+        val query = FollowQuery(readerIncarnation.takeIf { reader == member.id }, position, MAX_WAIT_MS)
+        val answer = client.call(member.address, FleetChannels.FOLLOW, query, MAX_WAIT_MS + ANSWER_MARGIN_MS)
+        val failure = if (answer.isErr) answer.error.message else rejectionReason(answer.value)
         if (failure != null) {
             if (reader != null) log.write(Event.STATE_NOT_FOLLOWED, "reader" to member.id, "reason" to failure)
             reader = null
             return false
         }
-        takeIn(member, answer.value, sentAt)
+        applyAnswer(member, answer.value, sentAt)
         return true
     }
 
-    /** Why [news] cannot be used; null when it can. */
-    private fun unusable(news: FollowAnswer): String? = when {
-        news.heardAgoMs > MAX_HEARD_AGO_MS -> "the platform has not answered it for ${news.heardAgoMs} ms"
-        news.confirmedAgoMs < 0 -> "it suspends keys"
-        news.asOf < (state.asOf ?: 0) -> "it knows revision ${news.asOf}, this instance ${state.asOf}"
+    /** Returns why [answer] cannot be used, or null if it can. */
+    private fun rejectionReason(answer: FollowAnswer): String? = when {
+        answer.platformAnsweredAgoMs > MAX_PLATFORM_SILENCE_MS ->
+            "the platform has not answered it for ${answer.platformAnsweredAgoMs} ms"
+
+        answer.confirmedAgoMs < 0 -> "it suspends keys"
+
+        answer.asOf < (state.asOf ?: 0) -> "it knows revision ${answer.asOf}, this instance ${state.asOf}"
+
         else -> null
     }
 
-    private fun takeIn(member: Member, news: FollowAnswer, sentAt: Moment) {
-        val confirmedAt = sentAt.before(news.confirmedAgoMs)
-        val snapshot = news.snapshot
+    private fun applyAnswer(member: Member, answer: FollowAnswer, sentAt: Moment) {
+        val confirmedAt = sentAt.before(answer.confirmedAgoMs)
+        val snapshot = answer.snapshot
         if (snapshot != null) {
             state.replace(snapshot, confirmedAt, orderly = true, source = "instance ${member.id}")
         } else {
-            state.applyFollowed(news.changes, news.asOf, confirmedAt, source = "instance ${member.id}")
+            state.applyFollowed(answer.changes, answer.asOf, confirmedAt, source = "instance ${member.id}")
         }
-        state.trust.confirm(news.configRevision, confirmedAt)
-        if (reader != member.id) log.write(Event.STATE_FOLLOWED, "reader" to member.id, "asOf" to news.asOf)
+        state.trust.confirm(answer.configRevision, confirmedAt)
+        if (reader != member.id) log.write(Event.STATE_FOLLOWED, "reader" to member.id, "asOf" to answer.asOf)
         reader = member.id
-        readerLife = news.life
-        position = news.position
+        readerIncarnation = answer.incarnation
+        position = answer.position
     }
 
     companion object {
-        /** Longest wait of a reader's watch while it is followed, milliseconds. */
-        const val WATCH_MS = 500L
+        /** Maximum wait of a reader's platform watch while it has followers, in milliseconds. */
+        const val READER_WATCH_MS = 500L
 
-        /** Longest wait of one query, milliseconds. */
-        private const val WAIT_MS = 500L
-        private const val ANSWER_MS = 400L
+        /** Maximum time that a query waits for a change, in milliseconds. */
+        private const val MAX_WAIT_MS = 500L
+        private const val ANSWER_MARGIN_MS = 400L
 
         /**
-         * A reader that the platform has not answered for longer is not followed, milliseconds. With one query's wait
-         * it stays below the shortest bound on putting a configuration in force, 2 s.
+         * A reader that has had no answer from the platform for longer than this is not followed, in milliseconds. The
+         * sum of this and the wait of one query is below 2 s, the shortest bound on putting a configuration in force.
          */
-        private const val MAX_HEARD_AGO_MS = 900L
-        private const val FOLLOWED_MS = 2_000L
+        private const val MAX_PLATFORM_SILENCE_MS = 900L
+        private const val FOLLOWER_TIMEOUT_MS = 2_000L
     }
 }
--- a/gateway/src/main/kotlin/io/oriolehall/gateway/stages/StageMessages.kt
+++ b/gateway/src/main/kotlin/io/oriolehall/gateway/stages/StageMessages.kt
@@ -7,14 +7,15 @@
 import kotlinx.serialization.Serializable
 
 /**
- * Asks the owner of a service's stage queue for all pieces of one stage of one request.
+ * Asks the owner of a service's stage queue to compute all pieces of one stage of a request.
  *
- * @property key input of a stage without predecessors; null for the others.
- * @property inputs handles of the results of the stages before.
- * @property objectiveInMs time until this stage has to be done for the request to be on time, milliseconds.
- * @property preferredZone zone where large results will be fetched; null when it does not matter.
- * @property inputsScarce true when the inputs take scarce memory at the workers that made them.
- * @property deadlineInMs time until the request is given up, milliseconds.
+ * @property key input of a stage without predecessors; null for other stages.
+ * @property inputs handles of the results of the preceding stages.
+ * @property objectiveInMs milliseconds until this stage has to complete for the request to meet its latency objective.
+ * @property preferredZone zone in which the stage should run, because large inputs are stored or large results will be
+ *   fetched there; null if it does not matter.
+ * @property inputsScarce true if the inputs occupy scarce memory at the workers that produced them.
+ * @property deadlineInMs milliseconds until the deadline of the request.
  */
 @Serializable
 data class StageRequest(
@@ -32,7 +33,7 @@
     @SerialName("z") val preferredZone: ZoneId? = null,
 )
 
-/** A result that lies at [worker] in [zone]. */
+/** A result that is stored at [worker] in [zone]. */
 @Serializable
 data class StageResult(
     @SerialName("h") val handle: String,
@@ -40,35 +41,35 @@
     @SerialName("z") val zone: ZoneId,
 )
 
-/** Why a stage has no results. */
+/** Reason why a stage failed. */
 @Serializable
 enum class StageFailure {
-    /** More work waits than can be done in time; [StageAnswer.retryAfterMs] says when to come back. */
+    /** The queue is too long to complete the stage in time; retry after [StageAnswer.retryAfterMs]. */
     OVERLOADED,
 
-    /** No worker of the service can be used. */
+    /** The service has no usable worker. */
     NO_WORKER,
 
-    /** The request's time was over before its turn. */
+    /** The pieces cannot be computed before the deadline of the request. */
     LATE,
 
     /** An input no longer exists. */
     INPUT_GONE,
 
-    /** The workers failed to compute it. */
+    /** The workers failed to compute a piece. */
     FAILED,
 
-    /** The asked instance does not own the queue, or not any more; the pieces that waited have not been computed. */
+    /** The receiver does not own the queue, or no longer does; the pieces have not been computed. */
     NOT_OWNER,
 }
 
 /**
- * Results in the order of the pieces, or a failure; or, before that, the news that the pieces wait in a queue or that
- * the inputs are no longer needed.
+ * The results in the order of the pieces, or a failure. Interim answers may precede it: the pieces are queued, or the
+ * inputs are no longer needed.
  *
- * @property queued true when the pieces wait behind others; results or a failure follow.
- * @property inputsFetched true when all pieces are being computed; results or a failure follow.
- * @property expectedMs time that another stage request would take now, milliseconds.
+ * @property queued true if the pieces are queued behind others; results or a failure follow.
+ * @property inputsFetched true if all pieces are being computed; results or a failure follow.
+ * @property expectedMs estimated duration of another stage request that arrives now, in milliseconds.
  */
 @Serializable
 data class StageAnswer(
@@ -80,7 +81,7 @@
     @SerialName("q") val queued: Boolean = false,
 )
 
-/** Gives up results of a service's workers. */
+/** Asks the owner of a service's stage queue to free results at the workers. */
 @Serializable
 data class StageRelease(@SerialName("s") val service: String, @SerialName("h") val results: List<StageResult>)
 
--- a/gateway/src/main/kotlin/io/oriolehall/gateway/stages/StageOwner.kt
+++ b/gateway/src/main/kotlin/io/oriolehall/gateway/stages/StageOwner.kt
@@ -19,15 +19,15 @@
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
 
-/** Hears of each call to a stage worker, with its pieces and its time in milliseconds. */
+/** Is notified of the end of each call to a stage worker, with its number of pieces and its duration. */
 internal fun interface StageCallObserver {
-    fun ended(service: String, pieces: Int, elapsedMs: Long, answered: Boolean)
+    fun onCallEnded(service: String, pieces: Int, elapsedMs: Long, answered: Boolean)
 }
 
 /**
- * Runs the stage queue of one service for all instances that consider this one its owner: collects pieces into calls,
- * follows the workers, and releases results. Two owners at once are harmless: a worker declines what it has no place
- * for, and a piece may be computed twice. Used on the traffic thread only.
+ * Runs the stage queue of one service for all instances that consider this one its owner: batches pieces into calls,
+ * tracks the state of the workers, and releases results. Two simultaneous owners are harmless: a worker declines calls
+ * for which it has no free slot, and at worst a piece is computed twice. Used on the traffic thread only.
  */
 internal class StageOwner(
     private val service: String,
@@ -38,25 +38,26 @@
     private val log: EventLog,
     private val observer: StageCallObserver = StageCallObserver { _, _, _, _ -> },
 ) {
+    /** The pieces of one stage request; they complete or fail together. */
     private class Group(val request: StageRequest, val fallback: Boolean, val onInputsFetched: suspend () -> Unit) {
         val results = arrayOfNulls<StageResult>(request.pieces)
         val done = CompletableDeferred<StageAnswer>()
         val arrivedAtMs = TrafficLoop.nowMs()
-        var waiting = request.pieces
+        var unstartedPieces = request.pieces
         val complete: Boolean get() = results.all { it != null }
     }
 
     private val queue = StageQueue(limits)
     private val groups = HashMap<Long, Group>()
-    private val states = LinkedHashMap<EndpointLife, StageWorker>()
+    private val workerStates = LinkedHashMap<EndpointLife, StageWorker>()
     private val releases = HashMap<NetworkAddress, MutableList<String>>()
-    private var nextGroup = 0L
-    private var wakeUp: Job? = null
+    private var nextGroupId = 0L
+    private var scheduledDispatch: Job? = null
 
     /**
-     * Computes the pieces of [request] and waits for them. Cancelling the call drops those that still wait.
-     * [fallback] is true when this instance runs them although another one owns the queue and cannot be asked.
-     * [onInputsFetched] is called once when all pieces are being computed: a worker fetches the inputs when it begins.
+     * Computes the pieces of [request] and waits for the results. Cancellation removes the queued pieces.
+     * [fallback] is true if another instance owns the queue but cannot be reached, so that this one runs the pieces.
+     * [onInputsFetched] is called shortly after the last piece has started: workers fetch the inputs at the start.
      */
     suspend fun run(
         request: StageRequest,
@@ -64,36 +65,36 @@
         onInputsFetched: suspend () -> Unit = {},
     ): StageAnswer {
         val nowMs = TrafficLoop.nowMs()
-        refuse(request, nowMs)?.let { return it.copy(expectedMs = expectedMs()) }
-        val id = nextGroup++
+        refusalOf(request, nowMs)?.let { return it.copy(expectedMs = expectedMs()) }
+        val id = nextGroupId++
         val group = Group(request, fallback, onInputsFetched)
         groups[id] = group
-        queue.add(List(request.pieces) { work(request, it, id, nowMs) })
+        queue.add(List(request.pieces) { pieceWork(request, it, id, nowMs) })
         try {
             dispatch()
             return group.done.await().copy(expectedMs = expectedMs())
         } finally {
-            if (groups.remove(id) != null) abandon(group)
+            if (groups.remove(id) != null) discard(group)
         }
     }
 
-    /** Time that a stage request would take now, milliseconds. */
+    /** Estimated duration of a stage request that arrives now, in milliseconds. */
     fun expectedMs(): Long =
         queue.expectedMs(currentWorkers(), TrafficLoop.nowMs()).coerceAtMost(MAX_EXPECTED_MS).toLong()
 
-    /** True when pieces wait, so that the next request takes longer than its calls. */
+    /** True while pieces are queued, so that a new request takes longer than its own calls. */
     val backlogged: Boolean get() = queue.size > 0
 
-    private fun refuse(request: StageRequest, nowMs: Long): StageAnswer? {
-        val usable = currentWorkers()
-        if (usable.isEmpty()) return StageAnswer(failure = StageFailure.NO_WORKER, retryAfterMs = NO_WORKER_RETRY_MS)
-        val estimateMs = queue.estimateMs(usable, request.pieces, nowMs)
-        if (estimateMs <= request.deadlineInMs * USABLE_SHARE) return null
-        val excessMs = (estimateMs - request.deadlineInMs * USABLE_SHARE).coerceAtMost(MAX_RETRY_MS)
+    private fun refusalOf(request: StageRequest, nowMs: Long): StageAnswer? {
+        val current = currentWorkers()
+        if (current.isEmpty()) return StageAnswer(failure = StageFailure.NO_WORKER, retryAfterMs = NO_WORKER_RETRY_MS)
+        val estimateMs = queue.estimateMs(current, request.pieces, nowMs)
+        if (estimateMs <= request.deadlineInMs * MAX_ESTIMATE_SHARE) return null
+        val excessMs = (estimateMs - request.deadlineInMs * MAX_ESTIMATE_SHARE).coerceAtMost(MAX_RETRY_MS)
         return StageAnswer(failure = StageFailure.OVERLOADED, retryAfterMs = excessMs.toLong())
     }
 
-    private fun work(request: StageRequest, piece: Int, group: Long, nowMs: Long) = PieceWork(
+    private fun pieceWork(request: StageRequest, piece: Int, group: Long, nowMs: Long) = PieceWork(
         requestId = request.requestId,
         stage = request.stage,
         piece = piece,
@@ -108,73 +109,73 @@
         priority = request.priority,
     )
 
-    private fun abandon(group: Group) {
+    private fun discard(group: Group) {
         queue.cancel(group.request.requestId)
         release(group.results.filterNotNull())
     }
 
-    /** Gives the groups of which nothing has begun back to the instances that asked: another one owns the queue now. */
+    /** Returns groups without a started piece to the requesting instances, because another one owns the queue now. */
     fun handOver() {
-        val idle = groups.filterValues { !it.fallback && it.waiting == it.request.pieces }.keys.toList()
-        idle.forEach { fail(it, StageFailure.NOT_OWNER) }
+        val unstarted = groups.filterValues { !it.fallback && it.unstartedPieces == it.request.pieces }.keys.toList()
+        unstarted.forEach { failGroup(it, StageFailure.NOT_OWNER) }
     }
 
-    private fun fail(id: Long, failure: StageFailure) {
+    private fun failGroup(id: Long, failure: StageFailure) {
         val group = groups.remove(id) ?: return
         group.done.complete(StageAnswer(failure = failure))
-        abandon(group)
+        discard(group)
     }
 
     private fun currentWorkers(): List<StageWorker> {
         val records = workers()
-        val lives = records.mapTo(HashSet(), EndpointRecord::life)
-        states.keys.removeIf { it !in lives }
-        return records.map { record -> states.getOrPut(record.life) { StageWorker(record, limits) } }
+        val registered = records.mapTo(HashSet(), EndpointRecord::life)
+        workerStates.keys.removeIf { it !in registered }
+        return records.map { record -> workerStates.getOrPut(record.life) { StageWorker(record, limits) } }
     }
 
-    /** Starts all calls that can start now. */
+    /** Starts all calls for which a worker has capacity. */
     private fun dispatch() {
         val nowMs = TrafficLoop.nowMs()
-        queue.removeHopeless(nowMs).map(PieceWork::group).distinct().forEach { fail(it, StageFailure.LATE) }
-        val usable = currentWorkers()
+        queue.removeHopeless(nowMs).map(PieceWork::group).distinct().forEach { failGroup(it, StageFailure.LATE) }
+        val current = currentWorkers()
         while (true) {
-            val call = queue.next(usable, TrafficLoop.nowMs()) ?: break
+            val call = queue.next(current, TrafficLoop.nowMs()) ?: break
             val expectedEndMs = call.worker.began(call, TrafficLoop.nowMs())
-            noteStarted(call)
-            scope.launch { perform(call, expectedEndMs) }
+            recordCallStarted(call)
+            scope.launch { runCall(call, expectedEndMs) }
         }
-        if (queue.size > 0) wakeLater()
+        if (queue.size > 0) scheduleDispatch()
     }
 
-    private fun noteStarted(call: PlannedCall) {
+    private fun recordCallStarted(call: PlannedCall) {
         for (piece in call.pieces) {
             val group = groups[piece.group] ?: continue
-            group.waiting--
-            if (group.waiting > 0 || group.request.inputs.isEmpty()) continue
+            group.unstartedPieces--
+            if (group.unstartedPieces > 0 || group.request.inputs.isEmpty()) continue
             scope.launch {
-                delay(FETCH_MS)
-                if (groups[piece.group] === group && group.waiting == 0) group.onInputsFetched()
+                delay(INPUT_FETCH_MS)
+                if (groups[piece.group] === group && group.unstartedPieces == 0) group.onInputsFetched()
             }
         }
     }
 
     private fun requeue(piece: PieceWork) {
         val group = groups[piece.group] ?: return
-        group.waiting++
+        group.unstartedPieces++
         queue.add(listOf(piece))
     }
 
-    /** Looks again soon: a worker that was left out may be tried, and pieces may run out of time. */
-    private fun wakeLater() {
-        if (wakeUp?.isActive == true) return
-        wakeUp = scope.launch {
-            delay(LOOK_AGAIN_MS)
-            wakeUp = null
+    /** Dispatches again after a short delay: an excluded worker may be usable by then, and deadlines may expire. */
+    private fun scheduleDispatch() {
+        if (scheduledDispatch?.isActive == true) return
+        scheduledDispatch = scope.launch {
+            delay(DISPATCH_RETRY_MS)
+            scheduledDispatch = null
             dispatch()
         }
     }
 
-    private suspend fun perform(call: PlannedCall, expectedEndMs: Long) {
+    private suspend fun runCall(call: PlannedCall, expectedEndMs: Long) {
         val worker = call.worker
         val startedAtMs = TrafficLoop.nowMs()
         val timeoutMs = (worker.expectedMs(call.pieces.size) * TIMEOUT_FACTOR).toLong() + TIMEOUT_SLACK_MS
@@ -186,7 +187,9 @@
         when (answer) {
             is StageCallAnswer.Done -> {
                 worker.health.succeeded(elapsedMs.toDouble())
-                call.pieces.zip(answer.outcomes).forEach { (piece, outcome) -> settle(worker, piece, outcome, nowMs) }
+                call.pieces.zip(answer.outcomes).forEach { (piece, outcome) ->
+                    handleOutcome(worker, piece, outcome, nowMs)
+                }
             }
 
             is StageCallAnswer.Declined -> {
@@ -194,7 +197,7 @@
                 call.pieces.forEach(::requeue)
             }
 
-            is StageCallAnswer.Broken -> {
+            is StageCallAnswer.Failed -> {
                 worker.health.failed(nowMs)
                 call.pieces.forEach(::retry)
             }
@@ -204,7 +207,7 @@
     }
 
     private fun logCall(call: PlannedCall, answer: StageCallAnswer, elapsedMs: Long) {
-        observer.ended(service, call.pieces.size, elapsedMs, answer is StageCallAnswer.Done)
+        observer.onCallEnded(service, call.pieces.size, elapsedMs, answer is StageCallAnswer.Done)
         val event = if (answer is StageCallAnswer.Done) Event.STAGE_CALL_ENDED else Event.STAGE_CALL_FAILED
         log.write(
             event,
@@ -217,13 +220,13 @@
         )
     }
 
-    private fun settle(worker: StageWorker, piece: PieceWork, outcome: PieceOutcome, nowMs: Long) {
+    private fun handleOutcome(worker: StageWorker, piece: PieceWork, outcome: PieceOutcome, nowMs: Long) {
         when (outcome) {
             is PieceOutcome.Done -> deliver(worker, piece, outcome.handle, nowMs)
 
-            PieceOutcome.Late -> fail(piece.group, StageFailure.LATE)
+            PieceOutcome.Late -> failGroup(piece.group, StageFailure.LATE)
 
-            PieceOutcome.InputGone -> fail(piece.group, StageFailure.INPUT_GONE)
+            PieceOutcome.InputGone -> failGroup(piece.group, StageFailure.INPUT_GONE)
 
             PieceOutcome.Failed -> retry(piece)
 
@@ -251,23 +254,23 @@
 
     private fun retry(piece: PieceWork) {
         piece.failures++
-        if (piece.failures > MAX_FAILURES) {
-            fail(piece.group, StageFailure.FAILED)
+        if (piece.failures > MAX_PIECE_FAILURES) {
+            failGroup(piece.group, StageFailure.FAILED)
             return
         }
         requeue(piece)
     }
 
-    /** Frees [results] at their workers, a few at a time. */
+    /** Frees [results] at their workers, in batches. */
     fun release(results: List<StageResult>) {
         if (results.isEmpty()) return
-        val first = releases.isEmpty()
+        val startsBatch = releases.isEmpty()
         results.forEach { releases.getOrPut(it.worker) { mutableListOf() } += it.handle }
-        if (first) scope.launch { sendReleases() }
+        if (startsBatch) scope.launch { sendReleases() }
     }
 
     private suspend fun sendReleases() {
-        delay(COLLECT_RELEASES_MS)
+        delay(RELEASE_BATCH_DELAY_MS)
         val batch = releases.toMap()
         releases.clear()
         val byAddress = currentWorkers().associateBy { it.endpoint.address }
@@ -277,7 +280,7 @@
         }
     }
 
-    /** The memory counts as taken until the worker has answered: a call that begins before finds no room there. */
+    /** Counts the memory as used until the worker has answered, because a call that starts earlier finds no room. */
     private suspend fun free(worker: StageWorker, handles: List<String>) {
         if (!client.free(worker.endpoint, handles)) return
         handles.forEach(worker::freed)
@@ -285,20 +288,20 @@
     }
 
     private companion object {
-        /** Part of the time left that the estimate may take; the rest is for the stages that follow. */
-        const val USABLE_SHARE = 0.7
+        /** Maximum share of the remaining time that the estimate may take; the rest is for the stages that follow. */
+        const val MAX_ESTIMATE_SHARE = 0.7
         const val MAX_EXPECTED_MS = 60_000.0
         const val NO_WORKER_RETRY_MS = 500L
         const val MAX_RETRY_MS = 3_000.0
-        const val LOOK_AGAIN_MS = 50L
+        const val DISPATCH_RETRY_MS = 50L
 
-        /** A call is given up when it takes this many times as long as expected, and the slack. */
+        /** The timeout of a call is its expected duration times this factor, plus the slack. */
         const val TIMEOUT_FACTOR = 2.5
         const val TIMEOUT_SLACK_MS = 300L
-        const val MAX_FAILURES = 2
+        const val MAX_PIECE_FAILURES = 2
 
-        /** Time in which a worker that begins a call has fetched its inputs, milliseconds; a few MB at some Gbit/s. */
-        const val FETCH_MS = 60L
-        const val COLLECT_RELEASES_MS = 10L
+        /** Time that a worker takes to fetch the inputs of a call, in milliseconds: a few MB at some Gbit/s. */
+        const val INPUT_FETCH_MS = 60L
+        const val RELEASE_BATCH_DELAY_MS = 10L
     }
 }
--- a/gateway/src/main/kotlin/io/oriolehall/gateway/stages/StageService.kt
+++ b/gateway/src/main/kotlin/io/oriolehall/gateway/stages/StageService.kt
@@ -14,11 +14,11 @@
 import kotlinx.coroutines.withContext
 
 /**
- * Sends the pieces of a stage to the owner of the service's queue, which is one instance of the fleet, so that calls
- * are filled from all instances. When the owner cannot be reached, this instance runs the queue itself. Used on the
- * traffic thread only.
+ * Sends the pieces of a stage to the owner of the service's stage queue. A single instance of the fleet owns the queue,
+ * so that calls to workers batch the pieces of all instances. If the owner cannot be reached, this instance runs the
+ * pieces itself. Used on the traffic thread only.
  *
- * @param ownerOf the instance that owns the queue of a service now.
+ * @param ownerOf returns the current owner of a service's stage queue.
  */
 class StageService internal constructor(
     private val self: InstanceId,
@@ -31,18 +31,18 @@
     private val log: EventLog,
     private val observer: StageCallObserver,
 ) {
-    private val owned = HashMap<String, StageOwner>()
+    private val stageOwners = HashMap<String, StageOwner>()
 
-    /** How long stages take now. */
+    /** Current estimates of stage durations. */
     internal val loads = StageLoads()
 
-    /** Answers the requests of other instances. */
+    /** Registers the handlers for requests of other instances. */
     fun start(server: PeerServer) {
         server.serve(StageChannels.RUN) { request, emit ->
-            val answer = withContext(scope.coroutineContext.minusJob()) {
-                if (owns(request.service)) {
+            val answer = withContext(scope.coroutineContext.withoutJob()) {
+                if (ownsQueue(request.service)) {
                     backlogMs(request.service)?.let { emit(StageAnswer(queued = true, expectedMs = it)) }
-                    runHere(request, fallback = false) { emit(StageAnswer(inputsFetched = true)) }
+                    runLocally(request, fallback = false) { emit(StageAnswer(inputsFetched = true)) }
                 } else {
                     StageAnswer(failure = StageFailure.NOT_OWNER)
                 }
@@ -50,37 +50,38 @@
             emit(answer)
         }
         server.answer(StageChannels.RELEASE) { release ->
-            withContext(scope.coroutineContext.minusJob()) { releaseHere(release) }
+            withContext(scope.coroutineContext.withoutJob()) { releaseLocally(release) }
         }
     }
 
     /**
-     * Computes the pieces of [request] at the owner of the queue; when the queue changes its owner, at the new one.
+     * Computes the pieces of [request] at the owner of the queue, or at the new owner if the queue moves meanwhile.
      * [onInputsFetched] is called when the inputs are no longer needed.
      */
     suspend fun run(request: StageRequest, onInputsFetched: () -> Unit): StageAnswer {
         val startMs = TrafficLoop.nowMs()
-        val asked = mutableSetOf<InstanceId>()
-        repeat(MAX_OWNERS) {
-            val owner = ownerOf(request.service)?.takeIf { asked.add(it.id) } ?: return@repeat
-            val rest = request.after(TrafficLoop.nowMs() - startMs)
-            val answer = if (owner.id == self) runOwned(rest, onInputsFetched) else ask(owner, rest, onInputsFetched)
+        val triedOwners = mutableSetOf<InstanceId>()
+        repeat(MAX_OWNER_ATTEMPTS) {
+            val owner = ownerOf(request.service)?.takeIf { triedOwners.add(it.id) } ?: return@repeat
+            val updated = request.withElapsed(TrafficLoop.nowMs() - startMs)
+            val answer =
+                if (owner.id == self) runAsOwner(updated, onInputsFetched) else sendTo(owner, updated, onInputsFetched)
             if (answer != null) return answer
         }
-        val answer = runHere(request.after(TrafficLoop.nowMs() - startMs), fallback = true, onInputsFetched)
+        val answer = runLocally(request.withElapsed(TrafficLoop.nowMs() - startMs), fallback = true, onInputsFetched)
         return answer.also { loads.note(request.service, it.expectedMs, TrafficLoop.nowMs()) }
     }
 
-    /** The answer of this instance as the owner; null when another one has become the owner. */
-    private suspend fun runOwned(request: StageRequest, onInputsFetched: () -> Unit): StageAnswer? {
+    /** Runs [request] as the owner of the queue. Returns null if another instance has become the owner. */
+    private suspend fun runAsOwner(request: StageRequest, onInputsFetched: () -> Unit): StageAnswer? {
         backlogMs(request.service)?.let { loads.note(request.service, it, TrafficLoop.nowMs()) }
-        val answer = runHere(request, fallback = false, onInputsFetched)
+        val answer = runLocally(request, fallback = false, onInputsFetched)
         loads.note(request.service, answer.expectedMs, TrafficLoop.nowMs())
         return answer.takeIf { it.failure != StageFailure.NOT_OWNER }
     }
 
-    /** The answer of [owner]; null when it cannot be reached or does not own the queue. */
-    private suspend fun ask(owner: Member, request: StageRequest, onInputsFetched: () -> Unit): StageAnswer? {
+    /** Sends [request] to [owner]. Returns null if it cannot be reached or does not own the queue. */
+    private suspend fun sendTo(owner: Member, request: StageRequest, onInputsFetched: () -> Unit): StageAnswer? {
         var answer: StageAnswer? = null
         peers.stream(owner.address, StageChannels.RUN, request, maxOf(1, request.deadlineInMs)) { item ->
             when {
@@ -89,67 +90,68 @@
                 else -> answer = item
             }
         }
-        val last = answer?.takeIf { it.failure != StageFailure.NOT_OWNER }
-        if (last != null) loads.note(request.service, last.expectedMs, TrafficLoop.nowMs())
-        return last
+        val finalAnswer = answer?.takeIf { it.failure != StageFailure.NOT_OWNER }
+        if (finalAnswer != null) loads.note(request.service, finalAnswer.expectedMs, TrafficLoop.nowMs())
+        return finalAnswer
     }
 
     /**
-     * Time that a stage request takes where others wait before it; null where none do. Said when a request arrives: its
-     * answer comes only after that time, when a jump in traffic has already been let in.
+     * Estimated duration of a stage request in milliseconds if pieces are queued ahead of it, otherwise null. It is
+     * reported when a request arrives, because the final answer comes too late for admission control: by then, a surge
+     * in traffic has already been admitted.
      */
     private fun backlogMs(service: String): Long? =
-        owner(service)?.takeIf(StageOwner::backlogged)?.let(StageOwner::expectedMs)
+        stageOwner(service)?.takeIf(StageOwner::backlogged)?.let(StageOwner::expectedMs)
 
-    private fun StageRequest.after(elapsedMs: Long) =
+    private fun StageRequest.withElapsed(elapsedMs: Long) =
         copy(objectiveInMs = objectiveInMs - elapsedMs, deadlineInMs = deadlineInMs - elapsedMs)
 
-    private fun owns(service: String): Boolean = ownerOf(service)?.let { it.id == self } ?: true
+    private fun ownsQueue(service: String): Boolean = ownerOf(service)?.let { it.id == self } ?: true
 
-    /** Gives waiting pieces back where another instance owns the queue now. */
-    fun handOver() = owned.forEach { (service, owner) -> if (!owns(service)) owner.handOver() }
+    /** Returns unstarted pieces to the requesting instances for queues that another instance owns now. */
+    fun handOver() = stageOwners.forEach { (service, owner) -> if (!ownsQueue(service)) owner.handOver() }
 
-    /** Frees [results] of [service]; nobody waits for it. */
+    /** Frees [results] of [service] in the background. */
     fun release(service: String, results: List<StageResult>) {
         if (results.isEmpty()) return
         val release = StageRelease(service, results)
         val owner = ownerOf(service)
         scope.launch {
             if (owner == null || owner.id == self) {
-                releaseHere(release)
+                releaseLocally(release)
             } else {
-                val told = peers.call(owner.address, StageChannels.RELEASE, release, RELEASE_TIMEOUT_MS)
-                if (told.isErr) releaseHere(release)
+                val response = peers.call(owner.address, StageChannels.RELEASE, release, RELEASE_TIMEOUT_MS)
+                if (response.isErr) releaseLocally(release)
             }
         }
     }
 
-    private suspend fun runHere(
+    private suspend fun runLocally(
         request: StageRequest,
         fallback: Boolean,
         onInputsFetched: suspend () -> Unit,
-    ): StageAnswer = owner(request.service)?.run(request, fallback, onInputsFetched)
+    ): StageAnswer = stageOwner(request.service)?.run(request, fallback, onInputsFetched)
         ?: StageAnswer(failure = StageFailure.NO_WORKER)
 
-    private fun releaseHere(release: StageRelease): StageReleased {
-        owner(release.service)?.release(release.results)
+    private fun releaseLocally(release: StageRelease): StageReleased {
+        stageOwner(release.service)?.release(release.results)
         return StageReleased(release.results.size)
     }
 
-    private fun owner(service: String): StageOwner? {
-        owned[service]?.let { return it }
+    private fun stageOwner(service: String): StageOwner? {
+        stageOwners[service]?.let { return it }
         val limits = table()?.service(service)?.pieces ?: return null
         val owner = StageOwner(service, limits, { workers(service) }, client, scope, log, observer)
-        owned[service] = owner
+        stageOwners[service] = owner
         return owner
     }
 
-    private fun kotlin.coroutines.CoroutineContext.minusJob() = minusKey(kotlinx.coroutines.Job)
+    private fun kotlin.coroutines.CoroutineContext.withoutJob() = minusKey(kotlinx.coroutines.Job)
 
     private companion object {
         const val RELEASE_TIMEOUT_MS = 500L
 
-        /** Owners that are tried for one stage before this instance runs it whoever owns the queue. */
-        const val MAX_OWNERS = 2
+        /** Owners that are tried for one stage before this instance runs it without owning the queue. */
+        const val MAX_OWNER_ATTEMPTS = 2
     }
 }
--- a/gateway/src/main/kotlin/io/oriolehall/gateway/stages/StageWorkerClient.kt
+++ b/gateway/src/main/kotlin/io/oriolehall/gateway/stages/StageWorkerClient.kt
@@ -13,41 +13,41 @@
 import kotlinx.coroutines.withTimeoutOrNull
 import java.io.ByteArrayOutputStream
 
-/** How a call to a stage worker ended. */
+/** Result of a call to a stage worker. */
 internal sealed interface StageCallAnswer {
     data class Done(val outcomes: List<PieceOutcome>) : StageCallAnswer
 
-    /** The worker said that it did not run the call. */
+    /** The worker reported that it did not run the call. */
     data class Declined(val status: Int) : StageCallAnswer
 
-    /** No usable answer. */
-    data class Broken(val reason: String) : StageCallAnswer
+    /** The call failed without a usable answer; the worker may have run it. */
+    data class Failed(val reason: String) : StageCallAnswer
 
     fun describe(): String = when (this) {
         is Done -> outcomes.groupingBy { it::class.simpleName }.eachCount().toString()
         is Declined -> "declined with $status"
-        is Broken -> reason
+        is Failed -> reason
     }
 }
 
-/** Calls stage workers over kept connections. Used on the traffic thread only. */
+/** Calls stage workers over pooled connections. Used on the traffic thread only. */
 internal class StageWorkerClient(private val pools: EndpointPools, private val wire: WireProtocol) {
     private class Answer(val status: Int, val headers: HttpHeaders, val body: ByteArray)
 
     suspend fun run(endpoint: EndpointRecord, pieces: List<PieceWork>, timeoutMs: Long): StageCallAnswer {
         val body = wire.stageCalls.encodeRun(pieces, TrafficLoop.nowMs())
         val answer = call(endpoint, wire.stageCalls.runPath, body, timeoutMs)
-        if (answer is CallOutcome.Failed) return StageCallAnswer.Broken(answer.reason)
+        if (answer is CallOutcome.Failed) return StageCallAnswer.Failed(answer.reason)
         val response = (answer as CallOutcome.Answered).answer
         if (response.headers.contains(wire.headers.notExecuted) || response.status == MISDIRECTED) {
             return StageCallAnswer.Declined(response.status)
         }
         val outcomes = if (response.status == OK) wire.stageCalls.decodeRun(response.body) else null
-        if (outcomes?.size != pieces.size) return StageCallAnswer.Broken("answer ${response.status} cannot be used")
+        if (outcomes?.size != pieces.size) return StageCallAnswer.Failed("answer ${response.status} cannot be used")
         return StageCallAnswer.Done(outcomes)
     }
 
-    /** Frees results. False when the worker did not say that it has: they expire later. */
+    /** Frees results at the worker. Returns false if the worker did not confirm it; the results then expire later. */
     suspend fun free(endpoint: EndpointRecord, handles: List<String>): Boolean {
         val answer = call(endpoint, wire.stageCalls.freePath, wire.stageCalls.encodeFree(handles), FREE_TIMEOUT_MS)
         return answer is CallOutcome.Answered && answer.answer.status == OK
@@ -69,17 +69,17 @@
         val acquired = pool.acquire()
         if (acquired.isErr) return CallOutcome.Failed(acquired.error.message)
         val connection = acquired.value
-        var whole = false
+        var answered = false
         try {
             if (!connection.send("POST", path, headers(endpoint, body, timeoutMs), body)) {
                 return CallOutcome.Failed("connection closed")
             }
             val answer = withTimeoutOrNull(timeoutMs) { receive(connection) }
                 ?: return CallOutcome.Failed("no answer in $timeoutMs ms")
-            whole = answer is CallOutcome.Answered
+            answered = answer is CallOutcome.Answered
             return answer
         } finally {
-            if (whole) pool.release(connection) else pool.discard(connection)
+            if (answered) pool.release(connection) else pool.discard(connection)
         }
     }
 
@@ -102,8 +102,8 @@
                 is UpstreamEvent.Broken -> return CallOutcome.Failed(event.reason)
 
                 UpstreamEvent.End -> {
-                    val seen = head ?: return CallOutcome.Failed("answer without a head")
-                    return CallOutcome.Answered(Answer(seen.status, seen.headers, body.toByteArray()))
+                    val received = head ?: return CallOutcome.Failed("answer without a head")
+                    return CallOutcome.Answered(Answer(received.status, received.headers, body.toByteArray()))
                 }
             }
         }
--- a/gateway/src/test/kotlin/io/oriolehall/gateway/fleet/PlatformReadersTest.kt
+++ b/gateway/src/test/kotlin/io/oriolehall/gateway/fleet/PlatformReadersTest.kt
@@ -31,38 +31,38 @@
     private fun fleet(perZone: Int, zones: Int): List<Member> =
         List(perZone * zones) { member(it + 1, "z${it % zones}") }
 
-    private fun followed(self: Member, members: List<Member>): Member? = PlatformReaders.followedBy(
+    private fun readerOf(self: Member, members: List<Member>): Member? = PlatformReaders.readerFor(
         MembershipView(self.id, self.zone, members.associateBy(Member::id).toPersistentMap()),
     )
 
     @Test
     fun `all instances of a small zone read the platform`() {
         val members = fleet(perZone = 3, zones = 3)
-        expectThat(members.map { followed(it, members) }).all { isNull() }
+        expectThat(members.map { readerOf(it, members) }).all { isNull() }
     }
 
     @Test
     fun `in a large fleet a few of each zone read and the others follow one of those`() {
         val members = fleet(perZone = 44, zones = 8)
-        val (readers, followers) = members.partition { followed(it, members) == null }
+        val (readers, followers) = members.partition { readerOf(it, members) == null }
         expectThat(readers).hasSize(3 * 8)
         for (follower in followers) {
-            val reader = checkNotNull(followed(follower, members))
+            val reader = checkNotNull(readerOf(follower, members))
             expectThat(readers).contains(reader)
             expectThat(reader.zone) isEqualTo follower.zone
         }
-        val most = followers.groupingBy { followed(it, members) }.eachCount().values.max()
-        expectThat(most).describedAs("followers of one reader").isLessThanOrEqualTo(2 * 44 / 3)
+        val maxFollowers = followers.groupingBy { readerOf(it, members) }.eachCount().values.max()
+        expectThat(maxFollowers).describedAs("followers of one reader").isLessThanOrEqualTo(2 * 44 / 3)
     }
 
     @Test
     fun `a reader that leaves or is dead is followed no more`() {
         val members = fleet(perZone = 20, zones = 1)
-        val follower = members.first { followed(it, members) != null }
-        val reader = checkNotNull(followed(follower, members))
+        val follower = members.first { readerOf(it, members) != null }
+        val reader = checkNotNull(readerOf(follower, members))
         for (state in listOf(MemberState.LEAVING, MemberState.DEAD, MemberState.LEFT)) {
             val after = members.map { if (it.id == reader.id) it.copy(state = state) else it }
-            expectThat(followed(follower, after)?.id) isNotEqualTo reader.id
+            expectThat(readerOf(follower, after)?.id) isNotEqualTo reader.id
         }
     }
 }
--- a/gateway/src/test/kotlin/io/oriolehall/gateway/fleet/StateFollowerTest.kt
+++ b/gateway/src/test/kotlin/io/oriolehall/gateway/fleet/StateFollowerTest.kt
@@ -38,7 +38,7 @@
 import strikt.assertions.isLessThanOrEqualTo
 import strikt.assertions.isTrue
 
-/** A reader and a follower on loopback, with the platform's news put into the reader by hand. */
+/** Runs a reader and a follower on the loopback interface; the tests apply the platform's changes to the reader. */
 class StateFollowerTest {
     private val log = EventLog { _, _ -> }
 
@@ -51,9 +51,9 @@
     private val server = PeerServer(selector, scope, log)
     private val readerState = PublishedState(timers, log)
     private val state = PublishedState(timers, log)
-    private val life = Incarnation(1, 1)
+    private val readerIncarnation = Incarnation(1, 1)
     private var confirmedAgoMs = 0L
-    private val reader = StateFollower(life, readerState, client, timers, log) { confirmedAgoMs }
+    private val reader = StateFollower(readerIncarnation, readerState, client, timers, log) { confirmedAgoMs }
     private val follower = StateFollower(Incarnation(2, 2), state, client, timers, log) { 0 }
     private val config = ServingConfig(1, emptyList(), emptyList(), CallerLimits(), emptyList())
 
@@ -67,32 +67,32 @@
     private fun record(id: String, draining: Boolean = false) =
         EndpointRecord(EndpointId(id), 1, "s", NetworkAddress("127.0.0.1", 1), ZoneId("z"), 1, draining, coldForMs = 0)
 
-    private fun played(play: suspend (Member) -> Unit) = runBlocking {
+    private fun withReader(test: suspend (Member) -> Unit) = runBlocking {
         server.serve(FleetChannels.FOLLOW) { query, emit ->
             withContext(control) { reader.answer(query) }?.let { emit(it) }
         }
         val address = server.start(NetworkAddress("127.0.0.1", 0))
         withContext(control) {
             val snapshot = FeedSnapshot(10, 7, config, listOf(record("a"), record("b")), listOf(ZoneId("y")))
-            readerState.noteHeard()
+            readerState.recordPlatformAnswer()
             readerState.replace(snapshot, readerState.now(), orderly = true, source = "test")
-            play(Member(InstanceId("r"), ZoneId("z"), address, life, MemberState.ALIVE, 0))
+            test(Member(InstanceId("r"), ZoneId("z"), address, readerIncarnation, MemberState.ALIVE, 0))
         }
     }
 
-    private fun news(revision: Long, vararg changes: PublishedChange) {
-        readerState.noteHeard()
+    private fun publish(revision: Long, vararg changes: PublishedChange) {
+        readerState.recordPlatformAnswer()
         readerState.apply(FeedChanges(revision, changes.toList()), readerState.now())
     }
 
     @Test
-    fun `a follower takes everything first and then each change as it comes`() = played { member ->
+    fun `a follower takes everything first and then each change as it comes`() = withReader { member ->
         expectThat(follower.follow(member)).isTrue()
         expectThat(state.endpoints) isEqualTo readerState.endpoints
         expectThat(state.trust.current?.revision) isEqualTo 7
         val waiting = scope.async { follower.follow(member) }
         yield()
-        news(
+        publish(
             12,
             PublishedChange.EndpointRegistered(record("a", draining = true)),
             PublishedChange.EndpointWithdrawn(EndpointId("b")),
@@ -108,16 +108,16 @@
     }
 
     @Test
-    fun `a follower that fell out of the kept changes takes everything`() = played { member ->
+    fun `a follower that fell out of the kept changes takes everything`() = withReader { member ->
         follower.follow(member)
-        repeat(3_000) { news(11L + it, PublishedChange.EndpointRegistered(record("n$it"))) }
-        readerState.noteHeard()
+        repeat(3_000) { publish(11L + it, PublishedChange.EndpointRegistered(record("n$it"))) }
+        readerState.recordPlatformAnswer()
         expectThat(follower.follow(member)).isTrue()
         expectThat(state.endpoints) isEqualTo readerState.endpoints
     }
 
     @Test
-    fun `a confirmation is not made younger on its way`() = played { member ->
+    fun `a confirmation is not made younger on its way`() = withReader { member ->
         confirmedAgoMs = 1_200
         val beforeMs = state.now().ms
         follower.follow(member)
@@ -127,35 +127,38 @@
     }
 
     @Test
-    fun `a reader that suspends keys is not followed`() = played { member ->
+    fun `a reader that suspends keys is not followed`() = withReader { member ->
         confirmedAgoMs = -1
         expectThat(follower.follow(member)).isFalse()
     }
 
-    /** The shortest bound on putting a configuration in force is 2 s; the reader alone may be cut off. */
+    /**
+     * A reader may be cut off from the platform while its followers are not. They must stop following it in time for
+     * the shortest bound on putting a configuration in force, 2 s.
+     */
     @Test
-    fun `a reader that the platform does not answer any more is left in time`() = played { member ->
+    fun `a reader that the platform does not answer any more is left in time`() = withReader { member ->
         expectThat(follower.follow(member)).isTrue()
-        val lostAtMs = timers.nowMs()
-        while (follower.follow(member)) check(timers.nowMs() - lostAtMs < 10_000) { "it is followed for ever" }
-        expectThat(timers.nowMs() - lostAtMs).isLessThanOrEqualTo(1_800)
+        val lastAnswerAtMs = timers.nowMs()
+        while (follower.follow(member)) check(timers.nowMs() - lastAnswerAtMs < 10_000) { "still followed after 10 s" }
+        expectThat(timers.nowMs() - lastAnswerAtMs).isLessThanOrEqualTo(1_800)
     }
 
     @Test
-    fun `nothing goes back where the follower knows more than its reader`() = played { member ->
+    fun `nothing goes back where the follower knows more than its reader`() = withReader { member ->
         follower.follow(member)
         state.apply(
             FeedChanges(20, listOf(PublishedChange.EndpointRegistered(record("a", draining = true)))),
             state.now(),
         )
-        news(15, PublishedChange.EndpointRegistered(record("c")))
+        publish(15, PublishedChange.EndpointRegistered(record("c")))
         expectThat(follower.follow(member)).isFalse()
         expectThat(state.endpoints.endpoints[EndpointId("a")]?.draining) isEqualTo true
         expectThat(state.asOf) isEqualTo 20
     }
 
     @Test
-    fun `a reader that is gone is not followed`() = played { member ->
+    fun `a reader that is gone is not followed`() = withReader { member ->
         follower.follow(member)
         val gone = member.copy(address = NetworkAddress("127.0.0.1", 1))
         expectThat(follower.follow(gone)).isFalse()
--- a/gateway/src/test/kotlin/io/oriolehall/gateway/stages/StageFixtures.kt
+++ b/gateway/src/test/kotlin/io/oriolehall/gateway/stages/StageFixtures.kt
@@ -4,8 +4,8 @@
 import io.oriolehall.gateway.wire.PieceOutcome
 import io.oriolehall.gateway.wire.StageCalls
 
-/** A call's body holds the number of its pieces, an answer's body is ignored. */
-internal object CountCalls : StageCalls {
+/** Encodes a call as the number of its pieces, and decodes any answer as a single result. */
+internal object PieceCountCalls : StageCalls {
     override val runPath = "/run"
     override val freePath = "/free"
     override val contentType = "text/plain"
--- a/gateway/src/test/kotlin/io/oriolehall/gateway/stages/StageOwnerTest.kt
+++ b/gateway/src/test/kotlin/io/oriolehall/gateway/stages/StageOwnerTest.kt
@@ -29,16 +29,19 @@
     private val log = EventLog { _, _ -> }
     private val limits = PieceLimits(1, batch = 1, 2_000.0, 10.0, resultRoomBytes = 1_000, resultLifetimeMs = 4_000)
 
-    /** Found in incident inc-1449: what an instance ran because its owner was away was given back at once. */
+    /**
+     * Guards against incident inc-1449: a request that an instance ran as a fallback, because the owner of the queue
+     * could not be reached, was returned immediately when the queue was handed over.
+     */
     @Test
     fun `what waits is given back when the queue moves, but not what no other instance could be asked for`() {
-        val goOn = CountDownLatch(1)
+        val resumeWorker = CountDownLatch(1)
         val worker = ScriptedEndpoint {
-            if (number == 1) goOn.await()
+            if (number == 1) resumeWorker.await()
             answer(body = "x")
         }
         val loop = TrafficLoop(log)
-        val wire = WireProtocol(GatewayUnderTest.HEADERS, CountCalls, "Bearer", "/ready")
+        val wire = WireProtocol(GatewayUnderTest.HEADERS, PieceCountCalls, "Bearer", "/ready")
         val record = EndpointRecord(EndpointId("w"), 1, "s", worker.address, ZoneId("z"), 1, false, 0)
         val client = StageWorkerClient(EndpointPools(Connector(loop)), wire)
         val owner = StageOwner("s", limits, { listOf(record) }, client, loop.scope, log)
@@ -50,7 +53,7 @@
                     async(start = CoroutineStart.UNDISPATCHED) { owner.run(stageRequest("fallback"), fallback = true) },
                 )
                 owner.handOver()
-                goOn.countDown()
+                resumeWorker.countDown()
                 answers.map { it.await() }
             }
         }
@@ -61,24 +64,27 @@
         worker.close()
     }
 
-    /** Found on quiet-1 of pcta-fittings: calls found no room (46 pieces), and their inputs had been freed by then. */
+    /**
+     * Guards against a failure of scenario quiet-1 of pcta-fittings: calls were sent to workers before these had freed
+     * memory, so that 46 pieces found no room. By then, the inputs of these pieces had been freed.
+     */
     @Test
     fun `memory counts as taken until the worker has answered that it is free`() {
         val order = CopyOnWriteArrayList<String>()
         val secondRun = CountDownLatch(2)
         val worker = ScriptedEndpoint {
             order += head.first().split(' ')[1]
-            if (order.last() == CountCalls.runPath) secondRun.countDown()
-            if (order.last() == CountCalls.freePath) secondRun.await(300, TimeUnit.MILLISECONDS)
+            if (order.last() == PieceCountCalls.runPath) secondRun.countDown()
+            if (order.last() == PieceCountCalls.freePath) secondRun.await(300, TimeUnit.MILLISECONDS)
             order += "answered"
             answer(body = "x")
         }
-        val small = limits.copy(resultRoomBytes = 1)
+        val smallLimits = limits.copy(resultRoomBytes = 1)
         val loop = TrafficLoop(log)
-        val wire = WireProtocol(GatewayUnderTest.HEADERS, CountCalls, "Bearer", "/ready")
+        val wire = WireProtocol(GatewayUnderTest.HEADERS, PieceCountCalls, "Bearer", "/ready")
         val record = EndpointRecord(EndpointId("w"), 1, "s", worker.address, ZoneId("z"), 1, false, 0)
         val client = StageWorkerClient(EndpointPools(Connector(loop)), wire)
-        val owner = StageOwner("s", small, { listOf(record) }, client, loop.scope, log)
+        val owner = StageOwner("s", smallLimits, { listOf(record) }, client, loop.scope, log)
         runBlocking {
             withContext(loop.dispatcher) {
                 val first = owner.run(stageRequest("first"))
--- a/gateway/src/test/kotlin/io/oriolehall/gateway/stages/StageServiceTest.kt
+++ b/gateway/src/test/kotlin/io/oriolehall/gateway/stages/StageServiceTest.kt
@@ -43,11 +43,11 @@
     private val service = Service("s", "/", maxConnections = 0, coldPerSecond = 0.0, pieces = limits)
     private val table = RouteTable(ServingConfig(1, emptyList(), listOf(service), CallerLimits(), emptyList()))
 
-    /** Nothing listens at the address of a member. */
+    /** Returns a member with an address at which nothing listens. */
     private fun member(name: String) =
         Member(InstanceId(name), ZoneId("z"), NetworkAddress("127.0.0.1", 1), Incarnation(1, 1), MemberState.ALIVE, 0)
 
-    /** Plays [test] on the traffic thread, with a stage service whose only worker does what [script] says. */
+    /** Runs [test] on the traffic thread, with a stage service whose only worker runs [script]. */
     private fun <T> withStages(
         ownerOf: () -> Member,
         script: ScriptedEndpoint.Exchange.() -> Unit,
@@ -55,7 +55,7 @@
     ): T {
         val worker = ScriptedEndpoint(script)
         val loop = TrafficLoop(log)
-        val wire = WireProtocol(GatewayUnderTest.HEADERS, CountCalls, "Bearer", "/ready")
+        val wire = WireProtocol(GatewayUnderTest.HEADERS, PieceCountCalls, "Bearer", "/ready")
         val record = EndpointRecord(EndpointId("w"), 1, "s", worker.address, ZoneId("z"), 1, false, 0)
         val selector = SelectorManager(Dispatchers.IO)
         val peerScope = CoroutineScope(Dispatchers.Default)
@@ -80,41 +80,47 @@
         }
     }
 
-    private fun CoroutineScope.ask(stages: StageService, request: String) =
-        async(start = CoroutineStart.UNDISPATCHED) { stages.run(stageRequest(request)) {} }
+    private fun CoroutineScope.runAsync(stages: StageService, requestId: String) =
+        async(start = CoroutineStart.UNDISPATCHED) { stages.run(stageRequest(requestId)) {} }
 
-    /** Found on trouble-2 of pcta-fittings: an instance learnt of a full queue only with the answer, seconds later. */
+    /**
+     * Guards against a failure of scenario trouble-2 of pcta-fittings: an instance was informed of a long queue only by
+     * the final answer, seconds later.
+     */
     @Test
     fun `a request that finds others waiting tells at once how long its stage takes`() {
-        val goOn = CountDownLatch(1)
+        val resumeWorker = CountDownLatch(1)
         val script: ScriptedEndpoint.Exchange.() -> Unit = {
-            goOn.await()
+            resumeWorker.await()
             answer(body = "x")
         }
         val expectedMs = withStages({ self }, script) { stages ->
-            val answers = listOf("begun", "waiting", "last").map { ask(stages, it) }
-            val known = stages.loads.expectedMs("s", limits, TrafficLoop.nowMs())
-            goOn.countDown()
+            val answers = listOf("begun", "waiting", "last").map { runAsync(stages, it) }
+            val estimateMs = stages.loads.expectedMs("s", limits, TrafficLoop.nowMs())
+            resumeWorker.countDown()
             answers.forEach { it.cancel() }
-            known
+            estimateMs
         }
         expectThat(expectedMs).isGreaterThan(2 * limits.callMs)
     }
 
-    /** Found on trouble-2 of pcta-fittings: callers were refused with the reason NOT_OWNER. */
+    /**
+     * Guards against a failure of scenario trouble-2 of pcta-fittings: requests of callers were rejected with NOT_OWNER
+     * although this instance could have run them.
+     */
     @Test
     fun `what waits here when the queue moves to an instance that cannot be reached is run here`() {
-        val goOn = CountDownLatch(1)
+        val resumeWorker = CountDownLatch(1)
         var owner = self
         val script: ScriptedEndpoint.Exchange.() -> Unit = {
-            if (number == 1) goOn.await()
+            if (number == 1) resumeWorker.await()
             answer(body = "x")
         }
         val (begun, waiting) = withStages({ owner }, script) { stages ->
-            val answers = listOf("begun", "waiting").map { ask(stages, it) }
+            val answers = listOf("begun", "waiting").map { runAsync(stages, it) }
             owner = member("other")
             stages.handOver()
-            goOn.countDown()
+            resumeWorker.countDown()
             answers.map { it.await() }
         }
         expectThat(begun.results).hasSize(1)
