--- a/gateway/src/main/kotlin/io/oriolehall/gateway/Gateway.kt
+++ b/gateway/src/main/kotlin/io/oriolehall/gateway/Gateway.kt
@@ -163,9 +163,9 @@
 
     /**
      * Shuts down gracefully. The instance first reports that it is not ready, while it continues to serve requests that
-     * the load balancer still sends. It then closes idle connections until all responses in progress are complete or
-     * the time for stopping has expired. Finally it stops accepting connections, and closes those accepted meanwhile in
-     * the same way: every request that has been read is answered.
+     * the load balancer still sends. It then closes connections as they become idle, until all responses in progress
+     * are complete or the time for stopping has expired. Finally it stops accepting connections, and closes those
+     * accepted meanwhile in the same way: every request that has been read is answered.
      */
     suspend fun stop() {
         leaving = true
--- a/gateway/src/main/kotlin/io/oriolehall/gateway/fleet/FleetMessages.kt
+++ b/gateway/src/main/kotlin/io/oriolehall/gateway/fleet/FleetMessages.kt
@@ -15,8 +15,8 @@
  * @property records member records that the sender disseminates; the first one describes the sender itself.
  * @property fleetDigest digest of the sender's view of the live members.
  * @property configRevision revision of the sender's configuration; 0 if it has none.
- * @property confirmedAgoMs milliseconds since that revision was last confirmed to be the newest; negative while the
- *   sender does not accept API keys.
+ * @property confirmedAgoMs milliseconds since that revision was last confirmed to be the newest; negative if the sender
+ *   has no confirmation that is recent enough to be passed on, so that it suspends API keys.
  */
 @Serializable
 data class FleetGossip(
@@ -64,7 +64,7 @@
  * @property asOf platform revision up to which the sender has applied all changes.
  * @property configRevision revision of the sender's configuration.
  * @property confirmedAgoMs milliseconds between the last confirmation that this revision is the newest and the arrival
- *   of the query; negative while the sender does not accept API keys.
+ *   of the query; negative if the sender has no confirmation that is recent enough to be passed on.
  * @property platformAnsweredAgoMs milliseconds since the platform last answered the sender directly.
  */
 @Serializable
--- a/gateway/src/main/kotlin/io/oriolehall/gateway/fleet/StateFollower.kt
+++ b/gateway/src/main/kotlin/io/oriolehall/gateway/fleet/StateFollower.kt
@@ -58,8 +58,8 @@
 
     /**
      * Waits for changes at [member] and applies them. Returns false if it does not answer, has had no answer from the
-     * platform for too long, does not accept API keys, or has an older revision than this instance; this instance then
-     * has to read the platform itself.
+     * platform for too long, suspends API keys, or has an older revision than this instance; this instance then has to
+     * read the platform itself.
      */
     suspend fun follow(member: Member): Boolean {
         val sentAt = state.now()
