--- a/gateway/src/test/kotlin/io/oriolehall/gateway/stages/StageOwnerTest.kt
+++ b/gateway/src/test/kotlin/io/oriolehall/gateway/stages/StageOwnerTest.kt
@@ -65,7 +65,7 @@
     }
 
     /**
-     * Guards against a failure of scenario quiet-1 of pcta-fittings: calls were sent to workers before these had freed
+     * Guards against a failure seen on quiet-1 of pcta-fittings: calls were sent to workers before these had freed
      * memory, so that 46 pieces found no room. By then, the inputs of these pieces had been freed.
      */
     @Test
--- a/gateway/src/test/kotlin/io/oriolehall/gateway/stages/StageServiceTest.kt
+++ b/gateway/src/test/kotlin/io/oriolehall/gateway/stages/StageServiceTest.kt
@@ -84,7 +84,7 @@
         async(start = CoroutineStart.UNDISPATCHED) { stages.run(stageRequest(requestId)) {} }
 
     /**
-     * Guards against a failure of scenario trouble-2 of pcta-fittings: an instance was informed of a long queue only by
+     * Guards against a failure seen on trouble-2 of pcta-fittings: an instance was informed of a long queue only by
      * the final answer, seconds later.
      */
     @Test
@@ -105,7 +105,7 @@
     }
 
     /**
-     * Guards against a failure of scenario trouble-2 of pcta-fittings: requests of callers were rejected with NOT_OWNER
+     * Guards against a failure seen on trouble-2 of pcta-fittings: requests of callers were rejected with NOT_OWNER
      * although this instance could have run them.
      */
     @Test
