--- a/policy/src/main/kotlin/io/oriolehall/policy/config/BackOff.kt
+++ b/policy/src/main/kotlin/io/oriolehall/policy/config/BackOff.kt
@@ -3,32 +3,32 @@
 import kotlin.random.Random
 
 /**
- * Waits between tries of something that fails: each is drawn at random up to a bound that doubles, so that instances
- * which failed together do not come back together.
+ * Exponential backoff with jitter. Each delay is drawn at random below a bound that doubles with every attempt, so that
+ * instances that failed at the same time do not retry at the same time.
  *
- * @property firstMs bound of the first wait, milliseconds.
- * @property longestMs highest bound, milliseconds.
+ * @property initialBoundMs bound of the first delay, milliseconds.
+ * @property longestMs maximum bound, milliseconds.
  */
 class BackOff(
-    private val firstMs: Long = 1_000,
+    private val initialBoundMs: Long = 1_000,
     private val longestMs: Long = 5_000,
     private val random: Random = Random.Default,
 ) {
-    private var boundMs = firstMs
+    private var boundMs = initialBoundMs
 
-    /** The next wait, milliseconds. */
+    /** The next delay, milliseconds. */
     fun next(): Long {
-        val wait = random.nextLong(MIN_WAIT_MS, boundMs + 1)
+        val delay = random.nextLong(MIN_DELAY_MS, boundMs + 1)
         boundMs = (boundMs * 2).coerceAtMost(longestMs)
-        return wait
+        return delay
     }
 
-    /** Starts again after a success. */
+    /** Resets the bound after a success. */
     fun reset() {
-        boundMs = firstMs
+        boundMs = initialBoundMs
     }
 
     private companion object {
-        const val MIN_WAIT_MS = 50L
+        const val MIN_DELAY_MS = 50L
     }
 }
--- a/policy/src/main/kotlin/io/oriolehall/policy/config/ConfigDigest.kt
+++ b/policy/src/main/kotlin/io/oriolehall/policy/config/ConfigDigest.kt
@@ -5,29 +5,29 @@
 import java.security.MessageDigest
 
 /**
- * Digests of a configuration, kept up to date object by object. Instances compare [whole]; where it differs they
- * compare [buckets] and exchange only the objects of those that differ.
+ * Digests of a configuration, updated incrementally with each changed object. Instances compare [whole] first. If it
+ * differs, they compare [buckets] and exchange only the objects in the buckets that differ.
  */
 data class ConfigDigest(val buckets: List<Long> = List(BUCKETS) { 0L }) {
     /** Digest of the whole configuration; 0 when it is empty. */
-    val whole: Long = buckets.fold(0L) { sum, bucket -> sum * MIX + bucket }
+    val whole: Long = buckets.fold(0L) { sum, bucket -> sum * HASH_MULTIPLIER + bucket }
 
-    /** The digest after [before], if any, was replaced by [after]. */
-    fun replacing(key: ObjectKey, before: VersionedObject?, after: VersionedObject): ConfigDigest {
+    /** The digest after the object of [key] changed from [before], or from absent if null, to [after]. */
+    fun withChange(key: ObjectKey, before: VersionedObject?, after: VersionedObject): ConfigDigest {
         val index = bucketOf(key)
         val change = hashOf(key, after) - (before?.let { hashOf(key, it) } ?: 0)
         return ConfigDigest(buckets.toMutableList().also { it[index] += change })
     }
 
-    /** Buckets in which the other side holds something else. */
+    /** Indices of the buckets that differ from [other], the buckets of a peer. */
     fun differing(other: List<Long>): Set<Int> = buckets.indices.filter { buckets[it] != other.getOrNull(it) }.toSet()
 
     companion object {
-        /** Number of buckets: with some thousands of objects, a change makes about ten of them travel. */
+        /** Number of buckets. With some thousands of objects, a change transfers about ten of them. */
         const val BUCKETS = 256
-        private const val MIX = 1_000_003L
+        private const val HASH_MULTIPLIER = 1_000_003L
 
-        /** Bucket that holds the object of [key]. */
+        /** Index of the bucket that contains the object of [key]. */
         fun bucketOf(key: ObjectKey): Int = Math.floorMod(sha256(key.toString()), BUCKETS.toLong()).toInt()
 
         private fun hashOf(key: ObjectKey, version: VersionedObject): Long =
--- a/policy/src/main/kotlin/io/oriolehall/policy/config/ObjectChecks.kt
+++ b/policy/src/main/kotlin/io/oriolehall/policy/config/ConfigObjectValidator.kt
@@ -10,10 +10,10 @@
 import io.oriolehall.model.WitnessRoster
 
 /**
- * Checks of single configuration objects. An object that refers to another, such as a stage to its pool, is valid even
- * if no ticket has declared the other one yet: tickets may arrive in any order.
+ * Validates individual configuration objects. References to other objects, such as from a stage to its pool, are not
+ * checked, because tickets may arrive in any order and the other object may not be declared yet.
  */
-internal object ObjectChecks {
+internal object ConfigObjectValidator {
     private const val MAX_STAGES = 16
     private const val MAX_SECRETS = 4
     private const val MAX_SHARE = 1_000_000
@@ -23,7 +23,7 @@
     private val NAME = Regex("[A-Za-z0-9][A-Za-z0-9._-]{0,63}")
     private val SHA256_HEX = Regex("[0-9a-f]{64}")
 
-    /** What is wrong with [target], or null. */
+    /** The error in [target], or null if it is valid. */
     fun check(target: ConfigObject): TicketError? {
         val remedy = nameRemedy(target.key.name) ?: stateRemedy(target)
         return remedy?.let { TicketError.BadObject(target.key.toString(), it) }
--- a/policy/src/main/kotlin/io/oriolehall/policy/config/ConfigSnapshot.kt
+++ b/policy/src/main/kotlin/io/oriolehall/policy/config/ConfigSnapshot.kt
@@ -18,8 +18,8 @@
 import kotlinx.collections.immutable.persistentMapOf
 
 /**
- * The configuration in force at one moment. The control thread makes a new one for each accepted ticket; traffic reads
- * it without locks.
+ * An immutable snapshot of the configuration in force. The control thread creates a new one for each accepted ticket;
+ * request processing reads it without locks.
  */
 data class ConfigSnapshot(val objects: PersistentMap<ObjectKey, VersionedObject> = persistentMapOf()) {
     /** Endpoints by the pool they belong to. */
@@ -40,11 +40,11 @@
 
     fun witnessRoster(): WitnessRoster? = find(ObjectKey("witnesses", "keys"))
 
-    /** State of a zone; a zone that no ticket has named is in service. */
+    /** State of a zone. A zone that no ticket has declared is in service. */
     fun zoneState(id: ZoneId): ServiceState =
         find<AvailabilityZone>(ObjectKey("zone", id.value))?.state ?: ServiceState.IN_SERVICE
 
-    /** True when new work may go to [endpoint]: it and its zone are in service. */
+    /** True when [endpoint] may receive new work: it and its zone are in service. */
     fun acceptsNewWork(endpoint: Endpoint): Boolean =
         endpoint.state == ServiceState.IN_SERVICE && zoneState(endpoint.zone) == ServiceState.IN_SERVICE
 
--- a/policy/src/main/kotlin/io/oriolehall/policy/config/TicketError.kt
+++ b/policy/src/main/kotlin/io/oriolehall/policy/config/TicketError.kt
@@ -1,16 +1,16 @@
 package io.oriolehall.policy.config
 
-/** Why a ticket is rejected. The verdict depends on the ticket's text alone, so every instance reaches the same one. */
+/** Why a ticket is rejected. It depends only on the text of the ticket, so all instances reject the same tickets. */
 sealed interface TicketError {
-    /** What is wrong and what the operator should do. */
+    /** Description of the error and of what the operator should do. */
     val message: String
 
     /** The text is longer than [limit] bytes. */
     data class TooLarge(val bytes: Int, val limit: Int) : TicketError {
-        override val message get() = "ticket of $bytes bytes is over $limit; split its objects over several tickets"
+        override val message get() = "ticket of $bytes bytes exceeds $limit; split its objects into several tickets"
     }
 
-    /** The text is not a ticket in JSON. */
+    /** The text is not the JSON of a ticket. */
     data class Malformed(val detail: String) : TicketError {
         override val message get() = "not a ticket: $detail; correct the JSON and publish it again"
     }
@@ -20,12 +20,12 @@
         override val message get() = "field $field is not valid: $remedy"
     }
 
-    /** Two objects of the ticket have one key. */
+    /** Two objects of the ticket have the same key. */
     data class DuplicateObject(val key: String) : TicketError {
-        override val message get() = "object $key appears twice; keep the one that states its whole new state"
+        override val message get() = "object $key appears twice; keep only the entry with its complete new state"
     }
 
-    /** An object cannot be put in force. */
+    /** An object of the ticket is invalid. */
     data class BadObject(val key: String, val remedy: String) : TicketError {
         override val message get() = "object $key is not valid: $remedy"
     }
--- a/policy/src/main/kotlin/io/oriolehall/policy/config/TicketParser.kt
+++ b/policy/src/main/kotlin/io/oriolehall/policy/config/TicketParser.kt
@@ -8,17 +8,17 @@
 import kotlinx.serialization.SerializationException
 
 /**
- * Reads and checks a ticket. The verdict is a pure function of the text: it looks at no other ticket, so that it is the
- * same on every instance, in whatever order tickets arrive, and in the offline check.
+ * Parses and validates tickets. The result is a pure function of the text and considers no other ticket. It is
+ * therefore the same on every instance, whatever the order in which tickets arrive, and in the offline check.
  */
 object TicketParser {
-    /** Longest ticket, bytes of UTF-8. */
+    /** Maximum size of a ticket, bytes of UTF-8. */
     const val MAX_TICKET_BYTES = 256 * 1024
 
-    /** Highest ticket number; a slip of the pen above it cannot block an object for good. */
+    /** Maximum ticket number, so that a mistyped huge number cannot block all later changes of an object. */
     const val MAX_TICKET_NUMBER = 1_000_000_000_000L
 
-    /** The ticket in [text], or why it is rejected. */
+    /** Parses [text]; returns the ticket, or why it is rejected. */
     fun parse(text: String): Result<Ticket, TicketError> {
         val bytes = text.encodeToByteArray().size
         if (bytes > MAX_TICKET_BYTES) return Err(TicketError.TooLarge(bytes, MAX_TICKET_BYTES))
@@ -33,7 +33,8 @@
     }
 
     private fun check(ticket: Ticket): TicketError? =
-        checkFields(ticket) ?: checkDuplicates(ticket) ?: ticket.objects.firstNotNullOfOrNull(ObjectChecks::check)
+        checkFields(ticket) ?: checkDuplicates(ticket)
+            ?: ticket.objects.firstNotNullOfOrNull(ConfigObjectValidator::check)
 
     private fun checkFields(ticket: Ticket): TicketError? = when {
         ticket.number !in 1..MAX_TICKET_NUMBER -> TicketError.BadField("number", "use one in 1..$MAX_TICKET_NUMBER")
--- a/policy/src/main/kotlin/io/oriolehall/policy/config/VersionedObject.kt
+++ b/policy/src/main/kotlin/io/oriolehall/policy/config/VersionedObject.kt
@@ -9,8 +9,8 @@
  * A configuration object and the ticket that put it in force.
  *
  * @property ticket number of the ticket.
- * @property revision lowest platform revision at which the ticket was seen.
- * @property digest digest of the whole ticket; it tells apart two tickets of one number.
+ * @property revision lowest platform revision at which the ticket was read.
+ * @property digest digest of the whole ticket; it distinguishes two tickets with the same number.
  */
 data class VersionedObject(
     val ticket: Long,
@@ -21,8 +21,9 @@
     val cause: String = "",
 ) {
     /**
-     * True when this version goes before [other] of the same object: the higher ticket number, then the ticket that the
-     * platform published first, then the greater digest. The order is total, so all instances choose alike.
+     * True when this version takes precedence over [other] of the same object. The higher ticket number wins, then the
+     * ticket that the platform published first, then the greater digest. The order is total, so all instances choose
+     * the same version.
      */
     fun supersedes(other: VersionedObject): Boolean = PRECEDENCE.compare(this, other) > 0
 
@@ -31,7 +32,7 @@
             .thenByDescending { it.revision }
             .thenBy { it.digest }
 
-        /** The objects of [ticket] as it was published at [revision]. */
+        /** The objects of [ticket], which was published at [revision]. */
         fun allOf(ticket: Ticket, revision: Long): List<VersionedObject> {
             val digest = ticketDigest(ticket)
             return ticket.objects.map {
@@ -43,7 +44,7 @@
 
 private const val DIGEST_BYTES = 8
 
-/** Digest of a ticket's content, whatever the layout of its text. */
+/** Digest of the content of a ticket, independent of the formatting of its JSON. */
 internal fun ticketDigest(ticket: Ticket): String {
     val text = StrictJson.encodeToString(Ticket.serializer(), ticket)
     val hash = MessageDigest.getInstance("SHA-256").digest(text.encodeToByteArray())
--- a/policy/src/main/kotlin/io/oriolehall/policy/keys/Claim.kt
+++ b/policy/src/main/kotlin/io/oriolehall/policy/keys/Claim.kt
@@ -4,26 +4,27 @@
 import kotlinx.collections.immutable.PersistentMap
 import kotlinx.collections.immutable.persistentMapOf
 
-/** What a claimant does next. */
+/** The next action of a process that claims a key. */
 sealed interface ClaimStep {
-    /** Wait for the answers of [witnesses], asking those not asked yet. */
+    /** Wait for the answers of [witnesses]; send the claim to those that have not received it yet. */
     data class Ask(val witnesses: List<InstanceId>) : ClaimStep
 
-    /** The claimant holds the key: no other process can. */
-    data object Won : ClaimStep
+    /** The claimant holds the key, and no other process can hold it. */
+    data object Acquired : ClaimStep
 
-    /** [holder] may hold the key; the claimant gives up its own claim. */
-    data class Yield(val holder: KeyHolder) : ClaimStep
+    /** [holder] may hold the key, so the claimant withdraws its own claim. */
+    data class Withdraw(val holder: KeyHolder) : ClaimStep
 
     /**
-     * The claimant cannot hold the key now.
+     * The claimant did not get enough grants to hold the key.
      *
-     * @property barred true when no other process can hold it either, so that nothing runs once the claimant closes it.
+     * @property othersBlocked true when no other process can hold the key either, so that the request can no longer run
+     *   anywhere once the claimant closes the key.
      */
-    data class Failed(val barred: Boolean) : ClaimStep
+    data class Failed(val othersBlocked: Boolean) : ClaimStep
 }
 
-/** A claim to a key under way: the answers of its witnesses so far. */
+/** A claim to a key that is in progress, with the answers that its witnesses have given so far. */
 data class Claim(
     val panel: WitnessPanel,
     val answers: PersistentMap<InstanceId, WitnessAnswer> = persistentMapOf(),
@@ -32,33 +33,36 @@
 
     private val unanswered: List<InstanceId> get() = panel.members.filter { it !in answers }
 
-    /** This claim with the answer of [witness]. A grant that comes after silence counts; a first answer stays. */
+    /**
+     * Returns this claim with the answer of [witness]. The first answer of a witness is final, except that a later
+     * grant replaces it, such as one that arrives after the witness was recorded as [WitnessAnswer.Silent].
+     */
     fun answered(witness: InstanceId, answer: WitnessAnswer): Claim = when {
         witness !in panel.members -> this
         witness in answers && answer != WitnessAnswer.Granted -> this
         else -> copy(answers = answers.put(witness, answer))
     }
 
-    /** What to do after the answers so far. */
+    /** Returns the step that follows from the answers received so far. */
     fun next(): ClaimStep {
-        if (panel.members.isEmpty()) return ClaimStep.Failed(barred = false)
-        val first = answers[panel.first] ?: return ClaimStep.Ask(listOf(panel.first))
+        if (panel.members.isEmpty()) return ClaimStep.Failed(othersBlocked = false)
+        val firstAnswer = answers[panel.firstAsked] ?: return ClaimStep.Ask(listOf(panel.firstAsked))
         return when {
-            first is WitnessAnswer.HeldBy -> ClaimStep.Yield(first.holder)
-            grants >= panel.needed -> ClaimStep.Won
-            grants + unanswered.size >= panel.needed -> ClaimStep.Ask(unanswered)
-            else -> giveUp()
+            firstAnswer is WitnessAnswer.HeldBy -> ClaimStep.Withdraw(firstAnswer.holder)
+            grants >= panel.requiredGrants -> ClaimStep.Acquired
+            grants + unanswered.size >= panel.requiredGrants -> ClaimStep.Ask(unanswered)
+            else -> stepWithoutEnoughGrants()
         }
     }
 
-    private fun giveUp(): ClaimStep {
-        val others = answers.values.filterIsInstance<WitnessAnswer.HeldBy>().map { it.holder }
-        val likeliest = others.groupingBy { it }.eachCount().maxByOrNull { it.value }?.key
+    private fun stepWithoutEnoughGrants(): ClaimStep {
+        val reportedHolders = answers.values.filterIsInstance<WitnessAnswer.HeldBy>().map { it.holder }
+        val mostReportedHolder = reportedHolders.groupingBy { it }.eachCount().maxByOrNull { it.value }?.key
         return when {
-            likeliest != null -> ClaimStep.Yield(likeliest)
-            panel.bars(grants) -> ClaimStep.Failed(barred = true)
+            mostReportedHolder != null -> ClaimStep.Withdraw(mostReportedHolder)
+            panel.blocksOthers(grants) -> ClaimStep.Failed(othersBlocked = true)
             unanswered.isNotEmpty() -> ClaimStep.Ask(unanswered)
-            else -> ClaimStep.Failed(barred = false)
+            else -> ClaimStep.Failed(othersBlocked = false)
         }
     }
 }
--- a/policy/src/main/kotlin/io/oriolehall/policy/keys/ClaimMessages.kt
+++ b/policy/src/main/kotlin/io/oriolehall/policy/keys/ClaimMessages.kt
@@ -4,10 +4,11 @@
 import kotlinx.serialization.Serializable
 
 /**
- * Asks a witness to grant a key to [holder].
+ * Request to a witness to grant [key] to [holder].
  *
- * @property rosterTicket ticket that put the roster in force from which the claimant chose the witness.
- * @property claimantClockMs wall clock of the claimant at the sending, milliseconds since the epoch.
+ * @property bornAtMs creation time of the key, milliseconds since the epoch.
+ * @property rosterTicket number of the ticket whose witness roster the claimant used to choose the witness.
+ * @property claimantClockMs wall-clock time of the claimant when it sent the request, milliseconds since the epoch.
  */
 @Serializable
 data class ClaimRequest(
@@ -18,50 +19,50 @@
     val claimantClockMs: Long,
 )
 
-/** What a claimant knows of a witness's answer. */
+/** The answer of a witness to a claim, as the claimant sees it. */
 @Serializable
 sealed interface WitnessAnswer {
-    /** The key is granted to the claimant, for ever. */
+    /** The witness granted the key to the claimant. A grant is never withdrawn. */
     @Serializable
     @SerialName("granted")
     data object Granted : WitnessAnswer
 
-    /** The key was granted to another before. */
+    /** The witness had already granted the key to [holder], another process. */
     @Serializable
     @SerialName("held-by")
     data class HeldBy(val holder: KeyHolder) : WitnessAnswer
 
-    /** The witness granted nothing, since it may have granted the key before without knowing it. */
+    /** The witness refused, because it cannot rule out a grant of this key that it has no record of. */
     @Serializable
     @SerialName("cannot-vouch")
     data class CannotVouch(val reason: VouchFault) : WitnessAnswer
 
-    /** No answer came in time. The witness may have granted the key. */
+    /** The witness did not answer in time. It may still have granted the key. */
     @Serializable
     @SerialName("silent")
     data object Silent : WitnessAnswer
 }
 
-/** Why a witness cannot vouch for a key. */
+/** Why a witness cannot confirm that it has not granted a key before. */
 @Serializable
 enum class VouchFault {
-    /** The claimant chose its witnesses by another roster. */
+    /** The claimant chose its witnesses from a different roster than the one in force at the witness. */
     @SerialName("roster")
     ROSTER,
 
-    /** The clocks of claimant and witness differ by more than the tolerance. */
+    /** The clocks of claimant and witness differ by more than [KeyRules.clockToleranceMs]. */
     @SerialName("clock")
     CLOCK,
 
-    /** The key may be older than the witness's memory. */
+    /** The key may have been granted before the witness started or adopted the roster. */
     @SerialName("no-memory")
     NO_MEMORY,
 
-    /** The key's birth is too far in the future. */
+    /** The creation time of the key is too far in the future. */
     @SerialName("premature")
     PREMATURE,
 
-    /** The key is older than keys may be. */
+    /** The key is older than [KeyRules.lifetimeMs]. */
     @SerialName("expired")
     EXPIRED,
 }
--- a/policy/src/main/kotlin/io/oriolehall/policy/keys/KeyHolder.kt
+++ b/policy/src/main/kotlin/io/oriolehall/policy/keys/KeyHolder.kt
@@ -6,9 +6,10 @@
 import kotlinx.serialization.Serializable
 
 /**
- * The one process that may run the request of a key: an instance in one of its incarnations.
+ * The only process that may run the request of a key, identified by an instance and its incarnation.
  *
- * @property peerAddress where other instances reach it; another incarnation may answer there after a restart.
+ * @property peerAddress address at which other instances reach the process. After a restart another incarnation may
+ *   answer there.
  */
 @Serializable
 data class KeyHolder(
--- a/policy/src/main/kotlin/io/oriolehall/policy/keys/KeyHome.kt
+++ b/policy/src/main/kotlin/io/oriolehall/policy/keys/KeyHome.kt
@@ -1,16 +1,20 @@
 package io.oriolehall.policy.keys
 
 /**
- * Decides what an arriving request with a key leads to at one process.
+ * Decides how a process handles a request that arrives with an idempotency key.
  *
- * @param self this process.
+ * @param self the process that received the request.
  */
 class KeyHome(private val self: KeyHolder, private val rules: KeyRules) {
     /**
-     * @param record what this process remembers of the key, or null.
-     * @param relayedTo the holder that a relaying instance meant to reach, or null when the caller sent it here.
+     * Returns what to do with a request with [key] that arrived at [nowMs].
+     *
+     * @param digest digest of the arriving request.
+     * @param record the record that this process has of the key, or null.
+     * @param relayedTo the holder to which another instance relayed the request, or null when it came directly from the
+     *   caller.
      */
-    fun arrive(
+    fun decide(
         key: IdempotencyKey,
         digest: RequestDigest,
         record: KeyRecord?,
@@ -18,19 +22,19 @@
         relayedTo: KeyHolder? = null,
     ): Arrival = when {
         relayedTo != null && relayedTo != self -> Arrival.HolderLost
-        record != null -> arriveAgain(record, digest, nowMs, relayedTo)
+        record != null -> decideKnown(record, digest, nowMs, relayedTo)
         rules.expired(key.bornAtMs, nowMs) -> Arrival.Expired
-        else -> arriveFirst(key, digest, relayedTo)
+        else -> decideNew(key, digest, relayedTo)
     }
 
-    private fun arriveFirst(key: IdempotencyKey, digest: RequestDigest, relayedTo: KeyHolder?): Arrival = when (key) {
-        is IdempotencyKey.Token -> arriveWithToken(key, digest)
+    private fun decideNew(key: IdempotencyKey, digest: RequestDigest, relayedTo: KeyHolder?): Arrival = when (key) {
+        is IdempotencyKey.Token -> decideNewToken(key, digest)
 
         is IdempotencyKey.CallerMade ->
             if (relayedTo == null) begin(key, digest, KeyState.Claiming) else Arrival.HolderLost
     }
 
-    private fun arriveWithToken(key: IdempotencyKey.Token, digest: RequestDigest): Arrival {
+    private fun decideNewToken(key: IdempotencyKey.Token, digest: RequestDigest): Arrival {
         val home = key.content.home
         return when {
             home == self -> begin(key, digest, KeyState.Held())
@@ -42,7 +46,7 @@
     private fun begin(key: IdempotencyKey, digest: RequestDigest, state: KeyState) =
         Arrival.Begin(KeyRecord(digest, key.bornAtMs, state))
 
-    private fun arriveAgain(
+    private fun decideKnown(
         record: KeyRecord,
         digest: RequestDigest,
         nowMs: Long,
@@ -51,14 +55,14 @@
         record.state is KeyState.Yielded ->
             if (relayedTo == null) Arrival.Relay(record.state.holder) else Arrival.HolderLost
 
-        record.state == KeyState.Unclaimed -> claimAgain(record.copy(digest = digest), nowMs, relayedTo)
+        record.state == KeyState.Unclaimed -> reclaim(record.copy(digest = digest), nowMs, relayedTo)
 
         record.digest != digest -> Arrival.Reused(certain = record.holds)
 
         else -> Arrival.Join
     }
 
-    private fun claimAgain(record: KeyRecord, nowMs: Long, relayedTo: KeyHolder?): Arrival = when {
+    private fun reclaim(record: KeyRecord, nowMs: Long, relayedTo: KeyHolder?): Arrival = when {
         relayedTo != null -> Arrival.HolderLost
         rules.expired(record.bornAtMs, nowMs) -> Arrival.Expired
         else -> Arrival.Begin(record.copy(state = KeyState.Claiming))
--- a/policy/src/main/kotlin/io/oriolehall/policy/keys/KeyRecord.kt
+++ b/policy/src/main/kotlin/io/oriolehall/policy/keys/KeyRecord.kt
@@ -2,42 +2,44 @@
 
 import io.oriolehall.model.RunOutcome
 
-/** What an arriving request with a key leads to. */
+/** How to handle a request that arrives with an idempotency key. */
 sealed interface Arrival {
-    /** The request is the first here: claim the key, or run it if the record holds it already. */
+    /** Start the request: claim its key first, unless [record] says that this process already holds it. */
     data class Begin(val record: KeyRecord) : Arrival
 
-    /** The request came before: give the answer, or the refusal, of that one. */
+    /** The request is a retry: return the answer or the refusal of the earlier request. */
     data object Join : Arrival
 
-    /** Another process may hold the key: pass the request on to it. */
+    /** Another process may hold the key: relay the request to [holder]. */
     data class Relay(val holder: KeyHolder) : Arrival
 
     /**
-     * Another request was sent with the key.
+     * The key was already used for a different request.
      *
-     * @property certain true when this process holds the key, so that the arriving request never ran under it.
+     * @property certain true when this process holds the key, so that the arriving request has certainly not run under
+     *   it.
      */
     data class Reused(val certain: Boolean) : Arrival
 
-    /** This process cannot run the request and cannot know whether another did. */
+    /** This process may not run the request and cannot determine whether another process did. */
     data object HolderLost : Arrival
 
-    /** The key is too old to be run and nothing is remembered of it. */
+    /** The key has expired and this process has no record of it. */
     data object Expired : Arrival
 }
 
 /**
- * What an instance remembers of a key. Each transition gives a new record; one that does not apply to the state gives
- * the same record, so that nothing happens twice.
+ * The record that an instance keeps of a key. Each transition returns a new record, or the same record when the
+ * transition does not apply to the current state, so that its effects cannot occur twice.
  *
- * @property digest of the only request that the key belongs to here.
+ * @property digest digest of the only request that may use the key at this instance.
+ * @property bornAtMs creation time of the key, milliseconds since the epoch.
  */
 data class KeyRecord(val digest: RequestDigest, val bornAtMs: Long, val state: KeyState) {
-    /** True when this process is the one that may run, or ran, or closed, the request of the key. */
+    /** True when this process is the holder of the key: it may run the request, has run it or has closed the key. */
     val holds: Boolean get() = state is KeyState.Held || state is KeyState.Sent || state is KeyState.Finished
 
-    /** What a caller whose request was given up may be told. */
+    /** The outcome to report to a caller whose request was abandoned. */
     val outcome: RunOutcome
         get() = when ((state as? KeyState.Finished)?.outcome) {
             KeyOutcome.CLOSED -> RunOutcome.NOT_RUN
@@ -45,44 +47,49 @@
             KeyOutcome.UNKNOWN, null -> RunOutcome.UNKNOWN
         }
 
-    /** The record after its claim came to [step]. */
+    /** The record after its claim has reached [step]. */
     fun claimed(step: ClaimStep): KeyRecord {
         if (state != KeyState.Claiming) return this
         return when (step) {
             is ClaimStep.Ask -> this
-            is ClaimStep.Won -> to(KeyState.Held())
-            is ClaimStep.Yield -> to(KeyState.Yielded(step.holder))
-            is ClaimStep.Failed -> to(if (step.barred) CLOSED else KeyState.Unclaimed)
+            is ClaimStep.Acquired -> withState(KeyState.Held())
+            is ClaimStep.Withdraw -> withState(KeyState.Yielded(step.holder))
+            is ClaimStep.Failed -> withState(if (step.othersBlocked) CLOSED else KeyState.Unclaimed)
         }
     }
 
-    /** The record just before a non-idempotent stage leaves; it may leave only if the state is then [KeyState.Sent]. */
+    /**
+     * The record just before a non-idempotent stage is sent. The caller may send the stage only if the state of the
+     * returned record is [KeyState.Sent]; once the deadline has passed, the request is abandoned instead.
+     */
     fun sending(nowMs: Long, deadlineAtMs: Long): KeyRecord = when {
         state !is KeyState.Held -> this
         nowMs >= deadlineAtMs -> abandoned()
-        else -> to(KeyState.Sent(state.ran))
+        else -> withState(KeyState.Sent(state.ran))
     }
 
-    /** The record after the endpoint declined before running, or no byte left: the stage may be sent again. */
-    fun declined(): KeyRecord = if (state is KeyState.Sent) to(KeyState.Held(state.ran)) else this
+    /** The record after the endpoint declined to run the stage, or no byte of it was sent: it may be sent again. */
+    fun declined(): KeyRecord = if (state is KeyState.Sent) withState(KeyState.Held(state.ran)) else this
 
-    /** The record after the endpoint gave the result of the stage. */
-    fun executed(): KeyRecord = if (state is KeyState.Sent) to(KeyState.Held(ran = true)) else this
+    /** The record after the endpoint returned the result of the stage. */
+    fun executed(): KeyRecord = if (state is KeyState.Sent) withState(KeyState.Held(ran = true)) else this
 
-    /** The record after every stage has given its result. */
+    /** The record after every stage has returned its result. */
     fun answered(): KeyRecord = if (state is KeyState.Held) finish(KeyOutcome.ANSWERED) else this
 
-    /** The record after the request was given up. Only then may a caller be told what the outcome says. */
+    /**
+     * The record after the request was abandoned. [outcome] may be reported to the caller only after this transition.
+     */
     fun abandoned(): KeyRecord = when (state) {
         is KeyState.Held -> finish(if (state.ran) KeyOutcome.RAN else KeyOutcome.CLOSED)
         is KeyState.Sent -> finish(KeyOutcome.UNKNOWN)
-        KeyState.Claiming -> to(KeyState.Unclaimed)
+        KeyState.Claiming -> withState(KeyState.Unclaimed)
         else -> this
     }
 
-    private fun finish(outcome: KeyOutcome) = to(KeyState.Finished(outcome))
+    private fun finish(outcome: KeyOutcome) = withState(KeyState.Finished(outcome))
 
-    private fun to(next: KeyState) = copy(state = next)
+    private fun withState(newState: KeyState) = copy(state = newState)
 
     companion object {
         private val CLOSED = KeyState.Finished(KeyOutcome.CLOSED)
--- a/policy/src/main/kotlin/io/oriolehall/policy/keys/KeyRules.kt
+++ b/policy/src/main/kotlin/io/oriolehall/policy/keys/KeyRules.kt
@@ -1,20 +1,22 @@
 package io.oriolehall.policy.keys
 
 /**
- * Times that govern idempotency keys, milliseconds. All instances use the same ones.
+ * Time limits of idempotency keys, milliseconds. All instances must use the same values.
  *
- * @property lifetimeMs age from which a key is no longer run, and up to which holders and witnesses remember it.
- * @property toleranceMs largest difference between the clocks of two instances, and the furthest in the future that a
- *   key's birth may lie.
+ * @property lifetimeMs age after which a key is no longer accepted; holders and witnesses keep their records of a key
+ *   up to this age.
+ * @property clockToleranceMs maximum difference between the clocks of two instances, and how far in the future the
+ *   creation time of a key may lie.
  */
-data class KeyRules(val lifetimeMs: Long = 600_000, val toleranceMs: Long = 5_000) {
+data class KeyRules(val lifetimeMs: Long = 600_000, val clockToleranceMs: Long = 5_000) {
     /**
-     * Time after a witness's start whose keys it cannot vouch for. Its predecessor may have granted a key that was
-     * born one tolerance in the future of a clock one tolerance ahead.
+     * Time after the start of a witness during which it cannot vouch for newly created keys. The previous process of
+     * the same name, whose clock may have been one tolerance ahead, may have granted a key whose creation time lay one
+     * more tolerance in the future.
      */
-    val blindMs: Long get() = 2 * toleranceMs
+    val recoveryWindowMs: Long get() = 2 * clockToleranceMs
 
     fun expired(bornAtMs: Long, nowMs: Long): Boolean = nowMs - bornAtMs > lifetimeMs
 
-    fun premature(bornAtMs: Long, nowMs: Long): Boolean = bornAtMs > nowMs + toleranceMs
+    fun premature(bornAtMs: Long, nowMs: Long): Boolean = bornAtMs > nowMs + clockToleranceMs
 }
--- a/policy/src/main/kotlin/io/oriolehall/policy/keys/KeyState.kt
+++ b/policy/src/main/kotlin/io/oriolehall/policy/keys/KeyState.kt
@@ -1,40 +1,40 @@
 package io.oriolehall.policy.keys
 
-/** What an instance knows of the request of a key. Only [Held] allows a non-idempotent stage to be sent. */
+/** State of the request of a key at one instance. A non-idempotent stage may be sent only in state [Held]. */
 sealed interface KeyState {
-    /** True when nothing is under way, so that the record may be forgotten once its key has expired. */
+    /** True when no work is in progress, so that the record may be removed once its key has expired. */
     fun isSettled(): Boolean = this is Finished || this is Yielded || this == Unclaimed
 
-    /** Witnesses are being asked. */
+    /** The claim has been sent to witnesses and is undecided. */
     data object Claiming : KeyState
 
-    /** The witnesses' answers did not suffice; a later arrival may claim again. */
+    /** The claim did not get enough grants. A later request may claim the key again. */
     data object Unclaimed : KeyState
 
-    /** Another process may hold the key; this one never does. */
+    /** Another process may hold the key. This process never will. */
     data class Yielded(val holder: KeyHolder) : KeyState
 
-    /** This process holds the key. [ran] is true when a non-idempotent stage has given its result. */
+    /** This process holds the key. [ran] is true when a non-idempotent stage has returned its result. */
     data class Held(val ran: Boolean = false) : KeyState
 
-    /** A non-idempotent stage may be on its way to an endpoint or running there. */
+    /** A non-idempotent stage may be in transit to an endpoint or running there. [ran] as in [Held]. */
     data class Sent(val ran: Boolean) : KeyState
 
-    /** Nothing more will be sent under the key. */
+    /** The request has ended; nothing more is sent under the key. */
     data class Finished(val outcome: KeyOutcome) : KeyState
 }
 
 /** How the request of a key ended. */
 enum class KeyOutcome {
-    /** It ran and its answer is kept. */
+    /** The request ran and its answer is stored. */
     ANSWERED,
 
-    /** Nothing ran and nothing will. */
+    /** No non-idempotent stage ran, and none will. */
     CLOSED,
 
-    /** A non-idempotent stage ran, but the request did not come to its end. */
+    /** A non-idempotent stage ran, but the request did not complete. */
     RAN,
 
-    /** A non-idempotent stage was sent and what became of it is not known. */
+    /** A non-idempotent stage was sent, and whether it ran is unknown. */
     UNKNOWN,
 }
--- a/policy/src/main/kotlin/io/oriolehall/policy/keys/KeyTable.kt
+++ b/policy/src/main/kotlin/io/oriolehall/policy/keys/KeyTable.kt
@@ -2,17 +2,19 @@
 
 import java.util.concurrent.ConcurrentHashMap
 
-/** The keys that one process remembers. Safe for use by many threads; each key changes in one step. */
-class KeyTable(private val home: KeyHome, private val rules: KeyRules) {
+/** The key records of one process. Thread-safe; each record is updated atomically. */
+class KeyTable(private val arrivalPolicy: KeyHome, private val rules: KeyRules) {
     private val records = ConcurrentHashMap<String, KeyRecord>()
 
-    /** Number of keys remembered. */
+    /** Number of keys with a record. */
     val size: Int get() = records.size
 
-    /** What this process remembers of [key], or null. */
+    /** The record of [key], or null. */
     fun find(key: String): KeyRecord? = records[key]
 
-    /** Takes in an arriving request; see [KeyHome.arrive]. */
+    /**
+     * Decides how to handle an arriving request and stores the record of a request that begins; see [KeyHome.decide].
+     */
     fun arrive(
         key: IdempotencyKey,
         digest: RequestDigest,
@@ -21,20 +23,20 @@
     ): Arrival {
         var arrival: Arrival = Arrival.HolderLost
         records.compute(key.text) { _, record ->
-            arrival = home.arrive(key, digest, record, nowMs, relayedTo)
+            arrival = arrivalPolicy.decide(key, digest, record, nowMs, relayedTo)
             (arrival as? Arrival.Begin)?.record ?: record
         }
         return arrival
     }
 
-    /** Changes the record of [key] by [transition] and returns the record before and after it. */
+    /** Applies [transition] to the record of [key]; returns the record before and after, or null if there is none. */
     fun change(key: String, transition: (KeyRecord) -> KeyRecord): RecordChange? {
         var change: RecordChange? = null
         records.computeIfPresent(key) { _, record -> transition(record).also { change = RecordChange(record, it) } }
         return change
     }
 
-    /** Forgets requests that have come to an end and whose keys have expired. */
+    /** Removes the records whose keys have expired and that have no work in progress. */
     fun forgetExpired(nowMs: Long) {
         records.values.removeIf { rules.expired(it.bornAtMs, nowMs) && it.state.isSettled() }
     }
--- a/policy/src/main/kotlin/io/oriolehall/policy/keys/RequestDigest.kt
+++ b/policy/src/main/kotlin/io/oriolehall/policy/keys/RequestDigest.kt
@@ -5,15 +5,15 @@
 import io.oriolehall.model.RequestId
 import java.security.MessageDigest
 
-/** Digest of everything that makes two requests the same: organisation, pipeline and body. */
+/** Digest of the fields that identify a request: organisation, pipeline and body. Equal digests mean equal requests. */
 @JvmInline
 value class RequestDigest(val value: String) {
     companion object {
-        /** Digest of a request whose body is [body], the JSON as it was understood. */
+        /** Digest of a request. [body] is its parsed body, serialized again as JSON. */
         fun of(organisation: OrganisationId, pipeline: PipelineId, body: String): RequestDigest =
             RequestDigest(sha256(organisation.value, pipeline.value, body))
 
-        /** Identifier of the request that runs under a key. It tells nothing of the key. */
+        /** Identifier of the request that runs under [key]. The key cannot be derived from it. */
         fun requestId(key: String): RequestId = RequestId("k" + sha256("request", key).take(REQUEST_ID_DIGITS))
 
         private fun sha256(vararg parts: String): String {
--- a/policy/src/main/kotlin/io/oriolehall/policy/keys/TokenCodec.kt
+++ b/policy/src/main/kotlin/io/oriolehall/policy/keys/TokenCodec.kt
@@ -13,11 +13,11 @@
 import kotlin.random.Random
 
 /**
- * What a token says.
+ * The signed content of a token.
  *
- * @property home the only process that ever runs a request under the token.
- * @property bornAtMs when it was minted, milliseconds since the epoch, by the home's clock.
- * @property random separates tokens minted in the same millisecond.
+ * @property home the only process that may run a request under the token.
+ * @property bornAtMs time of minting by the clock of [home], milliseconds since the epoch.
+ * @property random distinguishes tokens minted in the same millisecond.
  */
 @Serializable
 data class TokenContent(
@@ -28,21 +28,21 @@
 )
 
 /**
- * Writes and reads tokens: the content as JSON and an HMAC-SHA256 over it, both in Base64 for URLs.
+ * Encodes and verifies tokens: the content as JSON and its HMAC-SHA256, both in URL-safe Base64.
  *
- * @param secret key of the signature, the same on every instance.
+ * @param secret signing key, the same on every instance.
  */
 class TokenCodec(secret: String) {
     private val signingKey = SecretKeySpec(secret.toByteArray(), ALGORITHM)
 
-    /** A new token of [organisation] whose home is [home]. */
+    /** Creates a token for [organisation] whose home is [home]. */
     fun mint(organisation: OrganisationId, home: KeyHolder, nowMs: Long, random: Random): String {
         val content = TokenContent(organisation, home, nowMs, random.nextLong())
         val body = encoder.encodeToString(WireJson.encodeToString(TokenContent.serializer(), content).toByteArray())
         return "$PREFIX$body.${encoder.encodeToString(sign(body))}"
     }
 
-    /** What [token] says, provided that its signature is right. */
+    /** The content of [token] if its signature is valid. */
     fun verify(token: String): Result<TokenContent, KeyFault> {
         val parts = token.removePrefix(PREFIX).split('.')
         val signature = parts.getOrNull(1)?.let(::decode)
@@ -65,11 +65,11 @@
     }
 
     companion object {
-        /** Start of every token. */
+        /** Prefix of every token. */
         const val PREFIX = "oh1."
 
         private const val ALGORITHM = "HmacSHA256"
         private val encoder = Base64.getUrlEncoder().withoutPadding()
-        private val forged = Err(KeyFault("the token was not minted by this system or was changed on its way"))
+        private val forged = Err(KeyFault("the token was not minted by this system or was altered"))
     }
 }
--- a/policy/src/main/kotlin/io/oriolehall/policy/keys/WitnessPanel.kt
+++ b/policy/src/main/kotlin/io/oriolehall/policy/keys/WitnessPanel.kt
@@ -5,34 +5,35 @@
 import io.oriolehall.policy.hashing.Rendezvous
 
 /**
- * The witnesses of one key and how many of them must grant it.
+ * The witnesses of one key and the number of grants that a claimant needs.
  *
- * Two holders would need 2 x [needed] grants from [members] names. Each name grants once, so they would have to share
- * `2 x needed - size` witnesses that granted twice. For five members that is three.
+ * Two holders would need 2 x [requiredGrants] grants in total. Since each member grants a key only once, at
+ * least `2 x requiredGrants - size` members would have to grant it twice. With five members that is three.
  *
- * @property members in the order in which they are asked; all claimants of a key ask the same one first.
+ * @property members the witnesses in the order in which they are asked; all claimants of a key ask the same one first.
+ * @property requiredGrants number of grants that makes a claimant the holder.
  */
-data class WitnessPanel(val members: List<InstanceId>, val needed: Int = grantsNeeded(members.size)) {
-    /** The witness that decides between claimants who come at the same time. */
-    val first: InstanceId get() = members.first()
+data class WitnessPanel(val members: List<InstanceId>, val requiredGrants: Int = requiredGrantsOf(members.size)) {
+    /** The witness that is asked first and so decides between concurrent claimants. */
+    val firstAsked: InstanceId get() = members.first()
 
     /**
-     * True when [grants] to one claimant bar every other, even if one granting witness had a second process of the
-     * same name that grants again.
+     * True when [grants] to one claimant prevent any other claimant from getting enough, even if one of the granting
+     * witnesses has a second process under its name that also grants the key.
      */
-    fun bars(grants: Int): Boolean = 2 * grants > members.size
+    fun blocksOthers(grants: Int): Boolean = 2 * grants > members.size
 
     companion object {
-        /** Most witnesses of a key. */
+        /** Maximum number of witnesses of a key. */
         const val MAX_SIZE = 5
 
-        /** Size from which one witness may be silent. */
-        private const val SPARE_FROM = 5
+        /** Smallest panel in which one witness may be silent. */
+        private const val MIN_SIZE_WITH_SPARE = 5
 
-        /** The panel of [key]: the members of [roster] that come first by rendezvous hashing. */
+        /** The panel of [key]: the highest-ranked instances of [roster] by rendezvous hashing. */
         fun of(key: String, roster: WitnessRoster): WitnessPanel =
             WitnessPanel(Rendezvous.ranked(key, roster.instances.distinct()).take(MAX_SIZE))
 
-        private fun grantsNeeded(size: Int): Int = if (size >= SPARE_FROM) size - 1 else size
+        private fun requiredGrantsOf(size: Int): Int = if (size >= MIN_SIZE_WITH_SPARE) size - 1 else size
     }
 }
--- a/policy/src/main/kotlin/io/oriolehall/policy/keys/WitnessTable.kt
+++ b/policy/src/main/kotlin/io/oriolehall/policy/keys/WitnessTable.kt
@@ -3,28 +3,28 @@
 import java.util.concurrent.ConcurrentHashMap
 
 /**
- * The grants of one witness. Safe for use by many threads.
+ * The grants of one witness. Thread-safe.
  *
- * [nowMs] must never go back in the life of a process, or an expired grant could be given again.
+ * The `nowMs` passed to its functions must never decrease within a process, or an expired key could be granted again.
  */
 class WitnessTable(private val rules: KeyRules) {
     private val witness = Witness(rules)
     private val grants = ConcurrentHashMap<String, Grant>()
 
-    /** Number of keys remembered. */
+    /** Number of recorded grants. */
     val size: Int get() = grants.size
 
-    /** Answers [request] and remembers a grant. */
-    fun claim(request: ClaimRequest, standing: WitnessStanding, nowMs: Long): WitnessAnswer {
+    /** Answers [request] and records the grant if it is given. */
+    fun claim(request: ClaimRequest, status: WitnessStanding, nowMs: Long): WitnessAnswer {
         var answer: WitnessAnswer = WitnessAnswer.Silent
         grants.compute(request.key) { _, grant ->
-            answer = witness.judge(request, grant?.holder, standing, nowMs)
+            answer = witness.evaluate(request, grant?.holder, status, nowMs)
             grant ?: Grant(request.holder, request.bornAtMs).takeIf { answer == WitnessAnswer.Granted }
         }
         return answer
     }
 
-    /** Forgets keys that no witness grants any more because of their age. */
+    /** Removes the grants of expired keys, which no witness grants any more. */
     fun forgetExpired(nowMs: Long) {
         grants.values.removeIf { rules.expired(it.bornAtMs, nowMs) }
     }
--- a/policy/src/main/kotlin/io/oriolehall/policy/membership/MemberRecord.kt
+++ b/policy/src/main/kotlin/io/oriolehall/policy/membership/MemberRecord.kt
@@ -5,31 +5,31 @@
 import io.oriolehall.model.InstanceId
 import kotlinx.serialization.Serializable
 
-/** What instances say of an instance. Later constants go before earlier ones of the same epoch. */
+/** State of an instance as reported to others. Within an epoch, later constants supersede earlier ones. */
 @Serializable
 enum class MemberState {
-    /** It answers. */
+    /** The instance answers probes. */
     ALIVE,
 
-    /** It did not answer; it still counts as live until it is declared dead or refutes the suspicion. */
+    /** The instance did not answer. It counts as live until it is declared dead or refutes the suspicion. */
     SUSPECT,
 
-    /** It announced that it is leaving: it finishes what it has and owns nothing new. */
+    /** The instance announced its shutdown. It finishes its current work and takes no new ownership. */
     LEAVING,
 
-    /** It did not answer for the whole suspicion time. */
+    /** The instance did not answer during the whole suspicion time. */
     DEAD,
 
-    /** It stopped as planned. */
+    /** The instance shut down as planned. */
     LEFT,
 }
 
 /**
- * What is known of one instance, as instances pass it to each other.
+ * The record of one instance that instances gossip to each other.
  *
- * @property incarnation the process.
- * @property epoch number that only the instance itself raises, to refute what others say of it. It starts at the
- *   wall-clock time of the process's start, and above any epoch that others remember for the same name.
+ * @property incarnation identifies the process that runs under the name of the instance.
+ * @property epoch version number that only the instance itself increases, to refute reports about it. It starts at the
+ *   wall-clock time at which the process started, and above any epoch that others have recorded for the same name.
  */
 @Serializable
 data class MemberRecord(
--- a/policy/src/main/kotlin/io/oriolehall/policy/membership/Membership.kt
+++ b/policy/src/main/kotlin/io/oriolehall/policy/membership/Membership.kt
@@ -8,9 +8,11 @@
 import kotlin.random.Random
 
 /**
- * What one instance knows of the fleet, and its failure detector, after SWIM: each round it probes a few others, asks
- * helpers where one is silent, suspects, and declares dead who did not refute in time. Records travel with the probes.
- * It does no I/O: its owner sends the probes and reports the answers. Not safe for use by several threads.
+ * The member list of one instance and its failure detector, based on SWIM. In each round it probes a few instances. If
+ * one does not answer, helpers probe it; if they get no answer either, it becomes suspect, and it is declared dead
+ * unless it refutes the suspicion in time. Records are gossiped with the probes.
+ *
+ * This class does no I/O: its owner sends the probes and reports the answers. Not thread-safe.
  *
  * All times are monotonic milliseconds of this process.
  */
@@ -32,41 +34,42 @@
     private val schedule = ProbeSchedule(self, settings, random)
     private val startedMs = nowMs
     private var lastRoundMs = nowMs
-    private var refreshed = true
+    private var confirmedSincePause = true
     private var joined = false
 
-    /** This instance's own record. */
+    /** Record of this instance. */
     var own = MemberRecord(self, incarnation, incarnation.startedAtMs)
         private set
 
-    /** True when another process runs under this instance's name and this one has to stop. */
+    /** True when another process runs under the name of this instance, so that this process has to stop. */
     var superseded = false
         private set
 
-    /** Pause of this process that the last round noticed, milliseconds; 0 when there was none. */
+    /** Length of the pause of this process that the last round detected, milliseconds; 0 if there was none. */
     var lastPauseMs = 0L
         private set
 
     /**
-     * Starts a round: notices a pause, declares silent suspects dead and returns the instances to probe.
+     * Starts a round: detects a pause of this process, declares instances dead that were silent for the whole suspicion
+     * time, and returns the instances to probe.
      */
     fun beginRound(nowMs: Long): List<MemberRecord> {
-        noticePause(nowMs)
+        detectPause(nowMs)
         lastRoundMs = nowMs
         entries.values.filter {
             it.isOverdue(nowMs)
         }.forEach { replace(it, it.record.copy(state = MemberState.DEAD), nowMs) }
-        entries.values.removeIf { entry -> entry.endedAtMs?.let { nowMs - it > settings.forgetMs } ?: false }
-        if (entries.values.none { it.record.state <= MemberState.LEAVING }) refreshed = true
+        entries.values.removeIf { entry -> entry.endedAtMs?.let { nowMs - it > settings.endedRetentionMs } ?: false }
+        if (entries.values.none { it.record.state <= MemberState.LEAVING }) confirmedSincePause = true
         return schedule.next(entries.values.map(Entry::record))
     }
 
-    /** The pause counts against nobody: whoever seemed silent meanwhile gets the time back. */
-    private fun noticePause(nowMs: Long) {
+    /** Detects a pause of this process. The time of the pause does not count towards the suspicion time of others. */
+    private fun detectPause(nowMs: Long) {
         val elapsed = nowMs - lastRoundMs
         lastPauseMs = if (elapsed > settings.pauseMs) elapsed else 0
         if (lastPauseMs == 0L) return
-        refreshed = false
+        confirmedSincePause = false
         for (entry in entries.values) {
             entry.silentSinceMs = entry.silentSinceMs?.plus(elapsed)
         }
@@ -77,15 +80,15 @@
         return record.state <= MemberState.LEAVING && nowMs - since >= settings.suspicionMs
     }
 
-    /** Notes that [id] answered; [skewMs] is the estimate of its clock's lead. */
+    /** Records an answer from [id]; [skewMs] estimates how far its clock is ahead of the clock of this instance. */
     fun answered(id: InstanceId, skewMs: Long) {
-        refreshed = true
+        confirmedSincePause = true
         val entry = entries[id] ?: return
         entry.skewMs = skewMs
         if (entry.record.state != MemberState.SUSPECT) entry.silentSinceMs = null
     }
 
-    /** Notes that neither this instance nor its helpers got an answer from [id]. */
+    /** Records that neither this instance nor its helpers got an answer from [id]. */
     fun silent(id: InstanceId, nowMs: Long) {
         val entry = entries[id] ?: return
         if (entry.silentSinceMs == null) entry.silentSinceMs = nowMs
@@ -93,7 +96,7 @@
         replace(entry, entry.record.copy(state = MemberState.SUSPECT), nowMs)
     }
 
-    /** Takes in what a peer says. Returns the records that were news. */
+    /** Merges records from a peer. Returns those that changed the state of this instance. */
     fun merge(
         records: Collection<MemberRecord>,
         nowMs: Long,
@@ -104,7 +107,7 @@
         val entry = entries[record.id]
         if (entry != null && !record.supersedes(entry.record)) return false
         if (entry == null) {
-            entries[record.id] = Entry(record, nowMs).also { it.noteState(record, nowMs) }
+            entries[record.id] = Entry(record, nowMs).also { it.updateStateTimes(record, nowMs) }
             updates.add(record)
         } else {
             replace(entry, record, nowMs)
@@ -113,12 +116,13 @@
     }
 
     /**
-     * Another process under this name is older unless its incarnation is greater; a process that has just started takes
-     * its place in any case. What is said of this process is refuted with a higher epoch.
+     * Merges a record under the name of this instance. After [join], a live process with a greater incarnation
+     * supersedes this one; before, this process takes over the name in any case. Any other record that supersedes [own]
+     * is refuted with a higher epoch.
      */
     private fun mergeOwn(record: MemberRecord): Boolean {
-        val foreign = record.incarnation != incarnation
-        if (foreign && joined && record.incarnation > incarnation) {
+        val fromOtherProcess = record.incarnation != incarnation
+        if (fromOtherProcess && joined && record.incarnation > incarnation) {
             if (record.state <= MemberState.LEAVING) superseded = true
             return superseded
         }
@@ -130,28 +134,28 @@
 
     private fun replace(entry: Entry, record: MemberRecord, nowMs: Long) {
         val before = entry.record
-        val returned = before.state > MemberState.LEAVING && record.state <= MemberState.LEAVING
-        if (returned || before.incarnation != record.incarnation) entry.sinceMs = nowMs
+        val recovered = before.state > MemberState.LEAVING && record.state <= MemberState.LEAVING
+        if (recovered || before.incarnation != record.incarnation) entry.sinceMs = nowMs
         entry.record = record
-        entry.noteState(record, nowMs)
+        entry.updateStateTimes(record, nowMs)
         updates.add(record)
     }
 
-    private fun Entry.noteState(record: MemberRecord, nowMs: Long) {
+    private fun Entry.updateStateTimes(record: MemberRecord, nowMs: Long) {
         silentSinceMs = if (record.state == MemberState.SUSPECT) silentSinceMs ?: nowMs else null
         endedAtMs = if (record.state > MemberState.LEAVING) endedAtMs ?: nowMs else null
     }
 
-    /** Ends the time in which this process may take the place of another under its name. */
+    /** Ends the startup phase in which this process takes over its name from any other process. */
     fun join() {
         joined = true
         updates.add(own)
     }
 
-    /** Announces that this instance is leaving: it takes no more ownership. */
+    /** Announces that this instance is shutting down and takes no new ownership. */
     fun leave() = announce(MemberState.LEAVING)
 
-    /** Announces that this instance has stopped. */
+    /** Announces that this instance has shut down. */
     fun stop() = announce(MemberState.LEFT)
 
     private fun announce(state: MemberState) {
@@ -160,17 +164,17 @@
     }
 
     /**
-     * Records to send to [to]: this instance's own, what is still to be passed on, and what this instance holds of [to]
-     * where that is not alive or differs from what [to] itself has just [claimed].
+     * Records to send to [to]: the record of this instance, pending updates, and the stored record of [to] if its state
+     * is not alive or if it differs from [claimed], the record that [to] has just sent of itself.
      */
     fun outgoing(to: InstanceId?, claimed: MemberRecord? = null): List<MemberRecord> {
-        val held = to?.let { entries[it]?.record }
-        val disputed = held?.takeIf { it.state != MemberState.ALIVE || (claimed != null && it != claimed) }
-        val news = updates.take(settings.updatesPerMessage, entries.size + 1)
-        return (listOfNotNull(own, disputed) + news).distinctBy(MemberRecord::id)
+        val stored = to?.let { entries[it]?.record }
+        val disputed = stored?.takeIf { it.state != MemberState.ALIVE || (claimed != null && it != claimed) }
+        val pendingUpdates = updates.take(settings.updatesPerMessage, entries.size + 1)
+        return (listOfNotNull(own, disputed) + pendingUpdates).distinctBy(MemberRecord::id)
     }
 
-    /** Helpers for a probe of [target]: live instances, those of third zones first. */
+    /** Helpers for an indirect probe of [target]: live instances, those in neither of the two zones first. */
     fun helpers(target: MemberRecord, random: Random): List<MemberRecord> = entries.values
         .map(Entry::record)
         .filter { it.state == MemberState.ALIVE && it.id != target.id }
@@ -178,24 +182,24 @@
         .sortedBy { it.instance.zone == self.zone || it.instance.zone == target.instance.zone }
         .take(settings.helpers)
 
-    /** All records, for a peer whose [digest] differs. */
+    /** All records; sent to a peer whose [digest] differs. */
     fun table(): List<MemberRecord> = entries.values.map(Entry::record) + own
 
-    /** Digest of the live records; equal on two instances that agree on the fleet. */
+    /** Digest of the live records; equal on instances whose live records are equal. */
     fun digest(): Int = table()
         .filter { it.state <= MemberState.LEAVING }
-        .sumOf { (it.id.value.hashCode() * HASH_STEP + it.epoch.hashCode()) * HASH_STEP + it.state.ordinal }
+        .sumOf { (it.id.value.hashCode() * HASH_MULTIPLIER + it.epoch.hashCode()) * HASH_MULTIPLIER + it.state.ordinal }
 
-    /** Address of [id], if it is known. */
+    /** Address of [id], or null if it is unknown. */
     fun addressOf(id: InstanceId): NetworkAddress? = entries[id]?.record?.instance?.peerAddress
 
-    /** The fleet as traffic and ownership read it. */
+    /** Snapshot of the fleet for request processing and ownership decisions. */
     fun view(): MembershipView = MembershipView(
         self = self.id,
         zone = self.zone,
         members = (entries.values.map(::toMember) + ownMember()).associateBy(Member::id).toPersistentMap(),
         asOfMs = lastRoundMs,
-        refreshed = refreshed,
+        confirmedSincePause = confirmedSincePause,
         superseded = superseded,
     )
 
@@ -212,6 +216,6 @@
     )
 
     private companion object {
-        const val HASH_STEP = 31
+        const val HASH_MULTIPLIER = 31
     }
 }
--- a/policy/src/main/kotlin/io/oriolehall/policy/membership/MembershipSettings.kt
+++ b/policy/src/main/kotlin/io/oriolehall/policy/membership/MembershipSettings.kt
@@ -1,16 +1,16 @@
 package io.oriolehall.policy.membership
 
 /**
- * Times and counts of the failure detector. A pause shorter than [suspicionMs] kills nobody.
+ * Settings of the failure detector. An instance that pauses for less than [suspicionMs] is not declared dead.
  *
  * @property probePeriodMs time between two rounds of probes, milliseconds.
- * @property probeTimeoutMs wait for the answer to a probe, milliseconds.
- * @property suspicionMs time a suspect has to refute before it is declared dead, milliseconds.
- * @property pauseMs time between two rounds that tells a process that it was paused, milliseconds.
- * @property linksPerZone instances of each other zone that an instance probes.
- * @property helpers instances that are asked to probe for this one when its own probe fails.
- * @property updatesPerMessage most records in one message.
- * @property forgetMs time after which a dead or departed instance is forgotten, milliseconds.
+ * @property probeTimeoutMs timeout of a probe, milliseconds.
+ * @property suspicionMs time in which a suspect can refute before it is declared dead, milliseconds.
+ * @property pauseMs time between two rounds above which a process considers itself to have been paused, milliseconds.
+ * @property linksPerZone number of instances that an instance probes in each other zone.
+ * @property helpers number of instances that are asked for an indirect probe when a direct probe fails.
+ * @property updatesPerMessage maximum number of pending updates in one message.
+ * @property endedRetentionMs time after which the record of a dead or stopped instance is removed, milliseconds.
  */
 data class MembershipSettings(
     val probePeriodMs: Long = 1_000,
@@ -20,5 +20,5 @@
     val linksPerZone: Int = 2,
     val helpers: Int = 2,
     val updatesPerMessage: Int = 8,
-    val forgetMs: Long = 3_600_000,
+    val endedRetentionMs: Long = 3_600_000,
 )
--- a/policy/src/main/kotlin/io/oriolehall/policy/membership/MembershipView.kt
+++ b/policy/src/main/kotlin/io/oriolehall/policy/membership/MembershipView.kt
@@ -8,11 +8,12 @@
 import kotlinx.collections.immutable.persistentMapOf
 
 /**
- * An instance as this one sees it.
+ * An instance of the fleet as seen by the local instance.
  *
- * @property sinceMs when this instance first saw this incarnation live, or live again, monotonic milliseconds.
- * @property skewMs its wall clock minus this instance's, milliseconds, estimated to half a round trip; null when this
- *   instance does not probe it.
+ * @property sinceMs when the local instance first saw this incarnation live, or live again after it had ended,
+ *   monotonic milliseconds.
+ * @property skewMs wall clock of the instance minus the local one, milliseconds, accurate to half a round trip; null
+ *   when the local instance does not probe it.
  */
 data class Member(
     val id: InstanceId,
@@ -23,47 +24,48 @@
     val sinceMs: Long,
     val skewMs: Long? = null,
 ) {
-    /** True when it may be asked: it has not been declared dead and has not stopped. */
+    /** True when it may receive requests: it has neither been declared dead nor shut down. */
     val reachable: Boolean get() = state <= MemberState.LEAVING
 
-    /** True when it may own something: it is live and not leaving. */
+    /** True when ownership may be assigned to it: it is live and not shutting down. */
     val ownable: Boolean get() = state <= MemberState.SUSPECT
 }
 
 /**
- * The instances of the fleet at one moment, this one among them. Views of different instances may differ; nothing that
- * must happen at most once may rest on a view alone.
+ * An immutable snapshot of the fleet, including the local instance. The views of different instances may differ, so
+ * at-most-once guarantees must not depend on a view alone.
  *
  * @property asOfMs monotonic time of the last round of probes, milliseconds.
- * @property refreshed false from a pause of this process until a peer has answered again or all are known to be dead.
- * @property superseded true when another process runs under this instance's name: this one takes no new work.
+ * @property confirmedSincePause false after a pause of this process until a peer has answered or no live peer is left.
+ * @property superseded true when another process runs under the name of this instance, so that this process takes no
+ *   new work.
  */
 data class MembershipView(
     val self: InstanceId,
     val zone: ZoneId,
     val members: PersistentMap<InstanceId, Member> = persistentMapOf(),
     val asOfMs: Long = 0,
-    val refreshed: Boolean = true,
+    val confirmedSincePause: Boolean = true,
     val superseded: Boolean = false,
 ) {
     /**
-     * True when ownership may be decided from this view at [nowMs]. It turns false by itself while the process is
-     * paused, before any timer has run.
+     * True when ownership may be decided from this view at [nowMs]. It depends on the age of the view, so that it is
+     * already false when the process resumes after a pause, before any timer has run.
      */
     fun isFresh(nowMs: Long, settings: MembershipSettings = MembershipSettings()): Boolean =
-        refreshed && !superseded && nowMs - asOfMs <= settings.pauseMs
+        confirmedSincePause && !superseded && nowMs - asOfMs <= settings.pauseMs
 
     fun member(id: InstanceId): Member? = members[id]
 
-    /** Instances of [zone] that may own something, by name. */
+    /** Instances of [zone] that are [Member.ownable], sorted by name. */
     fun owners(
         zone: ZoneId,
     ): List<Member> = members.values.filter { it.zone == zone && it.ownable }.sortedBy(Member::id)
 
-    /** Instances of [zone] that may be asked, by name. */
+    /** Instances of [zone] that are [Member.reachable], sorted by name. */
     fun reachable(zone: ZoneId): List<Member> =
         members.values.filter { it.zone == zone && it.reachable }.sortedBy(Member::id)
 
-    /** All zones with a known instance. */
+    /** Zones of all members. */
     val zones: Set<ZoneId> get() = members.values.mapTo(sortedSetOf()) { it.zone }
 }
--- a/policy/src/main/kotlin/io/oriolehall/policy/membership/ProbeSchedule.kt
+++ b/policy/src/main/kotlin/io/oriolehall/policy/membership/ProbeSchedule.kt
@@ -7,36 +7,37 @@
 import kotlin.random.Random
 
 /**
- * Chooses whom to probe. In its own zone an instance goes through all others in random order, one a round. Of each
- * other zone it has a few links, chosen by rendezvous hashing, and probes one of all of these a round. The number of
- * probes a round is therefore the same for any size of the fleet, and no instance connects to all the others.
+ * Chooses the instances to probe. In its own zone, an instance probes all others in random order, one per round. In
+ * each other zone, it is linked to a few instances chosen by rendezvous hashing, and probes one of all its links per
+ * round. The number of probes per round is therefore independent of the fleet size, and no instance connects to all
+ * others.
  */
 internal class ProbeSchedule(
     private val self: Instance,
     private val settings: MembershipSettings,
     private val random: Random,
 ) {
-    private val ownZone = ArrayDeque<InstanceId>()
-    private val otherZones = ArrayDeque<InstanceId>()
-    private val lost = ArrayDeque<InstanceId>()
+    private val ownZoneQueue = ArrayDeque<InstanceId>()
+    private val linkQueue = ArrayDeque<InstanceId>()
+    private val endedQueue = ArrayDeque<InstanceId>()
     private var round = 0L
 
-    /** Targets of the next round among [records], which leave out this instance. */
+    /** Targets of the next round among [records], which do not include this instance. */
     fun next(records: Collection<MemberRecord>): List<MemberRecord> {
         round++
         val live = records.filter { it.state <= MemberState.LEAVING }
-        val (near, far) = live.partition { it.instance.zone == self.zone }
+        val (inOwnZone, inOtherZones) = live.partition { it.instance.zone == self.zone }
         val targets = listOfNotNull(
-            turn(ownZone, near),
-            turn(otherZones, links(far)),
-            if (round % ROUNDS_PER_RETRY == 0L) turn(lost, records - live.toSet()) else null,
+            nextInRotation(ownZoneQueue, inOwnZone),
+            nextInRotation(linkQueue, links(inOtherZones)),
+            if (round % ROUNDS_PER_ENDED_PROBE == 0L) nextInRotation(endedQueue, records - live.toSet()) else null,
         )
-        return (targets + suspects(near + links(far))).distinctBy(MemberRecord::id)
+        return (targets + suspects(inOwnZone + links(inOtherZones))).distinctBy(MemberRecord::id)
     }
 
-    /** The instances of other zones that this one exchanges with, among [far]. */
-    private fun links(far: List<MemberRecord>): List<MemberRecord> =
-        far.groupBy { it.instance.zone }.flatMap { (zone, records) -> linksOf(zone, records) }
+    /** The instances in other zones that this instance is linked to, among [inOtherZones]. */
+    private fun links(inOtherZones: List<MemberRecord>): List<MemberRecord> =
+        inOtherZones.groupBy { it.instance.zone }.flatMap { (zone, records) -> linksOf(zone, records) }
 
     private fun linksOf(zone: ZoneId, records: List<MemberRecord>): List<MemberRecord> {
         val chosen = Rendezvous.ranked("link ${self.id} $zone", records.map(MemberRecord::id))
@@ -47,7 +48,7 @@
     private fun suspects(records: List<MemberRecord>): List<MemberRecord> =
         records.filter { it.state == MemberState.SUSPECT }.shuffled(random).take(settings.helpers)
 
-    private fun turn(queue: ArrayDeque<InstanceId>, records: Collection<MemberRecord>): MemberRecord? {
+    private fun nextInRotation(queue: ArrayDeque<InstanceId>, records: Collection<MemberRecord>): MemberRecord? {
         val byId = records.associateBy(MemberRecord::id)
         repeat(queue.size) {
             byId[queue.removeFirst()]?.let { return it }
@@ -57,6 +58,6 @@
     }
 
     private companion object {
-        const val ROUNDS_PER_RETRY = 3L
+        const val ROUNDS_PER_ENDED_PROBE = 3L
     }
 }
--- a/policy/src/test/kotlin/io/oriolehall/policy/config/TicketStateTest.kt
+++ b/policy/src/test/kotlin/io/oriolehall/policy/config/TicketStateTest.kt
@@ -24,7 +24,7 @@
 
     private fun TicketState.ticketOf(zone: String) = config.objects[ObjectKey("zone", zone)]?.ticket
 
-    private fun published(random: Random): List<Pair<Ticket, Long>> = List(60) { index ->
+    private fun publishedTickets(random: Random): List<Pair<Ticket, Long>> = List(60) { index ->
         val objects = List(random.nextInt(1, 4)) { "z${random.nextInt(8)}" }.distinct().map {
             if (random.nextBoolean()) zone(it) else EngineAssignment(EndpointId(it), "m", "v${random.nextInt(3)}")
         }
@@ -35,14 +35,14 @@
     fun `the same tickets in any order give the same state, also when they come through other instances`() {
         for (seed in 1..200) {
             val random = Random(seed)
-            val tickets = published(random)
+            val tickets = publishedTickets(random)
             val expected = tickets.fold(TicketState()) { state, (t, revision) -> state.accept(t, revision) }
             val shuffled = tickets.shuffled(random)
             val (left, right) = shuffled.chunked(shuffled.size / 2).map { half ->
                 half.fold(TicketState()) { state, (t, revision) -> state.accept(t, revision) }
             }
-            val joined = left.merge(right.config.objects.values.shuffled(random))
-            expectThat(joined).describedAs("seed $seed").isEqualTo(expected)
+            val merged = left.merge(right.config.objects.values.shuffled(random))
+            expectThat(merged).describedAs("seed $seed").isEqualTo(expected)
             expectThat(right.merge(left.config.objects.values)).describedAs("seed $seed").isEqualTo(expected)
         }
     }
@@ -52,7 +52,7 @@
         for (seed in 1..50) {
             val random = Random(seed)
             var state = TicketState()
-            for ((ticket, revision) in published(random).shuffled(random)) {
+            for ((ticket, revision) in publishedTickets(random).shuffled(random)) {
                 val next = state.accept(ticket, revision)
                 for ((key, version) in state.config.objects) {
                     check(next.config.objects.getValue(key).ticket >= version.ticket) { "seed $seed: $key went back" }
@@ -89,7 +89,7 @@
     @Test
     fun `exchange of the differing buckets alone makes two states equal`() {
         val random = Random(4)
-        val common = published(random).fold(TicketState()) { state, (t, revision) -> state.accept(t, revision) }
+        val common = publishedTickets(random).fold(TicketState()) { state, (t, revision) -> state.accept(t, revision) }
         val ahead = common.accept(ticket(900, zone("z1")), 100)
         expectThat(ahead.digest.whole).isNotEqualTo(common.digest.whole)
         val buckets = ahead.digest.differing(common.digest.buckets)
--- a/policy/src/test/kotlin/io/oriolehall/policy/keys/StateExplorer.kt
+++ b/policy/src/test/kotlin/io/oriolehall/policy/keys/StateExplorer.kt
@@ -1,21 +1,21 @@
 package io.oriolehall.policy.keys
 
-/** Result of an exploration: the number of distinct states, and the first state found that breaks a rule. */
+/** Result of an exploration: the number of distinct states, and the first state that breaks a rule, or null. */
 internal data class Exploration(val states: Int, val violation: String?)
 
-/** Visits every state that can be reached, depth first, each once. */
-internal class StateExplorer(private val worlds: KeyWorlds) {
+/** Visits every reachable state once, in depth-first order. */
+internal class StateExplorer(private val model: KeyModel) {
     fun explore(): Exploration {
-        val first = worlds.initial()
-        val seen = hashSetOf(first)
-        val open = ArrayDeque(seen)
+        val initial = model.initial()
+        val visited = hashSetOf(initial)
+        val open = ArrayDeque(visited)
         while (open.isNotEmpty()) {
-            val world = open.removeLast()
-            world.violation()?.let { return Exploration(seen.size, "$it: $world") }
-            for (next in worlds.next(world)) {
-                if (seen.add(next)) open.add(next)
+            val state = open.removeLast()
+            state.violation()?.let { return Exploration(visited.size, "$it: $state") }
+            for (successor in model.successors(state)) {
+                if (visited.add(successor)) open.add(successor)
             }
         }
-        return Exploration(seen.size, null)
+        return Exploration(visited.size, null)
     }
 }
--- a/policy/src/test/kotlin/io/oriolehall/policy/keys/TokenCodecTest.kt
+++ b/policy/src/test/kotlin/io/oriolehall/policy/keys/TokenCodecTest.kt
@@ -29,10 +29,10 @@
 
     @Test
     fun `a token with any character changed is no key`() {
-        for (at in TokenCodec.PREFIX.length until token.length) {
-            val changed = token.replaceRange(at, at + 1, if (token[at] == 'A') "B" else "A")
+        for (index in TokenCodec.PREFIX.length until token.length) {
+            val changed = token.replaceRange(index, index + 1, if (token[index] == 'A') "B" else "A")
             val sameBytes = changed.substringAfterLast('.').dropLast(1) == token.substringAfterLast('.').dropLast(1)
-            if (!sameBytes || at < token.length - 1) expectThat(IdempotencyKey.parse(changed, codec).isErr).isTrue()
+            if (!sameBytes || index < token.length - 1) expectThat(IdempotencyKey.parse(changed, codec).isErr).isTrue()
         }
     }
 
--- a/policy/src/test/kotlin/io/oriolehall/policy/membership/FakeFleet.kt
+++ b/policy/src/test/kotlin/io/oriolehall/policy/membership/FakeFleet.kt
@@ -7,8 +7,10 @@
 import io.oriolehall.model.ZoneId
 import kotlin.random.Random
 
-/** Instances in one test, with probes as direct calls, one round a second. */
-internal class FakeFleet(zones: Int, perZone: Int, private val loss: Double = 0.0, seed: Int = 1) {
+/**
+ * Simulated instances whose probes are direct calls, one round per second. [lossRate] is the share of probes that fail.
+ */
+internal class FakeFleet(zones: Int, perZone: Int, private val lossRate: Double = 0.0, seed: Int = 1) {
     private val random = Random(seed)
     private var nonce = 0
 
@@ -24,7 +26,7 @@
 
     var nowMs = 1_000_000L
         private set
-    var cut = false
+    var partitioned = false
     var deathsSeen = 0
         private set
     val processes = mutableListOf<Process>()
@@ -57,18 +59,18 @@
         for (target in process.membership.beginRound(nowMs)) {
             val peer = processes.lastOrNull { it.id == target.id } ?: continue
             if (probe(process, peer)) continue
-            val helped = process.membership.helpers(target, random).any { helper ->
-                val third = processes.last { it.id == helper.id }
-                probe(process, third) && probe(third, peer)
+            val reachedByHelper = process.membership.helpers(target, random).any { helper ->
+                val helperProcess = processes.last { it.id == helper.id }
+                probe(process, helperProcess) && probe(helperProcess, peer)
             }
-            if (!helped) process.membership.silent(peer.id, nowMs)
+            if (!reachedByHelper) process.membership.silent(peer.id, nowMs)
         }
         deathsSeen += process.membership.view().members.values.count { it.state == MemberState.DEAD }
     }
 
     private fun probe(from: Process, to: Process): Boolean {
-        val severed = cut && from.zone != to.zone
-        if (!from.up || !to.up || severed || random.nextDouble() < loss) return false
+        val blocked = partitioned && from.zone != to.zone
+        if (!from.up || !to.up || blocked || random.nextDouble() < lossRate) return false
         to.membership.merge(from.membership.outgoing(to.id), nowMs)
         from.membership.merge(to.membership.outgoing(from.id, claimed = from.membership.own), nowMs)
         from.membership.answered(to.id, skewMs = 0)
--- a/policy/src/test/kotlin/io/oriolehall/policy/membership/MembershipTest.kt
+++ b/policy/src/test/kotlin/io/oriolehall/policy/membership/MembershipTest.kt
@@ -37,7 +37,7 @@
 
     @Test
     fun `a pause of two seconds and lost packets make nobody dead`() {
-        val fleet = FakeFleet(zones = 2, perZone = 4, loss = 0.02).apply { run(seconds = 15) }
+        val fleet = FakeFleet(zones = 2, perZone = 4, lossRate = 0.02).apply { run(seconds = 15) }
         val paused = fleet.processes[2]
         repeat(5) {
             paused.up = false
@@ -51,12 +51,12 @@
     @Test
     fun `cut zones lose each other and find each other again`() {
         val fleet = FakeFleet(zones = 2, perZone = 3).apply { run(seconds = 15) }
-        fleet.cut = true
+        fleet.partitioned = true
         fleet.run(seconds = 15)
         expectThat(fleet.processes).all {
             get { membership.view().members.values.count(Member::reachable) }.isEqualTo(3)
         }
-        fleet.cut = false
+        fleet.partitioned = false
         fleet.run(seconds = 15)
         expectThat(fleet.processes).all {
             get { membership.view().members.values.count(Member::reachable) }.isEqualTo(6)
@@ -107,10 +107,10 @@
     @Test
     fun `a leaving instance owns nothing but can still be asked`() {
         val fleet = FakeFleet(zones = 1, perZone = 4).apply { run(seconds = 15) }
-        val leaver = fleet.processes[0].also { it.membership.leave() }
+        val leavingInstance = fleet.processes[0].also { it.membership.leave() }
         fleet.run(seconds = 4)
-        for (process in fleet.processes - leaver) {
-            val member = process.membership.view().member(leaver.id)
+        for (process in fleet.processes - leavingInstance) {
+            val member = process.membership.view().member(leavingInstance.id)
             expectThat(member).isNotNull().and {
                 get { ownable }.isFalse()
                 get { reachable }.isTrue()
@@ -126,8 +126,8 @@
         membership.merge(members, 0)
         val targets = (1..2_000L).map { membership.beginRound(it * 1_000).also { _ -> membership.outgoing(null) } }
         expectThat(targets).all { get { size }.isLessThanOrEqualTo(3) }
-        val far = targets.flatten().filter { it.instance.zone != self.zone }.distinctBy { it.id }
-        expectThat(far).hasSize(7 * settings.linksPerZone)
+        val probedInOtherZones = targets.flatten().filter { it.instance.zone != self.zone }.distinctBy { it.id }
+        expectThat(probedInOtherZones).hasSize(7 * settings.linksPerZone)
         expectThat(membership.outgoing(null).size).isLessThanOrEqualTo(settings.updatesPerMessage + 2)
     }
 
