--- a/policy/src/main/kotlin/io/oriolehall/policy/keys/KeyHome.kt
+++ b/policy/src/main/kotlin/io/oriolehall/policy/keys/KeyHome.kt
@@ -57,7 +57,7 @@
 
         record.state == KeyState.Unclaimed -> reclaim(record.copy(digest = digest), nowMs, relayedTo)
 
-        record.digest != digest -> Arrival.Reused(certain = record.holds)
+        record.digest != digest -> Arrival.Reused(certain = record.isHolder)
 
         else -> Arrival.Join
     }
--- a/policy/src/main/kotlin/io/oriolehall/policy/keys/KeyRecord.kt
+++ b/policy/src/main/kotlin/io/oriolehall/policy/keys/KeyRecord.kt
@@ -37,7 +37,7 @@
  */
 data class KeyRecord(val digest: RequestDigest, val bornAtMs: Long, val state: KeyState) {
     /** True when this process is the holder of the key: it may run the request, has run it or has closed the key. */
-    val holds: Boolean get() = state is KeyState.Held || state is KeyState.Sent || state is KeyState.Finished
+    val isHolder: Boolean get() = state is KeyState.Held || state is KeyState.Sent || state is KeyState.Finished
 
     /** The outcome to report to a caller whose request was abandoned. */
     val outcome: RunOutcome
--- a/policy/src/main/kotlin/io/oriolehall/policy/keys/KeyState.kt
+++ b/policy/src/main/kotlin/io/oriolehall/policy/keys/KeyState.kt
@@ -17,7 +17,7 @@
     /** This process holds the key. [ran] is true when a non-idempotent stage has returned its result. */
     data class Held(val ran: Boolean = false) : KeyState
 
-    /** A non-idempotent stage may be in transit to an endpoint or running there. [ran] as in [Held]. */
+    /** A non-idempotent stage may be in transit to an endpoint or running there; [ran] as in [Held]. */
     data class Sent(val ran: Boolean) : KeyState
 
     /** The request has ended; nothing more is sent under the key. */
--- a/policy/src/test/kotlin/io/oriolehall/policy/keys/KeyModel.kt
+++ b/policy/src/test/kotlin/io/oriolehall/policy/keys/KeyModel.kt
@@ -243,7 +243,7 @@
         }
         if (record.state is KeyState.Held) add(send(state, process))
         if ((record.state as? KeyState.Held)?.ran == true) add(transition(state, process.number, KeyRecord::answered))
-        if (record.holds) add(transition(state, process.number, KeyRecord::abandoned))
+        if (record.isHolder) add(transition(state, process.number, KeyRecord::abandoned))
     }
 
     private fun claimSteps(state: ModelState, process: Process, claim: Claim): List<ModelState> = buildList {
