--- a/policy/src/main/kotlin/io/oriolehall/policy/membership/Membership.kt
+++ b/policy/src/main/kotlin/io/oriolehall/policy/membership/Membership.kt
@@ -38,7 +38,7 @@
     private var joined = false
 
     /** Record of this instance. */
-    var own = MemberRecord(self, incarnation, incarnation.startedAtMs)
+    var ownRecord = MemberRecord(self, incarnation, incarnation.startedAtMs)
         private set
 
     /** True when another process runs under the name of this instance, so that this process has to stop. */
@@ -117,8 +117,8 @@
 
     /**
      * Merges a record under the name of this instance. After [join], a live process with a greater incarnation
-     * supersedes this one; before, this process takes over the name in any case. Any other record that supersedes [own]
-     * is refuted with a higher epoch.
+     * supersedes this one; before, this process takes over the name in any case. Any other record that supersedes
+     * [ownRecord] is refuted with a higher epoch.
      */
     private fun mergeOwn(record: MemberRecord): Boolean {
         val fromOtherProcess = record.incarnation != incarnation
@@ -126,9 +126,9 @@
             if (record.state <= MemberState.LEAVING) superseded = true
             return superseded
         }
-        if (!record.supersedes(own)) return false
-        own = own.copy(epoch = record.epoch + 1)
-        updates.add(own)
+        if (!record.supersedes(ownRecord)) return false
+        ownRecord = ownRecord.copy(epoch = record.epoch + 1)
+        updates.add(ownRecord)
         return true
     }
 
@@ -149,7 +149,7 @@
     /** Ends the startup phase in which this process takes over its name from any other process. */
     fun join() {
         joined = true
-        updates.add(own)
+        updates.add(ownRecord)
     }
 
     /** Announces that this instance is shutting down and takes no new ownership. */
@@ -159,8 +159,8 @@
     fun stop() = announce(MemberState.LEFT)
 
     private fun announce(state: MemberState) {
-        own = own.copy(state = state, instance = own.instance.copy(leaving = true))
-        updates.add(own)
+        ownRecord = ownRecord.copy(state = state, instance = ownRecord.instance.copy(leaving = true))
+        updates.add(ownRecord)
     }
 
     /**
@@ -171,7 +171,7 @@
         val stored = to?.let { entries[it]?.record }
         val disputed = stored?.takeIf { it.state != MemberState.ALIVE || (claimed != null && it != claimed) }
         val pendingUpdates = updates.take(settings.updatesPerMessage, entries.size + 1)
-        return (listOfNotNull(own, disputed) + pendingUpdates).distinctBy(MemberRecord::id)
+        return (listOfNotNull(ownRecord, disputed) + pendingUpdates).distinctBy(MemberRecord::id)
     }
 
     /** Helpers for an indirect probe of [target]: live instances, those in neither of the two zones first. */
@@ -183,7 +183,7 @@
         .take(settings.helpers)
 
     /** All records; sent to a peer whose [digest] differs. */
-    fun table(): List<MemberRecord> = entries.values.map(Entry::record) + own
+    fun table(): List<MemberRecord> = entries.values.map(Entry::record) + ownRecord
 
     /** Digest of the live records; equal on instances whose live records are equal. */
     fun digest(): Int = table()
@@ -203,7 +203,7 @@
         superseded = superseded,
     )
 
-    private fun ownMember() = toMember(Entry(own, startedMs).also { it.skewMs = 0 })
+    private fun ownMember() = toMember(Entry(ownRecord, startedMs).also { it.skewMs = 0 })
 
     private fun toMember(entry: Entry) = Member(
         id = entry.record.id,
--- a/policy/src/test/kotlin/io/oriolehall/policy/membership/FakeFleet.kt
+++ b/policy/src/test/kotlin/io/oriolehall/policy/membership/FakeFleet.kt
@@ -72,7 +72,7 @@
         val blocked = partitioned && from.zone != to.zone
         if (!from.up || !to.up || blocked || random.nextDouble() < lossRate) return false
         to.membership.merge(from.membership.outgoing(to.id), nowMs)
-        from.membership.merge(to.membership.outgoing(from.id, claimed = from.membership.own), nowMs)
+        from.membership.merge(to.membership.outgoing(from.id, claimed = from.membership.ownRecord), nowMs)
         from.membership.answered(to.id, skewMs = 0)
         return true
     }
