--- a/policy/src/main/kotlin/io/oriolehall/policy/keys/WitnessPanel.kt
+++ b/policy/src/main/kotlin/io/oriolehall/policy/keys/WitnessPanel.kt
@@ -7,8 +7,8 @@
 /**
  * The witnesses of one key and the number of grants that a claimant needs.
  *
- * Two holders would need 2 x [requiredGrants] grants in total. Since each member grants a key only once, at least `2 x
- * requiredGrants - size` members would have to grant it twice. With five members that is three.
+ * Two holders would need 2 x [requiredGrants] grants in total. Since each member grants a key only once, at
+ * least `2 x requiredGrants - size` members would have to grant it twice. With five members that is three.
  *
  * @property members the witnesses in the order in which they are asked; all claimants of a key ask the same one first.
  * @property requiredGrants number of grants that makes a claimant the holder.
