--- a/policy/src/main/kotlin/io/oriolehall/policy/admission/AdmissionPolicy.kt
+++ b/policy/src/main/kotlin/io/oriolehall/policy/admission/AdmissionPolicy.kt
@@ -1,13 +1,13 @@
 package io.oriolehall.policy.admission
 
 /**
- * What is expected of one stage that is still to run.
+ * Expected waiting and running time of one stage that a request has not run yet.
  *
- * @property waiting calls that wait for the stage's endpoints before this one.
- * @property running calls of this instance that run there.
- * @property concurrency calls that the stage's endpoints run at once for this instance.
- * @property meanMs mean time of one run, milliseconds.
- * @property boundMs time within which most runs end, milliseconds.
+ * @property waiting calls ahead of this one in the queue for the stage's endpoints.
+ * @property running calls of this instance that are running at these endpoints.
+ * @property concurrency number of calls of this instance that these endpoints can run concurrently.
+ * @property meanMs mean duration of a run, milliseconds.
+ * @property boundMs duration that most runs do not exceed, milliseconds.
  */
 data class StageForecast(
     val waiting: Int,
@@ -16,39 +16,41 @@
     val meanMs: Double,
     val boundMs: Double,
 ) {
-    /** True when this instance has nothing there, so that a request would show how long the stage takes now. */
-    val idle: Boolean get() = waiting == 0 && running == 0
+    /** True if this instance has no calls waiting or running, so a new call would measure the current duration. */
+    val isIdle: Boolean get() = waiting == 0 && running == 0
 
-    /** Expected time in the queue, milliseconds. */
+    /** Expected waiting time in the queue, milliseconds. */
     val waitMs: Double get() = if (concurrency <= 0) NO_CAPACITY_WAIT_MS else waiting * meanMs / concurrency
 
     private companion object {
+        /** Assumed waiting time while no endpoint has capacity for this instance. */
         const val NO_CAPACITY_WAIT_MS = 500.0
     }
 }
 
-/** Whether a request goes on. */
+/** Whether a request is admitted or refused. */
 sealed interface AdmissionDecision {
     data object Admit : AdmissionDecision
 
-    /** It cannot make its deadline; another try makes sense after [retryAfterMs] milliseconds. */
+    /** The request is not expected to meet its deadline; it may be retried after [retryAfterMs] milliseconds. */
     data class Refuse(val expectedMs: Long, val retryAfterMs: Long) : AdmissionDecision
 }
 
-/** Decides at the door, and again before each stage, whether a request can make its deadline. */
+/** Decides on arrival, and again before each stage, whether a request can meet its deadline. */
 fun interface AdmissionPolicy {
-    /** Decides on a request with [remainingMs] milliseconds left and [stages] still to run. */
+    /** Decides on a request that has [remainingMs] milliseconds until its deadline and [stages] left to run. */
     fun decide(remainingMs: Long, stages: List<StageForecast>): AdmissionDecision
 }
 
-/** Admits everything. */
+/** Admits every request. */
 object AdmitAll : AdmissionPolicy {
     override fun decide(remainingMs: Long, stages: List<StageForecast>) = AdmissionDecision.Admit
 }
 
 /**
- * Admits what can be whole in time by the queues and the times of the stages that are left. While all of them are idle
- * one request is let through whatever the estimates say, as they may be out of date.
+ * Admits requests that can complete before their deadline according to the queues and durations of the remaining
+ * stages. While all of these stages are idle, one request is admitted regardless of the estimates, which may be out of
+ * date.
  */
 object DeadlineAdmission : AdmissionPolicy {
     private const val MIN_RETRY_MS = 100L
@@ -56,7 +58,7 @@
     override fun decide(remainingMs: Long, stages: List<StageForecast>): AdmissionDecision {
         val waitMs = stages.sumOf(StageForecast::waitMs)
         val expectedMs = (waitMs + stages.sumOf(StageForecast::boundMs)).toLong()
-        if (expectedMs <= remainingMs || stages.all(StageForecast::idle)) return AdmissionDecision.Admit
+        if (expectedMs <= remainingMs || stages.all(StageForecast::isIdle)) return AdmissionDecision.Admit
         return AdmissionDecision.Refuse(expectedMs, maxOf(MIN_RETRY_MS, minOf(waitMs.toLong(), expectedMs)))
     }
 }
--- a/policy/src/main/kotlin/io/oriolehall/policy/admission/FairQueue.kt
+++ b/policy/src/main/kotlin/io/oriolehall/policy/admission/FairQueue.kt
@@ -3,9 +3,9 @@
 import io.oriolehall.model.OrganisationId
 
 /**
- * A call that waits for an endpoint.
+ * A call that is waiting for an endpoint.
  *
- * @property latestStartMs monotonic time after which a start is of no use, milliseconds.
+ * @property latestStartMs monotonic time after which the call would finish too late, milliseconds.
  */
 class WaitingCall<T>(
     val organisation: OrganisationId,
@@ -16,57 +16,58 @@
 )
 
 /**
- * Calls that wait, served in turn by organisation in proportion to their shares (start-time fair queueing), and within
- * an organisation by priority, then by the least slack. Not safe for use by several threads.
+ * Queue of waiting calls. Organisations are served in proportion to their shares (start-time fair queueing). Within an
+ * organisation, calls are ordered by descending priority, then by least slack, that is, earliest
+ * [WaitingCall.latestStartMs]. Not thread-safe.
  */
 class FairQueue<T> {
-    private val lines = mutableMapOf<OrganisationId, MutableList<WaitingCall<T>>>()
-    private val served = mutableMapOf<OrganisationId, Double>()
+    private val queues = mutableMapOf<OrganisationId, MutableList<WaitingCall<T>>>()
+    private val startTags = mutableMapOf<OrganisationId, Double>()
     private var virtualTime = 0.0
 
-    val size: Int get() = lines.values.sumOf { it.size }
+    val size: Int get() = queues.values.sumOf { it.size }
 
-    /** Calls that a new one of [organisation] would wait for, if every organisation keeps sending. */
+    /** Number of calls ahead of a new call of [organisation], if every organisation keeps sending. */
     fun sizeBefore(organisation: OrganisationId): Int {
-        val own = lines[organisation]?.size ?: 0
-        return lines.values.sumOf { minOf(it.size, own + 1) }
+        val own = queues[organisation]?.size ?: 0
+        return queues.values.sumOf { minOf(it.size, own + 1) }
     }
 
     fun add(call: WaitingCall<T>) {
-        val line = lines.getOrPut(call.organisation) {
-            served[call.organisation] = maxOf(served[call.organisation] ?: 0.0, virtualTime)
+        val queue = queues.getOrPut(call.organisation) {
+            startTags[call.organisation] = maxOf(startTags[call.organisation] ?: 0.0, virtualTime)
             mutableListOf()
         }
-        val place = line.indexOfFirst { ORDER.compare(call, it) < 0 }
-        if (place < 0) line.add(call) else line.add(place, call)
+        val index = queue.indexOfFirst { CALL_ORDER.compare(call, it) < 0 }
+        if (index < 0) queue.add(call) else queue.add(index, call)
     }
 
     fun remove(call: WaitingCall<T>) {
-        val line = lines[call.organisation] ?: return
-        line.remove(call)
-        if (line.isEmpty()) lines.remove(call.organisation)
+        val queue = queues[call.organisation] ?: return
+        queue.remove(call)
+        if (queue.isEmpty()) queues.remove(call.organisation)
     }
 
-    /** Removes and returns the calls for which it is too late. */
+    /** Removes and returns the calls whose latest start time has passed. */
     fun removeLate(nowMs: Long): List<WaitingCall<T>> {
-        val late = lines.values.flatten().filter { it.latestStartMs < nowMs }
+        val late = queues.values.flatten().filter { it.latestStartMs < nowMs }
         late.forEach(::remove)
         return late
     }
 
-    /** Removes and returns the first call, in the order of fairness, that [fits]. */
+    /** Removes and returns the first call in fair-queueing order that [fits], or null if there is none. */
     fun pollFirst(fits: (WaitingCall<T>) -> Boolean): WaitingCall<T>? {
-        for (organisation in lines.keys.sortedBy { served.getValue(it) }) {
-            val call = lines.getValue(organisation).firstOrNull(fits) ?: continue
+        for (organisation in queues.keys.sortedBy { startTags.getValue(it) }) {
+            val call = queues.getValue(organisation).firstOrNull(fits) ?: continue
             remove(call)
-            virtualTime = maxOf(virtualTime, served.getValue(organisation))
-            served[organisation] = served.getValue(organisation) + 1.0 / maxOf(1, call.share)
+            virtualTime = maxOf(virtualTime, startTags.getValue(organisation))
+            startTags[organisation] = startTags.getValue(organisation) + 1.0 / maxOf(1, call.share)
             return call
         }
         return null
     }
 
     private companion object {
-        val ORDER = compareByDescending<WaitingCall<*>> { it.priority }.thenBy { it.latestStartMs }
+        val CALL_ORDER = compareByDescending<WaitingCall<*>> { it.priority }.thenBy { it.latestStartMs }
     }
 }
--- a/policy/src/main/kotlin/io/oriolehall/policy/admission/StageTimes.kt
+++ b/policy/src/main/kotlin/io/oriolehall/policy/admission/StageTimes.kt
@@ -5,42 +5,46 @@
 import kotlin.math.pow
 
 /**
- * Times that stages were seen to take, as an estimate for the next one. An estimate starts from the stage's declared
- * time and goes back to it while nothing is observed, so that a few slow runs cannot refuse every later request and
- * with it every chance to observe that the stage has recovered. Safe for use by several threads.
+ * Estimates the duration of stages from observed runs. An estimate starts at the stage's declared duration and decays
+ * back to it while no runs are observed. Otherwise a few slow runs could cause all later requests to be refused, and
+ * the recovery of the stage would never be observed. Thread-safe.
  */
 class StageTimes<K : Any> {
     private class Estimate(val meanMs: Double, val deviationMs: Double, val atMs: Long)
 
     private val estimates = ConcurrentHashMap<K, Estimate>()
 
-    /** Takes in that a run of [stage], declared to take [declaredMs], took [ms] milliseconds. */
-    fun observe(stage: K, ms: Double, declaredMs: Double, nowMs: Long) {
+    /** Records that a run of [stage], whose declared duration is [declaredMs], took [tookMs] milliseconds. */
+    fun observe(stage: K, tookMs: Double, declaredMs: Double, nowMs: Long) {
         estimates.compute(stage) { _, _ ->
             val meanMs = meanMs(stage, declaredMs, nowMs)
-            val deviationMs = boundMs(stage, declaredMs, nowMs).minus(meanMs) / DEVIATIONS
-            val error = ms - meanMs
-            Estimate(meanMs + error * WEIGHT, deviationMs + (abs(error) - deviationMs) * WEIGHT, nowMs)
+            val deviationMs = boundMs(stage, declaredMs, nowMs).minus(meanMs) / BOUND_DEVIATIONS
+            val error = tookMs - meanMs
+            Estimate(meanMs + error * SAMPLE_WEIGHT, deviationMs + (abs(error) - deviationMs) * SAMPLE_WEIGHT, nowMs)
         }
     }
 
-    /** Mean time of [stage], milliseconds. */
+    /** Estimated mean duration of [stage], milliseconds. */
     fun meanMs(stage: K, declaredMs: Double, nowMs: Long): Double {
         val estimate = estimates[stage] ?: return declaredMs
-        return declaredMs + (estimate.meanMs - declaredMs) * estimate.weight(nowMs)
+        return declaredMs + (estimate.meanMs - declaredMs) * estimate.decay(nowMs)
     }
 
-    /** Time within which most runs of [stage] end, milliseconds. */
+    /** Duration that most runs of [stage] do not exceed, milliseconds. */
     fun boundMs(stage: K, declaredMs: Double, nowMs: Long): Double {
         val estimate = estimates[stage] ?: return declaredMs
-        return meanMs(stage, declaredMs, nowMs) + DEVIATIONS * estimate.deviationMs * estimate.weight(nowMs)
+        return meanMs(stage, declaredMs, nowMs) + BOUND_DEVIATIONS * estimate.deviationMs * estimate.decay(nowMs)
     }
 
-    private fun Estimate.weight(nowMs: Long): Double = 0.5.pow((nowMs - atMs).toDouble() / HALF_LIFE_MS)
+    /** Weight of the estimate against the declared duration; it halves every [HALF_LIFE_MS]. */
+    private fun Estimate.decay(nowMs: Long): Double = 0.5.pow((nowMs - atMs).toDouble() / HALF_LIFE_MS)
 
     private companion object {
-        const val WEIGHT = 0.1
-        const val DEVIATIONS = 2.0
+        /** Weight of a new observation in the moving averages. */
+        const val SAMPLE_WEIGHT = 0.1
+
+        /** Number of mean absolute deviations between the mean and the bound. */
+        const val BOUND_DEVIATIONS = 2.0
         const val HALF_LIFE_MS = 2_000.0
     }
 }
--- a/policy/src/main/kotlin/io/oriolehall/policy/limits/CallResult.kt
+++ b/policy/src/main/kotlin/io/oriolehall/policy/limits/CallResult.kt
@@ -4,21 +4,21 @@
 enum class CallResult {
     COMPLETED,
 
-    /** The endpoint turned the call away before it ran. */
+    /** The endpoint rejected the call without running it. */
     DECLINED,
 
     /** The endpoint could not be reached, broke the connection, or answered with an error. */
     FAILED,
 
-    /** This instance ended the call, for instance because the caller had gone. */
+    /** This instance ended the call, for instance because the caller disconnected. */
     CANCELLED,
 }
 
-/** Adds up what a holder saw of an endpoint between two requests. */
-internal class WorkTally {
+/** Accumulates the call results that a holder observes at an endpoint between two credit requests. */
+internal class ObservedWorkAccumulator {
     private var work = ObservedWork()
 
-    /** Adds a call; [firstOutputMs] counts for completed ones. */
+    /** Adds a call; [firstOutputMs] is used only if it completed. */
     fun add(result: CallResult, firstOutputMs: Double) {
         work = when (result) {
             CallResult.COMPLETED -> work.copy(
@@ -34,6 +34,6 @@
         }
     }
 
-    /** The sum since the last call of this function. */
-    fun drain(): ObservedWork = work.also { work = ObservedWork() }
+    /** Returns the work accumulated since the previous call and starts again from zero. */
+    fun takeAndReset(): ObservedWork = work.also { work = ObservedWork() }
 }
--- a/policy/src/main/kotlin/io/oriolehall/policy/limits/CircuitBreaker.kt
+++ b/policy/src/main/kotlin/io/oriolehall/policy/limits/CircuitBreaker.kt
@@ -1,41 +1,41 @@
 package io.oriolehall.policy.limits
 
-/** Stops calls to an endpoint that only fails, and lets single probes find out when it is back. */
+/** Blocks calls to an endpoint that keeps failing, and admits single probes to detect when it has recovered. */
 class CircuitBreaker(private val settings: RampSettings) {
-    /** What may be sent. */
+    /** Which calls are allowed: all when closed, none when open, one probe at a time when half-open. */
     enum class State { CLOSED, OPEN, HALF_OPEN }
 
-    private var failures = 0
-    private var opened = 0
+    private var consecutiveFailures = 0
+    private var timesOpened = 0
     private var openUntilMs = Long.MIN_VALUE
 
     fun state(nowMs: Long): State = when {
-        opened == 0 -> State.CLOSED
+        timesOpened == 0 -> State.CLOSED
         nowMs < openUntilMs -> State.OPEN
         else -> State.HALF_OPEN
     }
 
-    /** Takes in how calls ended; true when a probe just succeeded. */
+    /** Records the results of calls; returns true if this closed the breaker after a successful probe. */
     fun onWork(work: ObservedWork, nowMs: Long): Boolean {
         if (work.completed > 0) return close()
-        failures += work.failed
+        consecutiveFailures += work.failed
         val failedProbe = work.failed > 0 && state(nowMs) == State.HALF_OPEN
-        if (failedProbe || (opened == 0 && failures >= settings.failuresToOpen)) open(nowMs)
+        if (failedProbe || (timesOpened == 0 && consecutiveFailures >= settings.failuresToOpen)) open(nowMs)
         return false
     }
 
-    /** Forgets all failures, as of a process that is gone; true when calls were stopped. */
+    /** Resets the breaker, for example because the failed process was replaced; returns true if it was not closed. */
     fun close(): Boolean {
-        val wasOpen = opened > 0
-        failures = 0
-        opened = 0
+        val wasOpen = timesOpened > 0
+        consecutiveFailures = 0
+        timesOpened = 0
         return wasOpen
     }
 
     private fun open(nowMs: Long) {
-        val wait = (settings.openMs shl minOf(opened, MAX_DOUBLINGS)).coerceAtMost(settings.maxOpenMs)
-        opened++
-        openUntilMs = nowMs + wait
+        val openForMs = (settings.firstOpenMs shl minOf(timesOpened, MAX_DOUBLINGS)).coerceAtMost(settings.maxOpenMs)
+        timesOpened++
+        openUntilMs = nowMs + openForMs
     }
 
     private companion object {
--- a/policy/src/main/kotlin/io/oriolehall/policy/limits/ColdCause.kt
+++ b/policy/src/main/kotlin/io/oriolehall/policy/limits/ColdCause.kt
@@ -1,6 +1,6 @@
 package io.oriolehall.policy.limits
 
-/** Why an endpoint counts as cold. */
+/** Why an endpoint is considered cold. */
 enum class ColdCause {
     FIRST_SEEN,
     RESTARTED,
--- a/policy/src/main/kotlin/io/oriolehall/policy/limits/CreditHolder.kt
+++ b/policy/src/main/kotlin/io/oriolehall/policy/limits/CreditHolder.kt
@@ -3,15 +3,15 @@
 import io.oriolehall.model.EndpointId
 import io.oriolehall.model.InstanceId
 
-/** A request and the owner it is for. */
+/** A credit request together with the owner that it is sent to. */
 data class AddressedCreditRequest(val owner: InstanceId, val sentAtMs: Long, val request: CreditRequest)
 
 /**
- * One instance's credits for one endpoint. Calls start only while the lease runs, by this instance's monotonic clock,
- * counted from the sending of the request; a process that was paused finds its lease expired. A call counts until it
- * ends, also when the lease has run out.
+ * The credits that this instance holds for one endpoint. Calls may start only while the lease is valid. The lease is
+ * measured on this instance's monotonic clock from the time the request was sent, so a process that was paused finds
+ * its lease expired. A running call counts until it ends, even after the lease has expired.
  *
- * Safe for use by several threads: traffic starts and ends calls, the control thread renews.
+ * Thread-safe: request threads start and finish calls while the control thread renews the lease.
  *
  * @param startedAtMs monotonic time at which this instance's process started, milliseconds.
  */
@@ -21,73 +21,81 @@
     private val startedAtMs: Long,
 ) {
     private var lease = NO_LEASE
-    private var following: InstanceId? = null
+    private var followedOwner: InstanceId? = null
     private var echo: CreditStamp? = null
-    private var freeFromMs = Long.MIN_VALUE
+    private var switchAllowedFromMs = Long.MIN_VALUE
     private var sequence = 0L
-    private var running = 0
-    private var waiting = 0
-    private var demandAtMs = NEVER
-    private var askedAtMs = NEVER
-    private var askAtMs = NEVER
-    private var observed = WorkTally()
+    private var runningCalls = 0
+    private var waitingCalls = 0
+    private var lastDemandAtMs = DISTANT_PAST_MS
+    private var lastRequestAtMs = DISTANT_PAST_MS
+    private var nextRequestAtMs = DISTANT_PAST_MS
+    private var observed = ObservedWorkAccumulator()
 
-    /** Calls of this instance that have not ended. */
-    val inFlight: Int @Synchronized get() = running
+    /** Calls of this instance that have not finished. */
+    val inFlight: Int @Synchronized get() = runningCalls
 
-    /** Credits of the present lease that are not in use; 0 when it has run out. */
+    /** Unused credits of the current lease; 0 if it has expired. */
     @Synchronized
-    fun room(nowMs: Long): Int = if (nowMs < lease.usableUntilMs) maxOf(0, lease.credits - running) else 0
+    fun room(nowMs: Long): Int = if (nowMs < lease.usableUntilMs) maxOf(0, lease.credits - runningCalls) else 0
 
-    /** Takes a credit for a call that starts now; false when there is none. */
+    /** Takes a credit for a call that starts now; returns false if none is available. */
     @Synchronized
     fun tryStart(nowMs: Long): Boolean {
         if (room(nowMs) == 0) return false
-        running++
-        demandAtMs = nowMs
+        runningCalls++
+        lastDemandAtMs = nowMs
         return true
     }
 
     /**
-     * Notes that a call ended, with its time to the first output in milliseconds when it completed. After a declined
-     * call nothing starts until the owner has answered again.
+     * Records the result of a call and, if it completed, its time to the first output in milliseconds. After a declined
+     * call no further call starts until the owner has answered the next credit request.
      */
     @Synchronized
     fun finish(result: CallResult, firstOutputMs: Double = 0.0) {
-        check(running > 0) { "a call to $endpoint ended that had not started; pair each finish with a tryStart" }
-        running--
+        check(runningCalls > 0) {
+            "finish was called for $endpoint while no call was running; each finish needs a successful tryStart"
+        }
+        runningCalls--
         observed.add(result, firstOutputMs)
         if (result == CallResult.DECLINED) lease = NO_LEASE
     }
 
-    /** Notes how many calls wait for this endpoint, which the owner sees as demand. */
+    /** Sets the number of calls waiting for this endpoint, which is reported to the owner as demand. */
     @Synchronized
     fun expectDemand(calls: Int, nowMs: Long) {
-        waiting = calls
-        if (calls > 0) demandAtMs = nowMs
+        waitingCalls = calls
+        if (calls > 0) lastDemandAtMs = nowMs
     }
 
-    /** True when calls run, or have started or waited within the last [withinMs] milliseconds. */
+    /** True if calls are running, or if any started or waited within the last [withinMs] milliseconds. */
     @Synchronized
-    fun isInUse(withinMs: Long, nowMs: Long): Boolean = running > 0 || nowMs - demandAtMs < withinMs
+    fun isInUse(withinMs: Long, nowMs: Long): Boolean = runningCalls > 0 || nowMs - lastDemandAtMs < withinMs
 
-    /** True when the next request is due within [slackMs] milliseconds, or calls wait that have no credit. */
+    /**
+     * True if the next request is due within [slackMs] milliseconds, or if calls are waiting without a credit and the
+     * last request was made at least [CreditTiming.contendedMs] ago.
+     */
     @Synchronized
     fun isDue(nowMs: Long, slackMs: Long = 0): Boolean =
-        nowMs + slackMs >= askAtMs || (waiting > 0 && room(nowMs) == 0 && nowMs - askedAtMs >= timing.contendedMs)
+        nowMs + slackMs >= nextRequestAtMs ||
+            (waitingCalls > 0 && room(nowMs) == 0 && nowMs - lastRequestAtMs >= timing.contendedMs)
 
-    /** Puts the next request off: one has been made, or there is nobody to ask. */
+    /** Schedules the next request after the retry time, because one was just sent or no owner is available. */
     @Synchronized
     fun postpone(nowMs: Long) {
-        askedAtMs = nowMs
-        askAtMs = nowMs + timing.retryMs
+        lastRequestAtMs = nowMs
+        nextRequestAtMs = nowMs + timing.retryMs
     }
 
     /**
-     * The next request: to [desiredOwner], or to the owner that this instance still follows, so as to leave it.
+     * Creates the next request. It goes to [desiredOwner], or, while this instance still follows another owner, to that
+     * owner as a release.
      *
-     * @param inUse false when this instance only votes and wants no credit that it does not use already.
-     * @param extraInFlight calls of others that this instance knows of from its own time as the endpoint's owner.
+     * @param inUse false if this instance only votes and needs no credits beyond those for its running calls.
+     * @param extraInFlight calls of other instances that may still run on credits which this instance granted while it
+     *   owned the endpoint.
      */
     @Synchronized
     fun nextRequest(
@@ -97,64 +105,64 @@
         nowMs: Long,
         extraInFlight: Int = 0,
     ): AddressedCreditRequest {
-        val current = following
-        if (current == null || (current != desiredOwner && nowMs >= freeFromMs)) follow(desiredOwner)
-        val owner = following ?: desiredOwner
-        val leaving = owner != desiredOwner
-        if (leaving) lease = NO_LEASE
+        val current = followedOwner
+        if (current == null || (current != desiredOwner && nowMs >= switchAllowedFromMs)) follow(desiredOwner)
+        val owner = followedOwner ?: desiredOwner
+        val switchingOwner = owner != desiredOwner
+        if (switchingOwner) lease = NO_LEASE
         postpone(nowMs)
         val request = CreditRequest(
             endpoint = endpoint,
             sequence = ++sequence,
             role = role,
             echo = echo,
-            inFlight = running + extraInFlight,
-            wanted = running + if (inUse) waiting + 1 else 0,
+            inFlight = runningCalls + extraInFlight,
+            wanted = runningCalls + if (inUse) waitingCalls + 1 else 0,
             ageMs = minOf(nowMs - startedAtMs, CreditRequest.MAX_AGE_MS),
-            release = leaving,
-            observed = observed.drain(),
+            release = switchingOwner,
+            observed = observed.takeAndReset(),
         )
         return AddressedCreditRequest(owner, nowMs, request)
     }
 
-    /** Takes in the owner's answer to [sent]. An answer that came out of order or from a former owner is dropped. */
+    /** Applies the owner's answer to [sent]. Answers that arrive out of order or from a former owner are ignored. */
     @Synchronized
     fun accept(sent: AddressedCreditRequest, answer: CreditAnswer, nowMs: Long) {
-        if (sent.owner != following) return
+        if (sent.owner != followedOwner) return
         if (answer.released) {
-            leave(nowMs)
+            unfollow(nowMs)
             return
         }
-        if (echo.isNewerThan(answer.stamp)) return
+        if (echo.isAtLeastAsNewAs(answer.stamp)) return
         echo = answer.stamp
-        freeFromMs = nowMs + timing.unfollowMs
-        askAtMs = sent.sentAtMs + answer.renewMs
+        switchAllowedFromMs = nowMs + timing.unfollowMs
+        nextRequestAtMs = sent.sentAtMs + answer.renewMs
         if (sent.request.release) return
         lease = Lease(answer.credits, sent.sentAtMs + answer.leaseMs - timing.marginMs)
     }
 
-    private fun CreditStamp?.isNewerThan(other: CreditStamp): Boolean =
+    private fun CreditStamp?.isAtLeastAsNewAs(other: CreditStamp): Boolean =
         this != null && owner == other.owner && serial >= other.serial
 
     private fun follow(owner: InstanceId) {
         lease = NO_LEASE
-        following = owner
+        followedOwner = owner
         echo = null
     }
 
-    private fun leave(nowMs: Long) {
+    private fun unfollow(nowMs: Long) {
         lease = NO_LEASE
-        following = null
+        followedOwner = null
         echo = null
-        freeFromMs = nowMs
-        askAtMs = nowMs
+        switchAllowedFromMs = nowMs
+        nextRequestAtMs = nowMs
     }
 
     private class Lease(val credits: Int, val usableUntilMs: Long)
 
     private companion object {
-        /** Long before any time, and still far from an overflow. */
-        const val NEVER = Long.MIN_VALUE / 2
-        val NO_LEASE = Lease(0, NEVER)
+        /** Earlier than any real timestamp, but not so small that differences overflow. */
+        const val DISTANT_PAST_MS = Long.MIN_VALUE / 2
+        val NO_LEASE = Lease(0, DISTANT_PAST_MS)
     }
 }
--- a/policy/src/main/kotlin/io/oriolehall/policy/limits/CreditLedger.kt
+++ b/policy/src/main/kotlin/io/oriolehall/policy/limits/CreditLedger.kt
@@ -5,16 +5,16 @@
 import io.oriolehall.model.InstanceId
 
 /**
- * The owner's book for one endpoint: who holds how many credits, and what may still be running from grants that ran
- * out. What it has promised never exceeds its budget; a budget that shrinks is reached again once leases and calls
- * have ended.
+ * The owner's record of one endpoint's credits: how many each holder has, and how many calls may still run on grants
+ * that have expired. New grants never raise the committed total above the budget. After the budget has shrunk, the
+ * committed total falls to it as leases expire and calls end.
  *
- * The budget is the whole limit while every voter follows this owner and none of them is so young that calls of its
- * predecessor under the same name may still run. Otherwise it is the share of the voters that have followed for
- * [CreditTiming.settleMs]. An instance follows one owner at a time, so the budgets of owners that disagree about the
- * members add up to the limit at most.
+ * The budget is the whole limit while every voter follows this owner and none of them started so recently that calls
+ * of the previous process with the same instance ID may still run. Otherwise it is the share of the voters that have
+ * followed this owner for [CreditTiming.settleMs]. An instance follows one owner at a time, so the budgets of owners
+ * with different member lists add up to at most the limit.
  *
- * Not safe for use by several threads.
+ * Not thread-safe.
  */
 class CreditLedger(
     private val endpoint: EndpointId,
@@ -22,21 +22,25 @@
     private val timing: CreditTiming,
 ) {
     private val holders = mutableMapOf<InstanceId, HolderAccount>()
-    private val sequences = mutableMapOf<HolderId, SeenSequence>()
-    private val residues = mutableListOf<Residue>()
+    private val sequences = mutableMapOf<HolderId, ReceivedSequence>()
+    private val drainingCalls = mutableListOf<DrainingCalls>()
     private var serial = 0L
 
     /**
-     * Ends the wait for young voters: the endpoint has reported that it runs nothing. The report may be as old as
-     * [reportLagMs] milliseconds, and a grant of a process before the voter's may be in use for a lease after that.
+     * Ends the waiting time for recently started voters because the endpoint has reported that it is idle. The report
+     * may be up to [reportLagMs] milliseconds old, and calls may be started on a grant of the voter's previous process
+     * for up to one lease after the voter's process has started. Voters that are too recent for this are not affected.
      */
     fun confirmIdle(reportLagMs: Long, nowMs: Long) {
         holders.values
-            .filter { nowMs - it.sinceMs >= reportLagMs && nowMs - it.bornAtMs >= reportLagMs + timing.leaseMs }
-            .forEach { it.trustedFromMs = minOf(it.trustedFromMs, nowMs) }
+            .filter {
+                nowMs - it.followingSinceMs >= reportLagMs &&
+                    nowMs - it.processStartedAtMs >= reportLagMs + timing.leaseMs
+            }
+            .forEach { it.settledFromMs = minOf(it.settledFromMs, nowMs) }
     }
 
-    /** Takes a [request] of [holder] in and answers it; [limit] is the endpoint's limit now. */
+    /** Processes a [request] of [holder] and answers it; [limit] is the endpoint's current limit. */
     fun answer(
         holder: HolderId,
         request: CreditRequest,
@@ -61,22 +65,22 @@
     }
 
     /**
-     * Calls that may run on grants of this owner, but for its own instance's: a former owner reports them, as their
-     * holders may not have reached the new owner yet.
+     * Calls that may run on grants of this owner, without those of its own instance. A former owner reports them to the
+     * new owner, because their holders may not have contacted the new owner yet.
      */
     fun unreportedElsewhere(nowMs: Long): Int {
         expire(nowMs)
         val others = holders.values.filter { it.incarnation != self }.sumOf(HolderAccount::committed)
-        return others + residues.filterNot(Residue::own).sumOf(Residue::calls)
+        return others + drainingCalls.filterNot(DrainingCalls::fromSelf).sumOf(DrainingCalls::count)
     }
 
-    /** Credits promised and calls that may still run, all holders together. */
+    /** Granted credits plus calls that may still run on expired grants, summed over all holders. */
     fun committed(nowMs: Long): Int {
         expire(nowMs)
-        return holders.values.sumOf(HolderAccount::committed) + residues.sumOf(Residue::calls)
+        return holders.values.sumOf(HolderAccount::committed) + drainingCalls.sumOf(DrainingCalls::count)
     }
 
-    /** Voters that follow this owner now. */
+    /** Voters that currently follow this owner. */
     fun followers(nowMs: Long): Set<InstanceId> {
         expire(nowMs)
         return voters().keys
@@ -87,7 +91,7 @@
     private fun isNewest(holder: HolderId, request: CreditRequest, nowMs: Long): Boolean {
         val seen = sequences[holder]
         if (seen != null && request.sequence <= seen.sequence) return false
-        sequences[holder] = SeenSequence(request.sequence, nowMs)
+        sequences[holder] = ReceivedSequence(request.sequence, nowMs)
         return true
     }
 
@@ -95,16 +99,22 @@
         echo != null && echo.owner == self && nowMs - echo.atMs <= timing.echoMs
 
     private fun openAccount(holder: HolderId, request: CreditRequest, nowMs: Long): HolderAccount {
-        val old = holders[holder.instance]
-        if (old != null && old.incarnation != holder.incarnation) {
-            close(holder.instance, old, old.committed, nowMs)
+        val existing = holders[holder.instance]
+        if (existing != null && existing.incarnation != holder.incarnation) {
+            close(holder.instance, existing, existing.committed, nowMs)
         }
         val account = holders.getOrPut(holder.instance) {
-            val bornAtMs = nowMs - request.ageMs
-            HolderAccount(holder.incarnation, nowMs, bornAtMs, trustedFromMs = bornAtMs + timing.settleMs)
+            val processStartedAtMs = nowMs - request.ageMs
+            HolderAccount(
+                holder.incarnation,
+                nowMs,
+                processStartedAtMs,
+                settledFromMs =
+                processStartedAtMs + timing.settleMs,
+            )
         }
         account.role = request.role
-        account.acceptedAtMs = nowMs
+        account.lastRequestAtMs = nowMs
         account.inFlight = request.inFlight
         account.wanted = request.wanted
         account.grants.removeAll { it.serial < (request.echo?.serial ?: 0) }
@@ -114,13 +124,13 @@
     private fun close(holder: InstanceId, account: HolderAccount, calls: Int, nowMs: Long) {
         holders.remove(holder)
         val untilMs = nowMs + timing.drainMs + timing.marginMs
-        if (calls > 0) residues += Residue(calls, untilMs, own = account.incarnation == self)
+        if (calls > 0) drainingCalls += DrainingCalls(calls, untilMs, fromSelf = account.incarnation == self)
     }
 
     private fun grant(holder: InstanceId, budget: Int, nowMs: Long): Int {
         val target = CreditSplit.targets(budget, demands(), rotation = nowMs / ROTATION_MS)[holder] ?: 0
         val others = holders.filterKeys { it != holder }.values.sumOf(HolderAccount::committed)
-        val free = budget - others - residues.sumOf(Residue::calls)
+        val free = budget - others - drainingCalls.sumOf(DrainingCalls::count)
         return minOf(target, free).coerceAtLeast(0)
     }
 
@@ -130,44 +140,46 @@
 
     private fun budget(electorate: Electorate, limit: Int, nowMs: Long): Int {
         val voters = voters()
-        if (electorate.isCoveredBy(voters.keys) && voters.values.all { it.trustedFromMs <= nowMs }) return limit
-        return electorate.share(limit, voters.filterValues { nowMs - it.sinceMs >= timing.settleMs }.keys)
+        if (electorate.isCoveredBy(voters.keys) && voters.values.all { it.settledFromMs <= nowMs }) return limit
+        return electorate.share(limit, voters.filterValues { nowMs - it.followingSinceMs >= timing.settleMs }.keys)
     }
 
     private fun expire(nowMs: Long) {
-        val lapsed = holders.filterValues { nowMs - it.acceptedAtMs > timing.leaseMs }
-        for ((holder, account) in lapsed) {
-            close(holder, account, account.committed, account.acceptedAtMs + timing.leaseMs)
+        val expired = holders.filterValues { nowMs - it.lastRequestAtMs > timing.leaseMs }
+        for ((holder, account) in expired) {
+            close(holder, account, account.committed, account.lastRequestAtMs + timing.leaseMs)
         }
-        residues.removeAll { it.untilMs < nowMs }
-        sequences.values.removeAll { nowMs - it.seenAtMs > SEQUENCE_MEMORY_FACTOR * timing.settleMs }
+        drainingCalls.removeAll { it.untilMs < nowMs }
+        sequences.values.removeAll { nowMs - it.receivedAtMs > SEQUENCE_RETENTION_FACTOR * timing.settleMs }
     }
 
     private class HolderAccount(
         val incarnation: Incarnation,
-        val sinceMs: Long,
-        val bornAtMs: Long,
-        var trustedFromMs: Long,
+        val followingSinceMs: Long,
+        val processStartedAtMs: Long,
+        var settledFromMs: Long,
     ) {
         var role = HolderRole.BORROWER
         val grants = mutableListOf<Grant>()
-        var acceptedAtMs = sinceMs
+        var lastRequestAtMs = followingSinceMs
         var inFlight = 0
         var wanted = 0
 
-        /** The holder may act on any grant since the one whose stamp it returned. */
+        /** The holder may be using any grant since the one whose stamp it last returned. */
         val committed: Int get() = maxOf(inFlight, grants.maxOfOrNull(Grant::credits) ?: 0)
     }
 
     private class Grant(val serial: Long, val credits: Int)
 
-    private class Residue(val calls: Int, val untilMs: Long, val own: Boolean)
+    private class DrainingCalls(val count: Int, val untilMs: Long, val fromSelf: Boolean)
 
-    private class SeenSequence(val sequence: Long, val seenAtMs: Long)
+    private class ReceivedSequence(val sequence: Long, val receivedAtMs: Long)
 
     private companion object {
-        /** How long one holder goes first when there are fewer credits than holders. */
+        /** How long the same holder is served first when there are fewer credits than holders. */
         const val ROTATION_MS = 2_000L
-        const val SEQUENCE_MEMORY_FACTOR = 4
+
+        /** Sequence numbers are kept for this many times [CreditTiming.settleMs] after the last request. */
+        const val SEQUENCE_RETENTION_FACTOR = 4
     }
 }
--- a/policy/src/main/kotlin/io/oriolehall/policy/limits/CreditPlan.kt
+++ b/policy/src/main/kotlin/io/oriolehall/policy/limits/CreditPlan.kt
@@ -6,17 +6,23 @@
 import io.oriolehall.model.ZoneId
 import io.oriolehall.policy.hashing.Rendezvous
 
-/** The members of a zone at one moment: see [ZoneMembers]. */
+/**
+ * The members of a zone at one moment; see [ZoneMembers].
+ *
+ * @property owners members that may own endpoints.
+ * @property known members that may vote.
+ * @property recent known members that joined so recently that other members may not know them yet.
+ */
 data class ZoneRoll(val owners: Set<InstanceId>, val known: Set<InstanceId>, val recent: Set<InstanceId>)
 
 /**
- * Whom one instance asks for credits and for which endpoints. In peace it sends to its subset of each pool of its
- * zone, so that few holders share an endpoint; while calls wait there, it goes on to more of the pool, a subset at a
- * time, and then to other zones.
+ * Determines which endpoints an instance requests credits for, and from which owner. Normally it uses only its subset
+ * of each pool of its zone, so that few holders share an endpoint. While calls are waiting in the pool, it spills over
+ * to the rest of the pool, one subset at a time, and then to other zones.
  *
- * Immutable; worked out again when members or endpoints change.
+ * Immutable; recreated when members or endpoints change.
  *
- * @param subset endpoints of a pool in an instance's subset.
+ * @param subset number of endpoints of a pool in an instance's subset.
  */
 class CreditPlan(
     private val self: InstanceId,
@@ -25,58 +31,63 @@
     val roll: ZoneRoll,
     private val subset: Int,
 ) {
-    private class Entry(val endpoint: Endpoint, val owner: InstanceId?, val electorate: Electorate, val rank: Int)
+    private class PlannedEndpoint(
+        val endpoint: Endpoint,
+        val owner: InstanceId?,
+        val electorate: Electorate,
+        val rank: Int,
+    )
 
     private val poolSizes = endpoints.filter { it.zone == zone }.groupingBy { it.pool }.eachCount()
-    private val entries: Map<EndpointId, Entry> =
+    private val plannedEndpoints: Map<EndpointId, PlannedEndpoint> =
         endpoints.filter {
             it.zone == zone
-        }.groupBy { it.pool }.values.flatMap(::entriesOf).associateBy { it.endpoint.id }
+        }.groupBy { it.pool }.values.flatMap(::planPool).associateBy { it.endpoint.id }
 
-    /** The endpoint [id] of this zone, or null when it is not one. */
-    fun endpoint(id: EndpointId): Endpoint? = entries[id]?.endpoint
+    /** The endpoint [id], or null if it is not in this zone. */
+    fun endpoint(id: EndpointId): Endpoint? = plannedEndpoints[id]?.endpoint
 
     /** Endpoints of this zone that this instance owns. */
-    fun owned(): List<Endpoint> = entries.values.filter { it.owner == self }.map(Entry::endpoint)
+    fun owned(): List<Endpoint> = plannedEndpoints.values.filter { it.owner == self }.map(PlannedEndpoint::endpoint)
 
     /** The owner of the endpoint [id] of this zone. */
-    fun owner(id: EndpointId): InstanceId? = entries[id]?.owner
+    fun owner(id: EndpointId): InstanceId? = plannedEndpoints[id]?.owner
 
-    /** The voters on the endpoint [id] of this zone. */
-    fun electorate(id: EndpointId): Electorate = entries.getValue(id).electorate
+    /** The electorate that votes on the owner of endpoint [id] of this zone. */
+    fun electorate(id: EndpointId): Electorate = plannedEndpoints.getValue(id).electorate
 
-    /** The part of this instance in the ownership of [endpoint]. */
+    /** The role of this instance towards the owner of [endpoint]. */
     fun role(endpoint: Endpoint): HolderRole = when {
         endpoint.zone != zone -> HolderRole.GUEST
-        entries[endpoint.id]?.electorate?.voters.orEmpty().contains(self) -> HolderRole.VOTER
+        plannedEndpoints[endpoint.id]?.electorate?.voters.orEmpty().contains(self) -> HolderRole.VOTER
         else -> HolderRole.BORROWER
     }
 
-    /** True when this instance sends to [endpoint] in peace. */
-    fun isInSubset(endpoint: Endpoint): Boolean = (entries[endpoint.id]?.rank ?: Int.MAX_VALUE) < subset
+    /** True if [endpoint] is in this instance's subset, which it uses even if no calls are waiting. */
+    fun isInSubset(endpoint: Endpoint): Boolean = (plannedEndpoints[endpoint.id]?.rank ?: Int.MAX_VALUE) < subset
 
-    /** How long calls wait at this instance before it asks for credits at [endpoint], milliseconds. */
+    /** How long calls must have waited at this instance before it requests credits for [endpoint], milliseconds. */
     fun waitMs(endpoint: Endpoint): Long {
-        val entry = entries[endpoint.id]
-        val steps = if (entry != null) entry.rank / subset else stepsOf(poolSizes[endpoint.pool] ?: 0)
-        return steps * STEP_MS
+        val planned = plannedEndpoints[endpoint.id]
+        val steps = if (planned != null) planned.rank / subset else subsetCount(poolSizes[endpoint.pool] ?: 0)
+        return steps * SPILL_STEP_MS
     }
 
-    private fun stepsOf(endpoints: Int): Int = (endpoints + subset - 1) / subset
+    private fun subsetCount(endpoints: Int): Int = (endpoints + subset - 1) / subset
 
-    private fun entriesOf(pool: List<Endpoint>): List<Entry> {
+    private fun planPool(pool: List<Endpoint>): List<PlannedEndpoint> {
         val ranks = Rendezvous.preferred(self, pool.map(Endpoint::id)).withIndex().associate { it.value to it.index }
         return pool.map {
             val electorate = Electorate.of(it.id, roll.known, roll.recent)
-            Entry(it, Rendezvous.owner(it.id, roll.owners), electorate, ranks.getValue(it.id))
+            PlannedEndpoint(it, Rendezvous.owner(it.id, roll.owners), electorate, ranks.getValue(it.id))
         }
     }
 
     companion object {
-        /** Endpoints of each pool in an instance's subset. */
+        /** Number of endpoints of each pool in an instance's subset. */
         const val SUBSET = 4
 
-        /** Wait before the next subset of a pool is used, milliseconds. */
-        const val STEP_MS = 250L
+        /** Additional waiting time before the next subset of a pool is used, milliseconds. */
+        const val SPILL_STEP_MS = 250L
     }
 }
--- a/policy/src/main/kotlin/io/oriolehall/policy/limits/CreditProtocol.kt
+++ b/policy/src/main/kotlin/io/oriolehall/policy/limits/CreditProtocol.kt
@@ -7,18 +7,19 @@
 import kotlinx.serialization.Serializable
 
 /*
- * What the instances say to each other about an endpoint's limit. One instance of the endpoint's zone owns the limit
- * and leases credits to the others; a credit is the right to have one call running. docs/design/limits.md has the
- * argument for why the sum stays within the limit.
+ * Messages that instances exchange about an endpoint's concurrency limit. One instance of the endpoint's zone owns the
+ * limit and leases credits to the others; a credit is the right to have one call running. docs/design/limits.md
+ * explains why the total number of running calls stays within the limit.
  */
 
 /**
- * Mark of an owner's answer. A holder returns the newest one, which shows the owner that the request is fresh and
- * which grants the holder has seen.
+ * Identifies an owner's answer. A holder returns the newest stamp with its next request, which tells the owner that the
+ * request is fresh and which grants the holder has received.
  *
- * @property startedAtMs with [nonce], the owner's incarnation; flat and with short names, as every message has a stamp.
- * @property atMs the owner's monotonic clock, milliseconds; it means nothing to anybody else.
- * @property serial counts the owner's answers for the endpoint.
+ * @property startedAtMs with [nonce], the owner's incarnation; stored flat and under short names because every message
+ *   carries a stamp.
+ * @property atMs the owner's monotonic clock, milliseconds; not comparable with the clock of any other instance.
+ * @property serial number of the answer, counted by the owner for each endpoint.
  */
 @Serializable
 data class CreditStamp(
@@ -33,24 +34,24 @@
     val owner: Incarnation get() = Incarnation(startedAtMs, nonce)
 }
 
-/** Part a holder takes in the ownership of an endpoint. */
+/** The role of a holder towards the owner of an endpoint. */
 @Serializable
 enum class HolderRole {
-    /** One of the endpoint's voters: it follows one owner at a time and counts in the owner's share. */
+    /** One of the endpoint's voters: it follows one owner at a time and counts towards that owner's share. */
     @SerialName("v")
     VOTER,
 
-    /** Another instance of the endpoint's zone. */
+    /** An instance of the endpoint's zone that is not a voter. */
     @SerialName("b")
     BORROWER,
 
-    /** An instance of another zone: it receives only what the zone's own instances leave. */
+    /** An instance of another zone: it receives only credits that the endpoint's own zone does not need. */
     @SerialName("g")
     GUEST,
 }
 
 /**
- * What a holder saw of an endpoint since its last request.
+ * The results of calls that a holder observed at an endpoint since its last request.
  *
  * @property meanMs mean time to the first output of the completed calls, milliseconds.
  */
@@ -62,18 +63,19 @@
     @SerialName("m") val meanMs: Double = 0.0,
 )
 
-/** The instance that asks for credits, and which life of it. */
+/** The instance that requests credits, and its incarnation. */
 data class HolderId(val instance: InstanceId, val incarnation: Incarnation)
 
 /**
- * A holder asks for credits. Who asks is said once for all of its requests to an owner.
+ * A request for credits. The holder is not part of it: it is sent once for a whole batch of requests to an owner.
  *
- * @property sequence rises with each request of this incarnation for the endpoint; the owner ignores older ones.
- * @property echo newest stamp that the holder has from this owner; null on first contact.
- * @property inFlight calls of the holder that have not ended.
- * @property wanted calls the holder would have running if it could; 0 when it only votes.
+ * @property sequence increases with each request of this incarnation for the endpoint; the owner ignores older
+ *   requests.
+ * @property echo newest stamp that the holder has received from this owner; null on first contact.
+ * @property inFlight calls of the holder that have not finished.
+ * @property wanted calls that the holder would run if it had enough credits; 0 if it only votes.
  * @property ageMs time since the holder's process started, milliseconds, at most [MAX_AGE_MS].
- * @property release true when the holder gives up its credits and follows this owner no longer.
+ * @property release true if the holder gives up its credits and stops following this owner.
  */
 @Serializable
 data class CreditRequest(
@@ -88,19 +90,19 @@
     @SerialName("o") val observed: ObservedWork = ObservedWork(),
 ) {
     companion object {
-        /** Age from which a process counts as old, milliseconds. */
+        /** Upper bound of the reported age, milliseconds: a process of this age or older counts as old. */
         const val MAX_AGE_MS = 60_000L
     }
 }
 
 /**
- * The owner's answer.
+ * The owner's answer to a [CreditRequest].
  *
- * @property credits calls that the holder may have running, those in flight included.
- * @property leaseMs how long it may start calls on them, milliseconds from the sending of its request.
- * @property renewMs when to ask again, milliseconds from the sending of its request; 0 when the request granted nothing
- *   for want of a fresh stamp.
- * @property released true when the holder is free to follow another owner at once.
+ * @property credits calls that the holder may have running, including those already in flight.
+ * @property leaseMs how long the holder may start calls on them, milliseconds from the time it sent the request.
+ * @property renewMs when to send the next request, milliseconds from the time the request was sent; 0 if nothing was
+ *   granted because the request had no fresh stamp.
+ * @property released true if the holder may follow another owner immediately.
  */
 @Serializable
 data class CreditAnswer(
--- a/policy/src/main/kotlin/io/oriolehall/policy/limits/CreditSplit.kt
+++ b/policy/src/main/kotlin/io/oriolehall/policy/limits/CreditSplit.kt
@@ -2,47 +2,47 @@
 
 import io.oriolehall.model.InstanceId
 
-/** What one holder would use. */
+/** The number of credits that a holder wants. */
 data class CreditDemand(val holder: InstanceId, val role: HolderRole, val wanted: Int)
 
-/** Divides an owner's budget among the holders. */
+/** Divides an owner's credit budget among the holders. */
 object CreditSplit {
     /**
-     * Credits for each holder, [budget] in all. Instances of the zone come first, each up to what it wants, evenly;
-     * then guests. Most of what is left is spread over those of the zone that want any, so that a burst can start at
-     * once; a part stays back for an instance that begins to send.
+     * Credits for each holder, at most [budget] in total. Instances of the zone come first, served evenly up to what
+     * each wants; then guests. Most of the remainder is spread over the instances of the zone that want any credits, so
+     * that a burst can start without waiting; a share is reserved for an instance that begins to send.
      *
-     * @param rotation moves the place of the holder that is served first, so that none goes without for ever.
+     * @param rotation determines which holder is served first; it changes over time so that no holder starves.
      */
     fun targets(budget: Int, demands: List<CreditDemand>, rotation: Long): Map<InstanceId, Int> {
         val order = rotate(demands.sortedBy(CreditDemand::holder), rotation)
         val (guests, members) = order.partition { it.role == HolderRole.GUEST }
         val targets = demands.associate { it.holder to 0 }.toMutableMap()
-        var left = deal(budget, members, targets) { it.wanted }
-        left = deal(left, guests, targets) { it.wanted }
-        deal(left - budget / KEPT_BACK_PART, members.filter { it.wanted > 0 }, targets) { Int.MAX_VALUE }
+        var remaining = distribute(budget, members, targets) { it.wanted }
+        remaining = distribute(remaining, guests, targets) { it.wanted }
+        distribute(remaining - budget / RESERVE_DIVISOR, members.filter { it.wanted > 0 }, targets) { Int.MAX_VALUE }
         return targets
     }
 
-    /** Deals [credits] one at a time in turn, to each holder up to its ceiling; returns what is left. */
-    private fun deal(
+    /** Distributes [credits] round-robin, to each holder up to its ceiling; returns the remainder. */
+    private fun distribute(
         credits: Int,
         order: List<CreditDemand>,
         targets: MutableMap<InstanceId, Int>,
         ceiling: (CreditDemand) -> Int,
     ): Int {
-        var left = credits
-        while (left > 0) {
-            val takers = order.filter { targets.getValue(it.holder) < ceiling(it) }.take(left)
-            if (takers.isEmpty()) return left
-            takers.forEach { targets[it.holder] = targets.getValue(it.holder) + 1 }
-            left -= takers.size
+        var remaining = credits
+        while (remaining > 0) {
+            val recipients = order.filter { targets.getValue(it.holder) < ceiling(it) }.take(remaining)
+            if (recipients.isEmpty()) return remaining
+            recipients.forEach { targets[it.holder] = targets.getValue(it.holder) + 1 }
+            remaining -= recipients.size
         }
-        return left
+        return remaining
     }
 
-    /** One part in so many of a budget stays back while nobody wants it. */
-    private const val KEPT_BACK_PART = 4
+    /** Divisor of the budget that gives the credits held in reserve while nobody wants them. */
+    private const val RESERVE_DIVISOR = 4
 
     private fun rotate(demands: List<CreditDemand>, by: Long): List<CreditDemand> {
         if (demands.isEmpty()) return demands
--- a/policy/src/main/kotlin/io/oriolehall/policy/limits/CreditTiming.kt
+++ b/policy/src/main/kotlin/io/oriolehall/policy/limits/CreditTiming.kt
@@ -1,15 +1,15 @@
 package io.oriolehall.policy.limits
 
 /**
- * Times of the lease protocol, milliseconds.
+ * Times of the credit lease protocol, milliseconds.
  *
- * @property leaseMs how long a grant may be used to start calls.
- * @property echoMs how old a stamp may be that a holder returns.
- * @property drainMs longest time that a call runs after its start.
- * @property marginMs allowance for clocks that run at different rates.
- * @property renewMs time between two renewals while the endpoint has credits to spare.
- * @property contendedMs time between two renewals while more credits are wanted than there are.
- * @property retryMs time after which a request without an answer is made again.
+ * @property leaseMs how long calls may be started on a grant.
+ * @property echoMs maximum age of the stamp that a holder returns.
+ * @property drainMs maximum duration of a call.
+ * @property marginMs safety margin for clocks that run at different rates.
+ * @property renewMs time between renewals while the endpoint has enough credits for all demand.
+ * @property contendedMs time between renewals while the demand for credits exceeds the budget.
+ * @property retryMs time after which an unanswered request is retried.
  */
 data class CreditTiming(
     val leaseMs: Long = 2_000,
@@ -20,9 +20,9 @@
     val contendedMs: Long = 250,
     val retryMs: Long = 500,
 ) {
-    /** Time after which nothing is left of a grant: the lease has run out and its calls have ended. */
+    /** Time after which a grant has no effect any more: its lease has expired and its calls have ended. */
     val settleMs: Long get() = leaseMs + drainMs + marginMs
 
-    /** Time after an owner's last answer from which the owner surely no longer counts the holder as its follower. */
+    /** Time after an owner's last answer when the owner has certainly stopped counting the holder as a follower. */
     val unfollowMs: Long get() = echoMs + leaseMs + marginMs
 }
--- a/policy/src/main/kotlin/io/oriolehall/policy/limits/EndpointLimit.kt
+++ b/policy/src/main/kotlin/io/oriolehall/policy/limits/EndpointLimit.kt
@@ -3,9 +3,10 @@
 import io.oriolehall.model.LoadReport
 
 /**
- * How many calls at once an endpoint bears, as its owner judges it. A cold endpoint gets its cold limit and then a
- * ramp up to its warm limit. It counts as cold when its owner meets it, when its process has another start time, when
- * its report says so, and when its first outputs take far longer than they used to, which shows before the report.
+ * The number of concurrent calls that an endpoint can handle, as estimated by its owner. A cold endpoint starts at its
+ * cold limit, which is then raised step by step to its warm limit. An endpoint is considered cold when its owner first
+ * sees it, when its process start time changes, when its load report says so, and when its first outputs take much
+ * longer than usual, which is noticed before the next report.
  */
 class EndpointLimit(
     private val coldLimit: Int,
@@ -13,77 +14,77 @@
     private val settings: RampSettings = RampSettings(),
 ) {
     private val breaker = CircuitBreaker(settings)
-    private var level = coldLimit.toDouble()
-    private var raisedAtMs: Long? = null
+    private var currentLimit = coldLimit.toDouble()
+    private var lastChangeAtMs: Long? = null
     private var report: LoadReport? = null
-    private var usualMs: Double? = null
+    private var baselineMs: Double? = null
 
-    /** Why the limit last fell to the cold limit. */
+    /** Why the limit was last reset to the cold limit. */
     var coldCause: ColdCause = ColdCause.FIRST_SEEN
         private set
 
-    /** True when the limit is at its height. */
-    val isWarm: Boolean get() = level >= warmLimit
+    /** True if the limit has reached the warm limit. */
+    val isWarm: Boolean get() = currentLimit >= warmLimit
 
-    /** The limit now. */
+    /** The current limit: 0 while the circuit breaker is open, 1 while it admits a probe. */
     fun limit(nowMs: Long): Int = when (breaker.state(nowMs)) {
         CircuitBreaker.State.OPEN -> 0
         CircuitBreaker.State.HALF_OPEN -> 1
-        CircuitBreaker.State.CLOSED -> minOf(level.toInt(), report?.limit ?: warmLimit, warmLimit)
+        CircuitBreaker.State.CLOSED -> minOf(currentLimit.toInt(), report?.limit ?: warmLimit, warmLimit)
     }
 
-    /** Takes in the newest report. */
+    /** Updates the limit from the newest load report. */
     fun onReport(newest: LoadReport, nowMs: Long) {
-        val before = report
+        val previous = report
         report = newest
-        if (before != null && before.startedAtMs != newest.startedAtMs) startAnew(nowMs)
-        if (!newest.warm) turnCold(ColdCause.REPORTED, nowMs)
-        raise(nowMs)
+        if (previous != null && previous.startedAtMs != newest.startedAtMs) onRestart(nowMs)
+        if (!newest.warm) resetToCold(ColdCause.REPORTED, nowMs)
+        raiseIfDue(nowMs)
     }
 
-    /** Takes in how calls ended since the last time. */
+    /** Updates the limit from the results of calls since the previous update. */
     fun onWork(work: ObservedWork, nowMs: Long) {
-        if (breaker.onWork(work, nowMs)) turnCold(ColdCause.FAILED, nowMs)
-        if (work.declined > 0) lower(nowMs)
-        if (work.completed > 0) compare(work.meanMs, nowMs)
-        raise(nowMs)
+        if (breaker.onWork(work, nowMs)) resetToCold(ColdCause.FAILED, nowMs)
+        if (work.declined > 0) halve(nowMs)
+        if (work.completed > 0) compareWithBaseline(work.meanMs, nowMs)
+        raiseIfDue(nowMs)
     }
 
-    private fun compare(meanMs: Double, nowMs: Long) {
-        val usual = usualMs
+    private fun compareWithBaseline(meanMs: Double, nowMs: Long) {
+        val baseline = baselineMs
         when {
-            usual == null -> if (isWarm) usualMs = meanMs
-            meanMs > usual * settings.coldRatio && isWarm -> turnCold(ColdCause.SLOW_FIRST_OUTPUT, nowMs)
-            isWarm -> usualMs = usual + (meanMs - usual) * USUAL_WEIGHT
+            baseline == null -> if (isWarm) baselineMs = meanMs
+            meanMs > baseline * settings.coldRatio && isWarm -> resetToCold(ColdCause.SLOW_FIRST_OUTPUT, nowMs)
+            isWarm -> baselineMs = baseline + (meanMs - baseline) * BASELINE_WEIGHT
         }
     }
 
-    /** The failures were those of the former process. */
-    private fun startAnew(nowMs: Long) {
+    /** Handles a restart of the process: earlier failures belong to the previous process and are discarded. */
+    private fun onRestart(nowMs: Long) {
         breaker.close()
-        turnCold(ColdCause.RESTARTED, nowMs)
+        resetToCold(ColdCause.RESTARTED, nowMs)
     }
 
-    private fun turnCold(cause: ColdCause, nowMs: Long) {
+    private fun resetToCold(cause: ColdCause, nowMs: Long) {
         coldCause = cause
-        level = coldLimit.toDouble()
-        raisedAtMs = nowMs
+        currentLimit = coldLimit.toDouble()
+        lastChangeAtMs = nowMs
     }
 
-    private fun lower(nowMs: Long) {
-        level = maxOf(coldLimit.toDouble(), level / 2)
-        raisedAtMs = nowMs
+    private fun halve(nowMs: Long) {
+        currentLimit = maxOf(coldLimit.toDouble(), currentLimit / 2)
+        lastChangeAtMs = nowMs
     }
 
-    private fun raise(nowMs: Long) {
-        val since = raisedAtMs ?: nowMs.also { raisedAtMs = it }
-        if (nowMs - since < settings.stepMs || report?.warm == false) return
-        level = maxOf(level + 1, level * settings.growth).coerceAtMost(warmLimit.toDouble())
-        raisedAtMs = nowMs
+    private fun raiseIfDue(nowMs: Long) {
+        val lastChange = lastChangeAtMs ?: nowMs.also { lastChangeAtMs = it }
+        if (nowMs - lastChange < settings.raiseIntervalMs || report?.warm == false) return
+        currentLimit = maxOf(currentLimit + 1, currentLimit * settings.raiseFactor).coerceAtMost(warmLimit.toDouble())
+        lastChangeAtMs = nowMs
     }
 
     private companion object {
-        /** Weight of a new observation in the usual first-output time. */
-        const val USUAL_WEIGHT = 0.1
+        /** Weight of a new observation in the moving average of the first-output time. */
+        const val BASELINE_WEIGHT = 0.1
     }
 }
--- a/policy/src/main/kotlin/io/oriolehall/policy/limits/EqualSplit.kt
+++ b/policy/src/main/kotlin/io/oriolehall/policy/limits/EqualSplit.kt
@@ -1,7 +1,10 @@
 package io.oriolehall.policy.limits
 
-/** The simple way: each of the live instances takes an equal part of the limit, and at least one. */
+/**
+ * Splits the limit equally among the live instances, without leases. Each instance gets at least one call, so the total
+ * exceeds a limit that is lower than the number of instances.
+ */
 object EqualSplit {
-    /** Calls that one of [instances] instances may have running. */
+    /** Number of concurrent calls allowed to each of [instances] instances. */
     fun share(limit: Int, instances: Int): Int = maxOf(1, limit / maxOf(1, instances))
 }
--- a/policy/src/main/kotlin/io/oriolehall/policy/limits/RampSettings.kt
+++ b/policy/src/main/kotlin/io/oriolehall/policy/limits/RampSettings.kt
@@ -1,20 +1,20 @@
 package io.oriolehall.policy.limits
 
 /**
- * How an endpoint's limit moves between its cold and its warm limit.
+ * Settings for raising an endpoint's limit from cold to warm, and for its circuit breaker.
  *
- * @property stepMs time between two raises, milliseconds.
- * @property growth factor of one raise; a raise adds at least one call.
- * @property coldRatio ratio of first-output time to its usual value from which the endpoint counts as cold again.
- * @property failuresToOpen failures in a row, with nothing completed between, from which no calls are sent.
- * @property openMs first wait before a probe, milliseconds; it doubles with each probe that fails.
- * @property maxOpenMs longest wait before a probe, milliseconds.
+ * @property raiseIntervalMs time between two raises of the limit, milliseconds.
+ * @property raiseFactor factor by which a raise multiplies the limit; it adds at least one call.
+ * @property coldRatio ratio of the first-output time to its baseline above which the endpoint is considered cold again.
+ * @property failuresToOpen failures without a completed call between them that open the circuit breaker.
+ * @property firstOpenMs time before the first probe, milliseconds; it doubles with each probe that fails.
+ * @property maxOpenMs maximum time before a probe, milliseconds.
  */
 data class RampSettings(
-    val stepMs: Long = 500,
-    val growth: Double = 1.6,
+    val raiseIntervalMs: Long = 500,
+    val raiseFactor: Double = 1.6,
     val coldRatio: Double = 2.5,
     val failuresToOpen: Int = 3,
-    val openMs: Long = 1_000,
+    val firstOpenMs: Long = 1_000,
     val maxOpenMs: Long = 15_000,
 )
--- a/policy/src/main/kotlin/io/oriolehall/policy/limits/ZoneMembers.kt
+++ b/policy/src/main/kotlin/io/oriolehall/policy/limits/ZoneMembers.kt
@@ -3,62 +3,66 @@
 import io.oriolehall.model.InstanceId
 
 /**
- * The instances of a zone as one of them knows them. Those that are thought live can own endpoints; those that were
- * heard of within [rememberMs] milliseconds can be voters; those that joined as lately as that may not be known to all.
+ * One instance's list of the instances of its zone. Instances that are considered live may own endpoints. Instances
+ * seen within the last [retentionMs] milliseconds may vote. Instances that joined within that time may not be known to
+ * all other members yet.
  */
-class ZoneMembers(private val self: InstanceId, private val rememberMs: Long = DEFAULT_REMEMBER_MS) {
-    private val heardAtMs = mutableMapOf<InstanceId, Long>()
-    private val newSinceMs = mutableMapOf<InstanceId, Long>()
-    private val gone = mutableSetOf<InstanceId>()
+class ZoneMembers(private val self: InstanceId, private val retentionMs: Long = DEFAULT_RETENTION_MS) {
+    private val lastSeenAtMs = mutableMapOf<InstanceId, Long>()
+    private val joinedAtMs = mutableMapOf<InstanceId, Long>()
+    private val departed = mutableSetOf<InstanceId>()
     private var live = setOf(self)
     private var joined = false
 
-    /** Ends the time in which every instance that is met was there before this one. */
+    /**
+     * Marks this instance as joined. Instances that it sees for the first time before that were in the zone before it;
+     * later ones count as new members.
+     */
     fun onJoined() {
         joined = true
     }
 
     /**
-     * Notes the [present] instances of the newest list, which may still name one that has said goodbye. Those that are
-     * [leaving] own nothing, but hold credits and vote until they have gone.
+     * Updates the members from the newest list of [present] instances, which may still contain an instance that has
+     * left the zone. Instances that are [leaving] own no endpoints, but hold credits and vote until they have left.
      */
     fun onList(present: Set<InstanceId>, leaving: Set<InstanceId>, nowMs: Long) {
-        (present - gone).forEach { hear(it, nowMs) }
-        live = (present - gone - leaving).ifEmpty { setOf(self) }
+        (present - departed).forEach { recordSeen(it, nowMs) }
+        live = (present - departed - leaving).ifEmpty { setOf(self) }
         if (self !in leaving) live = live + self
     }
 
-    /** Notes that [instance] itself was heard, also after a goodbye: it has come back under its name. */
+    /** Records a message from [instance] itself. If it had left, it has been started again under the same ID. */
     fun onContact(instance: InstanceId, nowMs: Long) {
-        gone -= instance
-        hear(instance, nowMs)
+        departed -= instance
+        recordSeen(instance, nowMs)
     }
 
-    /** Forgets an instance that has said that it stops and holds nothing. */
+    /** Removes an instance that has announced that it shuts down and holds no credits. */
     fun onGoodbye(instance: InstanceId) {
-        gone += instance
+        departed += instance
         forget(instance)
         live = (live - instance).ifEmpty { setOf(self) }
     }
 
-    /** Who may own, who may vote, and who of these others may not know yet. */
+    /** The members that may own endpoints, those that may vote, and those that other members may not know yet. */
     fun roll(nowMs: Long): ZoneRoll {
-        heardAtMs.filterValues { nowMs - it > rememberMs }.keys.forEach(::forget)
-        val recent = newSinceMs.filterValues { nowMs - it <= rememberMs }.keys - self
-        return ZoneRoll(live, heardAtMs.keys + self, recent)
+        lastSeenAtMs.filterValues { nowMs - it > retentionMs }.keys.forEach(::forget)
+        val recent = joinedAtMs.filterValues { nowMs - it <= retentionMs }.keys - self
+        return ZoneRoll(live, lastSeenAtMs.keys + self, recent)
     }
 
-    private fun hear(instance: InstanceId, nowMs: Long) {
-        if (instance !in heardAtMs && joined) newSinceMs[instance] = nowMs
-        heardAtMs[instance] = nowMs
+    private fun recordSeen(instance: InstanceId, nowMs: Long) {
+        if (instance !in lastSeenAtMs && joined) joinedAtMs[instance] = nowMs
+        lastSeenAtMs[instance] = nowMs
     }
 
     private fun forget(instance: InstanceId) {
-        heardAtMs -= instance
-        newSinceMs -= instance
+        lastSeenAtMs -= instance
+        joinedAtMs -= instance
     }
 
     private companion object {
-        const val DEFAULT_REMEMBER_MS = 15_000L
+        const val DEFAULT_RETENTION_MS = 15_000L
     }
 }
--- a/policy/src/main/kotlin/io/oriolehall/policy/orders/EngineState.kt
+++ b/policy/src/main/kotlin/io/oriolehall/policy/orders/EngineState.kt
@@ -4,7 +4,7 @@
 import io.oriolehall.model.EngineOrder
 import io.oriolehall.model.LoadReport
 
-/** What an engine serves or should serve; all are null while it has nothing loaded. */
+/** What an engine serves or should serve; all properties are null while nothing is loaded. */
 data class EngineState(val model: String?, val version: String?, val adapter: String?, val role: String?) {
     override fun toString(): String =
         if (model == null) "nothing loaded" else "$model/$version adapter ${adapter ?: "none"} role $role"
@@ -16,6 +16,6 @@
     }
 }
 
-/** The order that makes an engine serve what [this] assigns. */
-internal fun EngineAssignment.order(number: FencingNumber) =
+/** The order with fencing number [number] that makes the engine serve this assignment. */
+internal fun EngineAssignment.toOrder(number: FencingNumber) =
     EngineOrder(fence = number.value, model = model, version = version, adapter = adapter, role = role)
--- a/policy/src/main/kotlin/io/oriolehall/policy/orders/FencingNumber.kt
+++ b/policy/src/main/kotlin/io/oriolehall/policy/orders/FencingNumber.kt
@@ -1,12 +1,13 @@
 package io.oriolehall.policy.orders
 
 /**
- * Number of an order to an engine: the ticket behind the order, then a count of the orders for that ticket. A higher
- * ticket always has the higher number, and so has a later order for the same ticket whose sender knew the last one.
+ * Fencing number of an order to an engine. It combines the number of the order's ticket with a counter of the orders
+ * for that ticket. An order for a higher ticket always has a higher number. So has a later order for the same ticket,
+ * if its sender had received the number of the previous one.
  */
 @JvmInline
 value class FencingNumber(val value: Long) : Comparable<FencingNumber> {
-    /** Number of the ticket behind the order; 0 when there was none. */
+    /** Number of the ticket that the order carries out; 0 if there was no order yet. */
     val ticket: Long get() = value / ORDERS_PER_TICKET
 
     override fun compareTo(other: FencingNumber): Int = value.compareTo(other.value)
@@ -16,10 +17,10 @@
     companion object {
         private const val ORDERS_PER_TICKET = 1L shl 20
 
-        /** The number of an order for [ticket] after [last]; null when it would have to go back to a lower ticket. */
+        /** The number of the next order for [ticket] after [last]; null if [last] belongs to a higher ticket. */
         fun next(ticket: Long, last: FencingNumber): FencingNumber? {
-            val following = if (last.ticket < ticket) ticket * ORDERS_PER_TICKET + 1 else last.value + 1
-            return FencingNumber(following).takeIf { it.ticket == ticket }
+            val nextValue = if (last.ticket < ticket) ticket * ORDERS_PER_TICKET + 1 else last.value + 1
+            return FencingNumber(nextValue).takeIf { it.ticket == ticket }
         }
     }
 }
--- a/policy/src/main/kotlin/io/oriolehall/policy/orders/OrderTiming.kt
+++ b/policy/src/main/kotlin/io/oriolehall/policy/orders/OrderTiming.kt
@@ -6,31 +6,32 @@
 /**
  * Times of orders to engines, milliseconds.
  *
- * @property checkMs time between two looks at an engine.
- * @property longestLoadMs longest time that an engine takes to carry out an order.
- * @property startMs time from asking for a permit within which the order is sent.
- * @property reportLagMs age that an engine's report may have.
- * @property quietMs time from which an idle report shows that no call comes any more: a renewal of credits, a lease
- *   and the age of the report.
- * @property drainMs time after which no call can run any more: a renewal, a lease and the longest call.
- * @property readAgeMs age of a reading from which it must be taken again before an order is sent.
+ * @property checkMs time between two checks of an engine.
+ * @property longestLoadMs maximum time that an engine takes to carry out an order.
+ * @property startMs time from the request for a permit within which the order must be sent.
+ * @property reportLagMs maximum age of an engine's load report.
+ * @property idleDrainMs time without new work after which an idle report shows that no further call will start: one
+ *   credit renewal, one lease and the age of the report.
+ * @property drainMs time without new work after which no call can still be running: one credit renewal, one lease and
+ *   the longest call.
+ * @property readAgeMs maximum age of a load report that has been read; an order is not sent on an older one.
  */
 data class OrderTiming(
     val checkMs: Long = 1_000,
     val longestLoadMs: Long = 60_000,
     val startMs: Long = 10_000,
     val reportLagMs: Long = 1_000,
-    val quietMs: Long = CREDITS.renewMs + CREDITS.leaseMs + 1_000,
+    val idleDrainMs: Long = CREDITS.renewMs + CREDITS.leaseMs + 1_000,
     val drainMs: Long = CREDITS.renewMs + CREDITS.settleMs,
     val readAgeMs: Long = 2_500,
 ) {
-    /** How long a permit lasts that nobody gives back: until the order was sent and carried out. */
+    /** Lifetime of a permit that is not released: the time to send the order and to carry it out. */
     val permitMs: Long get() = startMs + longestLoadMs
 
-    /** True when nothing runs any more at an engine that has been given no work for [heldMs] milliseconds. */
-    fun isDrained(heldMs: Long, report: LoadReport?): Boolean {
+    /** True if no call can still run at an engine that has received no new work for [withoutNewWorkMs] milliseconds. */
+    fun isDrained(withoutNewWorkMs: Long, report: LoadReport?): Boolean {
         val idle = report != null && report.running + report.queued == 0
-        return heldMs >= drainMs || (idle && heldMs >= quietMs)
+        return withoutNewWorkMs >= drainMs || (idle && withoutNewWorkMs >= idleDrainMs)
     }
 
     private companion object {
--- a/policy/src/main/kotlin/io/oriolehall/policy/orders/PermitBook.kt
+++ b/policy/src/main/kotlin/io/oriolehall/policy/orders/PermitBook.kt
@@ -4,45 +4,45 @@
 import io.oriolehall.model.Incarnation
 import kotlinx.serialization.Serializable
 
-/** One load: the engine and the process that orders it. */
+/** Identifies a load: the engine, and the incarnation of the instance that orders it. */
 @Serializable
 data class PermitHolder(val endpoint: EndpointId, val orderer: Incarnation)
 
 /**
- * Permits to load from a zone's weight store, kept by the one instance of the zone that owns it. A permit that is not
- * given back lasts [lastsMs] milliseconds, the longest time until its load has ended. A new owner grants nothing for
- * as long, so that the permits of the former one have ended.
+ * Permits to load from a zone's weight store, managed by the one instance of the zone that owns the store. A permit
+ * that is not released expires after [lifetimeMs] milliseconds, the maximum time until its load has ended. A new owner
+ * grants nothing for the same time, so that all permits of the previous owner have expired.
  *
- * Not safe for use by several threads.
+ * Not thread-safe.
  *
- * @param limit loads at once that the store may have from the zone.
+ * @param limit maximum number of concurrent loads from the store.
  */
-class PermitBook(private val limit: Int, private val lastsMs: Long) {
-    private val endsAtMs = mutableMapOf<PermitHolder, Long>()
-    private var owningSinceMs: Long? = null
+class PermitBook(private val limit: Int, private val lifetimeMs: Long) {
+    private val expiresAtMs = mutableMapOf<PermitHolder, Long>()
+    private var ownerSinceMs: Long? = null
 
-    /** Notes whether this instance owns the store now, by a fresh view. */
-    fun observe(owning: Boolean, nowMs: Long) {
-        if (owning) {
-            owningSinceMs = owningSinceMs ?: nowMs
+    /** Updates whether this instance owns the store, according to an up-to-date member list. */
+    fun observe(isOwner: Boolean, nowMs: Long) {
+        if (isOwner) {
+            ownerSinceMs = ownerSinceMs ?: nowMs
         } else {
-            owningSinceMs = null
-            endsAtMs.clear()
+            ownerSinceMs = null
+            expiresAtMs.clear()
         }
     }
 
-    /** Grants [holder] a permit if there is one. */
+    /** Grants or extends a permit for [holder]; returns false if none is available. */
     fun grant(holder: PermitHolder, nowMs: Long): Boolean {
-        val since = owningSinceMs ?: return false
-        if (nowMs - since < lastsMs) return false
-        endsAtMs.values.removeIf { it <= nowMs }
-        if (holder !in endsAtMs && endsAtMs.size >= limit) return false
-        endsAtMs[holder] = nowMs + lastsMs
+        val since = ownerSinceMs ?: return false
+        if (nowMs - since < lifetimeMs) return false
+        expiresAtMs.values.removeIf { it <= nowMs }
+        if (holder !in expiresAtMs && expiresAtMs.size >= limit) return false
+        expiresAtMs[holder] = nowMs + lifetimeMs
         return true
     }
 
-    /** Takes back the permit of [holder], whose load has ended or will not begin. */
+    /** Releases the permit of [holder], whose load has ended or will not start. */
     fun release(holder: PermitHolder) {
-        endsAtMs.remove(holder)
+        expiresAtMs.remove(holder)
     }
 }
--- a/policy/src/main/kotlin/io/oriolehall/policy/quarantine/Fingerprint.kt
+++ b/policy/src/main/kotlin/io/oriolehall/policy/quarantine/Fingerprint.kt
@@ -6,8 +6,8 @@
 import java.security.MessageDigest
 
 /**
- * What makes two requests the same as far as crashes go: the lower-case hex SHA-256 over who sent what to which
- * pipeline.
+ * Identifies requests that are considered equal when crashes are attributed: the lower-case hexadecimal SHA-256 hash of
+ * organisation, pipeline and input.
  */
 @Serializable
 @JvmInline
@@ -18,8 +18,8 @@
         /** The fingerprint of [input] sent by [organisation] to [pipeline]. */
         fun of(organisation: OrganisationId, pipeline: PipelineId, input: String): Fingerprint {
             val digest = MessageDigest.getInstance("SHA-256")
-            for (part in listOf(organisation.value, pipeline.value, input)) {
-                val bytes = part.encodeToByteArray()
+            for (component in listOf(organisation.value, pipeline.value, input)) {
+                val bytes = component.encodeToByteArray()
                 digest.update("${bytes.size}:".encodeToByteArray())
                 digest.update(bytes)
             }
--- a/policy/src/main/kotlin/io/oriolehall/policy/quarantine/SuspectTrials.kt
+++ b/policy/src/main/kotlin/io/oriolehall/policy/quarantine/SuspectTrials.kt
@@ -3,19 +3,19 @@
 import io.oriolehall.model.EndpointId
 
 /**
- * Lets one suspect at a time run at an endpoint. The endpoint's owner keeps it for all instances. A trial that is not
- * ended runs out. Not safe for use by several threads.
+ * Ensures that at most one suspect request runs at an endpoint at a time. The owner of the endpoint manages the trials
+ * for all instances. A trial that is not ended expires. Not thread-safe.
  */
 class SuspectTrials {
-    private class Trial(val fingerprint: Fingerprint, val untilMs: Long)
+    private class Trial(val fingerprint: Fingerprint, val expiresAtMs: Long)
 
     private val running = mutableMapOf<EndpointId, Trial>()
 
-    /** Lets [fingerprint] run at [endpoint] for [lastsMs] milliseconds; false while another suspect does. */
-    fun begin(endpoint: EndpointId, fingerprint: Fingerprint, lastsMs: Long, nowMs: Long): Boolean {
+    /** Starts a trial of [fingerprint] at [endpoint] for [timeoutMs] milliseconds; returns false if one is running. */
+    fun begin(endpoint: EndpointId, fingerprint: Fingerprint, timeoutMs: Long, nowMs: Long): Boolean {
         val current = running[endpoint]
-        if (current != null && current.untilMs > nowMs) return false
-        running[endpoint] = Trial(fingerprint, nowMs + lastsMs)
+        if (current != null && current.expiresAtMs > nowMs) return false
+        running[endpoint] = Trial(fingerprint, nowMs + timeoutMs)
         return true
     }
 
--- a/policy/src/main/kotlin/io/oriolehall/policy/retry/RetryBudget.kt
+++ b/policy/src/main/kotlin/io/oriolehall/policy/retry/RetryBudget.kt
@@ -1,21 +1,22 @@
 package io.oriolehall.policy.retry
 
 /**
- * Retries as a share of first calls, so that an outage does not multiply the load. Each first call earns a part of a
- * retry; unused ones are kept up to [burst]. Safe for use by several threads.
+ * Limits retries to a ratio of first calls, so that an outage does not multiply the load. Each first call adds [ratio]
+ * to the budget, which holds at most [burst] retries. Thread-safe.
  *
- * @param share retries per first call.
+ * @param ratio retries allowed per first call.
+ * @param burst maximum number of unused retries; the budget starts with this number.
  */
-class RetryBudget(private val share: Double = 0.1, private val burst: Double = 20.0) {
+class RetryBudget(private val ratio: Double = 0.1, private val burst: Double = 20.0) {
     private var tokens = burst
 
-    /** Counts a first call. */
+    /** Adds the retry share of a first call to the budget. */
     @Synchronized
     fun onFirstCall() {
-        tokens = minOf(burst, tokens + share)
+        tokens = minOf(burst, tokens + ratio)
     }
 
-    /** Takes one retry; false when the budget is used up. */
+    /** Takes one retry from the budget; returns false if less than one is left. */
     @Synchronized
     fun tryTake(): Boolean {
         if (tokens < 1) return false
--- a/policy/src/main/kotlin/io/oriolehall/policy/routing/EndpointPolicy.kt
+++ b/policy/src/main/kotlin/io/oriolehall/policy/routing/EndpointPolicy.kt
@@ -6,23 +6,23 @@
 import io.oriolehall.model.ZoneId
 
 /**
- * An endpoint that may run a stage, with what this instance knows of it.
+ * An endpoint that can run a stage, and its load as known to this instance.
  *
- * @property outstanding calls of this instance that have not ended.
- * @property report newest load report, which may be seconds old; null when there is none.
+ * @property outstanding calls of this instance to the endpoint that have not finished.
+ * @property report newest load report, which may be seconds old; null if there is none.
  */
 data class Candidate(val endpoint: Endpoint, val outstanding: Int, val report: LoadReport? = null)
 
 /**
- * What is known of a stage call when its endpoint is chosen.
+ * The properties of a stage call that are available when its endpoint is chosen.
  *
- * @property zone zone of the choosing instance.
- * @property prefix text at the start of the prompt, which engines may have cached.
+ * @property zone zone of the instance that makes the call.
+ * @property prefix start of the prompt, which engines may have cached.
  */
 data class CallContext(val organisation: OrganisationId, val zone: ZoneId, val prefix: String)
 
-/** Chooses the endpoint for a stage call. Implementations are pure but for their own counters. */
+/** Chooses the endpoint for a stage call. Implementations have no side effects except on their own counters. */
 fun interface EndpointPolicy {
-    /** One of [candidates], or null when it is empty. */
+    /** Returns one of [candidates], or null if there are none. */
     fun choose(candidates: List<Candidate>, context: CallContext): Candidate?
 }
--- a/policy/src/main/kotlin/io/oriolehall/policy/routing/LeastOutstandingPolicy.kt
+++ b/policy/src/main/kotlin/io/oriolehall/policy/routing/LeastOutstandingPolicy.kt
@@ -1,9 +1,11 @@
 package io.oriolehall.policy.routing
 
-/** Own zone first, then the endpoint with the fewest outstanding calls of this instance. */
+/**
+ * Prefers endpoints of the caller's zone, and among those the one with the fewest outstanding calls of this instance.
+ */
 class LeastOutstandingPolicy : EndpointPolicy {
     override fun choose(candidates: List<Candidate>, context: CallContext): Candidate? {
-        val local = candidates.filter { it.endpoint.zone == context.zone }
-        return local.ifEmpty { candidates }.minByOrNull(Candidate::outstanding)
+        val sameZone = candidates.filter { it.endpoint.zone == context.zone }
+        return sameZone.ifEmpty { candidates }.minByOrNull(Candidate::outstanding)
     }
 }
--- a/policy/src/main/kotlin/io/oriolehall/policy/routing/PrefixAffinityPolicy.kt
+++ b/policy/src/main/kotlin/io/oriolehall/policy/routing/PrefixAffinityPolicy.kt
@@ -4,29 +4,31 @@
 import kotlin.math.ceil
 
 /**
- * Own zone first; there, calls whose prompts begin alike go to the same endpoint, where the prefix may be cached, as
- * long as that endpoint has not much more to do than the others (consistent hashing with bounded loads). The cache
- * itself is not asked: the hint costs no messages and cannot be stale.
+ * Prefers endpoints of the caller's zone, and sends calls whose prompts have the same prefix to the same one of them,
+ * where the prefix may be cached, unless that endpoint has much more load than the others (consistent hashing with
+ * bounded loads). The engines' caches are not queried, so the choice costs no messages and cannot rely on stale data.
  *
- * @param slack how many times the mean of the outstanding calls an endpoint may have.
- * @param prefixWords words at the start of the prompt that count.
+ * @param loadFactor maximum ratio of an endpoint's outstanding calls to the mean of the eligible endpoints.
+ * @param prefixWords number of words at the start of the prompt that are compared.
  */
 class PrefixAffinityPolicy(
-    private val slack: Double = DEFAULT_SLACK,
+    private val loadFactor: Double = DEFAULT_LOAD_FACTOR,
     private val prefixWords: Int = DEFAULT_PREFIX_WORDS,
 ) : EndpointPolicy {
     override fun choose(candidates: List<Candidate>, context: CallContext): Candidate? {
-        val local = candidates.filter { it.endpoint.zone == context.zone }.ifEmpty { candidates }
+        val eligible = candidates.filter { it.endpoint.zone == context.zone }.ifEmpty { candidates }
         val prefix = context.prefix.splitToSequence(' ').take(prefixWords).joinToString(" ")
-        val bound = ceil(slack * (local.sumOf(Candidate::outstanding) + 1) / maxOf(1, local.size)).toInt()
-        return local
-            .filter { it.outstanding < bound }
-            .ifEmpty { local }
+        val loadLimit = ceil(
+            loadFactor * (eligible.sumOf(Candidate::outstanding) + 1) / maxOf(1, eligible.size),
+        ).toInt()
+        return eligible
+            .filter { it.outstanding < loadLimit }
+            .ifEmpty { eligible }
             .maxByOrNull { Rendezvous.weight(prefix, it.endpoint.id.value) }
     }
 
     private companion object {
-        const val DEFAULT_SLACK = 1.5
+        const val DEFAULT_LOAD_FACTOR = 1.5
         const val DEFAULT_PREFIX_WORDS = 16
     }
 }
--- a/policy/src/main/kotlin/io/oriolehall/policy/routing/RoundRobinPolicy.kt
+++ b/policy/src/main/kotlin/io/oriolehall/policy/routing/RoundRobinPolicy.kt
@@ -2,12 +2,12 @@
 
 import java.util.concurrent.atomic.AtomicInteger
 
-/** Every candidate in turn. */
+/** Chooses the candidates in turn, regardless of zone and load. */
 class RoundRobinPolicy : EndpointPolicy {
-    private val turn = AtomicInteger()
+    private val nextIndex = AtomicInteger()
 
     override fun choose(candidates: List<Candidate>, context: CallContext): Candidate? {
         if (candidates.isEmpty()) return null
-        return candidates[Math.floorMod(turn.getAndIncrement(), candidates.size)]
+        return candidates[Math.floorMod(nextIndex.getAndIncrement(), candidates.size)]
     }
 }
--- a/policy/src/test/kotlin/io/oriolehall/policy/admission/AdmissionTest.kt
+++ b/policy/src/test/kotlin/io/oriolehall/policy/admission/AdmissionTest.kt
@@ -12,14 +12,14 @@
 class AdmissionTest {
     private val queue = FairQueue<String>()
 
-    private fun add(organisation: String, item: String, share: Int = 1, priority: Int = 0, latest: Long = 100) =
-        queue.add(WaitingCall(OrganisationId(organisation), share, priority, latest, item))
+    private fun add(organisation: String, item: String, share: Int = 1, priority: Int = 0, latestStartMs: Long = 100) =
+        queue.add(WaitingCall(OrganisationId(organisation), share, priority, latestStartMs, item))
 
     private fun drain() = generateSequence { queue.pollFirst { true }?.item }.toList()
 
     @Test
     fun `one organisation's burst does not make the others wait`() {
-        repeat(4) { add("large", "l$it", latest = it.toLong()) }
+        repeat(4) { add("large", "l$it", latestStartMs = it.toLong()) }
         add("small", "s0")
         expectThat(drain().indexOf("s0")).isEqualTo(1)
     }
@@ -33,16 +33,16 @@
 
     @Test
     fun `within an organisation priority goes first and then the least slack`() {
-        add("a", "later", latest = 90)
-        add("a", "sooner", latest = 10)
+        add("a", "later", latestStartMs = 90)
+        add("a", "sooner", latestStartMs = 10)
         add("a", "urgent", priority = 1)
         expectThat(drain()).containsExactly("urgent", "sooner", "later")
     }
 
     @Test
     fun `calls that are too late leave the queue`() {
-        add("a", "late", latest = 5)
-        add("a", "in time", latest = 50)
+        add("a", "late", latestStartMs = 5)
+        add("a", "in time", latestStartMs = 50)
         expectThat(queue.removeLate(10).map { it.item }).containsExactly("late")
         expectThat(drain()).containsExactly("in time")
     }
@@ -65,7 +65,7 @@
     @Test
     fun `an estimate follows what is observed and goes back to the declared time when nothing is`() {
         val times = StageTimes<String>()
-        repeat(100) { times.observe("s", ms = 5_000.0, declaredMs = 100.0, nowMs = 0) }
+        repeat(100) { times.observe("s", tookMs = 5_000.0, declaredMs = 100.0, nowMs = 0) }
         expectThat(times.meanMs("s", 100.0, nowMs = 0)).isGreaterThan(4_900.0)
         expectThat(times.boundMs("s", 100.0, nowMs = 20_000)).isLessThan(110.0)
     }
--- a/policy/src/test/kotlin/io/oriolehall/policy/limits/CreditLedgerTest.kt
+++ b/policy/src/test/kotlin/io/oriolehall/policy/limits/CreditLedgerTest.kt
@@ -17,17 +17,17 @@
     private val stamps = mutableMapOf<String, CreditStamp>()
     private var now = 0L
 
-    private fun ask(
+    private fun request(
         holder: String,
         wanted: Int = 1,
         inFlight: Int = 0,
         role: HolderRole = HolderRole.VOTER,
         ageMs: Long = 10_000,
-        life: Int = 1,
+        nonce: Int = 1,
         stamp: CreditStamp? = stamps[holder],
     ): CreditAnswer {
         val sequence = sequences.merge(holder, 1, Long::plus) ?: 1
-        val request = CreditRequest(
+        val creditRequest = CreditRequest(
             endpoint = endpoint,
             sequence = sequence,
             role = role,
@@ -36,49 +36,49 @@
             wanted = wanted,
             ageMs = ageMs,
         )
-        val id = HolderId(InstanceId(holder), Incarnation(1, life))
-        return ledger.answer(id, request, Electorate.of(endpoint, members), LIMIT, now).also {
+        val id = HolderId(InstanceId(holder), Incarnation(1, nonce))
+        return ledger.answer(id, creditRequest, Electorate.of(endpoint, members), LIMIT, now).also {
             stamps[holder] = it.stamp
         }
     }
 
-    private fun allFollow() = repeat(2) { listOf("a", "b").forEach(::ask) }
+    private fun letAllFollow() = repeat(2) { listOf("a", "b").forEach(::request) }
 
     @Test
     fun `a first contact grants nothing and the whole limit is given once all members follow`() {
-        expectThat(ask("a").credits).isEqualTo(0)
-        expectThat(ask("a").credits).describedAs("b does not follow").isEqualTo(0)
-        ask("b")
-        ask("b")
-        val sums = List(3) { ask("a", wanted = LIMIT).credits + ask("b", wanted = 0).credits }
+        expectThat(request("a").credits).isEqualTo(0)
+        expectThat(request("a").credits).describedAs("b does not follow this owner").isEqualTo(0)
+        request("b")
+        request("b")
+        val sums = List(3) { request("a", wanted = LIMIT).credits + request("b", wanted = 0).credits }
         expectThat(sums.last()).describedAs("after a renewal of both").isEqualTo(LIMIT)
     }
 
     @Test
     fun `a follower of long standing has its share while another member is silent`() {
         repeat(8) {
-            ask("a", wanted = LIMIT)
+            request("a", wanted = LIMIT)
             now += 80
         }
-        expectThat(ask("a", wanted = LIMIT).credits).isEqualTo(LIMIT / 2)
+        expectThat(request("a", wanted = LIMIT).credits).isEqualTo(LIMIT / 2)
     }
 
     @Test
     fun `guests receive what the members leave`() {
-        allFollow()
-        ask("guest", wanted = LIMIT, role = HolderRole.GUEST)
-        ask("a", wanted = LIMIT - 1)
-        ask("a", wanted = LIMIT - 1)
-        ask("b", wanted = 0)
-        ask("b", wanted = 0)
-        expectThat(ask("guest", wanted = LIMIT, role = HolderRole.GUEST).credits).isEqualTo(1)
-        expectThat(ledger.unreportedElsewhere(now)).describedAs("a's and the guest's").isEqualTo(LIMIT)
+        letAllFollow()
+        request("guest", wanted = LIMIT, role = HolderRole.GUEST)
+        request("a", wanted = LIMIT - 1)
+        request("a", wanted = LIMIT - 1)
+        request("b", wanted = 0)
+        request("b", wanted = 0)
+        expectThat(request("guest", wanted = LIMIT, role = HolderRole.GUEST).credits).isEqualTo(1)
+        expectThat(ledger.unreportedElsewhere(now)).describedAs("credits of a and of the guest").isEqualTo(LIMIT)
     }
 
     @Test
     fun `calls of a holder that fell silent count until they must have ended`() {
-        allFollow()
-        ask("a", wanted = LIMIT, inFlight = LIMIT)
+        letAllFollow()
+        request("a", wanted = LIMIT, inFlight = LIMIT)
         now += timing.leaseMs + 1
         expectThat(ledger.followers(now).size).isEqualTo(0)
         expectThat(ledger.committed(now) >= LIMIT).isEqualTo(true)
@@ -88,41 +88,41 @@
 
     @Test
     fun `a young process withholds the full limit until its predecessor's calls must have ended`() {
-        allFollow()
-        ask("b", ageMs = 5, life = 2)
-        expectThat(ask("a", wanted = LIMIT).credits).isEqualTo(0)
+        letAllFollow()
+        request("b", ageMs = 5, nonce = 2)
+        expectThat(request("a", wanted = LIMIT).credits).isEqualTo(0)
     }
 
     @Test
     fun `a request that was under way for longer than a stamp lasts revives no allegiance`() {
-        allFollow()
-        val stampOfA = stamps.getValue("a")
+        letAllFollow()
+        val staleStamp = stamps.getValue("a")
         now += timing.echoMs + 1
-        expectThat(ledger.followers(now)).describedAs("both have lapsed").isEqualTo(emptySet())
-        val late = ask("a", wanted = LIMIT, stamp = stampOfA)
-        expectThat(late.credits).isEqualTo(0)
-        expectThat(late.renewMs).describedAs("ask again at once").isEqualTo(0)
+        expectThat(ledger.followers(now)).describedAs("both have expired").isEqualTo(emptySet())
+        val lateAnswer = request("a", wanted = LIMIT, stamp = staleStamp)
+        expectThat(lateAnswer.credits).isEqualTo(0)
+        expectThat(lateAnswer.renewMs).describedAs("request again immediately").isEqualTo(0)
         expectThat(ledger.followers(now)).describedAs("after the late request").isEqualTo(emptySet())
-        ask("b")
-        expectThat(ask("b", wanted = LIMIT).credits).describedAs("a does not follow").isEqualTo(0)
+        request("b")
+        expectThat(request("b", wanted = LIMIT).credits).describedAs("a does not follow this owner").isEqualTo(0)
     }
 
     @Test
     fun `an instance without a vote takes credits and does not count in the owner's share`() {
-        allFollow()
-        repeat(2) { ask("c", wanted = 2, role = HolderRole.BORROWER) }
-        ask("a", wanted = 1)
-        ask("a", wanted = 1)
-        expectThat(ask("c", wanted = 2, role = HolderRole.BORROWER).credits).isEqualTo(2)
+        letAllFollow()
+        repeat(2) { request("c", wanted = 2, role = HolderRole.BORROWER) }
+        request("a", wanted = 1)
+        request("a", wanted = 1)
+        expectThat(request("c", wanted = 2, role = HolderRole.BORROWER).credits).isEqualTo(2)
         expectThat(ledger.followers(now)).isEqualTo(members)
     }
 
     @Test
     fun `a renewal is soon while more is wanted than there is and at once for want of a fresh stamp`() {
-        expectThat(ask("a").renewMs).isEqualTo(0)
-        allFollow()
-        expectThat(ask("a", wanted = 1).renewMs).isEqualTo(timing.renewMs)
-        expectThat(ask("a", wanted = LIMIT + 1).renewMs).isEqualTo(timing.contendedMs)
+        expectThat(request("a").renewMs).isEqualTo(0)
+        letAllFollow()
+        expectThat(request("a", wanted = 1).renewMs).isEqualTo(timing.renewMs)
+        expectThat(request("a", wanted = LIMIT + 1).renewMs).isEqualTo(timing.contendedMs)
     }
 
     private companion object {
--- a/policy/src/test/kotlin/io/oriolehall/policy/limits/ElectorateTest.kt
+++ b/policy/src/test/kotlin/io/oriolehall/policy/limits/ElectorateTest.kt
@@ -16,19 +16,19 @@
     @Test
     fun `all members of a small zone vote and five of a large one`() {
         expectThat(Electorate.of(endpoint, names.take(3).toSet()).voters).hasSize(3)
-        expectThat(Electorate.of(endpoint, names.toSet()).voters).hasSize(Electorate.SIZE)
+        expectThat(Electorate.of(endpoint, names.toSet()).voters).hasSize(Electorate.MAX_VOTERS)
     }
 
     @Test
     fun `shares of owners add up to the limit while new members are known to some only`() {
         for (seed in 1..2_000) {
             val random = Random(seed)
-            val old = names.shuffled(random).take(random.nextInt(1, 12)).toSet()
-            val new = (names - old).shuffled(random).take(random.nextInt(1, 4)).toSet()
-            val informed = Electorate.of(endpoint, old + new, recent = new)
-            val uninformed = Electorate.of(endpoint, old)
-            val (one, other) = (old + new).partition { random.nextBoolean() }
-            val sum = informed.share(LIMIT, one.toSet()) + uninformed.share(LIMIT, other.toSet())
+            val oldMembers = names.shuffled(random).take(random.nextInt(1, 12)).toSet()
+            val newMembers = (names - oldMembers).shuffled(random).take(random.nextInt(1, 4)).toSet()
+            val informed = Electorate.of(endpoint, oldMembers + newMembers, recent = newMembers)
+            val uninformed = Electorate.of(endpoint, oldMembers)
+            val (firstFollowers, secondFollowers) = (oldMembers + newMembers).partition { random.nextBoolean() }
+            val sum = informed.share(LIMIT, firstFollowers.toSet()) + uninformed.share(LIMIT, secondFollowers.toSet())
             expectThat(sum).describedAs("seed $seed").isLessThanOrEqualTo(LIMIT)
         }
     }
--- a/policy/src/test/kotlin/io/oriolehall/policy/limits/CreditFleet.kt
+++ b/policy/src/test/kotlin/io/oriolehall/policy/limits/LeaseSimulation.kt
@@ -7,11 +7,11 @@
 import kotlin.random.Random
 
 /**
- * Instances of one zone around one endpoint, in steps of one millisecond, with faults drawn from a seed: messages are
- * late, lost and overtake each other; lists of members disagree; instances are paused, killed, replaced and added; they
- * begin and cease to send.
+ * Simulates the instances of one zone that share one endpoint, in steps of one millisecond, with random faults
+ * generated from a seed: messages are delayed, lost and reordered; member lists differ; instances are paused, killed,
+ * replaced and added; instances start and stop sending calls.
  */
-internal class CreditFleet(seed: Long, size: Int, private val limit: Int, private val equalSplit: Boolean = false) {
+internal class LeaseSimulation(seed: Long, size: Int, private val limit: Int, private val equalSplit: Boolean = false) {
     private val random = Random(seed)
     private val endpoint = EndpointId("e")
     private val timing = CreditTiming(
@@ -23,58 +23,58 @@
         contendedMs = 25,
         retryMs = 50,
     )
-    private val names = (1..size).map { InstanceId("i$it") }.toMutableList()
-    private val nodes = names.associateWith { Node(it, 0, nowMs = 0) }.toMutableMap()
-    private val metAtMs = mutableMapOf<Pair<InstanceId, InstanceId>, Long>()
+    private val instanceIds = (1..size).map { InstanceId("i$it") }.toMutableList()
+    private val nodes = instanceIds.associateWith { Node(it, 0, nowMs = 0) }.toMutableMap()
+    private val learnedAtMs = mutableMapOf<Pair<InstanceId, InstanceId>, Long>()
     private val calls = mutableListOf<Call>()
     private val messages = mutableListOf<Message>()
     private var now = 0L
-    var faults = true
-    var peak = 0
+    var faultsEnabled = true
+    var peakRunningCalls = 0
         private set
-    var served = 0
+    var completedCalls = 0
         private set
 
     fun run(steps: Int) = repeat(steps) {
         now++
-        if (faults) breakSomething()
+        if (faultsEnabled) injectFault()
         deliver()
-        nodes.values.filter { now >= it.pausedUntilMs }.forEach(Node::act)
+        nodes.values.filter { now >= it.pausedUntilMs }.forEach(Node::step)
         val ended = calls.filter { it.endsAtMs <= now && now >= it.node.pausedUntilMs }
         ended.forEach { if (!equalSplit) it.node.holder.finish(CallResult.COMPLETED) }
-        served += ended.size
+        completedCalls += ended.size
         calls.removeAll(ended)
-        // A killed or paused sender's call ends at the endpoint on its own.
+        // A call ends at the endpoint even if its process was killed or paused.
         calls.removeAll { it.endsAtMs <= now && nodes[it.node.name] !== it.node }
         val running = calls.count { it.endsAtMs > now }
-        peak = maxOf(peak, running)
+        peakRunningCalls = maxOf(peakRunningCalls, running)
     }
 
-    fun heal() {
-        faults = false
+    fun stopFaults() {
+        faultsEnabled = false
         nodes.values.forEach {
-            it.view = names.toSet()
-            it.sends = true
+            it.memberView = instanceIds.toSet()
+            it.isSending = true
         }
     }
 
-    private fun breakSomething() {
-        val node = nodes.getValue(names.random(random))
+    private fun injectFault() {
+        val node = nodes.getValue(instanceIds.random(random))
         when (random.nextInt(500)) {
-            0 -> node.view = names.filter { it == node.name || random.nextInt(3) > 0 }.toSet()
-            1 -> node.view = names.toSet()
+            0 -> node.memberView = instanceIds.filter { it == node.name || random.nextInt(3) > 0 }.toSet()
+            1 -> node.memberView = instanceIds.toSet()
             2 -> node.pausedUntilMs = now + random.nextLong(2_000)
             3 -> if (random.nextInt(4) == 0) nodes[node.name] = Node(node.name, now.toInt(), now)
-            4 -> node.sends = !node.sends
-            5 -> if (random.nextInt(8) == 0 && names.size < MAX_SIZE) add(InstanceId("j$now"))
+            4 -> node.isSending = !node.isSending
+            5 -> if (random.nextInt(8) == 0 && instanceIds.size < MAX_INSTANCES) add(InstanceId("j$now"))
         }
     }
 
-    /** A new instance makes itself known to all before it follows anyone. */
+    /** Adds an instance, which makes itself known to all other members before it follows an owner. */
     private fun add(name: InstanceId) {
-        nodes.keys.forEach { metAtMs[it to name] = now + random.nextLong(JOIN_MS) }
-        names += name
-        nodes[name] = Node(name, now.toInt(), now).also { it.pausedUntilMs = now + JOIN_MS }
+        nodes.keys.forEach { learnedAtMs[it to name] = now + random.nextLong(JOIN_DELAY_MS) }
+        instanceIds += name
+        nodes[name] = Node(name, now.toInt(), now).also { it.pausedUntilMs = now + JOIN_DELAY_MS }
     }
 
     private fun deliver() {
@@ -86,69 +86,69 @@
         }
     }
 
-    private fun post(to: InstanceId, local: Boolean, deliver: (Node) -> Unit) {
-        if (faults && !local && random.nextInt(10) == 0) return
-        messages += Message(to, if (local) now else now + random.nextLong(if (faults) 60 else 3), deliver)
+    private fun send(to: InstanceId, local: Boolean, deliver: (Node) -> Unit) {
+        if (faultsEnabled && !local && random.nextInt(10) == 0) return
+        messages += Message(to, if (local) now else now + random.nextLong(if (faultsEnabled) 60 else 3), deliver)
     }
 
     private class Message(val to: InstanceId, val atMs: Long, val deliver: (Node) -> Unit)
 
     private class Call(val node: Node, val endsAtMs: Long)
 
-    private inner class Node(val name: InstanceId, life: Int, nowMs: Long) {
+    private inner class Node(val name: InstanceId, nonce: Int, nowMs: Long) {
         private val clockOffset = random.nextLong(1_000_000)
         private val id get() = HolderId(name, incarnation)
-        private val incarnation = Incarnation(nowMs, life)
+        private val incarnation = Incarnation(nowMs, nonce)
         private val ledger = CreditLedger(endpoint, incarnation, timing)
         val holder = CreditHolder(endpoint, timing, startedAtMs = nowMs + clockOffset)
-        var view = names.toSet()
+        var memberView = instanceIds.toSet()
         var pausedUntilMs = 0L
-        var sends = true
+        var isSending = true
         private var nextRenewalMs = 0L
 
         private fun clock() = now + clockOffset
 
-        fun act() {
+        fun step() {
             if (now >= nextRenewalMs && !equalSplit) renew()
-            if (sends && random.nextInt(20) == 0 && start()) {
+            if (isSending && random.nextInt(20) == 0 && start()) {
                 calls += Call(this, now + 1 + random.nextLong(timing.drainMs))
             }
         }
 
         private fun start(): Boolean {
             if (!equalSplit) return holder.tryStart(clock())
-            return calls.count { it.node === this } < EqualSplit.share(limit, view.size)
+            return calls.count { it.node === this } < EqualSplit.share(limit, memberView.size)
         }
 
         private fun renew() {
             nextRenewalMs = now + random.nextLong(20, 30)
             if (!holder.isDue(clock())) return
-            val owner = Rendezvous.owner(endpoint, view) ?: return
+            val owner = Rendezvous.owner(endpoint, memberView) ?: return
             val role = if (name in electorate().voters) HolderRole.VOTER else HolderRole.BORROWER
-            val extra = ledger.unreportedElsewhere(clock())
-            if (role == HolderRole.BORROWER && !sends && holder.inFlight == 0 && extra == 0) return
-            holder.expectDemand(if (sends) random.nextInt(4) else 0, clock())
-            val sent = holder.nextRequest(owner, role, sends, clock(), if (owner == name) 0 else extra)
-            post(sent.owner, local = sent.owner == name) { it.answer(sent, this) }
+            val extraInFlight = ledger.unreportedElsewhere(clock())
+            if (role == HolderRole.BORROWER && !isSending && holder.inFlight == 0 && extraInFlight == 0) return
+            holder.expectDemand(if (isSending) random.nextInt(4) else 0, clock())
+            val sent = holder.nextRequest(owner, role, isSending, clock(), if (owner == name) 0 else extraInFlight)
+            send(sent.owner, local = sent.owner == name) { it.answer(sent, this) }
         }
 
         private fun electorate(): Electorate {
-            val known = names.filter { (metAtMs[name to it] ?: 0) <= now }.toSet()
-            val recent = known.filter { now - (metAtMs[name to it] ?: -REMEMBER_MS) < REMEMBER_MS }.toSet()
+            val known = instanceIds.filter { (learnedAtMs[name to it] ?: 0) <= now }.toSet()
+            val recent = known.filter { now - (learnedAtMs[name to it] ?: -RECENT_MS) < RECENT_MS }.toSet()
             return Electorate.of(endpoint, known, recent)
         }
 
         private fun answer(sent: AddressedCreditRequest, from: Node) {
             val answer = ledger.answer(from.id, sent.request, electorate(), limit, clock())
-            post(from.name, local = from.name == name) { if (it === from) it.accept(sent, answer) }
+            send(from.name, local = from.name == name) { if (it === from) it.accept(sent, answer) }
         }
 
         private fun accept(sent: AddressedCreditRequest, answer: CreditAnswer) = holder.accept(sent, answer, clock())
     }
 
     private companion object {
-        const val MAX_SIZE = 10
-        const val JOIN_MS = 60L
-        const val REMEMBER_MS = 1_500L
+        const val MAX_INSTANCES = 10
+        const val JOIN_DELAY_MS = 60L
+        const val RECENT_MS = 1_500L
     }
 }
--- a/policy/src/test/kotlin/io/oriolehall/policy/orders/OrderPolicyTest.kt
+++ b/policy/src/test/kotlin/io/oriolehall/policy/orders/OrderPolicyTest.kt
@@ -82,12 +82,12 @@
         }
     }
 
-    /** An engine of either kind; each order reaches it whole, but perhaps late. */
+    /** A fenced or unfenced engine. Orders reach it complete, but may be delayed and reordered. */
     private class Engine(val fenced: Boolean) {
         var served: EngineOrder? = null
         var fence = 0L
 
-        fun obey(order: EngineOrder) {
+        fun receive(order: EngineOrder) {
             if (fenced && order.fence < fence) return
             served = order
             fence = maxOf(fence, order.fence)
@@ -105,26 +105,26 @@
         repeat(SEEDS) { seed ->
             val random = Random(seed)
             val engine = Engine(fenced)
-            val late = mutableListOf<EngineOrder>()
+            val delayed = mutableListOf<EngineOrder>()
             var highest = 1L
             repeat(STEPS) {
                 val before = engine.ticket()
                 when (random.nextInt(4)) {
                     0 -> highest++
 
-                    1 -> if (late.isNotEmpty()) engine.obey(late.removeAt(random.nextInt(late.size)))
+                    1 -> if (delayed.isNotEmpty()) engine.receive(delayed.removeAt(random.nextInt(delayed.size)))
 
                     2 -> {
-                        val known = random.nextLong(1, highest + 1)
-                        send(version(known), known, reportOf(engine), fenced)?.let { late += it.order }
+                        val knownTicket = random.nextLong(1, highest + 1)
+                        send(version(knownTicket), knownTicket, reportOf(engine), fenced)?.let { delayed += it.order }
                     }
 
-                    else -> send(version(highest), highest, reportOf(engine), fenced)?.let { engine.obey(it.order) }
+                    else -> send(version(highest), highest, reportOf(engine), fenced)?.let { engine.receive(it.order) }
                 }
                 if (fenced) expectThat(engine.ticket()).isGreaterThanOrEqualTo(before)
             }
-            late.shuffled(random).forEach(engine::obey)
-            send(version(highest), highest, reportOf(engine), fenced)?.let { engine.obey(it.order) }
+            delayed.shuffled(random).forEach(engine::receive)
+            send(version(highest), highest, reportOf(engine), fenced)?.let { engine.receive(it.order) }
             expectThat(engine.served?.version).describedAs("seed $seed").isEqualTo("v$highest")
         }
     }
--- a/policy/src/test/kotlin/io/oriolehall/policy/orders/PermitBookTest.kt
+++ b/policy/src/test/kotlin/io/oriolehall/policy/orders/PermitBookTest.kt
@@ -9,8 +9,8 @@
 import strikt.assertions.isTrue
 
 class PermitBookTest {
-    private val lastsMs = 1_000L
-    private val book = PermitBook(limit = 2, lastsMs).apply { observe(owning = true, nowMs = 0) }
+    private val lifetimeMs = 1_000L
+    private val book = PermitBook(limit = 2, lifetimeMs).apply { observe(isOwner = true, nowMs = 0) }
 
     private fun holder(name: String) = PermitHolder(EndpointId(name), Incarnation(1, 1))
 
@@ -19,20 +19,20 @@
         expectThat(book.grant(holder("a"), 1_000)).isTrue()
         expectThat(book.grant(holder("b"), 1_100)).isTrue()
         expectThat(book.grant(holder("c"), 1_200)).isFalse()
-        expectThat(book.grant(holder("a"), 1_200)).describedAs("asked again").isTrue()
+        expectThat(book.grant(holder("a"), 1_200)).describedAs("requested again").isTrue()
         book.release(holder("b"))
         expectThat(book.grant(holder("c"), 1_300)).isTrue()
         expectThat(book.grant(holder("d"), 2_199)).isFalse()
-        expectThat(book.grant(holder("d"), 2_200)).describedAs("the permit of a has ended").isTrue()
+        expectThat(book.grant(holder("d"), 2_200)).describedAs("the permit of a has expired").isTrue()
     }
 
     @Test
     fun `a new owner waits until the former one's permits have ended`() {
         expectThat(book.grant(holder("a"), 999)).isFalse()
         expectThat(book.grant(holder("a"), 1_000)).isTrue()
-        book.observe(owning = false, nowMs = 1_500)
+        book.observe(isOwner = false, nowMs = 1_500)
         expectThat(book.grant(holder("b"), 1_500)).isFalse()
-        book.observe(owning = true, nowMs = 1_600)
+        book.observe(isOwner = true, nowMs = 1_600)
         expectThat(book.grant(holder("b"), 2_599)).isFalse()
         expectThat(book.grant(holder("b"), 2_600)).isTrue()
     }
@@ -41,10 +41,10 @@
     fun `an engine is drained when it is idle after a lease, or after the longest call`() {
         val timing = OrderTiming()
         val idle = LoadReport(running = 0, queued = 0, limit = 0, warm = true, startedAtMs = 0)
-        expectThat(timing.isDrained(timing.quietMs - 1, idle)).isFalse()
-        expectThat(timing.isDrained(timing.quietMs, idle)).isTrue()
-        expectThat(timing.isDrained(timing.quietMs, idle.copy(queued = 1))).isFalse()
-        expectThat(timing.isDrained(timing.quietMs, null)).isFalse()
+        expectThat(timing.isDrained(timing.idleDrainMs - 1, idle)).isFalse()
+        expectThat(timing.isDrained(timing.idleDrainMs, idle)).isTrue()
+        expectThat(timing.isDrained(timing.idleDrainMs, idle.copy(queued = 1))).isFalse()
+        expectThat(timing.isDrained(timing.idleDrainMs, null)).isFalse()
         expectThat(timing.isDrained(timing.drainMs, idle.copy(running = 1))).isTrue()
     }
 }
--- a/policy/src/test/kotlin/io/oriolehall/policy/quarantine/CrashRegisterTest.kt
+++ b/policy/src/test/kotlin/io/oriolehall/policy/quarantine/CrashRegisterTest.kt
@@ -12,35 +12,37 @@
 
 class CrashRegisterTest {
     private val request = Fingerprint.of(OrganisationId("a"), PipelineId("p"), "input")
-    private val first = EndpointLoss(EndpointId("e1"), 1_000)
-    private val second = EndpointLoss(EndpointId("e2"), 3_000)
+    private val firstLoss = EndpointLoss(EndpointId("e1"), 1_000)
+    private val secondLoss = EndpointLoss(EndpointId("e2"), 3_000)
 
     @Test
     fun `one lost endpoint makes a suspect and the second one a blamed request`() {
-        val once = CrashRegister().withLoss(request, first)
-        expectThat(once.standing(request, 2_000)).isEqualTo(Standing.SUSPECT)
-        expectThat(once.withLoss(request, second).standing(request, 4_000)).isEqualTo(Standing.BLAMED)
+        val suspect = CrashRegister().withLoss(request, firstLoss)
+        expectThat(suspect.standing(request, 2_000)).isEqualTo(Standing.SUSPECT)
+        expectThat(suspect.withLoss(request, secondLoss).standing(request, 4_000)).isEqualTo(Standing.BLAMED)
     }
 
     @Test
     fun `a loss that several instances report counts once`() {
-        val register = CrashRegister().withLoss(request, first).withLoss(request, first.copy(atMs = 1_300))
+        val register = CrashRegister().withLoss(request, firstLoss).withLoss(request, firstLoss.copy(atMs = 1_300))
         expectThat(register.standing(request, 2_000)).isEqualTo(Standing.SUSPECT)
     }
 
     @Test
     fun `a suspect that runs to its end is clear again, a blamed request is not`() {
-        val once = CrashRegister().withLoss(request, first)
-        expectThat(once.cleared(request).standing(request, 2_000)).isEqualTo(Standing.CLEAR)
-        expectThat(once.withLoss(request, second).cleared(request).standing(request, 4_000)).isEqualTo(Standing.BLAMED)
+        val suspect = CrashRegister().withLoss(request, firstLoss)
+        expectThat(suspect.cleared(request).standing(request, 2_000)).isEqualTo(Standing.CLEAR)
+        expectThat(
+            suspect.withLoss(request, secondLoss).cleared(request).standing(request, 4_000),
+        ).isEqualTo(Standing.BLAMED)
     }
 
     @Test
     fun `blame and suspicion expire`() {
-        val register = CrashRegister(suspectMs = 100, blameMs = 500).withLoss(request, first)
+        val register = CrashRegister(suspectMs = 100, blameMs = 500).withLoss(request, firstLoss)
         expectThat(register.standing(request, 1_100)).isEqualTo(Standing.CLEAR)
-        expectThat(register.withLoss(request, second).standing(request, 3_499)).isEqualTo(Standing.BLAMED)
-        expectThat(register.withLoss(request, second).expired(3_500).losses.size).isEqualTo(0)
+        expectThat(register.withLoss(request, secondLoss).standing(request, 3_499)).isEqualTo(Standing.BLAMED)
+        expectThat(register.withLoss(request, secondLoss).expired(3_500).losses.size).isEqualTo(0)
     }
 
     @Test
@@ -53,10 +55,10 @@
     fun `one suspect at a time runs at an endpoint`() {
         val trials = SuspectTrials()
         val other = Fingerprint.of(OrganisationId("a"), PipelineId("p"), "other")
-        expectThat(trials.begin(first.endpoint, request, lastsMs = 1_000, nowMs = 0)).isTrue()
-        expectThat(trials.begin(first.endpoint, other, lastsMs = 1_000, nowMs = 999)).isFalse()
-        expectThat(trials.begin(second.endpoint, other, lastsMs = 1_000, nowMs = 999)).isTrue()
-        trials.end(first.endpoint, request)
-        expectThat(trials.begin(first.endpoint, other, lastsMs = 1_000, nowMs = 999)).isTrue()
+        expectThat(trials.begin(firstLoss.endpoint, request, timeoutMs = 1_000, nowMs = 0)).isTrue()
+        expectThat(trials.begin(firstLoss.endpoint, other, timeoutMs = 1_000, nowMs = 999)).isFalse()
+        expectThat(trials.begin(secondLoss.endpoint, other, timeoutMs = 1_000, nowMs = 999)).isTrue()
+        trials.end(firstLoss.endpoint, request)
+        expectThat(trials.begin(firstLoss.endpoint, other, timeoutMs = 1_000, nowMs = 999)).isTrue()
     }
 }
--- a/policy/src/test/kotlin/io/oriolehall/policy/retry/RetryBudgetTest.kt
+++ b/policy/src/test/kotlin/io/oriolehall/policy/retry/RetryBudgetTest.kt
@@ -7,7 +7,7 @@
 class RetryBudgetTest {
     @Test
     fun `in a lasting outage retries are a tenth of the calls`() {
-        val budget = RetryBudget(share = 0.1, burst = 5.0)
+        val budget = RetryBudget(ratio = 0.1, burst = 5.0)
         val retries = (1..1_000).count {
             budget.onFirstCall()
             budget.tryTake()
