--- a/policy/src/main/kotlin/io/oriolehall/policy/limits/CreditPlan.kt
+++ b/policy/src/main/kotlin/io/oriolehall/policy/limits/CreditPlan.kt
@@ -11,7 +11,7 @@
  *
  * @property owners members that may own endpoints.
  * @property known members that may vote.
- * @property recent known members that joined so recently that other members may not know them yet.
+ * @property recent known members that joined so recently that other members may not have received their records yet.
  */
 data class ZoneRoll(val owners: Set<InstanceId>, val known: Set<InstanceId>, val recent: Set<InstanceId>)
 
--- a/policy/src/main/kotlin/io/oriolehall/policy/limits/EndpointLimit.kt
+++ b/policy/src/main/kotlin/io/oriolehall/policy/limits/EndpointLimit.kt
@@ -5,7 +5,7 @@
 /**
  * The number of concurrent calls that an endpoint can handle, as estimated by its owner. A cold endpoint starts at its
  * cold limit, which is then raised step by step to its warm limit. An endpoint is considered cold when its owner first
- * sees it, when its process start time changes, when its load report says so, and when its first outputs take much
+ * sees it, when its process start time changes, when its load report states it, and when its first outputs take much
  * longer than usual, which is noticed before the next report.
  */
 class EndpointLimit(
--- a/policy/src/main/kotlin/io/oriolehall/policy/limits/ZoneMembers.kt
+++ b/policy/src/main/kotlin/io/oriolehall/policy/limits/ZoneMembers.kt
@@ -4,8 +4,8 @@
 
 /**
  * One instance's list of the instances of its zone. Instances that are considered live may own endpoints. Instances
- * seen within the last [retentionMs] milliseconds may vote. Instances that joined within that time may not be known to
- * all other members yet.
+ * seen within the last [retentionMs] milliseconds may vote. Instances that joined within that time may be missing
+ * from the lists of other members.
  */
 class ZoneMembers(private val self: InstanceId, private val retentionMs: Long = DEFAULT_RETENTION_MS) {
     private val lastSeenAtMs = mutableMapOf<InstanceId, Long>()
@@ -45,7 +45,7 @@
         live = (live - instance).ifEmpty { setOf(self) }
     }
 
-    /** The members that may own endpoints, those that may vote, and those that other members may not know yet. */
+    /** The members that may own endpoints, those that may vote, and those that other members may not have yet. */
     fun roll(nowMs: Long): ZoneRoll {
         lastSeenAtMs.filterValues { nowMs - it > retentionMs }.keys.forEach(::forget)
         val recent = joinedAtMs.filterValues { nowMs - it <= retentionMs }.keys - self
