--- a/gateway/src/main/kotlin/io/oriolehall/gateway/http/CallerConnection.kt
+++ b/gateway/src/main/kotlin/io/oriolehall/gateway/http/CallerConnection.kt
@@ -32,31 +32,31 @@
 import java.util.concurrent.TimeUnit
 
 /**
- * One caller's connection. Requests are read whole, served one at a time in their order, and cancelled when the caller
- * leaves. Used on the traffic thread only.
+ * One caller's connection. Each request is read completely before it is served; requests are served one at a time in
+ * order of arrival, and cancelled when the caller disconnects. Used on the traffic thread only.
  *
- * @param limits bounds in force when a request begins.
- * @param leaving true while the instance stops: the connection ends after the answer in progress.
+ * @param limits limits of the current configuration.
+ * @param shuttingDown true while the instance shuts down: the connection is closed after the current response.
  */
 internal class CallerConnection(
     private val scope: CoroutineScope,
     private val handler: RequestHandler,
     private val registry: CallerRegistry,
     private val limits: () -> CallerLimits,
-    private val leaving: () -> Boolean,
+    private val shuttingDown: () -> Boolean,
 ) : ChannelInboundHandlerAdapter() {
     private lateinit var ctx: ChannelHandlerContext
     private var head: HttpRequest? = null
-    private var headAtMs = 0L
+    private var headReceivedAtMs = 0L
     private var body = ByteArrayOutputStream(0)
     private val pending = ArrayDeque<CallerRequest>()
-    private var serving: Job? = null
-    private var current: Answer? = null
+    private var activeJob: Job? = null
+    private var activeResponse: CallerResponse? = null
     private var closing = false
-    private var idleTimer: java.util.concurrent.Future<*>? = null
+    private var timeout: java.util.concurrent.Future<*>? = null
 
     /** True while a request is being read or served. */
-    val busy: Boolean get() = serving != null || head != null || pending.isNotEmpty()
+    val isBusy: Boolean get() = activeJob != null || head != null || pending.isNotEmpty()
 
     override fun handlerAdded(ctx: ChannelHandlerContext) {
         this.ctx = ctx
@@ -64,14 +64,14 @@
 
     override fun channelActive(ctx: ChannelHandlerContext) {
         registry.add(this)
-        startTimer(limits().idleTimeoutMs) { closeQuietly() }
+        startTimer(limits().idleTimeoutMs) { closeNow() }
     }
 
     override fun channelInactive(ctx: ChannelHandlerContext) {
         registry.remove(this)
-        idleTimer?.cancel(false)
-        writable?.complete(Unit)
-        serving?.cancel()
+        timeout?.cancel(false)
+        writableSignal?.complete(Unit)
+        activeJob?.cancel()
     }
 
     override fun exceptionCaught(ctx: ChannelHandlerContext, cause: Throwable) {
@@ -82,90 +82,99 @@
         try {
             if (closing) return
             if (msg is HttpObject && msg.decoderResult().isFailure) {
-                reject(statusOf(msg.decoderResult().cause()))
+                reject(statusOfDecoderFailure(msg.decoderResult().cause()))
                 return
             }
-            if (msg is HttpRequest) begin(msg)
-            if (msg is HttpContent && head != null) take(msg)
+            if (msg is HttpRequest) startRequest(msg)
+            if (msg is HttpContent && head != null) appendBody(msg)
         } finally {
             ReferenceCountUtil.release(msg)
         }
     }
 
-    private fun statusOf(cause: Throwable?): HttpResponseStatus = when (cause) {
+    private fun statusOfDecoderFailure(cause: Throwable?): HttpResponseStatus = when (cause) {
         is TooLongHttpHeaderException, is TooLongHttpLineException -> HttpResponseStatus.REQUEST_HEADER_FIELDS_TOO_LARGE
         else -> HttpResponseStatus.BAD_REQUEST
     }
 
-    private fun begin(request: HttpRequest) {
-        val ambiguous = HttpUtil.isTransferEncodingChunked(request) &&
+    private fun startRequest(request: HttpRequest) {
+        val conflictingFraming = HttpUtil.isTransferEncodingChunked(request) &&
             request.headers().contains(HttpHeaderNames.CONTENT_LENGTH)
-        if (ambiguous || request.headers().getAll(HttpHeaderNames.CONTENT_LENGTH).distinct().size > 1) {
+        if (conflictingFraming || request.headers().getAll(HttpHeaderNames.CONTENT_LENGTH).distinct().size > 1) {
             reject(HttpResponseStatus.BAD_REQUEST)
             return
         }
         head = request
-        headAtMs = TrafficLoop.nowMs()
+        headReceivedAtMs = TrafficLoop.nowMs()
         body = ByteArrayOutputStream(HttpUtil.getContentLength(request, 0L).coerceIn(0, INITIAL_BODY_BYTES).toInt())
-        startTimer(limits().headerTimeoutMs + BODY_TIME_MS) { reject(HttpResponseStatus.REQUEST_TIMEOUT) }
+        startTimer(limits().headerTimeoutMs + BODY_TIMEOUT_MS) { reject(HttpResponseStatus.REQUEST_TIMEOUT) }
         if (HttpUtil.is100ContinueExpected(request)) {
             ctx.writeAndFlush(DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE))
         }
     }
 
-    private fun take(content: HttpContent) {
+    private fun appendBody(content: HttpContent) {
         val bytes = content.content()
         if (body.size() + bytes.readableBytes() > limits().maxBodyBytes) {
             reject(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE)
             return
         }
         bytes.readBytes(body, bytes.readableBytes())
-        if (content is LastHttpContent) finish()
+        if (content is LastHttpContent) completeRequest()
     }
 
-    private fun finish() {
+    private fun completeRequest() {
         val request = head ?: return
         head = null
-        idleTimer?.cancel(false)
+        timeout?.cancel(false)
         pending +=
-            CallerRequest(request.method().name(), request.uri(), request.headers(), body.toByteArray(), headAtMs)
-        keepAliveOf = HttpUtil.isKeepAlive(request)
+            CallerRequest(
+                request.method().name(),
+                request.uri(),
+                request.headers(),
+                body.toByteArray(),
+                headReceivedAtMs,
+            )
+        lastRequestKeepAlive = HttpUtil.isKeepAlive(request)
         if (pending.size >= MAX_PIPELINED) ctx.channel().config().isAutoRead = false
         serveNext()
     }
 
-    private var keepAliveOf = true
+    private var lastRequestKeepAlive = true
 
     private fun serveNext() {
-        if (serving != null || closing) return
+        if (activeJob != null || closing) return
         val request = pending.removeFirstOrNull()
         if (request == null) {
             ctx.channel().config().isAutoRead = true
-            if (leaving()) closeQuietly() else startTimer(limits().idleTimeoutMs) { closeQuietly() }
+            if (shuttingDown()) closeNow() else startTimer(limits().idleTimeoutMs) { closeNow() }
             return
         }
-        val answer = Answer(request.method == "HEAD", keepAliveOf)
-        current = answer
-        val job = scope.launch(start = CoroutineStart.LAZY) { handler.serve(request, answer) }
-        serving = job
-        job.invokeOnCompletion { onLoop { served(answer) } }
+        val response = CallerResponse(request.method == "HEAD", lastRequestKeepAlive)
+        activeResponse = response
+        val job = scope.launch(start = CoroutineStart.LAZY) { handler.serve(request, response) }
+        activeJob = job
+        job.invokeOnCompletion { runOnEventLoop { onServed(response) } }
         job.start()
     }
 
-    private fun onLoop(action: () -> Unit) {
+    private fun runOnEventLoop(action: () -> Unit) {
         if (ctx.channel().eventLoop().inEventLoop()) action() else ctx.channel().eventLoop().execute(action)
     }
 
-    /** A handler that ended without an answer leaves the caller without one: the connection is closed. */
-    private fun served(answer: Answer) {
-        serving = null
-        current = null
-        if (!answer.ended && ctx.channel().isActive) answer.abort()
-        if (answer.closesConnection) closing = true
+    /** Closes the connection when the handler returned without completing a response. */
+    private fun onServed(response: CallerResponse) {
+        activeJob = null
+        activeResponse = null
+        if (!response.ended && ctx.channel().isActive) response.abort()
+        if (response.closesConnection) closing = true
         if (!closing) serveNext()
     }
 
-    /** Answers before the request is whole; the rest of it cannot be told from a next request. */
+    /**
+     * Rejects an incomplete request and closes the connection, because the remaining bytes of the request cannot be
+     * told from a next request.
+     */
     private fun reject(status: HttpResponseStatus) {
         if (closing) return
         closing = true
@@ -175,29 +184,29 @@
         ctx.writeAndFlush(response).addListener(ChannelFutureListener.CLOSE)
     }
 
-    private fun closeQuietly() {
+    private fun closeNow() {
         closing = true
         ctx.close()
     }
 
-    /** Ends the connection now if it is idle; else it ends after the answer in progress. */
+    /** Closes the connection if it is idle; a busy one is closed after the current response. */
     fun closeWhenIdle() {
-        if (!busy) closeQuietly()
+        if (!isBusy) closeNow()
     }
 
     private fun startTimer(delayMs: Long, action: () -> Unit) {
-        idleTimer?.cancel(false)
-        idleTimer = ctx.executor().schedule(action, delayMs, TimeUnit.MILLISECONDS)
+        timeout?.cancel(false)
+        timeout = ctx.executor().schedule(action, delayMs, TimeUnit.MILLISECONDS)
     }
 
-    private var writable: CompletableDeferred<Unit>? = null
+    private var writableSignal: CompletableDeferred<Unit>? = null
 
     override fun channelWritabilityChanged(ctx: ChannelHandlerContext) {
-        if (ctx.channel().isWritable) writable?.complete(Unit)
+        if (ctx.channel().isWritable) writableSignal?.complete(Unit)
         ctx.fireChannelWritabilityChanged()
     }
 
-    private inner class Answer(private val headRequest: Boolean, private val keepAlive: Boolean) : Responder {
+    private inner class CallerResponse(private val headRequest: Boolean, private val keepAlive: Boolean) : Responder {
         override var started = false
             private set
         var ended = false
@@ -206,7 +215,7 @@
             private set
 
         override fun full(status: Int, headers: HttpHeaders, body: ByteArray) {
-            check(!started) { "an answer has begun" }
+            check(!started) { "response already started" }
             started = true
             ended = true
             val content = if (headRequest) Unpooled.EMPTY_BUFFER else Unpooled.wrappedBuffer(body)
@@ -220,25 +229,25 @@
             if (status != NO_CONTENT && status != NOT_MODIFIED) {
                 headers.set(HttpHeaderNames.CONTENT_LENGTH, body.size)
             }
-            noteConnection(headers)
+            setConnectionHeader(headers)
             val written = ctx.writeAndFlush(response)
             if (closesConnection) written.addListener(ChannelFutureListener.CLOSE)
         }
 
         override fun begin(status: Int, headers: HttpHeaders) {
-            check(!started) { "an answer has begun" }
+            check(!started) { "response already started" }
             started = true
             headers.set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED)
-            noteConnection(headers)
+            setConnectionHeader(headers)
             ctx.writeAndFlush(DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(status), headers))
         }
 
         override suspend fun data(bytes: ByteArray) {
             ctx.writeAndFlush(DefaultHttpContent(Unpooled.wrappedBuffer(bytes)))
             while (!ctx.channel().isWritable && ctx.channel().isActive) {
-                val waiting = CompletableDeferred<Unit>()
-                writable = waiting
-                waiting.await()
+                val signal = CompletableDeferred<Unit>()
+                writableSignal = signal
+                signal.await()
             }
         }
 
@@ -254,8 +263,8 @@
             ctx.close()
         }
 
-        private fun noteConnection(headers: HttpHeaders) {
-            closesConnection = !keepAlive || leaving()
+        private fun setConnectionHeader(headers: HttpHeaders) {
+            closesConnection = !keepAlive || shuttingDown()
             if (closesConnection) headers.set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE)
         }
     }
@@ -264,8 +273,8 @@
         const val MAX_PIPELINED = 4
         const val INITIAL_BODY_BYTES = 65_536L
 
-        /** Time for a body to arrive after its head, beyond the time that a head may take, milliseconds. */
-        const val BODY_TIME_MS = 10_000L
+        /** Time allowed for the body in addition to the header timeout, milliseconds. */
+        const val BODY_TIMEOUT_MS = 10_000L
         const val NO_CONTENT = 204
         const val NOT_MODIFIED = 304
     }
--- a/gateway/src/main/kotlin/io/oriolehall/gateway/http/CallerListener.kt
+++ b/gateway/src/main/kotlin/io/oriolehall/gateway/http/CallerListener.kt
@@ -13,7 +13,7 @@
 import io.oriolehall.model.NetworkAddress
 import java.net.InetSocketAddress
 
-/** Takes callers' connections at one address. */
+/** Accepts callers' connections at one address. */
 class CallerListener(
     private val loop: TrafficLoop,
     private val handler: RequestHandler,
@@ -23,7 +23,7 @@
     val registry = CallerRegistry()
     private var server: Channel? = null
 
-    /** Listens at [address] (port 0 takes a free one) and returns the address in use. */
+    /** Listens at [address], on a free port if its port is 0, and returns the address in use. */
     fun start(address: NetworkAddress): NetworkAddress {
         val bound = ServerBootstrap()
             .group(loop.group)
@@ -43,7 +43,7 @@
 
     private fun install(channel: Channel) {
         val config = HttpDecoderConfig()
-            .setMaxInitialLineLength(MAX_LINE_BYTES)
+            .setMaxInitialLineLength(MAX_REQUEST_LINE_BYTES)
             .setMaxHeaderSize(limits().maxHeaderBytes)
             .setMaxChunkSize(MAX_CHUNK_BYTES)
         channel.pipeline().addLast(
@@ -54,8 +54,8 @@
     }
 
     /**
-     * Takes no more connections and waits until that is so; those that were taken are in [registry]. Not to be called
-     * on the traffic thread.
+     * Stops accepting connections and waits until the listening socket is closed. Connections accepted before remain in
+     * [registry]. Must not be called on the traffic thread.
      */
     fun stopListening() {
         server?.close()?.syncUninterruptibly()
@@ -67,7 +67,7 @@
 
     private companion object {
         const val BACKLOG = 1_024
-        const val MAX_LINE_BYTES = 16_384
+        const val MAX_REQUEST_LINE_BYTES = 16_384
         const val MAX_CHUNK_BYTES = 65_536
     }
 }
--- a/gateway/src/main/kotlin/io/oriolehall/gateway/http/CallerRegistry.kt
+++ b/gateway/src/main/kotlin/io/oriolehall/gateway/http/CallerRegistry.kt
@@ -1,12 +1,12 @@
 package io.oriolehall.gateway.http
 
-/** The open connections of callers. Used on the traffic thread only. */
+/** Open connections of callers. Used on the traffic thread only. */
 class CallerRegistry {
     private val connections = LinkedHashSet<CallerConnection>()
 
     val open: Int get() = connections.size
 
-    val busy: Int get() = connections.count(CallerConnection::busy)
+    val busy: Int get() = connections.count(CallerConnection::isBusy)
 
     internal fun add(connection: CallerConnection) {
         connections += connection
@@ -16,6 +16,6 @@
         connections -= connection
     }
 
-    /** Ends idle connections; the others end after the answers in progress. */
+    /** Closes idle connections; busy ones are closed after their current response. */
     fun closeIdle() = connections.toList().forEach(CallerConnection::closeWhenIdle)
 }
--- a/gateway/src/main/kotlin/io/oriolehall/gateway/http/CallerRequest.kt
+++ b/gateway/src/main/kotlin/io/oriolehall/gateway/http/CallerRequest.kt
@@ -3,9 +3,9 @@
 import io.netty.handler.codec.http.HttpHeaders
 
 /**
- * A caller's request with its whole body.
+ * A caller's request with its complete body.
  *
- * @property receivedAtMs when its head had arrived, monotonic milliseconds.
+ * @property receivedAtMs arrival time of its head, monotonic milliseconds.
  */
 class CallerRequest(
     val method: String,
--- a/gateway/src/main/kotlin/io/oriolehall/gateway/http/Responder.kt
+++ b/gateway/src/main/kotlin/io/oriolehall/gateway/http/Responder.kt
@@ -2,28 +2,28 @@
 
 import io.netty.handler.codec.http.HttpHeaders
 
-/** Answers one request of a caller. Exactly one of [full], [end] and [abort] ends it. */
+/** Writes the response to one request. Exactly one of [full], [end] and [abort] completes it. */
 interface Responder {
-    /** True once the head of an answer has been written. */
+    /** True once the response head has been written. */
     val started: Boolean
 
-    /** Writes a whole answer. */
+    /** Writes a complete response. */
     fun full(status: Int, headers: HttpHeaders, body: ByteArray)
 
-    /** Begins an answer whose length is not known. */
+    /** Starts a chunked response, whose length is not known in advance. */
     fun begin(status: Int, headers: HttpHeaders)
 
-    /** Continues an answer; waits while the caller does not read. */
+    /** Writes a part of the body; suspends while the caller does not read. */
     suspend fun data(bytes: ByteArray)
 
-    /** Ends an answer as complete. */
+    /** Completes a chunked response. */
     fun end()
 
-    /** Breaks the answer off, so that the caller sees that it is not complete. */
+    /** Closes the connection, so that the caller detects an incomplete response. */
     fun abort()
 }
 
-/** Serves callers' requests. The coroutine is cancelled when the caller leaves. */
+/** Serves callers' requests. The coroutine is cancelled when the caller disconnects. */
 fun interface RequestHandler {
     suspend fun serve(request: CallerRequest, responder: Responder)
 }
--- a/gateway/src/main/kotlin/io/oriolehall/gateway/requests/Attempt.kt
+++ b/gateway/src/main/kotlin/io/oriolehall/gateway/requests/Attempt.kt
@@ -10,26 +10,26 @@
 import java.io.ByteArrayOutputStream
 
 /**
- * One send of a request to one endpoint, and the reading of its answer. Plain answers are read whole before a byte goes
- * to the caller; events of a stream are passed on as they come, whole events only.
+ * One attempt at one endpoint: sends the request and relays the response. A plain response is buffered completely
+ * before a byte is sent to the caller; the events of a stream are forwarded as they arrive, complete events only.
  */
 internal class Attempt(
     private val context: RequestContext,
     private val pool: EndpointPool,
     private val wire: WireProtocol,
-    private val policy: HeaderPolicy,
+    private val headerPolicy: HeaderPolicy,
     private val responder: Responder,
-    private val events: EventSplitter,
-    private val onFirstEvent: () -> Unit,
+    private val splitter: EventSplitter,
+    private val onEvents: () -> Unit,
 ) {
-    private var whole = false
+    private var responseComplete = false
     private var startedAtMs = 0L
-    private var ranBefore = false
+    private var mayHaveRunBefore = false
 
     /**
-     * Sends the request with [inputs] and passes the answer on.
+     * Sends the request with [inputs] and relays the response to the caller.
      *
-     * @param headTimeoutMs longest wait for the head of the answer, milliseconds; null for the time that is left.
+     * @param headTimeoutMs timeout for the response head, milliseconds; null to wait until the deadline.
      */
     suspend fun run(inputs: List<String>, lastEventId: String?, headTimeoutMs: Long?): AttemptOutcome {
         val acquired = pool.acquire()
@@ -40,20 +40,20 @@
         val connection = acquired.value
         pool.outstanding++
         try {
-            val leftMs = context.leftMs()
-            if (leftMs <= 0) return AttemptOutcome.NotRun("deadline passed", overloaded = false)
-            val headers = policy.toEndpoint(context, pool.endpoint, inputs, lastEventId, leftMs)
+            val remainingMs = context.remainingMs()
+            if (remainingMs <= 0) return AttemptOutcome.NotRun("deadline passed", overloaded = false)
+            val headers = headerPolicy.requestHeaders(context, pool.endpoint, inputs, lastEventId, remainingMs)
             pool.coldLimit.onSent(TrafficLoop.nowMs())
             startedAtMs = TrafficLoop.nowMs()
             if (!connection.send(context.request.method, context.request.uri, headers, context.request.body)) {
                 return AttemptOutcome.NotRun("connection closed before the request", overloaded = false)
             }
-            ranBefore = context.mayHaveRun
+            mayHaveRunBefore = context.mayHaveRun
             context.mayHaveRun = true
             return relay(connection, headTimeoutMs)
         } finally {
             pool.outstanding--
-            if (whole) pool.release(connection) else pool.discard(connection)
+            if (responseComplete) pool.release(connection) else pool.discard(connection)
         }
     }
 
@@ -61,27 +61,27 @@
         val first = if (headTimeoutMs == null) {
             connection.receive()
         } else {
-            withTimeoutOrNull(headTimeoutMs) { connection.receive() } ?: return silent(headTimeoutMs)
+            withTimeoutOrNull(headTimeoutMs) { connection.receive() } ?: return headTimedOut(headTimeoutMs)
         }
         val head = first as? UpstreamEvent.Head ?: return lost((first as? UpstreamEvent.Broken)?.reason ?: "no head")
-        val declined = head.headers.contains(wire.headers.notExecuted) || head.status == MISDIRECTED
-        return if (declined) decline(connection, head) else passOn(connection, head)
+        val declined = head.headers.contains(wire.headers.notExecuted) || head.status == MISDIRECTED_REQUEST
+        return if (declined) decline(connection, head) else relayIfValid(connection, head)
     }
 
-    /** An answer that names another request, or a success without a signature, is not this endpoint's whole answer. */
-    private suspend fun passOn(connection: UpstreamConnection, head: UpstreamEvent.Head): AttemptOutcome {
+    /** A response that names another request, or a success without a signature, is misrouted or truncated. */
+    private suspend fun relayIfValid(connection: UpstreamConnection, head: UpstreamEvent.Head): AttemptOutcome {
         val success = head.status in SUCCESS
         return when {
             head.headers.get(wire.headers.attemptId) != context.attemptId -> lost("not the answer to this request")
             success && !head.headers.contains(wire.headers.signature) -> lost("answer not signed")
-            success && isEvents(head) -> relayEvents(connection, head)
-            else -> relayWhole(connection, head)
+            success && isEventStream(head) -> relayEvents(connection, head)
+            else -> relayBuffered(connection, head)
         }
     }
 
-    private fun silent(ms: Long): AttemptOutcome {
+    private fun headTimedOut(timeoutMs: Long): AttemptOutcome {
         pool.health.failed(TrafficLoop.nowMs())
-        return AttemptOutcome.Lost("no answer in $ms ms")
+        return AttemptOutcome.Lost("no answer in $timeoutMs ms")
     }
 
     private fun lost(reason: String): AttemptOutcome {
@@ -89,17 +89,17 @@
         return AttemptOutcome.Lost(reason)
     }
 
-    private fun isEvents(head: UpstreamEvent.Head): Boolean =
+    private fun isEventStream(head: UpstreamEvent.Head): Boolean =
         head.headers.get("Content-Type").orEmpty().startsWith("text/event-stream")
 
     private suspend fun decline(connection: UpstreamConnection, head: UpstreamEvent.Head): AttemptOutcome {
-        context.mayHaveRun = ranBefore
+        context.mayHaveRun = mayHaveRunBefore
         readBody(connection)
         if (head.status == UNAVAILABLE) pool.health.overloaded(TrafficLoop.nowMs())
         return AttemptOutcome.NotRun("endpoint declined with ${head.status}", overloaded = head.status == UNAVAILABLE)
     }
 
-    /** Reads an answer to its end; null when it broke before. */
+    /** Reads the response body to its end; null when the connection failed before. */
     private suspend fun readBody(connection: UpstreamConnection): ByteArray? {
         val body = ByteArrayOutputStream()
         while (true) {
@@ -107,7 +107,7 @@
                 is UpstreamEvent.Data -> body.writeBytes(event.bytes)
 
                 UpstreamEvent.End -> {
-                    whole = true
+                    responseComplete = true
                     return body.toByteArray()
                 }
 
@@ -116,15 +116,15 @@
         }
     }
 
-    private suspend fun relayWhole(connection: UpstreamConnection, head: UpstreamEvent.Head): AttemptOutcome {
+    private suspend fun relayBuffered(connection: UpstreamConnection, head: UpstreamEvent.Head): AttemptOutcome {
         val body = readBody(connection) ?: return lost("answer broke off")
-        val headers = policy.toCaller(head.headers)
-        if (head.status >= FIRST_FAILURE) {
+        val headers = headerPolicy.responseHeaders(head.headers)
+        if (head.status >= FIRST_SERVER_ERROR) {
             pool.health.answeredWithFailure()
             return AttemptOutcome.Failure(head.status, headers, body)
         }
         pool.health.succeeded((TrafficLoop.nowMs() - startedAtMs).toDouble())
-        context.noteFirst()
+        context.recordFirstByte()
         responder.full(head.status, headers, body)
         return AttemptOutcome.Delivered(head.status)
     }
@@ -132,16 +132,16 @@
     private suspend fun relayEvents(connection: UpstreamConnection, head: UpstreamEvent.Head): AttemptOutcome {
         while (true) {
             when (val event = connection.receive()) {
-                is UpstreamEvent.Data -> pass(head, event.bytes)
+                is UpstreamEvent.Data -> forwardEvents(head, event.bytes)
 
-                is UpstreamEvent.Broken -> return lost("stream broke off after ${events.events} events")
+                is UpstreamEvent.Broken -> return lost("stream broke off after ${splitter.eventCount} events")
 
                 is UpstreamEvent.Head -> return lost("second head in a stream")
 
                 UpstreamEvent.End -> {
-                    if (!events.atBoundary) return lost("stream ended inside an event")
-                    whole = true
-                    if (!responder.started) responder.begin(head.status, policy.toCaller(head.headers))
+                    if (!splitter.atBoundary) return lost("stream ended inside an event")
+                    responseComplete = true
+                    if (!responder.started) responder.begin(head.status, headerPolicy.responseHeaders(head.headers))
                     responder.end()
                     return AttemptOutcome.Delivered(head.status)
                 }
@@ -149,22 +149,22 @@
         }
     }
 
-    private suspend fun pass(head: UpstreamEvent.Head, bytes: ByteArray) {
-        val ready = events.take(bytes)
-        if (ready.isEmpty()) return
+    private suspend fun forwardEvents(head: UpstreamEvent.Head, bytes: ByteArray) {
+        val completeEvents = splitter.append(bytes)
+        if (completeEvents.isEmpty()) return
         if (!responder.started) {
-            context.noteFirst()
-            responder.begin(head.status, policy.toCaller(head.headers))
+            context.recordFirstByte()
+            responder.begin(head.status, headerPolicy.responseHeaders(head.headers))
             pool.health.succeeded((TrafficLoop.nowMs() - startedAtMs).toDouble())
         }
-        onFirstEvent()
-        responder.data(ready)
+        onEvents()
+        responder.data(completeEvents)
     }
 
     private companion object {
         val SUCCESS = 200..299
-        const val FIRST_FAILURE = 500
+        const val FIRST_SERVER_ERROR = 500
         const val UNAVAILABLE = 503
-        const val MISDIRECTED = 421
+        const val MISDIRECTED_REQUEST = 421
     }
 }
--- a/gateway/src/main/kotlin/io/oriolehall/gateway/requests/EndpointChooser.kt
+++ b/gateway/src/main/kotlin/io/oriolehall/gateway/requests/EndpointChooser.kt
@@ -15,12 +15,12 @@
 import io.oriolehall.model.ZoneId
 
 /**
- * Chooses the endpoint for an attempt among those that are registered, not excluded by recent failures and within
- * their cold and connection limits.
+ * Chooses the endpoint for an attempt among the registered endpoints that are within their cold and connection limits.
+ * Endpoints excluded for recent failures are used only if no other endpoint is left.
  *
- * @param instances all live instances; they send to the same endpoints.
- * @param coldFactor factor on a service's cold limit within which its endpoints bear requests.
- * @param coldSlack requests a second above it.
+ * @param instances all live instances, which share the endpoints.
+ * @param coldFactor factor applied to a service's limit for cold endpoints.
+ * @param coldSlack requests per second that are allowed in addition.
  */
 internal class EndpointChooser(
     private val self: Instance,
@@ -32,57 +32,59 @@
     private val coldFactor: Double,
     private val coldSlack: Double,
 ) {
-    private var known = emptySet<InstanceId>()
-    private var shares = ColdShare(self.id, known)
+    private var lastInstances = emptySet<InstanceId>()
+    private var coldShares = ColdShare(self.id, lastInstances)
 
-    /** An endpoint for [context] other than those [tried], or null when there is none. */
+    /** Chooses an endpoint for [context] that is not in [tried]; null when none is available. */
     fun choose(context: RequestContext, inputZone: ZoneId?, tried: Set<EndpointLife>): EndpointPool? {
         val nowMs = TrafficLoop.nowMs()
         val service = context.table.service(context.service)
-        val perSecond = service?.coldPerSecond?.takeIf { it > 0 }?.let { it * coldFactor + coldSlack }
-        val perInstance = service?.maxConnections?.takeIf { it > 0 }?.let(::connectionShare)
-        val all = snapshot().usable(context.service).filter { it.life !in tried }.map(pools::of)
-        val open = all.filter { perSecond == null || it.coldLimit.allows(nowMs, coldShare(it, perSecond)) }
-            .filter { perInstance == null || it.hasConnection(perInstance) }
+        val coldPerSecond = service?.coldPerSecond?.takeIf { it > 0 }?.let { it * coldFactor + coldSlack }
+        val connectionsPerInstance = service?.maxConnections?.takeIf { it > 0 }?.let(::connectionShare)
+        val untried = snapshot().usable(context.service).filter { it.life !in tried }.map(pools::of)
+        val open = untried
+            .filter { coldPerSecond == null || it.coldLimit.allows(nowMs, coldShare(it, coldPerSecond)) }
+            .filter { connectionsPerInstance == null || it.hasCapacity(connectionsPerInstance) }
         val healthy = open.filterNot { it.health.isExcluded(nowMs) }.ifEmpty { open }
-        val typicalMs = healthy.map {
+        val medianMs = healthy.map {
             it.health.responseMs
         }.filter { it > 0 }.sorted().let { it.getOrNull(it.size / 2) }
-        val candidates = healthy.map { PlacementCandidate(it.endpoint, it.outstanding, slowness(it, typicalMs)) }
-        val request = PlacementRequest(affinity(context), inputZone, self.zone)
+        val candidates = healthy.map { PlacementCandidate(it.endpoint, it.outstanding, slowness(it, medianMs)) }
+        val request = PlacementRequest(affinityKey(context), inputZone, self.zone)
         return placement.choose(candidates, request)?.let { pools.of(it.endpoint) }
     }
 
-    /** True when endpoints are registered that only have no place now. */
-    fun mayComeFree(context: RequestContext, tried: Set<EndpointLife>): Boolean =
+    /** True when usable endpoints are registered that are not in [tried]; they may only be at their limits now. */
+    fun mayBecomeAvailable(context: RequestContext, tried: Set<EndpointLife>): Boolean =
         snapshot().usable(context.service).any { it.life !in tried }
 
-    private fun coldShare(pool: EndpointPool, perSecond: Double): Int {
-        val live = instances()
-        if (live !== known) {
-            known = live
-            shares = ColdShare(self.id, live)
+    private fun coldShare(pool: EndpointPool, coldPerSecond: Double): Int {
+        val liveInstances = instances()
+        if (liveInstances !== lastInstances) {
+            lastInstances = liveInstances
+            coldShares = ColdShare(self.id, liveInstances)
         }
-        return shares.of(pool.endpoint.id, perSecond)
+        return coldShares.of(pool.endpoint.id, coldPerSecond)
     }
 
-    /** Endpoints reset connections beyond their bound, which is for all instances together. */
+    /** This instance's share of an endpoint's connection limit; endpoints reset connections beyond that limit. */
     private fun connectionShare(maxConnections: Int): Int =
-        maxOf(1, (maxConnections * CONNECTION_SHARE / maxOf(1, instances().size)).toInt())
+        maxOf(1, (maxConnections * USABLE_CONNECTION_SHARE / maxOf(1, instances().size)).toInt())
 
-    private fun slowness(pool: EndpointPool, typicalMs: Double?): Double {
-        val known = pool.health.responseMs
-        return if (typicalMs == null || known == 0.0) 1.0 else maxOf(1.0, known / typicalMs) + pool.health.failureShare
+    /** Response time of the endpoint relative to [medianMs], at least 1, plus its share of failures. */
+    private fun slowness(pool: EndpointPool, medianMs: Double?): Double {
+        val ownMs = pool.health.responseMs
+        return if (medianMs == null || ownMs == 0.0) 1.0 else maxOf(1.0, ownMs / medianMs) + pool.health.failureShare
     }
 
-    /** Requests that share all parts of the prompt but the last one profit from the same cache. */
-    private fun affinity(context: RequestContext): String? {
+    /** Placement key: requests that share all parts of the prompt but the last one can use the same cached prefix. */
+    private fun affinityKey(context: RequestContext): String? {
         val parts = context.request.headers.get(wire.headers.promptParts)?.split(',') ?: return null
         return parts.getOrNull(parts.size - 2)?.substringBefore(':')
     }
 
     private companion object {
-        /** Part of an endpoint's connections that is used; the rest covers closed ones that it still counts. */
-        const val CONNECTION_SHARE = 0.9
+        /** Usable share of an endpoint's connection limit; the rest covers closed connections that it still counts. */
+        const val USABLE_CONNECTION_SHARE = 0.9
     }
 }
--- a/gateway/src/main/kotlin/io/oriolehall/gateway/requests/EventSplitter.kt
+++ b/gateway/src/main/kotlin/io/oriolehall/gateway/requests/EventSplitter.kt
@@ -1,51 +1,51 @@
 package io.oriolehall.gateway.requests
 
 /**
- * Cuts a series of server-sent events into whole events, so that a caller never gets half of one that another endpoint
- * then repeats. Keeps the identifier of the last whole event.
+ * Splits a stream of server-sent events into complete events, so that a caller never receives part of an event that
+ * another endpoint then sends again. Keeps the identifier of the last complete event.
  */
 internal class EventSplitter {
-    private var rest = ByteArray(0)
+    private var incomplete = ByteArray(0)
 
-    /** Identifier of the last whole event; null before the first that has one. */
+    /** Identifier of the last complete event that has one; null if there was none. */
     var lastEventId: String? = null
         private set
 
-    /** Number of whole events so far. */
-    var events = 0
+    /** Number of complete events so far. */
+    var eventCount = 0
         private set
 
-    /** True when the bytes so far end with a whole event. */
-    val atBoundary: Boolean get() = rest.isEmpty()
+    /** True when the bytes so far end with a complete event. */
+    val atBoundary: Boolean get() = incomplete.isEmpty()
 
-    /** The whole events that [bytes] complete; empty when there is none. */
-    fun take(bytes: ByteArray): ByteArray {
-        val all = if (rest.isEmpty()) bytes else rest + bytes
-        val end = endOfLastEvent(all)
+    /** Appends [bytes] and returns the events that are complete now; empty when there are none. */
+    fun append(bytes: ByteArray): ByteArray {
+        val buffer = if (incomplete.isEmpty()) bytes else incomplete + bytes
+        val end = endOfLastCompleteEvent(buffer)
         if (end == 0) {
-            rest = all
+            incomplete = buffer
             return EMPTY
         }
-        rest = all.copyOfRange(end, all.size)
-        return if (end == all.size) all else all.copyOf(end)
+        incomplete = buffer.copyOfRange(end, buffer.size)
+        return if (end == buffer.size) buffer else buffer.copyOf(end)
     }
 
-    /** Bytes of an event that has not ended. */
-    fun remainder(): ByteArray = rest
+    /** Bytes of the incomplete event at the end of the stream. */
+    fun incompleteEvent(): ByteArray = incomplete
 
-    /** Drops the beginning of an event that will come again from another endpoint. */
-    fun dropRemainder() {
-        rest = EMPTY
+    /** Discards the incomplete event, which another endpoint will send again. */
+    fun dropIncompleteEvent() {
+        incomplete = EMPTY
     }
 
-    private fun endOfLastEvent(all: ByteArray): Int {
+    private fun endOfLastCompleteEvent(buffer: ByteArray): Int {
         var end = 0
         var lineStart = 0
-        for (i in all.indices) {
-            if (all[i] != LF) continue
-            val blank = i == lineStart || (i == lineStart + 1 && all[lineStart] == CR)
+        for (i in buffer.indices) {
+            if (buffer[i] != LF) continue
+            val blank = i == lineStart || (i == lineStart + 1 && buffer[lineStart] == CR)
             if (blank && i > end) {
-                noteEvent(all, end, lineStart)
+                recordEvent(buffer, end, lineStart)
                 end = i + 1
             }
             lineStart = i + 1
@@ -53,9 +53,9 @@
         return end
     }
 
-    private fun noteEvent(all: ByteArray, from: Int, to: Int) {
-        events++
-        for (line in String(all, from, to - from, Charsets.UTF_8).lineSequence()) {
+    private fun recordEvent(buffer: ByteArray, from: Int, to: Int) {
+        eventCount++
+        for (line in String(buffer, from, to - from, Charsets.UTF_8).lineSequence()) {
             if (line.startsWith(ID_FIELD)) lastEventId = line.removePrefix(ID_FIELD).trim()
         }
     }
--- a/gateway/src/main/kotlin/io/oriolehall/gateway/requests/HeaderPolicy.kt
+++ b/gateway/src/main/kotlin/io/oriolehall/gateway/requests/HeaderPolicy.kt
@@ -5,58 +5,58 @@
 import io.oriolehall.dispatch.endpoints.EndpointRecord
 import io.oriolehall.gateway.wire.WireProtocol
 
-/** Which headers are passed on in either direction. */
+/** Selects the headers that are forwarded to endpoints and back to callers. */
 internal class HeaderPolicy(private val wire: WireProtocol) {
     private val gatewayOnly: Set<String> =
         (wire.headers.reserved + wire.headers.organisation + wire.headers.expectedEndpoint + wire.headers.inputs)
             .mapTo(HashSet(), String::lowercase)
 
-    /** Headers of a request to [endpoint]. */
-    fun toEndpoint(
+    /** Headers of the request to [endpoint]. */
+    fun requestHeaders(
         context: RequestContext,
         endpoint: EndpointRecord,
         inputs: List<String>,
         lastEventId: String?,
-        leftMs: Long,
+        remainingMs: Long,
     ): HttpHeaders {
-        val from = context.request.headers
-        val to = DefaultHttpHeaders()
-        val perConnection = perConnection(from)
-        for ((name, value) in from.iteratorAsString()) {
-            val key = name.lowercase()
-            if (key in perConnection || key in gatewayOnly || key in REQUEST_ONLY) continue
-            if (key == "authorization" && context.table.keysRequired) continue
-            to.add(name, value)
+        val source = context.request.headers
+        val forwarded = DefaultHttpHeaders()
+        val hopByHop = hopByHop(source)
+        for ((name, value) in source.iteratorAsString()) {
+            val lowercaseName = name.lowercase()
+            if (lowercaseName in hopByHop || lowercaseName in gatewayOnly || lowercaseName in NOT_FORWARDED) continue
+            if (lowercaseName == "authorization" && context.table.keysRequired) continue
+            forwarded.add(name, value)
         }
         val body = context.request.body
-        if (body.isNotEmpty() || context.request.method in METHODS_WITH_BODY) to.set("Content-Length", body.size)
-        to.set(wire.headers.deadlineMs, leftMs)
-        to.set(wire.headers.expectedEndpoint, endpoint.id.value)
-        context.organisation?.let { to.set(wire.headers.organisation, it.id.value) }
-        if (inputs.isNotEmpty()) to.set(wire.headers.inputs, inputs.joinToString(","))
-        if (lastEventId != null) to.set(wire.headers.lastEventId, lastEventId)
-        return to
+        if (body.isNotEmpty() || context.request.method in METHODS_WITH_BODY) forwarded.set("Content-Length", body.size)
+        forwarded.set(wire.headers.deadlineMs, remainingMs)
+        forwarded.set(wire.headers.expectedEndpoint, endpoint.id.value)
+        context.organisation?.let { forwarded.set(wire.headers.organisation, it.id.value) }
+        if (inputs.isNotEmpty()) forwarded.set(wire.headers.inputs, inputs.joinToString(","))
+        if (lastEventId != null) forwarded.set(wire.headers.lastEventId, lastEventId)
+        return forwarded
     }
 
-    /** Headers of an endpoint's answer for the caller. */
-    fun toCaller(from: HttpHeaders): HttpHeaders {
-        val to = DefaultHttpHeaders()
-        val perConnection = perConnection(from)
-        for ((name, value) in from.iteratorAsString()) {
-            if (name.lowercase() !in perConnection && name.lowercase() != "content-length") to.add(name, value)
+    /** Headers of the response to the caller, from those of the endpoint's response. */
+    fun responseHeaders(source: HttpHeaders): HttpHeaders {
+        val forwarded = DefaultHttpHeaders()
+        val hopByHop = hopByHop(source)
+        for ((name, value) in source.iteratorAsString()) {
+            if (name.lowercase() !in hopByHop && name.lowercase() != "content-length") forwarded.add(name, value)
         }
-        return to
+        return forwarded
     }
 
-    private fun perConnection(headers: HttpHeaders): Set<String> {
-        val named = headers.getAll("Connection").flatMap { it.split(',') }.map { it.trim().lowercase() }
-        return if (named.isEmpty()) PER_CONNECTION else PER_CONNECTION + named
+    private fun hopByHop(headers: HttpHeaders): Set<String> {
+        val listed = headers.getAll("Connection").flatMap { it.split(',') }.map { it.trim().lowercase() }
+        return if (listed.isEmpty()) HOP_BY_HOP else HOP_BY_HOP + listed
     }
 
     private fun HttpHeaders.iteratorAsString() = Iterable { iteratorAsString() }
 
     private companion object {
-        val PER_CONNECTION = setOf(
+        val HOP_BY_HOP = setOf(
             "connection",
             "keep-alive",
             "proxy-connection",
@@ -67,7 +67,7 @@
             "transfer-encoding",
             "upgrade",
         )
-        val REQUEST_ONLY = setOf("content-length", "expect")
+        val NOT_FORWARDED = setOf("content-length", "expect")
         val METHODS_WITH_BODY = setOf("POST", "PUT", "PATCH")
     }
 }
--- a/gateway/src/main/kotlin/io/oriolehall/gateway/requests/Intake.kt
+++ b/gateway/src/main/kotlin/io/oriolehall/gateway/requests/Intake.kt
@@ -13,35 +13,35 @@
 import kotlin.random.Random
 
 /**
- * Decides whether a request is let in: its route, its organisation and its deadline, by the configuration in force.
+ * Admits or rejects a request by the current configuration, and determines its route, organisation and deadline.
  *
- * @param keyTrustMs age of the last confirmation of the configuration beyond which API keys are not honoured,
- *   milliseconds; null when keys need no confirmation.
+ * @param maxConfigAgeMs API keys are rejected when the configuration was last confirmed longer ago than this,
+ *   milliseconds; null when keys are accepted without confirmation.
  */
 internal class Intake(
     private val state: PublishedState,
     private val wire: WireProtocol,
-    private val keyTrustMs: Long?,
+    private val maxConfigAgeMs: Long?,
     private val random: Random,
 ) {
     fun admit(request: CallerRequest): Result<RequestContext, Rejection> {
-        val trusted = state.trust.current
+        val currentConfig = state.trust.current
             ?: return Err(
                 Rejection.NotExecuted(RefusalCause.NO_CONFIGURATION, "no configuration yet", NO_CONFIG_RETRY_MS),
             )
-        val table = trusted.table
+        val table = currentConfig.table
         val attemptId = request.headers.get(wire.headers.attemptId)
             ?: return Err(Rejection.Malformed("header ${wire.headers.attemptId} is missing"))
         val route = table.route(request.host, request.uri)
             ?: return Err(Rejection.UnknownRoute("no route for this host and path"))
         val organisation = authenticate(table, request)
-        val refusal = if (table.keysRequired && !route.anonymous) refuseKey(trusted, organisation) else null
-        if (refusal != null) return Err(refusal)
+        val rejection = if (table.keysRequired && !route.anonymous) checkKey(currentConfig, organisation) else null
+        if (rejection != null) return Err(rejection)
         return Ok(context(request, attemptId, table, route, organisation))
     }
 
-    private fun refuseKey(trusted: TrustedConfig, organisation: Organisation?): Rejection? = when {
-        keyTrustMs != null && !trusted.mayHonourKeys(state.now(), keyTrustMs) ->
+    private fun checkKey(currentConfig: TrustedConfig, organisation: Organisation?): Rejection? = when {
+        maxConfigAgeMs != null && !currentConfig.mayHonourKeys(state.now(), maxConfigAgeMs) ->
             Rejection.NotExecuted(RefusalCause.UNCONFIRMED, "configuration is not confirmed", UNCONFIRMED_RETRY_MS)
 
         organisation == null -> Rejection.UnknownKey("API key is missing or not known")
@@ -63,25 +63,26 @@
         route: Route,
         organisation: Organisation?,
     ): RequestContext {
-        val callerMs = request.headers.get(wire.headers.deadlineMs)?.toLongOrNull()?.takeIf { it > 0 }
-        val limitMs = minOf(callerMs ?: route.timeoutMs, route.timeoutMs)
+        val callerTimeoutMs = request.headers.get(wire.headers.deadlineMs)?.toLongOrNull()?.takeIf { it > 0 }
+        val timeoutMs = minOf(callerTimeoutMs ?: route.timeoutMs, route.timeoutMs)
         return RequestContext(
             request = request,
             attemptId = attemptId,
             table = table,
             route = route,
-            service = draw(route),
+            service = chooseService(route),
             organisation = organisation,
-            deadlineAtMs = request.receivedAtMs + limitMs,
+            deadlineAtMs = request.receivedAtMs + timeoutMs,
             objectiveAtMs = request.receivedAtMs + route.objectiveMs,
         )
     }
 
-    private fun draw(route: Route): String {
-        var left = random.nextInt(route.targets.sumOf { it.weight }.coerceAtLeast(1))
+    /** Chooses one of the services of [route] at random, in proportion to their weights. */
+    private fun chooseService(route: Route): String {
+        var remainingWeight = random.nextInt(route.targets.sumOf { it.weight }.coerceAtLeast(1))
         for (target in route.targets) {
-            if (left < target.weight) return target.service
-            left -= target.weight
+            if (remainingWeight < target.weight) return target.service
+            remainingWeight -= target.weight
         }
         return route.targets.last().service
     }
--- a/gateway/src/main/kotlin/io/oriolehall/gateway/requests/Outcome.kt
+++ b/gateway/src/main/kotlin/io/oriolehall/gateway/requests/Outcome.kt
@@ -2,18 +2,18 @@
 
 import io.netty.handler.codec.http.HttpHeaders
 
-/** How an attempt at one endpoint ended. */
+/** Outcome of an attempt at one endpoint. */
 internal sealed interface AttemptOutcome {
-    /** The caller has the whole answer. */
+    /** The complete response was written to the caller. */
     data class Delivered(val status: Int) : AttemptOutcome
 
-    /** The endpoint certainly did not run the request. */
+    /** The endpoint did not run the request. */
     data class NotRun(val reason: String, val overloaded: Boolean) : AttemptOutcome
 
-    /** The endpoint answered with a failure of its own; it has not been passed on yet. */
+    /** The endpoint responded with a server error, which has not been forwarded to the caller yet. */
     class Failure(val status: Int, val headers: HttpHeaders, val body: ByteArray) : AttemptOutcome
 
-    /** The connection broke or the answer cannot be used; the request may have run. */
+    /** The connection failed, or the response is missing or invalid; the request may have run. */
     data class Lost(val reason: String) : AttemptOutcome
 
     fun describe(): String = when (this) {
@@ -25,16 +25,16 @@
 }
 
 /**
- * Why the gateway answers itself. Each status says whether the request has run: 429 and 503 promise that it has not
+ * A response by the gateway itself. The status tells whether the request has run: 429 and 503 guarantee that it has not
  * and will not.
  */
 internal sealed interface Rejection {
     val status: Int
 
-    /** Why, for the log; it may name figures. */
+    /** Reason for the log; may contain figures. */
     val reason: String
 
-    /** Why, for counters: one of a few words. */
+    /** Reason as a metric label; one of a fixed set of values. */
     val kind: String
 
     data class NotExecuted(
@@ -72,7 +72,7 @@
     }
 }
 
-/** Why a request was refused that has not run. */
+/** Why a request was refused without having run. */
 internal enum class RefusalCause {
     NO_CONFIGURATION,
     UNCONFIRMED,
--- a/gateway/src/main/kotlin/io/oriolehall/gateway/requests/RequestContext.kt
+++ b/gateway/src/main/kotlin/io/oriolehall/gateway/requests/RequestContext.kt
@@ -7,12 +7,12 @@
 import io.oriolehall.gateway.http.CallerRequest
 
 /**
- * A request that has been let in. Times are monotonic milliseconds.
+ * An admitted request. Times are monotonic milliseconds.
  *
  * @property attemptId the caller's identifier of this attempt.
- * @property service the target of the route that was drawn for it.
- * @property deadlineAtMs when the caller or the route gives it up.
- * @property objectiveAtMs until when an answer is on time.
+ * @property service the service that was chosen among the targets of the route.
+ * @property deadlineAtMs the earlier of the deadlines of the caller and the route.
+ * @property objectiveAtMs a response that starts later than this counts as late.
  */
 internal class RequestContext(
     val request: CallerRequest,
@@ -28,13 +28,13 @@
 
     val trace = RequestTrace()
 
-    /** True once an endpoint may have begun to run the request. */
+    /** True once an endpoint may have started to run the request. */
     var mayHaveRun = false
 
-    /** Notes that the answer begins to go to the caller. */
-    fun noteFirst() {
-        if (trace.firstMs == null) trace.firstMs = TrafficLoop.nowMs() - request.receivedAtMs
+    /** Records the time at which the response to the caller starts. */
+    fun recordFirstByte() {
+        if (trace.firstByteMs == null) trace.firstByteMs = TrafficLoop.nowMs() - request.receivedAtMs
     }
 
-    fun leftMs(nowMs: Long = TrafficLoop.nowMs()): Long = deadlineAtMs - nowMs
+    fun remainingMs(nowMs: Long = TrafficLoop.nowMs()): Long = deadlineAtMs - nowMs
 }
--- a/gateway/src/main/kotlin/io/oriolehall/gateway/requests/RequestService.kt
+++ b/gateway/src/main/kotlin/io/oriolehall/gateway/requests/RequestService.kt
@@ -22,8 +22,8 @@
 import java.util.Locale
 
 /**
- * Serves a caller's request from its admission to the end of its answer: runs its stages, chooses endpoints, sends it,
- * and sends it again only where that is allowed. Used on the traffic thread only.
+ * Serves a caller's request from admission to the end of the response: runs its stages, chooses endpoints, sends the
+ * request, and retries it only where that is allowed. Used on the traffic thread only.
  */
 internal class RequestService(
     private val intake: Intake,
@@ -37,7 +37,7 @@
     private val metrics: GatewayMetrics,
     private val log: EventLog,
 ) : RequestHandler {
-    private val policy = HeaderPolicy(wire)
+    private val headerPolicy = HeaderPolicy(wire)
 
     override suspend fun serve(request: CallerRequest, responder: Responder) {
         val admitted = intake.admit(request)
@@ -52,50 +52,51 @@
                 request,
                 context,
                 responder,
-                Rejection.NotExecuted(RefusalCause.STOPPING, reason, ELSEWHERE_RETRY_MS),
+                Rejection.NotExecuted(RefusalCause.STOPPING, reason, OTHER_INSTANCE_RETRY_AFTER_MS),
             )
             return
         }
         repeats(context.service).onFirst(TrafficLoop.nowMs())
         val rejection = try {
-            withTimeoutOrNull(context.leftMs()) { Run(context, responder).serve() ?: Served } ?: timeOut(context)
+            withTimeoutOrNull(context.remainingMs()) { RequestExecution(context, responder).serve() ?: ResponseSent }
+                ?: timeoutRejection(context)
         } catch (e: CancellationException) {
-            log.write(Event.CALLER_LEFT, describe(context))
-            metrics.ended(context, "caller_left")
+            log.write(Event.CALLER_LEFT, logFields(context))
+            metrics.recordEnded(context, "caller_left")
             throw e
         }
-        if (rejection is Rejection) reject(request, context, responder, rejection) else noteAnswered(context)
+        if (rejection is Rejection) reject(request, context, responder, rejection) else recordCompletion(context)
     }
 
-    private fun noteAnswered(context: RequestContext) {
-        val firstMs = context.trace.firstMs
-        if (firstMs == null) {
-            log.write(Event.FAILURE_PASSED_ON, describe(context))
-            metrics.ended(context, "endpoint_failure")
+    private fun recordCompletion(context: RequestContext) {
+        val firstByteMs = context.trace.firstByteMs
+        if (firstByteMs == null) {
+            log.write(Event.FAILURE_PASSED_ON, logFields(context))
+            metrics.recordEnded(context, "endpoint_failure")
             return
         }
-        val late = context.request.receivedAtMs + firstMs > context.objectiveAtMs
-        log.write(if (late) Event.REQUEST_LATE else Event.REQUEST_SERVED, describe(context))
-        metrics.answered(context, if (late) "late" else "on_time", firstMs)
+        val late = context.request.receivedAtMs + firstByteMs > context.objectiveAtMs
+        log.write(if (late) Event.REQUEST_LATE else Event.REQUEST_SERVED, logFields(context))
+        metrics.recordCompleted(context, if (late) "late" else "on_time", firstByteMs)
     }
 
-    private fun describe(context: RequestContext): List<Pair<String, Any?>> = listOf(
+    private fun logFields(context: RequestContext): List<Pair<String, Any?>> = listOf(
         "request" to context.attemptId,
         "route" to context.route.name,
         "organisation" to context.organisation?.id,
         "ms" to TrafficLoop.nowMs() - context.request.receivedAtMs,
     ) + context.trace.fields()
 
-    private object Served
+    private object ResponseSent
 
-    private fun timeOut(context: RequestContext): Rejection = if (context.mayHaveRun) {
+    private fun timeoutRejection(context: RequestContext): Rejection = if (context.mayHaveRun) {
         Rejection.TimedOut("no answer in time")
     } else {
         Rejection.NotExecuted(RefusalCause.TIMED_OUT, "no endpoint could begin in time", 0)
     }
 
     private fun reject(request: CallerRequest, context: RequestContext?, responder: Responder, rejection: Rejection) {
-        val truthful = rejection !is Rejection.NotExecuted
+        val isFailure = rejection !is Rejection.NotExecuted
         val fields = listOf(
             "request" to request.headers.get(wire.headers.attemptId),
             "route" to context?.route?.name,
@@ -105,9 +106,9 @@
             "afterMs" to TrafficLoop.nowMs() - request.receivedAtMs,
             "configVersion" to context?.table?.config?.version,
         )
-        val event = if (truthful) Event.REQUEST_FAILED else Event.REQUEST_REFUSED
+        val event = if (isFailure) Event.REQUEST_FAILED else Event.REQUEST_REFUSED
         log.write(event, fields + context?.trace?.fields().orEmpty())
-        metrics.rejected(context, rejection)
+        metrics.recordRejected(context, rejection)
         if (responder.started) {
             responder.abort()
             return
@@ -120,53 +121,53 @@
         responder.full(rejection.status, headers, ByteArray(0))
     }
 
-    /** One request on its way. */
-    private inner class Run(private val context: RequestContext, private val responder: Responder) {
-        private val events = EventSplitter()
-        private val tried = mutableSetOf<EndpointLife>()
+    /** Execution of one admitted request. */
+    private inner class RequestExecution(private val context: RequestContext, private val responder: Responder) {
+        private val splitter = EventSplitter()
+        private val triedEndpoints = mutableSetOf<EndpointLife>()
         private var lastFailure: AttemptOutcome.Failure? = null
-        private var plan: StagePlan? = null
+        private var execution: StageExecution? = null
 
-        /** Serves the request; returns what the caller is told instead, if it has no answer. */
+        /** Serves the request. Returns null when a response was written, else the rejection to send. */
         suspend fun serve(): Rejection? {
-            val counts = StagePlan.counts(
+            val pieceCounts = StageExecution.parsePieceCounts(
                 context.request.headers.get(wire.headers.pieceCounts),
                 context.route.stages.size,
             ) ?: return Rejection.Malformed("header ${wire.headers.pieceCounts} does not name the pieces of each stage")
-            val target = choose(null) ?: return noEndpoint()
-            val plan = StagePlan(context, counts, stages, wire, target.endpoint.zone)
-            if (counts.any { it > 0 }) refuseByLoad(plan)?.let { return it }
-            noteAdmitted()
-            this.plan = plan
+            val chosen = awaitEndpoint(null) ?: return noEndpoint()
+            val execution = StageExecution(context, pieceCounts, stages, wire, chosen.endpoint.zone)
+            if (pieceCounts.any { it > 0 }) rejectIfOverloaded(execution)?.let { return it }
+            logAdmitted()
+            this.execution = execution
             try {
-                if (!plan.run()) return StagePlan.rejection(requireNotNull(plan.failure))
-                return attempts(plan)
+                if (!execution.run()) return StageExecution.rejection(requireNotNull(execution.failure))
+                return runAttempts(execution)
             } finally {
-                plan.releaseAll()
+                execution.releaseAll()
             }
         }
 
-        private fun noteAdmitted() = log.write(
+        private fun logAdmitted() = log.write(
             Event.REQUEST_ADMITTED,
             "request" to context.attemptId,
             "route" to context.route.name,
             "organisation" to context.organisation?.id,
             "expectedMs" to context.trace.expectedMs,
-            "leftMs" to context.leftMs(),
+            "leftMs" to context.remainingMs(),
             "configVersion" to context.table.config.version,
         )
 
         private fun noEndpoint() =
-            Rejection.NotExecuted(RefusalCause.NO_ENDPOINT, "no endpoint can be used", NO_ENDPOINT_RETRY_MS)
+            Rejection.NotExecuted(RefusalCause.NO_ENDPOINT, "no endpoint can be used", NO_ENDPOINT_RETRY_AFTER_MS)
 
-        private fun refuseByLoad(plan: StagePlan): Rejection? {
+        private fun rejectIfOverloaded(execution: StageExecution): Rejection? {
             val nowMs = TrafficLoop.nowMs()
-            val expectedMs = plan.expectedMs()
+            val expectedMs = execution.expectedMs()
             context.trace.expectedMs = expectedMs.toLong()
             val decision = admission.decide(
                 expectedMs = expectedMs,
                 objectiveMs = context.objectiveAtMs - nowMs,
-                deadlineMs = context.leftMs(nowMs),
+                deadlineMs = context.remainingMs(nowMs),
                 priority = context.priority,
                 othersGiveWay = StageAdmission.givesWay(context.table.lowestRankBeside(context.route)),
             )
@@ -175,43 +176,44 @@
             return Rejection.NotExecuted(RefusalCause.OVERLOADED, reason, decision.retryAfterMs)
         }
 
-        private suspend fun attempts(plan: StagePlan): Rejection? {
-            val inputs = plan.inputs
+        private suspend fun runAttempts(execution: StageExecution): Rejection? {
+            val inputs = execution.inputs
             val zones = inputs.groupingBy { it.zone }.eachCount()
             val zone = zones.maxByOrNull { it.value }?.key
             context.trace.resultZones = zones
             if (inputs.isNotEmpty()) context.trace.stagesMs = TrafficLoop.nowMs() - context.request.receivedAtMs
-            var sends = 0
+            var attempts = 0
             var reason = "no endpoint can be used"
-            var obstacle: String? = null
-            while (obstacle == null) {
+            var retryObstacle: String? = null
+            while (retryObstacle == null) {
                 val outcome = attempt(inputs.map { it.handle }, zone)
                 if (outcome is AttemptOutcome.Delivered) return null
-                obstacle = if (outcome == null) "no other endpoint has a place" else obstacleAfter(outcome, ++sends)
+                retryObstacle =
+                    if (outcome == null) "no other endpoint has a free slot" else obstacleAfter(outcome, ++attempts)
                 if (outcome == null) continue
                 reason = outcome.describe()
                 if (outcome is AttemptOutcome.Failure) lastFailure = outcome
-                events.dropRemainder()
+                splitter.dropIncompleteEvent()
             }
-            context.trace.notSentAgain = obstacle
-            return conclude(reason)
+            context.trace.retryObstacle = retryObstacle
+            return finishWithoutDelivery(reason)
         }
 
-        /** Why [outcome] may not be followed by another send; null when it may. */
-        private fun obstacleAfter(outcome: AttemptOutcome, sends: Int): String? = when {
+        /** Why the request may not be retried after [outcome]; null when it may. */
+        private fun obstacleAfter(outcome: AttemptOutcome, attempts: Int): String? = when {
             outcome !is AttemptOutcome.NotRun && !context.route.repeatable -> "may have run and runs at most once"
-            sends >= context.route.maxAttempts -> "all attempts of the route are used"
+            attempts >= context.route.maxAttempts -> "all attempts of the route are used"
             repeats(context.service).tryTake(TrafficLoop.nowMs(), instances()) -> null
-            else -> "no repeat is left in this instance's part"
+            else -> "this instance's share of the retry budget is used up"
         }
 
         private suspend fun attempt(inputs: List<String>, zone: ZoneId?): AttemptOutcome? {
-            val pool = choose(zone) ?: return null
-            tried += pool.endpoint.life
-            context.trace.sends++
+            val pool = awaitEndpoint(zone) ?: return null
+            triedEndpoints += pool.endpoint.life
+            context.trace.attempts++
             context.trace.endpoint = pool.endpoint.id
             context.trace.endpointZone = pool.endpoint.zone
-            val lastEventId = events.lastEventId
+            val lastEventId = splitter.lastEventId
             if (lastEventId != null) {
                 log.write(
                     Event.STREAM_RESUMED,
@@ -220,29 +222,29 @@
                     "after" to lastEventId,
                 )
             }
-            val attempt = Attempt(context, pool, wire, policy, responder, events) { plan?.releaseAll() }
+            val attempt = Attempt(context, pool, wire, headerPolicy, responder, splitter) { execution?.releaseAll() }
             val outcome = attempt.run(inputs, lastEventId, headTimeoutMs())
-            metrics.attempted(context.service, outcome)
+            metrics.recordAttempt(context.service, outcome)
             if (outcome !is AttemptOutcome.Delivered) logAttempt(pool.endpoint.id.value, outcome)
             return outcome
         }
 
         /**
-         * An endpoint, or null when none has a place within a small part of the objective: connections and the second
-         * of a cold limit come free soon.
+         * Chooses an endpoint. If none has a free slot, waits for a small share of the objective, because connections
+         * and cold limits, which count requests per second, free up soon. Returns null when none becomes available.
          */
-        private suspend fun choose(inputZone: ZoneId?): EndpointPool? {
-            val untilMs = TrafficLoop.nowMs() + (context.route.objectiveMs * PLACE_WAIT_SHARE).toLong()
+        private suspend fun awaitEndpoint(inputZone: ZoneId?): EndpointPool? {
+            val untilMs = TrafficLoop.nowMs() + (context.route.objectiveMs * SLOT_WAIT_SHARE).toLong()
             while (true) {
-                chooser.choose(context, inputZone, tried)?.let { return it }
-                if (!chooser.mayComeFree(context, tried) || TrafficLoop.nowMs() >= untilMs) return null
-                delay(PLACE_POLL_MS)
+                chooser.choose(context, inputZone, triedEndpoints)?.let { return it }
+                if (!chooser.mayBecomeAvailable(context, triedEndpoints) || TrafficLoop.nowMs() >= untilMs) return null
+                delay(SLOT_POLL_MS)
             }
         }
 
-        /** A request that may be repeated is not left at a silent endpoint for all of its time. */
+        /** Timeout for the response head; leaves a retryable request time to retry if the endpoint does not respond. */
         private fun headTimeoutMs(): Long? {
-            if (!context.route.repeatable || tried.size >= context.route.maxAttempts) return null
+            if (!context.route.repeatable || triedEndpoints.size >= context.route.maxAttempts) return null
             return maxOf(MIN_HEAD_TIMEOUT_MS, (context.route.objectiveMs * HEAD_TIMEOUT_SHARE).toLong())
         }
 
@@ -251,10 +253,10 @@
             "request" to context.attemptId,
             "endpoint" to endpoint,
             "outcome" to outcome.describe(),
-            "leftMs" to context.leftMs(),
+            "leftMs" to context.remainingMs(),
         )
 
-        private fun conclude(reason: String): Rejection? {
+        private fun finishWithoutDelivery(reason: String): Rejection? {
             val failure = lastFailure
             return when {
                 responder.started -> Rejection.OutcomeUnknown(reason)
@@ -267,22 +269,27 @@
 
                 context.mayHaveRun -> Rejection.OutcomeUnknown(reason)
 
-                else -> Rejection.NotExecuted(RefusalCause.DECLINED, reason, NO_ENDPOINT_RETRY_MS)
+                else -> Rejection.NotExecuted(RefusalCause.DECLINED, reason, NO_ENDPOINT_RETRY_AFTER_MS)
             }
         }
     }
 
     private companion object {
         const val MS_PER_SECOND = 1_000.0
-        const val NO_ENDPOINT_RETRY_MS = 250L
+        const val NO_ENDPOINT_RETRY_AFTER_MS = 250L
 
-        /** Another instance can serve at once; callers that come back are spread a little by their own arrival. */
-        const val ELSEWHERE_RETRY_MS = 50L
+        /**
+         * Short, because another instance can serve the request at once; retries are spread a little because the
+         * requests arrived at different times.
+         */
+        const val OTHER_INSTANCE_RETRY_AFTER_MS = 50L
+
+        /** Share of the objective that a retryable attempt waits for the response head. */
         const val HEAD_TIMEOUT_SHARE = 0.8
         const val MIN_HEAD_TIMEOUT_MS = 150L
 
-        /** Part of the objective that a request waits for a place at an endpoint before it is refused. */
-        const val PLACE_WAIT_SHARE = 0.125
-        const val PLACE_POLL_MS = 5L
+        /** Share of the objective that a request waits for a free slot at an endpoint before it is rejected. */
+        const val SLOT_WAIT_SHARE = 0.125
+        const val SLOT_POLL_MS = 5L
     }
 }
--- a/gateway/src/main/kotlin/io/oriolehall/gateway/upstream/Connector.kt
+++ b/gateway/src/main/kotlin/io/oriolehall/gateway/upstream/Connector.kt
@@ -15,12 +15,12 @@
 import jdk.net.ExtendedSocketOptions
 import kotlinx.coroutines.suspendCancellableCoroutine
 
-/** No connection could be made; nothing was sent. */
+/** The connection could not be established; no byte of a request was sent. */
 data class ConnectFailure(val address: NetworkAddress, val reason: String) {
     val message: String get() = "no connection to $address ($reason); is it up and the network whole?"
 }
 
-/** Makes connections to endpoints and to the platform. */
+/** Opens connections to endpoints and to the platform. */
 class Connector(private val loop: TrafficLoop) {
     suspend fun connect(
         address: NetworkAddress,
@@ -32,24 +32,24 @@
                 override fun initChannel(channel: Channel) = connection.install(channel)
             })
             .connect(address.host, address.port)
-        val cause = future.awaitCause()
+        val cause = future.awaitFailure()
         return if (cause == null) Ok(connection) else Err(ConnectFailure(address, cause.toString()))
     }
 
-    /** Idle connections to machines without power or behind a cut give no sign; probes of the kernel show it. */
+    /** TCP keepalive probes detect idle connections whose peer lost power or is unreachable. */
     private fun bootstrap(timeoutMs: Int): Bootstrap = Bootstrap()
         .group(loop.group)
         .channel(NioSocketChannel::class.java)
         .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, timeoutMs)
         .option(ChannelOption.TCP_NODELAY, true)
         .option(ChannelOption.SO_KEEPALIVE, true)
-        .option(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPIDLE), PROBE_AFTER_S)
-        .option(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPINTERVAL), PROBE_EVERY_S)
-        .option(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPCOUNT), PROBES)
+        .option(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPIDLE), KEEPALIVE_IDLE_S)
+        .option(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPINTERVAL), KEEPALIVE_INTERVAL_S)
+        .option(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPCOUNT), KEEPALIVE_PROBE_COUNT)
 
-    private suspend fun ChannelFuture.awaitCause(): Throwable? = suspendCancellableCoroutine { waiting ->
-        addListener { done -> waiting.resume(done.cause()) { _, _, _ -> channel().close() } }
-        waiting.invokeOnCancellation {
+    private suspend fun ChannelFuture.awaitFailure(): Throwable? = suspendCancellableCoroutine { continuation ->
+        addListener { completed -> continuation.resume(completed.cause()) { _, _, _ -> channel().close() } }
+        continuation.invokeOnCancellation {
             cancel(true)
             channel().close()
         }
@@ -57,8 +57,8 @@
 
     private companion object {
         const val CONNECT_TIMEOUT_MS = 600
-        const val PROBE_AFTER_S = 1
-        const val PROBE_EVERY_S = 1
-        const val PROBES = 2
+        const val KEEPALIVE_IDLE_S = 1
+        const val KEEPALIVE_INTERVAL_S = 1
+        const val KEEPALIVE_PROBE_COUNT = 2
     }
 }
--- a/gateway/src/main/kotlin/io/oriolehall/gateway/upstream/EndpointPool.kt
+++ b/gateway/src/main/kotlin/io/oriolehall/gateway/upstream/EndpointPool.kt
@@ -9,8 +9,8 @@
 import io.oriolehall.gateway.TrafficLoop
 
 /**
- * Connections to one life of an endpoint and what this instance knows of it from its own traffic. Used on the traffic
- * thread only.
+ * Connections to one incarnation of an endpoint, with the health and load that this instance has observed in its own
+ * traffic. Used on the traffic thread only.
  */
 class EndpointPool(val endpoint: EndpointRecord, private val connector: Connector) {
     private val idle = ArrayDeque<UpstreamConnection>()
@@ -18,29 +18,29 @@
     val health = EndpointHealth()
     val coldLimit = ColdLimit()
 
-    /** Requests that have been sent and not ended. */
+    /** Number of requests in flight. */
     var outstanding = 0
 
-    /** Connections in use, kept or being made. */
-    var connections = 0
+    /** Number of connections in use, idle or being established. */
+    var connectionCount = 0
         private set
 
-    /** True when a request may be sent without having more than [most] connections. */
-    fun hasConnection(most: Int): Boolean = idle.isNotEmpty() || connections < most
+    /** True when a request can be sent without exceeding [maxConnections] connections. */
+    fun hasCapacity(maxConnections: Int): Boolean = idle.isNotEmpty() || connectionCount < maxConnections
 
-    /** An idle connection, or a new one. */
+    /** Returns an idle connection, or opens a new one. */
     suspend fun acquire(): Result<UpstreamConnection, ConnectFailure> {
         takeIdle()?.let { return Ok(it) }
-        connections++
-        var made = false
+        connectionCount++
+        var connected = false
         try {
-            return connector.connect(endpoint.address).onSuccess { made = true }
+            return connector.connect(endpoint.address).onSuccess { connected = true }
         } finally {
-            if (!made) connections--
+            if (!connected) connectionCount--
         }
     }
 
-    /** Gives [connection] back; it is closed when it cannot be used again. */
+    /** Returns [connection] to the pool, or closes it when it cannot be reused or enough connections are idle. */
     fun release(connection: UpstreamConnection) {
         if (!connection.isOpen || idle.size >= MAX_IDLE) {
             discard(connection)
@@ -51,13 +51,13 @@
     }
 
     fun discard(connection: UpstreamConnection) {
-        connections--
+        connectionCount--
         connection.close()
     }
 
-    /** Closes connections that the endpoint is about to close. */
+    /** Closes idle connections that are closed or about to reach the idle timeout of the endpoint. */
     fun closeStale() {
-        val stale = idle.filterNot(::isFresh)
+        val stale = idle.filterNot(::isReusable)
         idle.removeAll(stale)
         stale.forEach(::discard)
     }
@@ -70,18 +70,19 @@
     private fun takeIdle(): UpstreamConnection? {
         while (true) {
             val connection = idle.removeLastOrNull() ?: return null
-            if (isFresh(connection)) return connection
+            if (isReusable(connection)) return connection
             discard(connection)
         }
     }
 
-    private fun isFresh(connection: UpstreamConnection): Boolean =
-        connection.isOpen && TrafficLoop.nowMs() - connection.idleSinceMs < connection.idleLimitMs - IDLE_MARGIN_MS
+    private fun isReusable(connection: UpstreamConnection): Boolean =
+        connection.isOpen &&
+            TrafficLoop.nowMs() - connection.idleSinceMs < connection.keepAliveTimeoutMs - IDLE_MARGIN_MS
 
     private companion object {
         const val MAX_IDLE = 32
 
-        /** Connections are not used in the last second before the endpoint closes them. */
+        /** Connections are not reused in the last second before the endpoint closes them. */
         const val IDLE_MARGIN_MS = 1_000L
     }
 }
--- a/gateway/src/main/kotlin/io/oriolehall/gateway/upstream/UpstreamConnection.kt
+++ b/gateway/src/main/kotlin/io/oriolehall/gateway/upstream/UpstreamConnection.kt
@@ -19,17 +19,18 @@
 import io.netty.handler.codec.http.LastHttpContent
 import io.netty.util.ReferenceCountUtil
 import kotlinx.coroutines.channels.Channel.Factory.UNLIMITED
-import kotlinx.coroutines.channels.Channel as Mailbox
+import kotlinx.coroutines.channels.Channel as EventQueue
 
 /**
- * A connection to an endpoint that carries one request at a time. Any byte that does not belong to the answer of the
- * request in progress makes it unusable: it may be the answer to another request. Used on the traffic thread only.
+ * A connection to an endpoint that carries one request at a time. Any byte outside the response to the current request
+ * makes the connection unusable, because it may belong to the response to another request. Used on the traffic thread
+ * only.
  */
 class UpstreamConnection internal constructor() : ChannelInboundHandlerAdapter() {
-    private val decoder = CountingDecoder()
-    private val events = Mailbox<UpstreamEvent>(UNLIMITED)
+    private val decoder = ResponseDecoder()
+    private val events = EventQueue<UpstreamEvent>(UNLIMITED)
     private var queuedBytes = 0
-    private var inAnswer = false
+    private var responsePending = false
     private var failure: String? = null
     private lateinit var channel: Channel
 
@@ -37,11 +38,11 @@
     var reusable = true
         private set
 
-    /** How long the endpoint keeps the connection when it is idle, milliseconds. */
-    var idleLimitMs = DEFAULT_IDLE_MS
+    /** Time for which the endpoint keeps an idle connection open, milliseconds. */
+    var keepAliveTimeoutMs = DEFAULT_KEEP_ALIVE_TIMEOUT_MS
         private set
 
-    /** When the last answer ended, monotonic milliseconds. */
+    /** When the connection became idle, monotonic milliseconds. */
     var idleSinceMs = 0L
 
     /** True once a request has been written to this connection. */
@@ -55,7 +56,7 @@
         channel.pipeline().addLast(decoder, HttpRequestEncoder(), this)
     }
 
-    /** Writes a request. False when the connection was already closed, so that no byte has left. */
+    /** Writes a request. Returns false when the connection was already closed; no byte was sent then. */
     fun send(method: String, uri: String, headers: HttpHeaders, body: ByteArray): Boolean {
         if (!isOpen) return false
         val message = DefaultFullHttpRequest(
@@ -67,7 +68,7 @@
             io.netty.handler.codec.http.EmptyHttpHeaders.INSTANCE,
         )
         decoder.headRequest = method == "HEAD"
-        inAnswer = true
+        responsePending = true
         used = true
         channel.writeAndFlush(message).addListener { if (!it.isSuccess) fail("write failed: ${it.cause()}") }
         return true
@@ -90,41 +91,42 @@
     override fun channelRead(ctx: ChannelHandlerContext, msg: Any) {
         try {
             when {
-                !inAnswer -> fail("bytes outside an answer")
+                !responsePending -> fail("bytes outside an answer")
                 decoderFailed(msg) -> fail("not an HTTP answer")
-                else -> accept(msg)
+                else -> handleMessage(msg)
             }
         } finally {
             ReferenceCountUtil.release(msg)
         }
     }
 
-    private fun accept(msg: Any) {
+    private fun handleMessage(msg: Any) {
         if (msg is HttpResponse) {
             val status = msg.status().code()
-            if (status in INTERIM) return
+            if (status in INFORMATIONAL) return
             if (!HttpUtil.isKeepAlive(msg)) reusable = false
-            if (!HttpUtil.isContentLengthSet(msg) && !HttpUtil.isTransferEncodingChunked(msg)) noteUnframed(status)
-            noteIdleLimit(msg.headers())
-            interim = false
+            if (!HttpUtil.isContentLengthSet(msg) && !HttpUtil.isTransferEncodingChunked(msg)) checkUnframed(status)
+            readKeepAliveTimeout(msg.headers())
+            awaitingFinalHead = false
             events.trySend(UpstreamEvent.Head(status, msg.headers()))
         }
-        if (msg is HttpContent && !interim) {
-            queue(msg.content())
-            if (msg is LastHttpContent) endAnswer()
+        if (msg is HttpContent && !awaitingFinalHead) {
+            enqueue(msg.content())
+            if (msg is LastHttpContent) endResponse()
         }
-        if (msg is LastHttpContent) interim = true
+        if (msg is LastHttpContent) awaitingFinalHead = true
     }
 
-    /** True until the final head has arrived: an interim head has an empty end of its own. */
-    private var interim = true
+    /** True until the final response head has arrived: the decoder emits an empty last content after each 1xx head. */
+    private var awaitingFinalHead = true
 
-    private fun noteUnframed(status: Int) {
-        val empty = decoder.headRequest || status == NO_CONTENT || status == NOT_MODIFIED
-        if (!empty) reusable = false
+    /** A body of unknown length ends only when the connection closes, which rules out reuse. */
+    private fun checkUnframed(status: Int) {
+        val hasNoBody = decoder.headRequest || status == NO_CONTENT || status == NOT_MODIFIED
+        if (!hasNoBody) reusable = false
     }
 
-    private fun queue(content: ByteBuf) {
+    private fun enqueue(content: ByteBuf) {
         if (!content.isReadable) return
         val bytes = ByteArray(content.readableBytes())
         content.readBytes(bytes)
@@ -133,19 +135,19 @@
         events.trySend(UpstreamEvent.Data(bytes))
     }
 
-    private fun endAnswer() {
+    private fun endResponse() {
         if (failure != null) return
-        inAnswer = false
-        if (decoder.leftOver() > 0) reusable = false
+        responsePending = false
+        if (decoder.unreadBytes() > 0) reusable = false
         events.trySend(UpstreamEvent.End)
     }
 
-    private fun noteIdleLimit(headers: HttpHeaders) {
+    private fun readKeepAliveTimeout(headers: HttpHeaders) {
         val seconds = headers.get(HttpHeaderNames.KEEP_ALIVE.toString())
             ?.substringAfter("timeout=", "")
             ?.takeWhile(Char::isDigit)
             ?.toLongOrNull()
-        if (seconds != null) idleLimitMs = seconds * MS_PER_SECOND
+        if (seconds != null) keepAliveTimeoutMs = seconds * MS_PER_SECOND
     }
 
     private fun decoderFailed(msg: Any): Boolean =
@@ -159,31 +161,31 @@
         reusable = false
         if (failure == null) {
             failure = reason
-            if (inAnswer) events.trySend(UpstreamEvent.Broken(reason))
+            if (responsePending) events.trySend(UpstreamEvent.Broken(reason))
         }
         if (channel.isOpen) channel.close()
     }
 
-    /** Decodes answers and tells whether bytes lie behind the last one. */
-    private class CountingDecoder : HttpResponseDecoder(
+    /** Decodes responses and reports the bytes received beyond the last one. */
+    private class ResponseDecoder : HttpResponseDecoder(
         HttpDecoderConfig().setMaxHeaderSize(MAX_HEADER_BYTES).setMaxChunkSize(MAX_CHUNK_BYTES),
     ) {
         var headRequest = false
 
-        fun leftOver(): Int = actualReadableBytes()
+        fun unreadBytes(): Int = actualReadableBytes()
 
         override fun isContentAlwaysEmpty(msg: io.netty.handler.codec.http.HttpMessage): Boolean =
             headRequest || super.isContentAlwaysEmpty(msg)
     }
 
     private companion object {
-        val INTERIM = 100..199
+        val INFORMATIONAL = 100..199
         const val NO_CONTENT = 204
         const val NOT_MODIFIED = 304
         const val MS_PER_SECOND = 1_000L
 
-        /** Used where the endpoint does not say how long it keeps an idle connection. */
-        const val DEFAULT_IDLE_MS = 4_000L
+        /** Applies when the endpoint sends no Keep-Alive timeout. */
+        const val DEFAULT_KEEP_ALIVE_TIMEOUT_MS = 4_000L
         const val HIGH_WATER_BYTES = 262_144
         const val LOW_WATER_BYTES = 65_536
         const val MAX_HEADER_BYTES = 32_768
--- a/gateway/src/main/kotlin/io/oriolehall/gateway/upstream/UpstreamEvent.kt
+++ b/gateway/src/main/kotlin/io/oriolehall/gateway/upstream/UpstreamEvent.kt
@@ -2,15 +2,15 @@
 
 import io.netty.handler.codec.http.HttpHeaders
 
-/** What arrives on a connection to an endpoint in answer to a request, in order. */
+/** An event of the response to one request on an upstream connection; events arrive in order. */
 sealed interface UpstreamEvent {
     class Head(val status: Int, val headers: HttpHeaders) : UpstreamEvent
 
     class Data(val bytes: ByteArray) : UpstreamEvent
 
-    /** The answer is whole. */
+    /** The response is complete. */
     data object End : UpstreamEvent
 
-    /** The connection ended or sent what is no answer; nothing more comes. */
+    /** The connection was closed or received an invalid response; no further events follow. */
     data class Broken(val reason: String) : UpstreamEvent
 }
--- a/gateway/src/main/kotlin/io/oriolehall/gateway/wire/WireProtocol.kt
+++ b/gateway/src/main/kotlin/io/oriolehall/gateway/wire/WireProtocol.kt
@@ -3,59 +3,59 @@
 import io.oriolehall.dispatch.stages.PieceWork
 
 /*
- * What the gateway has to know of the protocol that callers and endpoints of a deployment speak. The names differ
- * between deployments; an adapter supplies them.
+ * The parts of a deployment's protocol with callers and endpoints that the gateway depends on. Names differ between
+ * deployments; an adapter supplies them.
  */
 
 /** Names of the headers that the gateway reads, sets or removes. */
 data class HeaderNames(
-    /** Identifies one attempt of a caller; endpoints repeat it in their answers. */
+    /** Identifies one attempt of a caller; endpoints return it in their responses. */
     val attemptId: String,
-    /** Milliseconds that the caller will wait, or that an endpoint has left. */
+    /** From a caller: how long it waits; to an endpoint: the time remaining. Milliseconds. */
     val deadlineMs: String,
     /** Organisation of the caller, set by the gateway. */
     val organisation: String,
-    /** Name of the endpoint for which a request is meant; another one declines it. */
+    /** Name of the endpoint that the request is addressed to; any other endpoint declines it. */
     val expectedEndpoint: String,
-    /** Signature that endpoints put on each answer; one without it was cut in its head. */
+    /** Signature that endpoints add to each response; a response without it has a truncated head. */
     val signature: String,
-    /** Present when the endpoint did not run the request. */
+    /** Present in a response when the endpoint did not run the request. */
     val notExecuted: String,
-    /** Parts of the prompt in order, each as an identifier and a number of tokens. */
+    /** Parts of the prompt in order, each as an identifier and a token count. */
     val promptParts: String,
-    /** Pieces of each stage, in the order of the stages. */
+    /** Number of pieces of each stage, in the order of the stages. */
     val pieceCounts: String,
     /** Key of the pieces of stages without predecessors. */
     val pieceKey: String,
     /** Handles of the results that a model endpoint fetches. */
     val inputs: String,
-    /** Rank of the request at a model endpoint, 0 is the most urgent. */
+    /** Priority rank of the request at a model endpoint; 0 is the most urgent. */
     val requestPriority: String,
     /** Number of the last event that the caller has received. */
     val lastEventId: String,
-    /** Headers that only the gateway may set; a caller's own are removed. */
+    /** Headers that only the gateway may set; they are removed from callers' requests. */
     val reserved: Set<String>,
 )
 
 /** Outcome of one piece of a call. */
 sealed interface PieceOutcome {
-    /** The result lies at the worker under [handle]. */
+    /** The worker stores the result under [handle]. */
     data class Done(val handle: String) : PieceOutcome
 
-    /** The time left for it had passed when its turn came. */
+    /** Its deadline had passed before the worker reached it. */
     data object Late : PieceOutcome
 
     /** One of its inputs no longer exists. */
     data object InputGone : PieceOutcome
 
-    /** The worker had no memory for the result. */
+    /** The worker had not enough memory for the result. */
     data object NoRoom : PieceOutcome
 
     /** The worker failed to compute it. */
     data object Failed : PieceOutcome
 }
 
-/** Calls to stage workers as a deployment spells them. */
+/** Encoding of calls to stage workers in a deployment's protocol. */
 interface StageCalls {
     val runPath: String
 
@@ -63,14 +63,15 @@
 
     val contentType: String
 
-    /** Body of a call that runs [pieces]; their remaining time is counted from [nowMs]. */
+    /** Encodes a call that runs [pieces]; their remaining times are relative to [nowMs]. */
     fun encodeRun(pieces: List<PieceWork>, nowMs: Long): ByteArray
 
-    /** Outcomes in the order of the call's pieces; null when [body] cannot be read. */
+    /** Decodes the outcomes, in the order of the call's pieces; null when [body] is malformed. */
     fun decodeRun(body: ByteArray): List<PieceOutcome>?
 
+    /** Encodes a call that releases the results under [handles]. */
     fun encodeFree(handles: List<String>): ByteArray
 }
 
-/** All that the gateway needs of a deployment's protocol. */
+/** A deployment's protocol as the gateway uses it. */
 class WireProtocol(val headers: HeaderNames, val stageCalls: StageCalls, val keyScheme: String, val readyPath: String)
--- a/gateway/src/test/kotlin/io/oriolehall/gateway/path/GatewayPathTest.kt
+++ b/gateway/src/test/kotlin/io/oriolehall/gateway/path/GatewayPathTest.kt
@@ -1,6 +1,6 @@
 package io.oriolehall.gateway.path
 
-import io.oriolehall.gateway.path.GatewayUnderTest.Companion.KEYED
+import io.oriolehall.gateway.path.GatewayUnderTest.Companion.KEYED_ORGANISATIONS
 import org.junit.jupiter.api.Test
 import strikt.api.expectThat
 import strikt.api.expectThrows
@@ -19,7 +19,7 @@
     private fun waitUntil(condition: () -> Boolean) {
         val endNanos = System.nanoTime() + TimeUnit.SECONDS.toNanos(8)
         while (!condition()) {
-            check(System.nanoTime() < endNanos) { "the condition did not come true within 8 s" }
+            check(System.nanoTime() < endNanos) { "condition not met within 8 s" }
             Thread.sleep(5)
         }
     }
@@ -28,7 +28,7 @@
         waitUntil { request("/none/").startsWith("HTTP/1.1 404") }
     }
 
-    private fun served(vararg endpoints: ScriptedEndpoint, test: GatewayUnderTest.() -> Unit) {
+    private fun withGateway(vararg endpoints: ScriptedEndpoint, test: GatewayUnderTest.() -> Unit) {
         GatewayUnderTest(endpoints.toList()).use { it.ready().test() }
         endpoints.forEach(ScriptedEndpoint::close)
     }
@@ -36,45 +36,45 @@
     @Test
     fun `a request that runs at most once is not sent again after a reset, and is not said to have not run`() {
         val endpoints = List(2) { ScriptedEndpoint { reset() } }
-        served(*endpoints.toTypedArray()) {
+        withGateway(*endpoints.toTypedArray()) {
             expectThat(request("/once/x")).startsWith("HTTP/1.1 502")
             expectThat(endpoints.sumOf { it.requests }).isEqualTo(1)
         }
     }
 
-    /** A request in work keeps the instance from ending, as it does in a process of its own. */
+    /** The first request keeps the instance running while it stops, as in a separate process. */
     @Test
     fun `a stopping instance refuses what may last longer than it does, and serves the rest`() {
-        val goOn = CountDownLatch(1)
+        val finishFirst = CountDownLatch(1)
         val endpoint = ScriptedEndpoint {
-            if (number == 1) goOn.await()
+            if (number == 1) finishFirst.await()
             answer()
         }
-        served(endpoint) {
+        withGateway(endpoint) {
             open("/once/x", deadlineMs = 9_000).use {
                 waitUntil { endpoint.requests == 1 }
-                stopSoon()
+                stopInBackground()
                 expectThat(request("/once/x", deadlineMs = 20_000)).startsWith("HTTP/1.1 200")
                 waitUntil { request("/once/x", deadlineMs = 20_000).startsWith("HTTP/1.1 503") }
                 expectThat(request("/once/x", deadlineMs = 100)).startsWith("HTTP/1.1 200")
-                goOn.countDown()
+                finishFirst.countDown()
             }
         }
     }
 
-    /** Found on a hunted day of pcta-fittings: a request that came as the process ended was read and not answered. */
+    /** Guards against requests that are read but not answered because they arrive while the process exits. */
     @Test
     fun `a stopped instance takes no more connections`() {
-        served(ScriptedEndpoint { answer() }) {
+        withGateway(ScriptedEndpoint { answer() }) {
             request("/once/x")
-            stopNow()
+            stopAndWait()
             expectThrows<ConnectException> { request("/once/x") }
         }
     }
 
     @Test
     fun `requests, attempts and refusals are counted`() {
-        served(ScriptedEndpoint { answer() }) {
+        withGateway(ScriptedEndpoint { answer() }) {
             request("/once/x")
             request("/none/x")
             waitUntil { "oriolehall_requests_total" in metrics() }
@@ -89,7 +89,7 @@
 
     @Test
     fun `an endpoint's failure that is passed on does not count as served`() {
-        served(ScriptedEndpoint { answer("500 Internal Server Error") }) {
+        withGateway(ScriptedEndpoint { answer("500 Internal Server Error") }) {
             expectThat(request("/once/x")).startsWith("HTTP/1.1 500")
             waitUntil { "endpoint_failure" in metrics() }
             expectThat("on_time" in metrics()).isFalse()
@@ -98,19 +98,19 @@
 
     @Test
     fun `a request that its endpoint declined goes to another one`() {
-        val declines = ScriptedEndpoint { answer("503 Service Unavailable", "", "N: 1\r\n") }
-        val serves = ScriptedEndpoint { answer() }
-        served(declines, serves) {
+        val declining = ScriptedEndpoint { answer("503 Service Unavailable", "", "N: 1\r\n") }
+        val healthy = ScriptedEndpoint { answer() }
+        withGateway(declining, healthy) {
             repeat(5) { expectThat(request("/once/x")).startsWith("HTTP/1.1 200").endsWith("body") }
         }
     }
 
-    /** Found on the first grown day: 83 requests were refused while a connection would have come free in 45 ms. */
+    /** 83 requests of one simulated day were refused although a connection would have become free within 45 ms. */
     @Test
     fun `a request waits a moment for a connection within the endpoint's bound`() {
-        val held = CountDownLatch(1)
+        val finishFirst = CountDownLatch(1)
         val endpoint = ScriptedEndpoint {
-            if (number == 1) held.await(60, TimeUnit.MILLISECONDS)
+            if (number == 1) finishFirst.await(60, TimeUnit.MILLISECONDS)
             answer()
         }
         GatewayUnderTest(listOf(endpoint), maxConnections = 1).use { gateway ->
@@ -125,25 +125,25 @@
 
     @Test
     fun `an idempotent request is sent again after a reset`() {
-        val breaks = ScriptedEndpoint { reset() }
-        val serves = ScriptedEndpoint { answer() }
-        served(breaks, serves) {
+        val failing = ScriptedEndpoint { reset() }
+        val healthy = ScriptedEndpoint { answer() }
+        withGateway(failing, healthy) {
             repeat(5) { expectThat(request("/plain/x")).startsWith("HTTP/1.1 200") }
         }
     }
 
-    /** Found by the bench: a worker crashed while it wrote its head, which ended before the signature. */
+    /** A worker that crashes while it writes the response head sends a head without the signature. */
     @Test
     fun `a success without a signature is not passed on`() {
-        served(ScriptedEndpoint { answer(extra = "") }) {
+        withGateway(ScriptedEndpoint { answer(extra = "") }) {
             expectThat(request("/once/x")).startsWith("HTTP/1.1 502")
         }
     }
 
     @Test
     fun `the answer to another request is not passed on`() {
-        val other = ScriptedEndpoint { write("HTTP/1.1 200 OK\r\nA: other\r\nS: 1\r\nContent-Length: 1\r\n\r\nx") }
-        served(other) { expectThat(request("/once/x")).startsWith("HTTP/1.1 502") }
+        val mismatched = ScriptedEndpoint { write("HTTP/1.1 200 OK\r\nA: other\r\nS: 1\r\nContent-Length: 1\r\n\r\nx") }
+        withGateway(mismatched) { expectThat(request("/once/x")).startsWith("HTTP/1.1 502") }
     }
 
     @Test
@@ -154,7 +154,7 @@
             answer()
             write("HTTP/1.1 200 OK\r\nA: r1\r\nS: 1\r\nContent-Length: 5\r\n\r\nwrong")
         }
-        served(endpoint) {
+        withGateway(endpoint) {
             repeat(5) { expectThat(request("/once/x")).endsWith("body") }
             expectThat(ports.distinct().size).isEqualTo(5)
         }
@@ -162,11 +162,11 @@
 
     @Test
     fun `an answer that is cut short is not passed on`() {
-        val cuts = ScriptedEndpoint {
+        val truncating = ScriptedEndpoint {
             write("HTTP/1.1 200 OK\r\nA: r1\r\nS: 1\r\nContent-Length: 9\r\n\r\nhalf")
             socket.close()
         }
-        served(cuts) {
+        withGateway(truncating) {
             val answer = request("/once/x")
             expectThat(answer).startsWith("HTTP/1.1 502")
             expectThat("half" in answer).isFalse()
@@ -175,24 +175,24 @@
 
     @Test
     fun `a stream that breaks inside an event continues at another endpoint after the last whole one`() {
-        val firstEventSeen = CountDownLatch(1)
-        val breaks = ScriptedEndpoint {
+        val firstEventReceived = CountDownLatch(1)
+        val failing = ScriptedEndpoint {
             write("HTTP/1.1 200 OK\r\nA: r1\r\nS: first\r\nContent-Type: text/event-stream\r\n\r\n")
             write("id: 1\ndata: a\n\nid: 2\ndata: lo")
-            firstEventSeen.await()
+            firstEventReceived.await()
             reset()
         }
         val resumedAfter = CopyOnWriteArrayList<String>()
-        val serves = ScriptedEndpoint {
+        val healthy = ScriptedEndpoint {
             resumedAfter += header("L").orEmpty()
             val events = "id: 2\ndata: b\n\nid: 3\ndata: c\n\n"
             answer(body = events, extra = "S: second\r\nContent-Type: text/event-stream\r\n")
         }
-        served(breaks, serves) {
+        withGateway(failing, healthy) {
             val answer = StringBuilder()
             open("/events/x").use { caller ->
                 while ("data: a\n\n" !in answer) answer.append(caller.getInputStream().read().toChar())
-                firstEventSeen.countDown()
+                firstEventReceived.countDown()
                 answer.append(caller.getInputStream().readAllBytes().decodeToString())
             }
             expectThat(Regex("data: (\\w+)").findAll(answer).map { it.groupValues[1] }.toList())
@@ -204,47 +204,47 @@
 
     @Test
     fun `work is cancelled when the caller leaves, long before its deadline`() {
-        val silent = ScriptedEndpoint { socket.getInputStream().read() }
-        served(silent) {
+        val unresponsive = ScriptedEndpoint { socket.getInputStream().read() }
+        withGateway(unresponsive) {
             val caller = open("/once/x", deadlineMs = 30_000)
-            waitUntil { silent.requests == 1 }
+            waitUntil { unresponsive.requests == 1 }
             caller.close()
-            waitUntil { silent.openConnections == 0 }
+            waitUntil { unresponsive.openConnections == 0 }
         }
     }
 
     @Test
     fun `a request without an answer is ended at its deadline, without a promise`() {
-        served(ScriptedEndpoint { socket.getInputStream().read() }) {
+        withGateway(ScriptedEndpoint { socket.getInputStream().read() }) {
             expectThat(request("/once/x", deadlineMs = 300)).startsWith("HTTP/1.1 504")
         }
     }
 
     @Test
     fun `headers that only the gateway may set are not passed on, nor is the key`() {
-        val heads = CopyOnWriteArrayList<List<String>>()
+        val requestHeads = CopyOnWriteArrayList<List<String>>()
         val endpoint = ScriptedEndpoint {
-            heads += head
+            requestHeads += head
             answer()
         }
-        GatewayUnderTest(listOf(endpoint), organisations = KEYED).use {
+        GatewayUnderTest(listOf(endpoint), organisations = KEYED_ORGANISATIONS).use {
             it.ready().request("/once/x", headers = "Authorization: Bearer k\r\nO: forged\r\nU: 0\r\nI: h\r\n")
         }
-        val names = heads.single().drop(1).map { it.substringBefore(':').lowercase() }
+        val names = requestHeads.single().drop(1).map { it.substringBefore(':').lowercase() }
         expectThat(names).doesNotContain("authorization", "u", "i")
-        expectThat(heads.single()).contains("O: o")
+        expectThat(requestHeads.single()).contains("O: o")
     }
 
     @Test
     fun `keyed requests are refused once the configuration can no longer be confirmed`() {
         val endpoint = ScriptedEndpoint { answer() }
-        var away = false
-        GatewayUnderTest(listOf(endpoint), 1_000, KEYED, storeAnswers = { !away }).use { gateway ->
+        var storeDown = false
+        GatewayUnderTest(listOf(endpoint), 1_000, KEYED_ORGANISATIONS, storeReachable = { !storeDown }).use { gateway ->
             gateway.ready()
             val key = "Authorization: Bearer k\r\n"
             expectThat(gateway.request("/once/x", headers = key)).startsWith("HTTP/1.1 200")
             expectThat(gateway.request("/once/x", headers = "")).startsWith("HTTP/1.1 401")
-            away = true
+            storeDown = true
             waitUntil { gateway.request("/once/x", headers = key).startsWith("HTTP/1.1 503") }
             val before = endpoint.requests
             expectThat(gateway.request("/once/x", headers = key)).startsWith("HTTP/1.1 503")
@@ -256,7 +256,7 @@
     @Test
     fun `a request with two framings is rejected, so that nothing can be smuggled`() {
         val endpoint = ScriptedEndpoint { answer() }
-        served(endpoint) {
+        withGateway(endpoint) {
             expectThat(request("/once/x", headers = "Transfer-Encoding: chunked\r\n")).startsWith("HTTP/1.1 400")
             expectThat(endpoint.requests).isEqualTo(0)
         }
--- a/gateway/src/test/kotlin/io/oriolehall/gateway/path/GatewayUnderTest.kt
+++ b/gateway/src/test/kotlin/io/oriolehall/gateway/path/GatewayUnderTest.kt
@@ -35,38 +35,38 @@
 import java.net.URI
 import kotlin.concurrent.thread
 
-/** A gateway on loopback with routes `/plain/`, `/once/` and `/events/` to the given endpoints. */
+/** A gateway on the loopback interface with routes `/plain/`, `/once/` and `/events/` to [endpoints]. */
 internal class GatewayUnderTest(
     private val endpoints: List<ScriptedEndpoint>,
-    private val keyTrustMs: Long? = null,
+    private val keyRevocationMs: Long? = null,
     private val organisations: List<Organisation> = emptyList(),
     private val maxConnections: Int = 0,
-    private val storeAnswers: () -> Boolean = { true },
+    private val storeReachable: () -> Boolean = { true },
 ) : AutoCloseable {
     private val gateway = Gateway(settings(), WIRE, EventLog { _, _ -> }) { _ -> Feed() }
     val callers: NetworkAddress = runBlocking { gateway.start() }
 
     /** Stops the gateway in the background. */
-    fun stopSoon() {
+    fun stopInBackground() {
         thread(isDaemon = true) { runBlocking { gateway.stop() } }
     }
 
     /** Stops the gateway and waits until it has stopped. */
-    fun stopNow() = runBlocking { gateway.stop() }
+    fun stopAndWait() = runBlocking { gateway.stop() }
 
-    /** The page of counters and histograms. */
+    /** The metrics page. */
     fun metrics(): String {
         val address = checkNotNull(gateway.metricsAddress)
         return URI("http://$address/metrics").toURL().readText()
     }
 
-    /** The whole answer to one request on a connection of its own, as text; it may break off. */
+    /** Sends a request on a new connection and returns the response as text; it may be truncated. */
     fun request(path: String, deadlineMs: Long = 5_000, headers: String = ""): String =
         open(path, deadlineMs, headers).use { socket ->
             runCatching { socket.getInputStream().readAllBytes().decodeToString() }.getOrElse { "broken: $it" }
         }
 
-    /** Sends a request and leaves the connection open. */
+    /** Sends a request on a new connection and returns the open connection. */
     fun open(path: String, deadlineMs: Long = 5_000, headers: String = ""): Socket {
         val socket = Socket(callers.host, callers.port)
         socket.soTimeout = READ_TIMEOUT_MS
@@ -83,7 +83,7 @@
         seeds = emptyList(),
         bounds = Bounds(
             stopMs = 10_000,
-            keyTrustMs = keyTrustMs,
+            keyTrustMs = keyRevocationMs,
             repeatRatio = 10.0,
             repeatAllowance = 100.0,
             repeatWindowMs = 10_000,
@@ -123,12 +123,12 @@
     private inner class Feed : PlatformFeed {
         override suspend fun snapshot() = Ok(this@GatewayUnderTest.snapshot())
 
-        override suspend fun changes(revision: Long, waitMs: Long) = if (storeAnswers()) {
+        override suspend fun changes(revision: Long, waitMs: Long) = if (storeReachable()) {
             delay(waitMs)
             Ok(FeedChanges(revision, emptyList()))
         } else {
             delay(RETRY_MS)
-            Err(FeedFailure.Unavailable("away"))
+            Err(FeedFailure.Unavailable("store unreachable"))
         }
     }
 
@@ -137,7 +137,7 @@
     companion object {
         const val READ_TIMEOUT_MS = 8_000
         const val RETRY_MS = 20L
-        val KEYED = listOf(Organisation(OrganisationId("o"), listOf("k")))
+        val KEYED_ORGANISATIONS = listOf(Organisation(OrganisationId("o"), listOf("k")))
 
         val HEADERS = HeaderNames(
             attemptId = "A",
--- a/gateway/src/test/kotlin/io/oriolehall/gateway/path/ScriptedEndpoint.kt
+++ b/gateway/src/test/kotlin/io/oriolehall/gateway/path/ScriptedEndpoint.kt
@@ -11,11 +11,11 @@
 import kotlin.concurrent.thread
 
 /**
- * An endpoint on a loopback socket that does to each request what [script] says, byte by byte. It counts the requests
- * that it has read.
+ * An endpoint on a loopback socket that runs [script] for each request, which can write any bytes and close the
+ * connection. Counts the requests that it has read.
  */
 internal class ScriptedEndpoint(private val script: Exchange.() -> Unit) : AutoCloseable {
-    /** One request as read, and the raw connection to answer on. */
+    /** One request and the raw connection for its response. */
     class Exchange(val socket: Socket, val head: List<String>, val number: Int) {
         private val output: OutputStream = socket.getOutputStream()
 
@@ -27,12 +27,12 @@
             output.flush()
         }
 
-        /** A whole answer that repeats the request's identifier. */
+        /** Writes a complete response with the attempt identifier of the request. */
         fun answer(status: String = "200 OK", body: String = "body", extra: String = "S: 1\r\n") = write(
             "HTTP/1.1 $status\r\nA: ${header("A")}\r\n${extra}Content-Length: ${body.length}\r\n\r\n$body",
         )
 
-        /** Ends the connection with a reset. */
+        /** Resets the connection. */
         fun reset() {
             socket.setSoLinger(true, 0)
             socket.close()
@@ -41,10 +41,10 @@
 
     private val server = ServerSocket(0, BACKLOG, InetAddress.getByName("127.0.0.1"))
     private val sockets = CopyOnWriteArrayList<Socket>()
-    private val count = AtomicInteger()
+    private val requestCount = AtomicInteger()
 
     val address = NetworkAddress("127.0.0.1", server.localPort)
-    val requests: Int get() = count.get()
+    val requests: Int get() = requestCount.get()
     val openConnections: Int get() = sockets.count { !it.isClosed }
 
     init {
@@ -65,7 +65,7 @@
             val head = generateSequence { input.readLine() }.takeWhile(String::isNotEmpty).toList()
             if (head.isEmpty()) return
             input.skipBody(head)
-            Exchange(socket, head, count.incrementAndGet()).script()
+            Exchange(socket, head, requestCount.incrementAndGet()).script()
         }
     }
 
--- a/gateway/src/test/kotlin/io/oriolehall/gateway/requests/EventSplitterTest.kt
+++ b/gateway/src/test/kotlin/io/oriolehall/gateway/requests/EventSplitterTest.kt
@@ -9,7 +9,7 @@
 class EventSplitterTest {
     private val splitter = EventSplitter()
 
-    private fun take(text: String) = splitter.take(text.encodeToByteArray()).decodeToString()
+    private fun append(text: String) = splitter.append(text.encodeToByteArray()).decodeToString()
 
     @Test
     fun `only whole events are passed on, wherever the bytes are cut`() {
@@ -17,19 +17,19 @@
         for (cut in 1 until stream.length) {
             val splitter = EventSplitter()
             val parts = listOf(stream.substring(0, cut), stream.substring(cut))
-            val out = parts.joinToString("") { splitter.take(it.encodeToByteArray()).decodeToString() }
+            val out = parts.joinToString("") { splitter.append(it.encodeToByteArray()).decodeToString() }
             expectThat(out).isEqualTo(stream)
             expectThat(splitter.lastEventId).isEqualTo("3")
-            expectThat(splitter.events).isEqualTo(3)
+            expectThat(splitter.eventCount).isEqualTo(3)
         }
     }
 
     @Test
     fun `the beginning of an event is kept back and can be dropped`() {
-        expectThat(take("id: 1\ndata: a\n\nid: 2\nda")).isEqualTo("id: 1\ndata: a\n\n")
+        expectThat(append("id: 1\ndata: a\n\nid: 2\nda")).isEqualTo("id: 1\ndata: a\n\n")
         expectThat(splitter.atBoundary).isFalse()
-        splitter.dropRemainder()
+        splitter.dropIncompleteEvent()
         expectThat(splitter.atBoundary).isTrue()
-        expectThat(take("id: 2\ndata: b\n\n")).isEqualTo("id: 2\ndata: b\n\n")
+        expectThat(append("id: 2\ndata: b\n\n")).isEqualTo("id: 2\ndata: b\n\n")
     }
 }
