--- a/model/src/main/kotlin/io/oriolehall/model/CallerProtocol.kt
+++ b/model/src/main/kotlin/io/oriolehall/model/CallerProtocol.kt
@@ -3,21 +3,21 @@
 import kotlinx.serialization.Serializable
 
 /*
- * The callers' HTTP interface. docs/CALLERS.md is the contract.
+ * The HTTP interface for callers, specified in docs/CALLERS.md.
  *
- *   POST /v1/tokens                  a MintedToken: an idempotency key whose home is the instance that answers.
- *   POST /v1/pipelines/{name}        a PipelineRequest; answers with server-sent events.
- *   GET  /v1/requests/{id}           the answer again, from the offset in Last-Event-ID.
+ *   POST /v1/tokens                  returns a MintedToken: an idempotency key whose home is the issuing instance.
+ *   POST /v1/pipelines/{name}        takes a PipelineRequest and responds with server-sent events.
+ *   GET  /v1/requests/{id}           resumes the answer from the offset in Last-Event-ID.
  *
- * Events: `accepted` (AcceptedEvent), `chunk` (ChunkEvent, its id is the offset after it), `end` (EndEvent) or
- * `problem` (Problem) when the answer cannot be finished.
+ * Events: `accepted` (AcceptedEvent), `chunk` (ChunkEvent, its id is the offset of the next byte), `end` (EndEvent), or
+ * `problem` (Problem) if the answer cannot be completed.
  */
 
-/** Names of the HTTP headers that callers set. */
+/** Names of the HTTP request headers that callers set. */
 object CallerHeaders {
     const val IDEMPOTENCY_KEY = "Idempotency-Key"
 
-    /** Time the caller gives the request, milliseconds from its arrival. */
+    /** The request's deadline in milliseconds after its arrival. */
     const val DEADLINE_MS = "Deadline-Ms"
     const val LAST_EVENT_ID = "Last-Event-ID"
 }
@@ -26,18 +26,18 @@
 @Serializable
 data class PipelineRequest(val input: String, val maxTokens: Int = 64, val priority: Int = 0)
 
-/** A key made by an instance. [token] is sent back unchanged as `Idempotency-Key`. */
+/** An idempotency key issued by an instance. Callers send [token] unchanged in `Idempotency-Key`. */
 @Serializable
 data class MintedToken(val token: String, val expiresInMs: Long)
 
-/** First event of an answer: the identifier to resume with. */
+/** First event of an answer. [requestId] identifies the answer when the caller resumes it. */
 @Serializable
 data class AcceptedEvent(val requestId: RequestId, val instance: InstanceId)
 
-/** A part of the answer: [text] starts at byte [offset] of the UTF-8 answer. */
+/** A chunk of the answer. [text] starts at byte [offset] of the UTF-8 answer. */
 @Serializable
 data class ChunkEvent(val offset: Long, val text: String)
 
-/** End of an answer: its length in bytes and the lower-case hex SHA-256 of the whole. */
+/** End of an answer, with its length in bytes and the lower-case hex SHA-256 digest of the complete answer. */
 @Serializable
 data class EndEvent(val length: Long, val sha256: String)
--- a/model/src/main/kotlin/io/oriolehall/model/ConfigObject.kt
+++ b/model/src/main/kotlin/io/oriolehall/model/ConfigObject.kt
@@ -4,11 +4,11 @@
 import kotlinx.serialization.Serializable
 
 /*
- * Objects that change tickets create and replace. A ticket carries the whole new state of each object it touches, so
- * an object is never merged from parts of two tickets.
+ * Configuration objects, which change tickets create and replace. A ticket contains the complete new state of each
+ * object it changes, so that the state of an object never combines two tickets.
  */
 
-/** Key of a configuration object: its kind and its name, unique over the fleet. */
+/** Key of a configuration object: its kind and name, unique in the fleet. */
 @Serializable
 data class ObjectKey(val kind: String, val name: String) : Comparable<ObjectKey> {
     override fun compareTo(other: ObjectKey): Int = compareValuesBy(this, other, ObjectKey::kind, ObjectKey::name)
@@ -19,11 +19,11 @@
 /** A configuration object. */
 @Serializable
 sealed interface ConfigObject {
-    /** Key under which the highest accepted ticket wins. */
+    /** Identifies the object. Of all accepted tickets with this key, the one with the highest number applies. */
     val key: ObjectKey
 }
 
-/** Whether new work may go to an availability zone or an endpoint. */
+/** Whether new work may be sent to an availability zone or an endpoint. */
 @Serializable
 enum class ServiceState {
     @SerialName("in-service")
@@ -33,7 +33,7 @@
     OUT,
 }
 
-/** An availability zone. New work goes to its endpoints only while it is in service. */
+/** An availability zone. Its endpoints receive new work only while it is in service. */
 @Serializable
 @SerialName("zone")
 data class AvailabilityZone(
@@ -46,9 +46,9 @@
 /**
  * An organisation that may send requests.
  *
- * @property secretSha256 lower-case hex SHA-256 digests of the secrets it may present; two while one is rotated.
- * @property share weight of the organisation when capacity is short; a positive number.
- * @property defaultDeadlineMs deadline of a request that states none, milliseconds.
+ * @property secretSha256 lower-case hex SHA-256 digests of the valid secrets; two during a rotation.
+ * @property share weight of the organisation when capacity is scarce; a positive number.
+ * @property defaultDeadlineMs deadline in milliseconds of a request that specifies none.
  */
 @Serializable
 @SerialName("organisation")
@@ -60,12 +60,12 @@
 ) : ConfigObject {
     override val key get() = ObjectKey("organisation", id.value)
 
-    /** Leaves the digests out, since descriptions of objects go to logs and the audit trail. */
+    /** Omits the digests, since objects are written to logs and the audit trail. */
     override fun toString(): String =
         "Organisation(id=$id, secrets=${secretSha256.size}, share=$share, defaultDeadlineMs=$defaultDeadlineMs)"
 }
 
-/** What a stage does, which decides the protocol spoken with its endpoints. */
+/** Type of a stage, which determines the protocol used with its endpoints. */
 @Serializable
 enum class StageKind {
     @SerialName("encode")
@@ -87,9 +87,9 @@
 /**
  * One stage of a pipeline.
  *
- * @property pool the endpoints that can run it.
- * @property idempotent false when running the stage twice would do harm.
- * @property expectedMs usual time of one run on a warm endpoint, milliseconds; admission starts from it.
+ * @property pool pool of endpoints that can run the stage.
+ * @property idempotent false if the stage must not run twice.
+ * @property expectedMs typical duration of a run on a warm endpoint in milliseconds; initial estimate for admission.
  */
 @Serializable
 data class Stage(
@@ -100,23 +100,23 @@
     val expectedMs: Long = 50,
 )
 
-/** A pipeline: stages in the order in which they run, each on the result of the one before. */
+/** A pipeline: stages in the order in which they run, each on the result of the previous one. */
 @Serializable
 @SerialName("pipeline")
 data class Pipeline(val id: PipelineId, val stages: List<Stage>) : ConfigObject {
     override val key get() = ObjectKey("pipeline", id.value)
 
-    /** True when every stage may run twice, so that no idempotency key is needed. */
+    /** True if every stage may run twice, so that requests need no idempotency key. */
     val idempotent: Boolean get() = stages.all(Stage::idempotent)
 }
 
 /**
  * An endpoint: a model engine, encoder, retriever, reranker or plain service.
  *
- * @property address where it serves HTTP.
- * @property coldLimit requests at once that it bears just after it started.
- * @property warmLimit requests at once that it bears when warm.
- * @property fenced true when it refuses an order with an old fencing number.
+ * @property address address of its HTTP interface.
+ * @property coldLimit number of concurrent requests that it can handle just after it started.
+ * @property warmLimit number of concurrent requests that it can handle when warm.
+ * @property fenced true if it refuses orders with stale fencing numbers.
  */
 @Serializable
 @SerialName("endpoint")
@@ -134,9 +134,9 @@
 }
 
 /**
- * The model that an engine should have loaded and the role it should have.
+ * The desired state of an engine: the model that it loads and the role that it takes.
  *
- * @property adapter name of an adapter on top of the model, or null for none.
+ * @property adapter name of the adapter applied to the model, or null for none.
  */
 @Serializable
 @SerialName("engine")
@@ -151,8 +151,8 @@
 }
 
 /**
- * The instances that witness idempotency keys which callers make themselves. Names, not processes: a replaced
- * instance keeps its name and its place.
+ * The instances that act as witnesses for idempotency keys generated by callers. They are listed by name, so that the
+ * replacement of an instance keeps its place in the list.
  */
 @Serializable
 @SerialName("witnesses")
@@ -163,9 +163,10 @@
 /**
  * A change ticket.
  *
- * @property number order of the ticket among all tickets; for each object the highest accepted number is in force.
- * @property author operator who issued it, for the audit trail.
- * @property cause why, for the audit trail.
+ * @property number position of the ticket in the order of all tickets. For each object, the accepted ticket with the
+ *   highest number is in force.
+ * @property author operator who issued the ticket, for the audit trail.
+ * @property cause reason for the change, for the audit trail.
  */
 @Serializable
 data class Ticket(
--- a/model/src/main/kotlin/io/oriolehall/model/EndpointProtocol.kt
+++ b/model/src/main/kotlin/io/oriolehall/model/EndpointProtocol.kt
@@ -3,27 +3,28 @@
 import kotlinx.serialization.Serializable
 
 /*
- * The endpoints' HTTP interface, as their operators publish it.
+ * The HTTP interface of endpoints, as published by their operators.
  *
- *   POST /run                 a StageCall as JSON. Every kind but generate answers 200 with a StageResult. A generate
- *                             endpoint answers 200 with one StreamLine as JSON per line: chunks, then an end.
- *   GET  /streams/{id}?offset=N   the stream of a call (id = "requestId.attempt") again from byte N, also while it
- *                             runs; 404 when the endpoint does not know it.
- *   DELETE /streams/{id}      stops the call; 204.
- *   GET  /load                a LoadReport, which may lag.
- *   GET  /events?after=N      a CacheEventPage: what entered and left an engine's prefix cache after event N; events
- *                             come late and some never.
- *   POST /orders              an EngineOrder; 200 with an OrderResult, or 409 when its fencing number is old.
+ *   POST /run                 takes a StageCall as JSON. A generate endpoint responds with 200 and one StreamLine as
+ *                             JSON per line: chunks, then an end. All other kinds respond with 200 and a StageResult.
+ *   GET  /streams/{id}?offset=N   returns the stream of a call (id = "requestId.attempt") from byte N, also while the
+ *                             call runs; 404 if the endpoint does not have the stream.
+ *   DELETE /streams/{id}      cancels the call; 204.
+ *   GET  /load                returns a LoadReport, which may be out of date.
+ *   GET  /events?after=N      returns a CacheEventPage: insertions into and evictions from an engine's prefix cache
+ *                             after event N. Events may be delayed or lost.
+ *   POST /orders              takes an EngineOrder; 200 with an OrderResult, or 409 if its fencing number is stale.
  *
- * 429 and 503 on /run mean that the endpoint declined before it ran anything.
+ * 429 and 503 on /run mean that the endpoint declined the call before it ran anything.
  */
 
 /**
- * One call of a stage.
+ * A call that runs one stage of a request at an endpoint.
  *
- * @property remainingMs time left before the request's deadline, milliseconds.
- * @property priority higher numbers go first.
- * @property idempotencyKey set on calls that may not be repeated; endpoints need not use it.
+ * @property attempt number of the attempt; together with [requestId] it identifies the call's stream.
+ * @property remainingMs time until the request's deadline in milliseconds.
+ * @property priority calls with higher numbers run first.
+ * @property idempotencyKey set if the call must not run twice; endpoints may ignore it.
  */
 @Serializable
 data class StageCall(
@@ -39,7 +40,7 @@
     val idempotencyKey: String? = null,
 )
 
-/** The result of a stage that answers whole. */
+/** The result of a stage that is not streamed. */
 @Serializable
 data class StageResult(
     val requestId: RequestId,
@@ -50,9 +51,9 @@
 )
 
 /**
- * What a stage cost.
+ * Resources that a stage call used.
  *
- * @property busyMs time the endpoint spent on the call, milliseconds.
+ * @property busyMs time that the endpoint spent on the call, in milliseconds.
  * @property cachedTokens prompt tokens found in the prefix cache.
  */
 @Serializable
@@ -73,7 +74,7 @@
 /**
  * A line of a generate endpoint's stream: text at a byte offset, or the end.
  *
- * @property offset offset of the first byte of [text] in the UTF-8 answer.
+ * @property offset position of the first byte of [text] in the UTF-8 answer.
  * @property end set on the last line.
  */
 @Serializable
@@ -86,16 +87,17 @@
     val end: StreamEnd? = null,
 )
 
-/** End of a stream. [sha256] is the lower-case hex digest of the whole UTF-8 answer of [length] bytes. */
+/** End of a stream. [sha256] is the lower-case hex digest of the complete UTF-8 answer of [length] bytes. */
 @Serializable
 data class StreamEnd(val length: Long, val sha256: String, val usage: Usage = Usage())
 
 /**
- * What an endpoint says of its load. The report may be seconds old.
+ * An endpoint's report of its load, which may be several seconds old.
  *
- * @property limit requests at once that it bears now.
- * @property startedAtMs wall-clock start of the process, milliseconds since the epoch.
- * @property orderFence highest fencing number it has obeyed; 0 before the first order.
+ * @property limit number of concurrent requests that the endpoint can currently handle.
+ * @property startedAtMs wall-clock time at which the process started, in milliseconds since the epoch.
+ * @property orderFence highest fencing number of an accepted order; 0 before the first one.
+ * @property ordering true while the endpoint is carrying out an order.
  */
 @Serializable
 data class LoadReport(
@@ -112,7 +114,7 @@
     val ordering: Boolean = false,
 )
 
-/** An order to a model engine to change what it serves. */
+/** An order to a model engine to load a model and take a role. [fence] is the order's fencing number. */
 @Serializable
 data class EngineOrder(
     val fence: Long,
@@ -122,20 +124,20 @@
     val role: String = "generate",
 )
 
-/** Answer to an order: the fencing number that the engine now holds. */
+/** Answer to an order. [fence] is the highest fencing number that the engine has accepted. */
 @Serializable
 data class OrderResult(val accepted: Boolean, val fence: Long)
 
 /**
  * A change of an engine's prefix cache.
  *
- * @property number counts the engine's events from 1; a missing number is an event that was lost.
- * @property stored true when the prefix entered the cache, false when it left.
- * @property prefix digest of the prompt's words up to the end of a block.
+ * @property number sequence number of the engine's events, from 1; a gap means that events were lost.
+ * @property stored true if the prefix was added to the cache, false if it was evicted.
+ * @property prefix digest of the prompt's words up to the end of a cache block.
  */
 @Serializable
 data class CacheEvent(val number: Long, val stored: Boolean, val prefix: String)
 
-/** Published cache events; [next] is the number to ask after next. */
+/** A page of cache events. [next] is the value of `after` for the next page. */
 @Serializable
 data class CacheEventPage(val events: List<CacheEvent>, val next: Long)
--- a/model/src/main/kotlin/io/oriolehall/model/Ids.kt
+++ b/model/src/main/kotlin/io/oriolehall/model/Ids.kt
@@ -3,11 +3,11 @@
 import kotlinx.serialization.Serializable
 
 /*
- * Identifiers. Each is a value class over the text that appears on the wire and in settings, so that an endpoint's
- * name cannot be passed where an instance's name is meant.
+ * Identifiers. Each is a value class around the text used on the wire and in settings, so that the compiler rejects an
+ * endpoint's name where an instance's name is expected.
  */
 
-/** Name of an entry instance from its settings. It stays the same when the instance is replaced. */
+/** Name of an entry instance, from its settings. A replacement of the instance has the same name. */
 @Serializable
 @JvmInline
 value class InstanceId(val value: String) : Comparable<InstanceId> {
@@ -25,7 +25,7 @@
     override fun toString(): String = value
 }
 
-/** Name of an organisation, which is also the user part of its credentials. */
+/** Name of an organisation, which is also the user name in its credentials. */
 @Serializable
 @JvmInline
 value class OrganisationId(val value: String) {
@@ -41,14 +41,14 @@
     override fun toString(): String = value
 }
 
-/** Name of a pool: the endpoints that can run one kind of stage. */
+/** Name of a pool: the endpoints that can run the same kind of stage. */
 @Serializable
 @JvmInline
 value class PoolId(val value: String) {
     override fun toString(): String = value
 }
 
-/** Name of a pipeline, which is the last part of its URL. */
+/** Name of a pipeline, which is also the last segment of its URL path. */
 @Serializable
 @JvmInline
 value class PipelineId(val value: String) {
@@ -63,10 +63,10 @@
 }
 
 /**
- * One life of an instance's process.
+ * Identifies one run of an instance's process, from start to exit.
  *
- * @property startedAtMs wall-clock time of the start, milliseconds since the epoch, by the instance's own clock.
- * @property nonce random number that separates two processes which started in the same millisecond.
+ * @property startedAtMs wall-clock time of the start in milliseconds since the epoch, by the instance's own clock.
+ * @property nonce random number that distinguishes processes started in the same millisecond.
  */
 @Serializable
 data class Incarnation(val startedAtMs: Long, val nonce: Int) : Comparable<Incarnation> {
@@ -80,7 +80,7 @@
     }
 }
 
-/** TCP address by IP number. */
+/** TCP address: an IP address and a port. */
 @Serializable
 data class NetworkAddress(val host: String, val port: Int) {
     override fun toString(): String = "$host:$port"
@@ -88,7 +88,7 @@
     companion object {
         private const val MAX_PORT = 65_535
 
-        /** The address written as `host:port`, or null when [text] is not one. */
+        /** Parses an address written as `host:port`; returns null if [text] is not one. */
         fun parse(text: String): NetworkAddress? {
             val host = text.substringBeforeLast(':', missingDelimiterValue = "")
             val port = text.substringAfterLast(':').toIntOrNull()
--- a/model/src/main/kotlin/io/oriolehall/model/Instance.kt
+++ b/model/src/main/kotlin/io/oriolehall/model/Instance.kt
@@ -3,10 +3,10 @@
 import kotlinx.serialization.Serializable
 
 /**
- * An entry instance as the platform's list or a peer describes it.
+ * An entry instance, as described by the platform's instance list or by a peer.
  *
- * @property peerAddress where the instance listens for other instances.
- * @property leaving true when the platform has announced that the instance will stop.
+ * @property peerAddress address on which the instance accepts connections from other instances.
+ * @property leaving true if the platform has announced that the instance will be stopped.
  */
 @Serializable
 data class Instance(
--- a/model/src/main/kotlin/io/oriolehall/model/Json.kt
+++ b/model/src/main/kotlin/io/oriolehall/model/Json.kt
@@ -2,7 +2,7 @@
 
 import kotlinx.serialization.json.Json
 
-/** JSON as the system writes it and reads it: unknown fields of other programs are ignored, defaults are written. */
+/** JSON exchanged with other programs: unknown fields are ignored and default values are written. */
 val WireJson: Json = Json {
     ignoreUnknownKeys = true
     encodeDefaults = true
@@ -10,7 +10,7 @@
     classDiscriminator = "kind"
 }
 
-/** JSON for input that people write, such as tickets: an unknown field is an error. */
+/** JSON written by people, such as tickets: unknown fields are errors. */
 val StrictJson: Json = Json {
     classDiscriminator = "kind"
     encodeDefaults = true
--- a/model/src/main/kotlin/io/oriolehall/model/Refusal.kt
+++ b/model/src/main/kotlin/io/oriolehall/model/Refusal.kt
@@ -3,27 +3,28 @@
 import kotlinx.serialization.SerialName
 import kotlinx.serialization.Serializable
 
-/** What is known about the run of a request that got no answer. */
+/** Whether a request that was refused or failed has run, as far as is known. */
 @Serializable
 enum class RunOutcome {
-    /** Nothing ran and nothing of this request will run. */
+    /** No part of the request ran or will run. */
     @SerialName("not-run")
     NOT_RUN,
 
-    /** The request may have run, may be running, or may yet run. */
+    /** The request may have run, may be running, or may still run. */
     @SerialName("unknown")
     UNKNOWN,
 
-    /** The request ran; its answer could not be delivered whole. */
+    /** The request ran, but its answer could not be delivered completely. */
     @SerialName("ran")
     RAN,
 }
 
 /**
- * Why a request was refused. The wire name is the last part of the problem type's URI.
+ * Reason for which a request was refused.
  *
- * @property status HTTP status of the problem.
- * @property remedy what the caller should do, one sentence.
+ * @property wireName last component of the problem type's URI.
+ * @property status HTTP status code of the response.
+ * @property remedy what the caller should do, in one sentence; the problem's title.
  */
 @Serializable
 enum class RefusalKind(val wireName: String, val status: Int, val remedy: String) {
@@ -51,10 +52,9 @@
 }
 
 /**
- * A refusal in the form of RFC 9457, as callers receive it.
+ * A refusal as sent to callers: a problem details object of RFC 9457.
  *
- * @property retryAfterMs earliest time at which sending again makes sense, milliseconds from now; null when it does
- *   not make sense.
+ * @property retryAfterMs time in milliseconds after which a retry makes sense; null if a retry makes no sense.
  */
 @Serializable
 data class Problem(
@@ -67,7 +67,7 @@
     val requestId: String? = null,
 )
 
-/** A refusal inside the system. */
+/** A refusal as represented inside the system and between instances. */
 @Serializable
 data class Refusal(
     val kind: RefusalKind,
@@ -76,7 +76,7 @@
     val retryAfterMs: Long? = null,
     val requestId: RequestId? = null,
 ) {
-    /** The refusal as callers receive it. */
+    /** Converts the refusal to the form that is sent to callers. */
     fun toProblem(): Problem = Problem(
         type = "urn:oriolehall:problem:${kind.wireName}",
         title = kind.remedy,
--- a/model/src/main/kotlin/io/oriolehall/model/settings/EntryKeys.kt
+++ b/model/src/main/kotlin/io/oriolehall/model/settings/EntrySettingKeys.kt
@@ -1,11 +1,11 @@
 package io.oriolehall.model.settings
 
-private const val MIN_SECRET = 16
+private const val MIN_SECRET_CHARS = 16
 private const val MAX_LOADS = 1_000
-private const val MAX_SUBSET = 1_000
+private const val MAX_ENDPOINTS = 1_000
 
-/** Keys of an entry instance's settings file. A new setting is declared here and read in [EntrySettingsFile]. */
-object EntryKeys : SettingsTable() {
+/** Keys of an entry instance's settings file. New settings are declared here and read in [EntrySettingsFile]. */
+object EntrySettingKeys : SettingsTable() {
     val id = required("instance", "id", nameSetting("entry-1"))
     val zone = required("instance", "zone", nameSetting("zone-a"))
 
@@ -16,7 +16,7 @@
     val configuration = required("platform", "configuration", addressSetting("10.0.0.2:9000"))
     val instances = required("platform", "instances", addressSetting("10.0.0.2:9000"))
 
-    val secret = required("tokens", "secret", textSetting("a text that no caller can guess", MIN_SECRET))
+    val secret = required("tokens", "secret", textSetting("a text that no caller can guess", MIN_SECRET_CHARS))
 
     val keyLifetime = optional("keys", "lifetime", durationSetting("10min"), default = KeySettings().lifetimeMs)
     val clockTolerance =
@@ -30,7 +30,7 @@
     )
 
     val contacts = optional("peers", "contacts", listSetting(addressSetting("10.0.0.6:8082")), PeerSettings().contacts)
-    val exchange = optional("peers", "exchange", switchSetting(), PeerSettings().exchange)
+    val exchange = optional("peers", "exchange", onOffSetting(), PeerSettings().exchange)
 
     val keepServing = optional("stop", "keep-serving", durationSetting("3 s"), StopSettings().keepServingMs)
     val stopWait = optional("stop", "wait", durationSetting("30 s"), StopSettings().waitMs)
@@ -43,7 +43,7 @@
     )
 
     val endpointSubset =
-        optional("policy", "endpoint-subset", numberSetting("4", 1..MAX_SUBSET), PolicySettings().endpointSubset)
+        optional("policy", "endpoint-subset", numberSetting("4", 1..MAX_ENDPOINTS), PolicySettings().endpointSubset)
 
     val admission = optional(
         "policy",
@@ -57,6 +57,6 @@
     val longestLoad =
         optional("orders", "longest-load", durationSetting("60 s"), default = OrderSettings().longestLoadMs)
 
-    /** Published addresses and the addresses to dial in their place. */
+    /** Maps published addresses to the addresses to connect to instead. */
     val translate = map("translate", addressSetting("10.0.1.7:9001 = 10.0.9.1:20001"))
 }
--- a/model/src/main/kotlin/io/oriolehall/model/settings/EntrySettingsFile.kt
+++ b/model/src/main/kotlin/io/oriolehall/model/settings/EntrySettingsFile.kt
@@ -11,7 +11,7 @@
 
 /** The settings file of an entry instance. docs/operators/SETTINGS.md lists its keys. */
 object EntrySettingsFile {
-    /** The settings in the file at [path], or everything that is wrong with it. */
+    /** Reads the settings in the file at [path]; returns all errors if it is not valid. */
     fun read(path: Path): Result<EntrySettings, List<SettingsError>> {
         val text = try {
             Files.readString(path)
@@ -21,32 +21,32 @@
         return parse(path.toString(), text)
     }
 
-    /** The settings in [text]; [file] is its name in error messages. */
+    /** Parses the settings in [text]. [file] is the file name for error messages. */
     fun parse(file: String, text: String): Result<EntrySettings, List<SettingsError>> =
-        SettingsReader(EntryKeys).read(file, text).map(::entrySettings)
+        SettingsReader(EntrySettingKeys).read(file, text).map(::entrySettings)
 
     private fun entrySettings(values: SettingsValues) = EntrySettings(
-        instance = InstanceSettings(InstanceId(values[EntryKeys.id]), ZoneId(values[EntryKeys.zone])),
+        instance = InstanceSettings(InstanceId(values[EntrySettingKeys.id]), ZoneId(values[EntrySettingKeys.zone])),
         listen = ListenSettings(
-            callers = values[EntryKeys.callers],
-            operators = values[EntryKeys.operators],
-            peers = values[EntryKeys.peers],
+            callers = values[EntrySettingKeys.callers],
+            operators = values[EntrySettingKeys.operators],
+            peers = values[EntrySettingKeys.peers],
         ),
         platform = PlatformSettings(
-            configuration = values[EntryKeys.configuration],
-            instances = values[EntryKeys.instances],
+            configuration = values[EntrySettingKeys.configuration],
+            instances = values[EntrySettingKeys.instances],
         ),
-        tokens = TokenSettings(values[EntryKeys.secret]),
-        keys = KeySettings(values[EntryKeys.keyLifetime], values[EntryKeys.clockTolerance]),
+        tokens = TokenSettings(values[EntrySettingKeys.secret]),
+        keys = KeySettings(values[EntrySettingKeys.keyLifetime], values[EntrySettingKeys.clockTolerance]),
         policy = PolicySettings(
-            endpointChoice = values[EntryKeys.endpointChoice],
-            limits = values[EntryKeys.limits],
-            admission = values[EntryKeys.admission],
-            endpointSubset = values[EntryKeys.endpointSubset],
+            endpointChoice = values[EntrySettingKeys.endpointChoice],
+            limits = values[EntrySettingKeys.limits],
+            admission = values[EntrySettingKeys.admission],
+            endpointSubset = values[EntrySettingKeys.endpointSubset],
         ),
-        translate = values[EntryKeys.translate],
-        peers = PeerSettings(values[EntryKeys.contacts], values[EntryKeys.exchange]),
-        stop = StopSettings(values[EntryKeys.keepServing], values[EntryKeys.stopWait]),
-        orders = OrderSettings(values[EntryKeys.loadsAtOnce], values[EntryKeys.longestLoad]),
+        translate = values[EntrySettingKeys.translate],
+        peers = PeerSettings(values[EntrySettingKeys.contacts], values[EntrySettingKeys.exchange]),
+        stop = StopSettings(values[EntrySettingKeys.keepServing], values[EntrySettingKeys.stopWait]),
+        orders = OrderSettings(values[EntrySettingKeys.loadsAtOnce], values[EntrySettingKeys.longestLoad]),
     )
 }
--- a/model/src/main/kotlin/io/oriolehall/model/settings/IniLines.kt
+++ b/model/src/main/kotlin/io/oriolehall/model/settings/IniContent.kt
@@ -6,50 +6,50 @@
 import org.ini4j.spi.IniParser
 import java.io.Reader
 
-/** A key of an INI file as it stands there. [value] is null when there is no `=`. */
+/** A key of an INI file with its unparsed value. [value] is null if there is no `=`. */
 internal data class IniOption(val section: String?, val name: String, val value: String?, val line: Int)
 
-/** A section's first line. */
+/** A section header. */
 internal data class IniSection(val name: String, val line: Int)
 
-/** What an INI file holds, duplicates included. [brokenAt] is the line at which reading ended, if it did. */
-internal data class IniLines(val sections: List<IniSection>, val options: List<IniOption>, val brokenAt: Int?)
+/** Content of an INI file, duplicates included. [badLine] is the line at which parsing failed, or null. */
+internal data class IniContent(val sections: List<IniSection>, val options: List<IniOption>, val badLine: Int?)
 
-/** Reads INI text with the line number of each entry, which the library does not hand on. */
-internal fun readIni(text: String): IniLines {
+/** Parses INI text and records the line number of each entry, which the ini4j library does not report. */
+internal fun readIni(text: String): IniContent {
     val lines = LineByLineReader(text)
-    val collector = Collector(lines)
+    val collector = IniCollector(lines)
     val parser = IniParser.newInstance(StrictConfig)
-    val brokenAt = try {
+    val badLine = try {
         parser.parse(lines, collector)
         null
     } catch (e: InvalidFileFormatException) {
         lines.line
     }
-    return IniLines(collector.sections, collector.options, brokenAt)
+    return IniContent(collector.sections, collector.options, badLine)
 }
 
-private const val NO_SECTION = "\u0000"
+private const val GLOBAL_SECTION = "\u0000"
 
 private val StrictConfig = Config().apply {
     isEscape = false
     isEmptyOption = true
     isEmptySection = true
     isGlobalSection = true
-    globalSectionName = NO_SECTION
+    globalSectionName = GLOBAL_SECTION
     isInclude = false
 }
 
-/** Hands out one line a read, so that [line] is the one that the parser works on. */
+/** Returns at most one line per read, so that [line] is the number of the line that the parser is processing. */
 private class LineByLineReader(text: String) : Reader() {
-    private val rest = ArrayDeque(text.removePrefix("\uFEFF").lines())
+    private val remainingLines = ArrayDeque(text.removePrefix("\uFEFF").lines())
     private var pending = ""
     var line = 0
         private set
 
     override fun read(target: CharArray, offset: Int, length: Int): Int {
         if (pending.isEmpty()) {
-            pending = rest.removeFirstOrNull()?.plus("\n") ?: return -1
+            pending = remainingLines.removeFirstOrNull()?.plus("\n") ?: return -1
             line++
         }
         val count = minOf(length, pending.length)
@@ -61,13 +61,13 @@
     override fun close() = Unit
 }
 
-private class Collector(private val source: LineByLineReader) : IniHandler {
+private class IniCollector(private val source: LineByLineReader) : IniHandler {
     val sections = mutableListOf<IniSection>()
     val options = mutableListOf<IniOption>()
     private var section: String? = null
 
     override fun startSection(name: String) {
-        section = name.takeUnless { it == NO_SECTION }
+        section = name.takeUnless { it == GLOBAL_SECTION }
         section?.let { sections += IniSection(it, source.line) }
     }
 
--- a/model/src/main/kotlin/io/oriolehall/model/settings/SettingType.kt
+++ b/model/src/main/kotlin/io/oriolehall/model/settings/SettingType.kt
@@ -3,15 +3,15 @@
 import io.oriolehall.model.NetworkAddress
 
 /*
- * Types of settings. A quantity is written with its unit, so that a bare number is an error and never a guess.
+ * Types of settings. Durations and sizes require a unit, so that a number without one is an error.
  */
 
 /**
- * How the text of a setting becomes a value.
+ * Type of a setting: how its text is parsed.
  *
- * @property expected what it takes, for error messages: "a duration with its unit".
- * @property example a correct value.
- * @property parse the value, or null when the text is not one.
+ * @property expected description of the valid values for error messages, such as "a duration with its unit".
+ * @property example a valid value, for error messages.
+ * @property parse converts the text to a value; returns null if the text is not valid.
  */
 class SettingType<T>(val expected: String, val example: String, val parse: (String) -> T?)
 
@@ -43,18 +43,18 @@
 /** A duration with its unit, in milliseconds. */
 fun durationSetting(example: String) =
     SettingType("a duration with its unit (${MillisecondsByUnit.keys.joinToString()})", example) {
-        quantity(it, MillisecondsByUnit)
+        parseQuantity(it, MillisecondsByUnit)
     }
 
 /** A size with its unit, in bytes. */
 fun sizeSetting(example: String) =
-    SettingType("a size with its unit (${BytesByUnit.keys.joinToString()})", example) { quantity(it, BytesByUnit) }
+    SettingType("a size with its unit (${BytesByUnit.keys.joinToString()})", example) { parseQuantity(it, BytesByUnit) }
 
-/** An address to dial. */
+/** An address to connect to. */
 fun addressSetting(example: String) =
     SettingType("an IP number and a port from 1 to $MAX_PORT", example) { NetworkAddress.parse(it) }
 
-/** An address to listen at; port 0 takes a free one. */
+/** An address to listen on; port 0 selects a free port. */
 fun listenSetting(example: String) =
     SettingType("an IP number and a port from 0 to $MAX_PORT, where 0 takes a free one", example) { text ->
         if (text.endsWith(":0")) NetworkAddress.parse("${text}1")?.copy(port = 0) else NetworkAddress.parse(text)
@@ -67,9 +67,9 @@
     }
 
 /** `on` or `off`. */
-fun switchSetting() = SettingType("on or off", "on") { text -> mapOf("on" to true, "off" to false)[text] }
+fun onOffSetting() = SettingType("on or off", "on") { text -> mapOf("on" to true, "off" to false)[text] }
 
-private fun quantity(text: String, units: Map<String, Long>): Long? {
+private fun parseQuantity(text: String, units: Map<String, Long>): Long? {
     val match = QuantityPattern.matchEntire(text) ?: return null
     val (amount, unit) = match.destructured
     return units[unit]?.let { amount.toLong() * it }
--- a/model/src/main/kotlin/io/oriolehall/model/settings/SettingsError.kt
+++ b/model/src/main/kotlin/io/oriolehall/model/settings/SettingsError.kt
@@ -1,10 +1,11 @@
 package io.oriolehall.model.settings
 
 /**
- * One thing that is wrong in a settings file.
+ * An error in a settings file.
  *
- * @property line line of the file, from 1; null when something is missing altogether.
- * @property remedy what to write instead.
+ * @property line line number, from 1; null if the file cannot be read or a key is missing.
+ * @property problem what is wrong.
+ * @property remedy how to correct it.
  */
 sealed interface SettingsError {
     val file: String
@@ -12,25 +13,25 @@
     val problem: String
     val remedy: String
 
-    /** The error as one line: `file:line: problem; remedy`. */
+    /** The error in one line, as `file:line: problem; remedy`. */
     val message: String get() = "$file${line?.let { ":$it" }.orEmpty()}: $problem; $remedy"
 
-    /** The file cannot be read at all. */
+    /** The file cannot be read. */
     data class Unreadable(override val file: String, val cause: String) : SettingsError {
         override val line: Int? get() = null
         override val problem get() = "cannot be read ($cause)"
         override val remedy get() = "give the path of a readable text file in UTF-8"
     }
 
-    /** A line that is neither a section, nor a key, nor a comment. Reading ends there. */
+    /** A line that is neither a section, nor a key, nor a comment. Parsing stops there. */
     data class Malformed(override val file: String, override val line: Int, val text: String) : SettingsError {
-        override val problem get() = "cannot understand '$text'"
+        override val problem get() = "cannot parse '$text'"
         override val remedy get() = "write '[section]', 'key = value' or a comment that starts with ; or #"
     }
 
     data class OutsideSection(override val file: String, override val line: Int, val key: String) : SettingsError {
-        override val problem get() = "key '$key' stands before the first section"
-        override val remedy get() = "move it below the line of its section, such as [instance]"
+        override val problem get() = "key '$key' appears before the first section"
+        override val remedy get() = "move it below the header of its section, such as [instance]"
     }
 
     data class UnknownSection(
@@ -49,8 +50,8 @@
         val section: String,
         val firstLine: Int,
     ) : SettingsError {
-        override val problem get() = "section [$section] stands a second time"
-        override val remedy get() = "move its keys to the section at line $firstLine"
+        override val problem get() = "section [$section] appears more than once"
+        override val remedy get() = "move its keys to the section that starts at line $firstLine"
     }
 
     data class UnknownKey(
@@ -71,8 +72,8 @@
         val key: String,
         val firstLine: Int,
     ) : SettingsError {
-        override val problem get() = "key '$key' of [$section] stands a second time"
-        override val remedy get() = "keep this line or line $firstLine"
+        override val problem get() = "key '$key' of [$section] is set more than once"
+        override val remedy get() = "keep either this line or line $firstLine"
     }
 
     data class MissingKey(
--- a/model/src/main/kotlin/io/oriolehall/model/settings/SettingsReader.kt
+++ b/model/src/main/kotlin/io/oriolehall/model/settings/SettingsReader.kt
@@ -4,7 +4,7 @@
 import com.github.michaelbull.result.Ok
 import com.github.michaelbull.result.Result
 
-/** Values of a file that agrees with its table. */
+/** Values of a settings file without errors. */
 class SettingsValues internal constructor(
     private val values: Map<SettingKey<*>, Any>,
     private val maps: Map<SettingMap<*>, Map<*, *>>,
@@ -16,12 +16,12 @@
     operator fun <T : Any> get(map: SettingMap<T>): Map<T, T> = maps.getValue(map) as Map<T, T>
 }
 
-/** Reads INI text by a table and reports everything that is wrong with it at once. */
+/** Reads the settings that [table] declares from INI text and reports all errors together. */
 class SettingsReader(private val table: SettingsTable) {
-    /** The values of [text]; [file] is its name in error messages. */
-    fun read(file: String, text: String): Result<SettingsValues, List<SettingsError>> = Reading(file, text).result()
+    /** Reads the values in [text]. [file] is the file name for error messages. */
+    fun read(file: String, text: String): Result<SettingsValues, List<SettingsError>> = Parser(file, text).result()
 
-    private inner class Reading(private val file: String, private val text: String) {
+    private inner class Parser(private val file: String, private val text: String) {
         private val errors = mutableListOf<SettingsError>()
         private val ini = readIni(text)
         private val values = mutableMapOf<SettingKey<*>, Any>()
@@ -30,12 +30,12 @@
         fun result(): Result<SettingsValues, List<SettingsError>> {
             checkSections()
             ini.options.groupBy { it.section to keyOf(it) }.values.forEach(::readOption)
-            if (ini.brokenAt == null) addDefaults() else errors += SettingsError.Malformed(file, ini.brokenAt, broken())
+            if (ini.badLine == null) addDefaults() else errors += SettingsError.Malformed(file, ini.badLine, badText())
             if (errors.isEmpty()) return Ok(SettingsValues(values, maps))
             return Err(errors.sortedBy { it.line ?: Int.MAX_VALUE })
         }
 
-        private fun broken() = text.lines()[checkNotNull(ini.brokenAt) - 1].trim()
+        private fun badText() = text.lines()[checkNotNull(ini.badLine) - 1].trim()
 
         private fun checkSections() {
             for ((name, occurrences) in ini.sections.groupBy(IniSection::name)) {
@@ -50,7 +50,7 @@
         }
 
         private fun keyOf(option: IniOption) =
-            if (table.maps.any { it.section == option.section }) mapping(option).first else option.name
+            if (table.maps.any { it.section == option.section }) splitMapping(option).first else option.name
 
         private fun readOption(occurrences: List<IniOption>) {
             val first = occurrences.first()
@@ -89,7 +89,7 @@
         )
 
         private fun <T : Any> readMapping(map: SettingMap<T>, option: IniOption) {
-            val (fromText, toText) = mapping(option)
+            val (fromText, toText) = splitMapping(option)
             val from = map.type.parse(fromText)
             val to = map.type.parse(toText)
             if (from != null && to != null) {
@@ -107,15 +107,15 @@
             )
         }
 
-        /** The library splits at the first of `:` and `=`; a mapping's sides are told apart by `=` alone. */
-        private fun mapping(option: IniOption): Pair<String, String> {
+        /** Splits the source line at `=`, since ini4j also splits at `:`, which occurs in addresses. */
+        private fun splitMapping(option: IniOption): Pair<String, String> {
             val line = text.removePrefix("\uFEFF").lines()[option.line - 1]
             return line.substringBefore('=').trim() to line.substringAfter('=', "").trim()
         }
 
         private fun addDefaults() {
             for (key in table.keys) {
-                if (key in values || errors.any { it is SettingsError.BadValue && it.isOf(key) }) continue
+                if (key in values || errors.any { it is SettingsError.BadValue && it.isFor(key) }) continue
                 val default = key.default
                 if (default != null) {
                     values[key] = default
@@ -125,6 +125,6 @@
             }
         }
 
-        private fun SettingsError.BadValue.isOf(key: SettingKey<*>) = section == key.section && this.key == key.name
+        private fun SettingsError.BadValue.isFor(key: SettingKey<*>) = section == key.section && this.key == key.name
     }
 }
--- a/model/src/main/kotlin/io/oriolehall/model/settings/SettingsTable.kt
+++ b/model/src/main/kotlin/io/oriolehall/model/settings/SettingsTable.kt
@@ -1,7 +1,7 @@
 package io.oriolehall.model.settings
 
 /*
- * Tables of the keys that a settings file may have. A program declares its table as an object with one property a key:
+ * Declarations of the keys of a settings file. A program declares them in an object with one property per key:
  *
  *     object CacheKeys : SettingsTable() {
  *         val size = required("cache", "size", sizeSetting("4 MiB"))
@@ -12,7 +12,7 @@
 /**
  * A key of a section.
  *
- * @property default value when the key is missing; null makes it required.
+ * @property default value if the key is missing; null if the key is required.
  */
 class SettingKey<T : Any> internal constructor(
     val section: String,
@@ -21,7 +21,7 @@
     val default: T?,
 )
 
-/** A section whose lines map one value to another, in the form `from = to`. */
+/** A section whose lines map values to values of the same type, in the form `from = to`. */
 class SettingMap<T : Any> internal constructor(val section: String, val type: SettingType<T>)
 
 /** The sections and keys that a settings file may have. */
@@ -29,10 +29,10 @@
     private val declaredKeys = mutableListOf<SettingKey<*>>()
     private val declaredMaps = mutableListOf<SettingMap<*>>()
 
-    /** All keys in the order of their declaration. */
+    /** All keys, in the order of their declaration. */
     val keys: List<SettingKey<*>> get() = declaredKeys
 
-    /** All sections that map values. */
+    /** All sections that contain mappings. */
     val maps: List<SettingMap<*>> get() = declaredMaps
 
     /** Names of all sections. */
--- a/model/src/test/kotlin/io/oriolehall/model/settings/EntrySettingsFileTest.kt
+++ b/model/src/test/kotlin/io/oriolehall/model/settings/EntrySettingsFileTest.kt
@@ -13,7 +13,7 @@
 import strikt.assertions.withElementAt
 
 class EntrySettingsFileTest {
-    private val whole = """
+    private val validText = """
         ; an instance
         [instance]
         id = entry-1
@@ -36,7 +36,7 @@
 
     @Test
     fun `a whole file becomes settings with defaults filled in`() {
-        val settings = EntrySettingsFile.parse("e.ini", whole).value
+        val settings = EntrySettingsFile.parse("e.ini", validText).value
         expectThat(settings) {
             get { instance.id.value } isEqualTo "entry-1"
             get { listen.callers } isEqualTo NetworkAddress("127.0.0.1", 0)
@@ -48,7 +48,7 @@
 
     @Test
     fun `all errors are reported together in the order of their lines`() {
-        val text = whole
+        val text = validText
             .replace("zone = z1", "zone = z1\nzones = z2")
             .replace("operators = 127.0.0.1:8081", "operators = localhost")
             .replace("id = entry-1\n", "")
@@ -64,7 +64,7 @@
 
     @Test
     fun `an error names the file, the line, what is wrong and what to write instead`() {
-        val errors = errorsOf(whole.replace("peers = 127.0.0.1:8082", "peers = 127.0.0.1:80820"))
+        val errors = errorsOf(validText.replace("peers = 127.0.0.1:8082", "peers = 127.0.0.1:80820"))
         expectThat(errors).single().get { message } isEqualTo "e.ini:8: '127.0.0.1:80820' is no value for 'peers' of " +
             "[listen], which takes an IP number and a port from 0 to 65535, where 0 takes a free one; " +
             "write for example 'peers = 10.0.0.5:8082'"
@@ -72,7 +72,7 @@
 
     @Test
     fun `duplicate keys, sections and mappings are errors`() {
-        val text = "$whole\n127.0.0.1:9001 = 127.0.0.1:1\n[instance]\nid = entry-2"
+        val text = "$validText\n127.0.0.1:9001 = 127.0.0.1:1\n[instance]\nid = entry-2"
         expectThat(errorsOf(text).map { it::class }).containsExactlyInAnyOrder(
             SettingsError.DuplicateKey::class,
             SettingsError.DuplicateSection::class,
@@ -82,7 +82,7 @@
 
     @Test
     fun `a key without a value is an error at its line`() {
-        val errors = errorsOf(whole.replace("zone = z1", "zone ="))
+        val errors = errorsOf(validText.replace("zone = z1", "zone ="))
         expectThat(errors).single().isA<SettingsError.BadValue>().get { line } isEqualTo 4
     }
 
@@ -97,7 +97,7 @@
 
     @Test
     fun `a mapping needs an address on both sides`() {
-        val errors = errorsOf(whole.replace("127.0.0.1:9001 = 127.0.0.1:20001", "127.0.0.1:9001 = there"))
+        val errors = errorsOf(validText.replace("127.0.0.1:9001 = 127.0.0.1:20001", "127.0.0.1:9001 = there"))
         expectThat(errors).single().get { message }.contains("e.ini:15")
     }
 
--- a/peer/src/main/kotlin/io/oriolehall/peer/PeerChannel.kt
+++ b/peer/src/main/kotlin/io/oriolehall/peer/PeerChannel.kt
@@ -4,8 +4,8 @@
 import kotlinx.serialization.serializer
 
 /**
- * One kind of exchange between instances: its name on the wire and the types of a request and of each answer item.
- * Both ends declare the same channel; its name changes when a type changes in a way that old readers cannot take.
+ * A kind of exchange between instances: its name on the wire and the types of the request and of each answer item.
+ * Client and server declare the same channel. A type change that older instances cannot decode requires a new name.
  */
 class PeerChannel<Q, A>(
     val name: String,
@@ -15,7 +15,7 @@
     override fun toString(): String = name
 
     companion object {
-        /** A channel whose serializers come from the types. */
+        /** Creates a channel that uses the default serializers of [Q] and [A]. */
         inline fun <reified Q, reified A> of(name: String): PeerChannel<Q, A> =
             PeerChannel(name, serializer<Q>(), serializer<A>())
     }
--- a/peer/src/main/kotlin/io/oriolehall/peer/PeerClient.kt
+++ b/peer/src/main/kotlin/io/oriolehall/peer/PeerClient.kt
@@ -23,9 +23,10 @@
 import java.util.concurrent.atomic.AtomicLong
 
 /**
- * Asks other instances. It keeps one connection per address, made on first use and made again after it broke.
+ * Sends requests to other instances over one connection per address. A connection is opened on first use and again
+ * after it was lost.
  *
- * @param connectTimeoutMs bound on making a connection, milliseconds.
+ * @param connectTimeoutMs connect timeout in milliseconds.
  */
 class PeerClient(
     private val selector: SelectorManager,
@@ -33,9 +34,9 @@
     private val traffic: PeerTraffic = PeerTraffic.None,
     private val connectTimeoutMs: Long = DEFAULT_CONNECT_TIMEOUT_MS,
 ) {
-    private val links = ConcurrentHashMap<NetworkAddress, Link>()
+    private val connectors = ConcurrentHashMap<NetworkAddress, Connector>()
 
-    /** Sends [request] and returns its one answer, or why there is none within [timeoutMs] milliseconds. */
+    /** Sends [request] and returns its single answer, or a failure. [timeoutMs] bounds each wait for a frame. */
     suspend fun <Q, A : Any> call(
         to: NetworkAddress,
         channel: PeerChannel<Q, A>,
@@ -49,9 +50,9 @@
     }
 
     /**
-     * Sends [request] and hands each answer item to [onItem] until the peer ends the exchange.
+     * Sends [request] and passes each answer item to [onItem] until the peer ends the exchange.
      *
-     * @param idleTimeoutMs longest wait for the next item, milliseconds.
+     * @param idleTimeoutMs maximum wait for the next item in milliseconds.
      */
     suspend fun <Q, A> stream(
         to: NetworkAddress,
@@ -60,26 +61,27 @@
         idleTimeoutMs: Long,
         onItem: suspend (A) -> Unit,
     ): Result<Unit, PeerFailure> {
-        val connection = links.computeIfAbsent(to) { Link(it) }.connect()
-            ?: return Err(PeerFailure.Unreachable("no connection to $to; is the instance up and the network whole?"))
+        val connection = connectors.computeIfAbsent(to) { Connector(it) }.connect()
+            ?: return Err(PeerFailure.Unreachable("no connection to $to; check that it is running and reachable"))
         val payload = PeerCbor.encodeToByteArray(channel.requestSerializer, request)
         return connection.exchange(channel, payload, idleTimeoutMs, onItem)
     }
 
-    private inner class Link(private val address: NetworkAddress) {
-        private val connecting = Mutex()
+    /** Opens the connection to [address] and replaces it after a failure. */
+    private inner class Connector(private val address: NetworkAddress) {
+        private val connectMutex = Mutex()
 
         @Volatile
         private var current: Connection? = null
 
         suspend fun connect(): Connection? {
             current?.takeIf { it.open }?.let { return it }
-            return connecting.withLock {
-                current?.takeIf { it.open } ?: dial().also { current = it }
+            return connectMutex.withLock {
+                current?.takeIf { it.open } ?: openConnection().also { current = it }
             }
         }
 
-        private suspend fun dial(): Connection? {
+        private suspend fun openConnection(): Connection? {
             val socket = try {
                 withTimeoutOrNull(connectTimeoutMs) { aSocket(selector).tcp().connect(address.host, address.port) }
             } catch (e: CancellationException) {
@@ -87,16 +89,16 @@
             } catch (e: Exception) {
                 null
             }
-            return socket?.let { Connection(address, it).apply { startReading() } }
+            return socket?.let { Connection(address, it).apply { startReceiving() } }
         }
     }
 
     private inner class Connection(private val address: NetworkAddress, private val socket: Socket) {
         private val input = socket.openReadChannel()
         private val output = socket.openWriteChannel()
-        private val writing = Mutex()
-        private val nextExchange = AtomicLong()
-        private val waiting = ConcurrentHashMap<Long, Channel<PeerFrame>>()
+        private val writeMutex = Mutex()
+        private val lastExchangeId = AtomicLong()
+        private val pendingExchanges = ConcurrentHashMap<Long, Channel<PeerFrame>>()
 
         @Volatile
         var open = true
@@ -105,28 +107,28 @@
         @Volatile
         private var lastReceivedNanos = System.nanoTime()
 
-        fun startReading() {
+        fun startReceiving() {
             scope.launch {
                 try {
                     while (true) {
                         val (frame, bytes) = input.readFrame()
                         lastReceivedNanos = System.nanoTime()
                         traffic.received(frame.channel, bytes)
-                        deliver(frame)
+                        dispatch(frame)
                     }
                 } catch (e: CancellationException) {
                     throw e
                 } catch (e: Exception) {
-                    // The waiting exchanges are told below; the reason is the broken connection itself.
+                    // Pending exchanges fail with PeerFailure.Lost when the connection is closed below.
                 } finally {
-                    breakOff()
+                    closeConnection()
                 }
             }
         }
 
-        /** A consumer that has fallen too far behind loses its exchange, so that it cannot hold up the others. */
-        private fun deliver(frame: PeerFrame) {
-            val frames = waiting[frame.exchange] ?: return
+        /** Fails an exchange whose buffer is full, so that a slow consumer does not block the other exchanges. */
+        private fun dispatch(frame: PeerFrame) {
+            val frames = pendingExchanges[frame.exchange] ?: return
             if (frames.trySend(frame).isFailure) frames.close()
         }
 
@@ -136,29 +138,29 @@
             idleTimeoutMs: Long,
             onItem: suspend (A) -> Unit,
         ): Result<Unit, PeerFailure> {
-            val exchange = nextExchange.incrementAndGet()
-            val frames = Channel<PeerFrame>(FRAMES_AHEAD)
-            waiting[exchange] = frames
-            var ended = false
+            val exchangeId = lastExchangeId.incrementAndGet()
+            val frames = Channel<PeerFrame>(MAX_BUFFERED_FRAMES)
+            pendingExchanges[exchangeId] = frames
+            var endedByPeer = false
             try {
-                val sent = open && send(PeerFrame(FrameKind.REQUEST, exchange, channel.name, payload = payload))
-                if (!sent) return Err(lost())
+                val sent = open && send(PeerFrame(FrameKind.REQUEST, exchangeId, channel.name, payload = payload))
+                if (!sent) return Err(lossFailure())
                 while (true) {
                     val received = withTimeoutOrNull(idleTimeoutMs) { frames.receiveCatching() }
-                        ?: return Err(timedOut(channel, idleTimeoutMs))
-                    val frame = received.getOrNull() ?: return Err(lost())
+                        ?: return Err(timeoutFailure(channel, idleTimeoutMs))
+                    val frame = received.getOrNull() ?: return Err(lossFailure())
                     if (frame.kind == FrameKind.ITEM) {
                         onItem(PeerCbor.decodeFromByteArray(channel.answerSerializer, frame.payload))
                         continue
                     }
-                    ended = true
+                    endedByPeer = true
                     return frame.toOutcome()
                 }
             } finally {
-                waiting.remove(exchange)
+                pendingExchanges.remove(exchangeId)
                 frames.cancel()
-                if (!ended && open) {
-                    withContext(NonCancellable) { send(PeerFrame(FrameKind.CANCEL, exchange, channel.name)) }
+                if (!endedByPeer && open) {
+                    withContext(NonCancellable) { send(PeerFrame(FrameKind.CANCEL, exchangeId, channel.name)) }
                 }
             }
         }
@@ -167,35 +169,42 @@
             if (kind == FrameKind.DONE) Ok(Unit) else Err(PeerFailure.Rejected("$address: ${payload.decodeToString()}"))
 
         private suspend fun send(frame: PeerFrame): Boolean = try {
-            val bytes = withTimeoutOrNull(WRITE_TIMEOUT_MS) { writing.withLock { output.writeFrame(frame) } }
-            if (bytes == null) breakOff() else traffic.sent(frame.channel, bytes)
+            val bytes = withTimeoutOrNull(WRITE_TIMEOUT_MS) { writeMutex.withLock { output.writeFrame(frame) } }
+            if (bytes == null) closeConnection() else traffic.sent(frame.channel, bytes)
             bytes != null
         } catch (e: CancellationException) {
             throw e
         } catch (e: Exception) {
-            breakOff()
+            closeConnection()
             false
         }
 
-        /** A connection that was silent for long may be broken without a sign: the next exchange makes a new one. */
-        private fun timedOut(channel: PeerChannel<*, *>, timeoutMs: Long): PeerFailure {
-            if (System.nanoTime() - lastReceivedNanos > SILENT_CONNECTION_NANOS) breakOff()
+        /**
+         * Also closes the connection if nothing was received for [MAX_SILENCE_NANOS]: it may be broken without an error
+         * on the socket. The next exchange opens a new one.
+         */
+        private fun timeoutFailure(channel: PeerChannel<*, *>, timeoutMs: Long): PeerFailure {
+            if (System.nanoTime() - lastReceivedNanos > MAX_SILENCE_NANOS) closeConnection()
             return PeerFailure.Lost("$address did not answer ${channel.name} in $timeoutMs ms")
         }
 
-        private fun lost() = PeerFailure.Lost("connection to $address broke; the peer may have acted on the request")
+        private fun lossFailure() = PeerFailure.Lost(
+            "connection to $address lost; the peer may have acted on the request",
+        )
 
-        private fun breakOff() {
+        private fun closeConnection() {
             open = false
             socket.close()
-            waiting.values.forEach { it.close() }
+            pendingExchanges.values.forEach { it.close() }
         }
     }
 
     private companion object {
         const val DEFAULT_CONNECT_TIMEOUT_MS = 500L
         const val WRITE_TIMEOUT_MS = 1_000L
-        const val FRAMES_AHEAD = 4_096
-        val SILENT_CONNECTION_NANOS = TimeUnit.SECONDS.toNanos(5)
+
+        /** Frames buffered for each exchange. */
+        const val MAX_BUFFERED_FRAMES = 4_096
+        val MAX_SILENCE_NANOS = TimeUnit.SECONDS.toNanos(5)
     }
 }
--- a/peer/src/main/kotlin/io/oriolehall/peer/PeerCodec.kt
+++ b/peer/src/main/kotlin/io/oriolehall/peer/PeerCodec.kt
@@ -3,27 +3,28 @@
 import kotlinx.serialization.KSerializer
 
 /**
- * Turns messages of one type into the bytes that go between instances, and back, without a connection. Tools use it to
- * measure messages as they are sent.
+ * Encodes and decodes messages of one type in the format used between instances, without a connection. Tools use it to
+ * measure message sizes.
  */
 class PeerCodec<T>(private val channel: String, private val serializer: KSerializer<T>) {
-    /** The frame of [message] as it is written to a connection, without its length. */
+    /** Encodes [message] as a frame, without the length header. */
     fun encode(message: T): ByteArray {
         val payload = PeerCbor.encodeToByteArray(serializer, message)
-        val frame = PeerFrame(FrameKind.REQUEST, TYPICAL_EXCHANGE, channel, payload = payload)
+        val frame = PeerFrame(FrameKind.REQUEST, SAMPLE_EXCHANGE_NUMBER, channel, payload = payload)
         return PeerCbor.encodeToByteArray(PeerFrame.serializer(), frame)
     }
 
-    /** The message in [bytes]. */
+    /** Decodes the message in the frame [bytes]. */
     fun decode(bytes: ByteArray): T {
         val frame = PeerCbor.decodeFromByteArray(PeerFrame.serializer(), bytes)
         return PeerCbor.decodeFromByteArray(serializer, frame.payload)
     }
 
     companion object {
-        /** Bytes that a connection adds to a frame: its length. */
+        /** Size in bytes of the length header that precedes a frame on a connection. */
         const val HEADER_BYTES = FRAME_HEADER_BYTES
 
-        private const val TYPICAL_EXCHANGE = 100_000L
+        /** Sample number; its encoded size is that of an exchange on a long-lived connection. */
+        private const val SAMPLE_EXCHANGE_NUMBER = 100_000L
     }
 }
--- a/peer/src/main/kotlin/io/oriolehall/peer/PeerFailure.kt
+++ b/peer/src/main/kotlin/io/oriolehall/peer/PeerFailure.kt
@@ -2,15 +2,15 @@
 
 /** Why an exchange with another instance failed. */
 sealed interface PeerFailure {
-    /** What happened and what to do about it. */
+    /** Description of the failure and, where there is one, the remedy. */
     val message: String
 
-    /** No connection; no byte of the request left this instance. */
+    /** No connection could be established; no byte of the request was sent. */
     data class Unreachable(override val message: String) : PeerFailure
 
-    /** The connection broke or the time ran out after the request may have left; the peer may have acted on it. */
+    /** Connection lost or call timed out, possibly after the request was sent; the peer may have acted on it. */
     data class Lost(override val message: String) : PeerFailure
 
-    /** The peer answered that it cannot serve the request. */
+    /** The peer rejected the request, or ended the exchange without the expected answer. */
     data class Rejected(override val message: String) : PeerFailure
 }
--- a/peer/src/main/kotlin/io/oriolehall/peer/PeerFrame.kt
+++ b/peer/src/main/kotlin/io/oriolehall/peer/PeerFrame.kt
@@ -14,21 +14,26 @@
 import kotlinx.serialization.cbor.Cbor
 
 /*
- * Frames between instances: a length of four bytes, then a PeerFrame in CBOR. Many exchanges share a connection; the
- * caller's number tells them apart.
+ * Framing between instances: a four-byte length followed by a PeerFrame in CBOR. Exchanges are multiplexed over one
+ * connection and identified by a number that the client assigns.
  */
 
-/** CBOR as instances speak it. Unknown fields are passed over, so that a newer instance can add some. */
+/** CBOR format used between instances. Unknown fields are ignored, so that newer instances can add fields. */
 internal val PeerCbor: Cbor = Cbor {
     ignoreUnknownKeys = true
     encodeDefaults = false
 }
 
-/** What a frame is. */
+/** Type of a frame. */
 @Serializable
 internal enum class FrameKind { REQUEST, ITEM, DONE, FAILED, CANCEL }
 
-/** A frame. [payload] is the CBOR of the channel's type; on [FrameKind.FAILED] it is text. */
+/**
+ * A frame.
+ *
+ * @property exchange number of the exchange, unique within its connection.
+ * @property payload CBOR of the channel's request or answer type; UTF-8 text for [FrameKind.FAILED].
+ */
 @Serializable
 internal class PeerFrame(
     val kind: FrameKind,
@@ -40,18 +45,19 @@
 
 private val EMPTY_PAYLOAD = ByteArray(0)
 
-/** Version of the frames. An instance turns away a frame of another version. */
+/** Version of the frame format. A frame of another version closes the connection. */
 internal const val PEER_PROTOCOL_VERSION = 1
 
-/** Largest frame, bytes; a longer one ends the connection. */
+/** Maximum size of an encoded frame in bytes, without its header. A longer frame closes the connection. */
 internal const val MAX_FRAME_BYTES = 2 * 1024 * 1024
 
-/** Bytes of the length in front of a frame. */
+/** Size in bytes of the length that precedes each frame. */
 internal const val FRAME_HEADER_BYTES = 4
 
-/** A frame that cannot be read; the connection ends. */
+/** A frame that cannot be decoded or sent. The connection is closed. */
 internal class MalformedFrameException(message: String) : Exception(message)
 
+/** Reads the next frame and returns it with the bytes that it took on the connection, header included. */
 internal suspend fun ByteReadChannel.readFrame(): Pair<PeerFrame, Int> {
     val length = readInt()
     if (length !in
@@ -63,17 +69,18 @@
     val frame = try {
         PeerCbor.decodeFromByteArray(PeerFrame.serializer(), bytes)
     } catch (e: IllegalArgumentException) {
-        throw MalformedFrameException("not a frame: ${e.message}")
+        throw MalformedFrameException("cannot decode frame: ${e.message}")
     }
     if (frame.version != PEER_PROTOCOL_VERSION) {
-        throw MalformedFrameException("protocol version ${frame.version}; this instance speaks $PEER_PROTOCOL_VERSION")
+        throw MalformedFrameException("protocol version ${frame.version}; this instance uses $PEER_PROTOCOL_VERSION")
     }
     return frame to length + FRAME_HEADER_BYTES
 }
 
+/** Writes [frame] and returns the number of bytes written, header included. */
 internal suspend fun ByteWriteChannel.writeFrame(frame: PeerFrame): Int {
     val bytes = PeerCbor.encodeToByteArray(PeerFrame.serializer(), frame)
-    if (bytes.size > MAX_FRAME_BYTES) throw MalformedFrameException("frame of ${bytes.size} bytes is too long to send")
+    if (bytes.size > MAX_FRAME_BYTES) throw MalformedFrameException("frame of ${bytes.size} bytes exceeds the limit")
     writeInt(bytes.size)
     writeByteArray(bytes)
     flush()
--- a/peer/src/main/kotlin/io/oriolehall/peer/PeerServer.kt
+++ b/peer/src/main/kotlin/io/oriolehall/peer/PeerServer.kt
@@ -23,8 +23,8 @@
 import java.util.concurrent.ConcurrentHashMap
 
 /**
- * Answers other instances. Handlers are registered per channel before [start]; each request runs in a coroutine of its
- * own, which ends when the connection does, unless the handler moves its work to another scope.
+ * Handles requests of other instances. Handlers are registered per channel before [start]. Each request runs in its own
+ * coroutine, which is cancelled when the connection closes unless the handler moves its work to another scope.
  */
 class PeerServer(
     private val selector: SelectorManager,
@@ -35,17 +35,17 @@
     private val handlers = ConcurrentHashMap<String, Handler<*, *>>()
     private var socket: ServerSocket? = null
 
-    /** Answers each request on [channel] with the items that [handle] emits, in order. */
+    /** Registers [handle] for [channel]; the items that it emits are sent in order. */
     fun <Q, A> serve(channel: PeerChannel<Q, A>, handle: suspend (Q, emit: suspend (A) -> Unit) -> Unit) {
         handlers[channel.name] = Handler(channel, handle)
     }
 
-    /** Answers each request on [channel] with the one item that [handle] returns. */
+    /** Registers [handle] for [channel]; the value that it returns is the only answer item. */
     fun <Q, A> answer(channel: PeerChannel<Q, A>, handle: suspend (Q) -> A) {
         serve(channel) { request, emit -> emit(handle(request)) }
     }
 
-    /** Listens at [address] (port 0 takes a free one) and returns the address in use. */
+    /** Listens on [address], where port 0 selects a free port, and returns the bound address. */
     suspend fun start(address: NetworkAddress): NetworkAddress {
         val server = aSocket(selector).tcp().bind(address.host, address.port)
         socket = server
@@ -53,7 +53,7 @@
         return NetworkAddress(address.host, (server.localAddress as InetSocketAddress).port)
     }
 
-    /** Stops listening and ends all connections. */
+    /** Stops accepting connections. Open connections run until they are closed or the scope is cancelled. */
     fun close() {
         socket?.close()
     }
@@ -100,8 +100,8 @@
     private inner class Session(connection: Socket) {
         private val input = connection.openReadChannel()
         private val output: ByteWriteChannel = connection.openWriteChannel()
-        private val writing = Mutex()
-        private val running = ConcurrentHashMap<Long, Job>()
+        private val writeMutex = Mutex()
+        private val runningRequests = ConcurrentHashMap<Long, Job>()
 
         suspend fun run() = coroutineScope {
             try {
@@ -109,43 +109,47 @@
                     val (frame, bytes) = input.readFrame()
                     traffic.received(frame.channel, bytes)
                     when (frame.kind) {
-                        FrameKind.REQUEST -> begin(frame)
-                        FrameKind.CANCEL -> running.remove(frame.exchange)?.cancel()
+                        FrameKind.REQUEST -> startRequest(frame)
+                        FrameKind.CANCEL -> runningRequests.remove(frame.exchange)?.cancel()
                         else -> throw MalformedFrameException("unexpected ${frame.kind} frame from a client")
                     }
                 }
             } finally {
-                running.values.forEach(Job::cancel)
+                runningRequests.values.forEach(Job::cancel)
             }
         }
 
-        private fun CoroutineScope.begin(frame: PeerFrame) {
-            running[frame.exchange] = launch {
-                answer(frame)
-                running.remove(frame.exchange)
+        private fun CoroutineScope.startRequest(frame: PeerFrame) {
+            runningRequests[frame.exchange] = launch {
+                handleRequest(frame)
+                runningRequests.remove(frame.exchange)
             }
         }
 
-        private suspend fun answer(frame: PeerFrame) {
+        private suspend fun handleRequest(frame: PeerFrame) {
             val handler = handlers[frame.channel]
             if (handler == null) {
-                send(frame, FrameKind.FAILED, "no channel ${frame.channel}; upgrade this instance".encodeToByteArray())
+                sendReply(
+                    frame,
+                    FrameKind.FAILED,
+                    "unknown channel ${frame.channel}; upgrade this instance".encodeToByteArray(),
+                )
                 return
             }
             try {
-                handler.run(frame.payload) { send(frame, FrameKind.ITEM, it) }
-                send(frame, FrameKind.DONE)
+                handler.run(frame.payload) { sendReply(frame, FrameKind.ITEM, it) }
+                sendReply(frame, FrameKind.DONE)
             } catch (e: CancellationException) {
                 throw e
             } catch (e: IllegalArgumentException) {
                 log.write(Event.PEER_FRAME_REJECTED, "channel" to frame.channel, "error" to e.message)
-                send(frame, FrameKind.FAILED, "request not understood: ${e.message}".encodeToByteArray())
+                sendReply(frame, FrameKind.FAILED, "invalid request: ${e.message}".encodeToByteArray())
             }
         }
 
-        private suspend fun send(request: PeerFrame, kind: FrameKind, payload: ByteArray = ByteArray(0)) {
+        private suspend fun sendReply(request: PeerFrame, kind: FrameKind, payload: ByteArray = ByteArray(0)) {
             val frame = PeerFrame(kind, request.exchange, request.channel, payload = payload)
-            val bytes = writing.withLock { output.writeFrame(frame) }
+            val bytes = writeMutex.withLock { output.writeFrame(frame) }
             traffic.sent(request.channel, bytes)
         }
     }
--- a/peer/src/main/kotlin/io/oriolehall/peer/PeerTraffic.kt
+++ b/peer/src/main/kotlin/io/oriolehall/peer/PeerTraffic.kt
@@ -1,12 +1,12 @@
 package io.oriolehall.peer
 
-/** Told about each frame, for metrics. [bytes] counts the frame with its header. */
+/** Receives the size of each frame that is sent or received, for metrics. `bytes` includes the frame's header. */
 interface PeerTraffic {
     fun sent(channel: String, bytes: Int)
 
     fun received(channel: String, bytes: Int)
 
-    /** Ignores everything. */
+    /** Records nothing. */
     object None : PeerTraffic {
         override fun sent(channel: String, bytes: Int) = Unit
 
--- a/runtime/src/main/kotlin/io/oriolehall/runtime/AuditTrail.kt
+++ b/runtime/src/main/kotlin/io/oriolehall/runtime/AuditTrail.kt
@@ -3,12 +3,12 @@
 import kotlinx.serialization.Serializable
 
 /**
- * One change that the instance made to what it does.
+ * A change to the state or behaviour of this instance.
  *
- * @property atMs wall-clock time, milliseconds since the epoch.
- * @property actor who or what caused it: an operator, a peer, a timer, the platform.
+ * @property atMs wall-clock time in milliseconds since the epoch.
+ * @property actor who or what caused the change: an operator, a peer, a timer, the platform.
  * @property subject what changed, such as an object's key.
- * @property ticket number of the ticket behind the change, if any.
+ * @property ticket number of the change ticket that led to the change, if any.
  */
 @Serializable
 data class AuditRecord(
@@ -22,7 +22,7 @@
     val after: String? = null,
 )
 
-/** The newest changes of this instance, kept in memory and written to the log. Safe for use by several threads. */
+/** The most recent changes of this instance, kept in memory and written to the log. Thread-safe. */
 class AuditTrail(
     private val instance: String,
     private val timers: TimerService,
@@ -31,7 +31,7 @@
 ) {
     private val records = ArrayDeque<AuditRecord>()
 
-    /** Adds a record; the oldest one goes when the trail is full. */
+    /** Adds a record. When the trail is full, the oldest record is removed. */
     fun record(
         actor: String,
         subject: String,
@@ -56,7 +56,7 @@
         )
     }
 
-    /** The kept records, oldest first. */
+    /** The retained records, oldest first. */
     fun records(): List<AuditRecord> = synchronized(records) { records.toList() }
 
     private companion object {
--- a/runtime/src/main/kotlin/io/oriolehall/runtime/ControlThread.kt
+++ b/runtime/src/main/kotlin/io/oriolehall/runtime/ControlThread.kt
@@ -6,15 +6,15 @@
 import java.util.concurrent.Executors
 
 /**
- * The one thread that owns control state: configuration, membership, ownership and limits. Traffic runs on other
- * threads and reads immutable snapshots which this thread publishes.
+ * The single thread that owns the control state: configuration, membership, ownership and limits. Requests run on other
+ * threads and read immutable snapshots that this thread publishes.
  */
 class ControlThread : AutoCloseable {
     private val executor: ExecutorService = Executors.newSingleThreadExecutor { task ->
         Thread(task, "control").apply { isDaemon = true }
     }
 
-    /** Dispatcher whose coroutines run on the control thread. */
+    /** Dispatcher that runs coroutines on the control thread. */
     val dispatcher: CoroutineDispatcher = executor.asCoroutineDispatcher()
 
     override fun close() {
--- a/runtime/src/main/kotlin/io/oriolehall/runtime/CoroutineTimerService.kt
+++ b/runtime/src/main/kotlin/io/oriolehall/runtime/CoroutineTimerService.kt
@@ -8,7 +8,7 @@
 import java.util.concurrent.TimeUnit
 import kotlin.random.Random
 
-/** Timer service on a coroutine scope, whose dispatcher is the control thread. */
+/** Timer service that runs its actions in [scope], whose dispatcher must be the control thread. */
 class CoroutineTimerService(
     private val scope: CoroutineScope,
     private val log: EventLog,
@@ -21,7 +21,7 @@
     override fun every(name: String, periodMs: Long, jitter: Double, action: suspend () -> Unit): Subscription {
         val job = scope.launch {
             while (isActive) {
-                delay(vary(periodMs, jitter))
+                delay(withJitter(periodMs, jitter))
                 runLogged(name, action)
             }
         }
@@ -36,7 +36,7 @@
         return Subscription { job.cancel() }
     }
 
-    private fun vary(periodMs: Long, jitter: Double): Long {
+    private fun withJitter(periodMs: Long, jitter: Double): Long {
         if (jitter <= 0.0) return periodMs
         val factor = 1.0 + random.nextDouble(-jitter, jitter)
         return (periodMs * factor).toLong()
--- a/runtime/src/main/kotlin/io/oriolehall/runtime/Event.kt
+++ b/runtime/src/main/kotlin/io/oriolehall/runtime/Event.kt
@@ -1,10 +1,10 @@
 package io.oriolehall.runtime
 
-/** How loud an event is. */
+/** Severity of an event. */
 enum class EventLevel { DEBUG, INFO, WARN, ERROR }
 
 /**
- * Events that the system logs. A number is never given to another event. docs/EVENTS.md is the catalogue.
+ * Events that the system logs. Numbers are never reused. docs/EVENTS.md is the catalogue.
  *
  * Ranges: 100 process, 200 configuration, 300 membership and peers, 400 requests and keys, 500 limits and routing,
  * 600 orders to engines, 700 stand-ins and tools.
--- a/runtime/src/main/kotlin/io/oriolehall/runtime/EventLog.kt
+++ b/runtime/src/main/kotlin/io/oriolehall/runtime/EventLog.kt
@@ -5,15 +5,15 @@
 
 /** Writes numbered events. */
 fun interface EventLog {
-    /** Writes [event] with named [fields]; a field's value is written by its `toString`. */
+    /** Writes [event] with the named [fields]. Values are converted with `toString`. */
     fun write(event: Event, vararg fields: Pair<String, Any?>)
 }
 
-/** Writes [event] with fields that are put together in parts. */
-@Suppress("SpreadOperator") // One copy of a few pairs a line.
+/** Writes [event] with a list of [fields], for callers that assemble them step by step. */
+@Suppress("SpreadOperator") // The copied array holds only a few fields.
 fun EventLog.write(event: Event, fields: List<Pair<String, Any?>>) = write(event, *fields.toTypedArray())
 
-/** Event log on kotlin-logging; the logging back end writes it as one JSON object a line. */
+/** Event log on kotlin-logging. The logging back end writes each event as one line of JSON. */
 class StructuredEventLog(name: String) : EventLog {
     private val logger = KotlinLogging.logger(name)
 
--- a/runtime/src/main/kotlin/io/oriolehall/runtime/LogOutput.kt
+++ b/runtime/src/main/kotlin/io/oriolehall/runtime/LogOutput.kt
@@ -3,9 +3,9 @@
 import ch.qos.logback.classic.LoggerContext
 import org.slf4j.LoggerFactory
 
-/** The logging back end of this process. */
+/** The logging back end (Logback) of this process. */
 object LogOutput {
-    /** Writes the lines that still wait in the queue. Nothing is logged afterwards: for the end of the process. */
+    /** Writes the queued lines and stops logging. To be called when the process exits. */
     fun close() {
         (LoggerFactory.getILoggerFactory() as? LoggerContext)?.stop()
     }
--- a/runtime/src/main/kotlin/io/oriolehall/runtime/TimerService.kt
+++ b/runtime/src/main/kotlin/io/oriolehall/runtime/TimerService.kt
@@ -1,32 +1,32 @@
 package io.oriolehall.runtime
 
 /*
- * Time for the control state. Parts subscribe to the service instead of sleeping on their own, so that every periodic
- * action runs on the control thread, and so that a test can drive them all by one clock.
+ * Clocks and timers for the control state. Components schedule their actions here instead of calling delay, so that
+ * every periodic action runs on the control thread and tests can drive all of them with one virtual clock.
  */
 
-/** Ends a subscription. */
+/** Handle of a scheduled action. */
 fun interface Subscription {
-    /** Stops further calls of the action. Calling it again does nothing. */
+    /** Cancels the action. Further calls have no effect. */
     fun cancel()
 }
 
 /** Clocks and periodic or delayed actions. All actions run one at a time on the control thread. */
 interface TimerService {
-    /** Monotonic time, milliseconds. It goes on while the process is paused. */
+    /** Monotonic time in milliseconds. It keeps advancing while the process is paused. */
     fun nowMs(): Long
 
-    /** Wall-clock time, milliseconds since the epoch, by this machine's clock. */
+    /** Wall-clock time of this machine in milliseconds since the epoch. */
     fun wallClockMs(): Long
 
     /**
-     * Runs [action] each [periodMs] milliseconds, first after one period. An action that throws is logged and runs
-     * again at its next time.
+     * Runs [action] repeatedly, waiting [periodMs] milliseconds before each run. If the action throws, the exception is
+     * logged and the action runs again after the next wait.
      *
-     * @param jitter share of the period, 0 to 1, by which each wait varies at random.
+     * @param jitter share of the period, from 0 to 1, by which each wait is randomly shortened or extended.
      */
     fun every(name: String, periodMs: Long, jitter: Double = 0.0, action: suspend () -> Unit): Subscription
 
-    /** Runs [action] once after [delayMs] milliseconds. */
+    /** Runs [action] once after [delayMs] milliseconds. If it throws, the exception is logged. */
     fun after(name: String, delayMs: Long, action: suspend () -> Unit): Subscription
 }
