--- a/peer/src/main/kotlin/io/oriolehall/peer/PeerServer.kt
+++ b/peer/src/main/kotlin/io/oriolehall/peer/PeerServer.kt
@@ -132,7 +132,7 @@
                 sendReply(
                     frame,
                     FrameKind.FAILED,
-                    "unknown channel ${frame.channel}; upgrade this instance".encodeToByteArray(),
+                    "no channel ${frame.channel}; upgrade this instance".encodeToByteArray(),
                 )
                 return
             }
@@ -143,7 +143,7 @@
                 throw e
             } catch (e: IllegalArgumentException) {
                 log.write(Event.PEER_FRAME_REJECTED, "channel" to frame.channel, "error" to e.message)
-                sendReply(frame, FrameKind.FAILED, "invalid request: ${e.message}".encodeToByteArray())
+                sendReply(frame, FrameKind.FAILED, "request not understood: ${e.message}".encodeToByteArray())
             }
         }
 
