--- a/entry/src/main/kotlin/io/oriolehall/entry/EntryInstance.kt
+++ b/entry/src/main/kotlin/io/oriolehall/entry/EntryInstance.kt
@@ -259,7 +259,7 @@
         notReadyBecause = readiness.obstacle(),
         platformReachable = configReader.reachable,
         platformRevision = configReader.revision,
-        configDigest = configStore.state.value.digest.whole.toULong().toString(HEX),
+        configDigest = configStore.state.value.digest.combined.toULong().toString(HEX),
         rejectedTickets = configStore.rejected,
         peers = membership?.peers().orEmpty(),
         engines = engineOrders.status(),
@@ -268,7 +268,7 @@
     /** The fleet by heartbeats; by the platform's list until there is a view. */
     private fun instances(): List<Instance> {
         val members = membership?.view?.value?.members?.values ?: return directory.instances
-        return members.filter(Member::reachable).map { Instance(it.id, it.zone, it.address, leaving = !it.ownable) }
+        return members.filter(Member::reachable).map { Instance(it.id, it.zone, it.address, leaving = !it.canOwn) }
     }
 
     private fun endpoints() = config().endpointsByPool.values.flatten()
@@ -295,7 +295,7 @@
             server = peerServer,
             reports = loadReports(),
             timers = timers,
-            subset = settings.policy.endpointSubset,
+            subsetSize = settings.policy.endpointSubset,
         )
     }
 
--- a/entry/src/main/kotlin/io/oriolehall/entry/config/ConfigExchange.kt
+++ b/entry/src/main/kotlin/io/oriolehall/entry/config/ConfigExchange.kt
@@ -44,7 +44,7 @@
     fun serve(server: PeerServer) {
         server.serve(DIFFERENCE) { query, emit ->
             val state = store.state.value
-            val missing = state.inBuckets(state.digest.differing(query.buckets)).map(ConfigEntry::of)
+            val missing = state.objectsInBuckets(state.digest.differingBuckets(query.buckets)).map(ConfigEntry::of)
             missing.chunked(ENTRIES_PER_BATCH).ifEmpty { listOf(emptyList()) }.forEach {
                 emit(ConfigBatch(reader.revision, ready(), it))
             }
@@ -56,11 +56,11 @@
      * the difference is usually a ticket that is about to be read from there, and it gets the time to vanish.
      */
     fun noteDigest(source: String, address: NetworkAddress, digest: Long) {
-        if (digest == store.state.value.digest.whole || !pulling.add(address)) return
+        if (digest == store.state.value.digest.combined || !pulling.add(address)) return
         scope.launch {
             try {
                 if (reader.reachable) delay(GRACE_MS)
-                if (digest != store.state.value.digest.whole) pull(source, address)
+                if (digest != store.state.value.digest.combined) pull(source, address)
             } finally {
                 pulling -= address
             }
--- a/entry/src/main/kotlin/io/oriolehall/entry/config/ConfigReader.kt
+++ b/entry/src/main/kotlin/io/oriolehall/entry/config/ConfigReader.kt
@@ -7,7 +7,7 @@
 import io.oriolehall.model.NetworkAddress
 import io.oriolehall.model.TicketPage
 import io.oriolehall.model.WireJson
-import io.oriolehall.policy.config.BackOff
+import io.oriolehall.policy.config.Backoff
 import io.oriolehall.runtime.Event
 import io.oriolehall.runtime.EventLog
 import kotlinx.coroutines.CancellationException
@@ -27,7 +27,7 @@
     private val scope: CoroutineScope,
     private val store: ConfigStore,
     private val log: EventLog,
-    private val backOff: BackOff = BackOff(),
+    private val backoff: Backoff = Backoff(),
 ) {
     /** Revision up to which this instance has taken in what the service shows. */
     @Volatile
@@ -49,7 +49,7 @@
     fun start() {
         scope.launch {
             while (isActive) {
-                if (readOnce()) backOff.reset() else delay(backOff.next())
+                if (readOnce()) backoff.reset() else delay(backoff.next())
             }
         }
     }
--- a/entry/src/main/kotlin/io/oriolehall/entry/keys/KeyClaimant.kt
+++ b/entry/src/main/kotlin/io/oriolehall/entry/keys/KeyClaimant.kt
@@ -29,14 +29,14 @@
         val answers = Channel<Pair<InstanceId, WitnessAnswer>>(Channel.UNLIMITED)
         val asked = mutableSetOf<InstanceId>()
         var claim = Claim(WitnessPanel.of(key.text, roster.roster))
-        var step = claim.next()
+        var step = claim.nextStep()
         while (step is ClaimStep.Ask) {
             for (member in step.witnesses.filter(asked::add)) {
                 launch { answers.send(member to ask(member, key, roster.ticket)) }
             }
             val (member, answer) = answers.receive()
-            claim = claim.answered(member, answer)
-            step = claim.next()
+            claim = claim.withAnswer(member, answer)
+            step = claim.nextStep()
         }
         coroutineContext.cancelChildren()
         step
--- a/entry/src/main/kotlin/io/oriolehall/entry/keys/KeyGate.kt
+++ b/entry/src/main/kotlin/io/oriolehall/entry/keys/KeyGate.kt
@@ -16,7 +16,7 @@
 import io.oriolehall.model.RunOutcome
 import io.oriolehall.model.WireJson
 import io.oriolehall.policy.config.ConfigSnapshot
-import io.oriolehall.policy.keys.Arrival
+import io.oriolehall.policy.keys.ArrivalDecision
 import io.oriolehall.policy.keys.ClaimStep
 import io.oriolehall.policy.keys.IdempotencyKey
 import io.oriolehall.policy.keys.KeyHolder
@@ -79,13 +79,19 @@
         val digest = RequestDigest.of(request.organisation.id, request.pipeline.id, body)
         val id = RequestId("${self.instance}~${RequestDigest.requestId(key.text)}")
         return synchronized(table) {
-            when (val arrival = table.arrive(key, digest, clock.nowMs(), relayedTo)) {
-                is Arrival.Begin -> Ok(run(request, key, id))
-                is Arrival.Relay -> Ok(passOn(request, id, arrival.holder))
-                is Arrival.Join -> join(request, key, id)
-                is Arrival.Reused -> Err(reused(arrival.certain))
-                Arrival.HolderLost -> Err(KeyRelay.lost("the process that may hold the key is gone or cannot be asked"))
-                Arrival.Expired -> Err(expired())
+            when (val decision = table.onArrival(key, digest, clock.nowMs(), relayedTo)) {
+                is ArrivalDecision.Begin -> Ok(run(request, key, id))
+
+                is ArrivalDecision.Relay -> Ok(passOn(request, id, decision.holder))
+
+                is ArrivalDecision.Join -> join(request, key, id)
+
+                is ArrivalDecision.Reused -> Err(reused(decision.knownNotRun))
+
+                ArrivalDecision.HolderLost ->
+                    Err(KeyRelay.lost("the process that may hold the key is gone or cannot be asked"))
+
+                ArrivalDecision.Expired -> Err(expired())
             }
         }
     }
@@ -99,9 +105,9 @@
     private suspend fun hold(request: InboundRequest, key: IdempotencyKey, answer: Answer): Boolean {
         if (table.find(key.text)?.state is KeyState.Held) return true
         val step = claimant.claim(key)
-        val state = table.change(key.text) { it.claimed(step) }?.after?.state
+        val state = table.change(key.text) { it.afterClaimStep(step) }?.after?.state
         if (state is KeyState.Held) return true
-        if (state is KeyState.Yielded) {
+        if (state is KeyState.HeldElsewhere) {
             relay.fill(answer, request, state.holder)
         } else {
             answer.refuse(unclaimed(step, state))
@@ -140,8 +146,8 @@
     private fun keyRequired(request: InboundRequest) =
         Refusal(RefusalKind.KEY_REQUIRED, "pipeline ${request.pipeline.id} has a stage that may not run twice")
 
-    private fun reused(certain: Boolean): Refusal {
-        val outcome = if (certain) RunOutcome.NOT_RUN else RunOutcome.UNKNOWN
+    private fun reused(knownNotRun: Boolean): Refusal {
+        val outcome = if (knownNotRun) RunOutcome.NOT_RUN else RunOutcome.UNKNOWN
         return Refusal(RefusalKind.KEY_REUSED, "the key belongs to another request", outcome)
     }
 
--- a/entry/src/main/kotlin/io/oriolehall/entry/keys/KeyService.kt
+++ b/entry/src/main/kotlin/io/oriolehall/entry/keys/KeyService.kt
@@ -10,8 +10,8 @@
 import io.oriolehall.peer.PeerClient
 import io.oriolehall.peer.PeerServer
 import io.oriolehall.policy.config.ConfigSnapshot
+import io.oriolehall.policy.keys.KeyArrivalPolicy
 import io.oriolehall.policy.keys.KeyHolder
-import io.oriolehall.policy.keys.KeyHome
 import io.oriolehall.policy.keys.KeyRules
 import io.oriolehall.policy.keys.KeyTable
 import io.oriolehall.policy.keys.TokenCodec
@@ -34,7 +34,7 @@
     private val clock = KeyClock(timers)
     private val random = Random(self.incarnation.startedAtMs xor self.incarnation.nonce.toLong())
     private val tokens = TokenCodec(secret)
-    private val table = KeyTable(KeyHome(self, rules), rules)
+    private val table = KeyTable(KeyArrivalPolicy(self, rules), rules)
     private val witness = WitnessService(config, rules, clock)
 
     /** False while this instance cannot witness keys that are made now. */
@@ -58,7 +58,7 @@
 
     private fun maintain() {
         witness.maintain()
-        table.forgetExpired(clock.nowMs())
+        table.removeExpired(clock.nowMs())
     }
 
     private companion object {
--- a/entry/src/main/kotlin/io/oriolehall/entry/keys/WitnessService.kt
+++ b/entry/src/main/kotlin/io/oriolehall/entry/keys/WitnessService.kt
@@ -6,7 +6,7 @@
 import io.oriolehall.policy.keys.ClaimRequest
 import io.oriolehall.policy.keys.KeyRules
 import io.oriolehall.policy.keys.WitnessAnswer
-import io.oriolehall.policy.keys.WitnessStanding
+import io.oriolehall.policy.keys.WitnessStatus
 import io.oriolehall.policy.keys.WitnessTable
 
 /** This instance as a witness: its grants, and since when it has known the roster. */
@@ -22,7 +22,7 @@
     private var adopted = Adopted(emptyList(), startedAtMs)
 
     /** False while keys that are made now could have been granted before this process remembers. */
-    val vouchesForNewKeys: Boolean get() = clock.nowMs() > standing(observeRoster().ticket).blindUntilMs(rules)
+    val vouchesForNewKeys: Boolean get() = clock.nowMs() > status(observeRoster().ticket).recoveryEndsAtMs(rules)
 
     /** The roster in force and the ticket that put it there. */
     fun roster(): RosterInForce {
@@ -33,16 +33,16 @@
     /** Judges [request]. */
     fun judge(request: ClaimRequest): WitnessAnswer {
         val roster = observeRoster()
-        return table.claim(request, standing(roster.ticket), clock.nowMs())
+        return table.claim(request, status(roster.ticket), clock.nowMs())
     }
 
-    /** Notes when the names in the roster change, and forgets expired grants. */
+    /** Notes when the names in the roster change, and removes expired grants. */
     fun maintain() {
         observeRoster()
-        table.forgetExpired(clock.nowMs())
+        table.removeExpired(clock.nowMs())
     }
 
-    private fun standing(rosterTicket: Long) = WitnessStanding(startedAtMs, rosterTicket, adopted.sinceMs)
+    private fun status(rosterTicket: Long) = WitnessStatus(startedAtMs, rosterTicket, adopted.sinceMs)
 
     private fun observeRoster(): RosterInForce = synchronized(this) {
         val roster = roster()
--- a/entry/src/main/kotlin/io/oriolehall/entry/limits/ConcurrencyLimits.kt
+++ b/entry/src/main/kotlin/io/oriolehall/entry/limits/ConcurrencyLimits.kt
@@ -14,8 +14,8 @@
     /** Gives back the right to a call that has ended. */
     fun finish(endpoint: Endpoint, result: CallResult, firstOutputMs: Double)
 
-    /** Notes that [waiting] calls of this instance wait for [endpoint] or one like it. */
-    fun expectDemand(endpoint: Endpoint, waiting: Int) = Unit
+    /** Sets to [waiting] the number of calls of this instance that wait for [endpoint] or one like it. */
+    fun setWaitingCalls(endpoint: Endpoint, waiting: Int) = Unit
 
     /** Starts the periodic work; [onRoom] is called when there may be new room. */
     fun start(onRoom: () -> Unit) = Unit
--- a/entry/src/main/kotlin/io/oriolehall/entry/limits/LeasedLimits.kt
+++ b/entry/src/main/kotlin/io/oriolehall/entry/limits/LeasedLimits.kt
@@ -39,7 +39,7 @@
  * @param scope scope on the control thread.
  * @param endpoints all endpoints of the configuration in force.
  * @param instances the instances of the fleet.
- * @param subset endpoints of each pool of its zone that this instance sends to in peace.
+ * @param subsetSize number of endpoints of each pool of its zone that this instance sends to in peace.
  */
 class LeasedLimits(
     private val self: InstanceSettings,
@@ -52,7 +52,7 @@
     private val server: PeerServer,
     private val reports: LoadReports,
     private val timers: TimerService,
-    private val subset: Int = CreditPlan.SUBSET,
+    private val subsetSize: Int = CreditPlan.SUBSET_SIZE,
     private val timing: CreditTiming = CreditTiming(),
 ) : ConcurrencyLimits {
     private val control = scope.coroutineContext.minusKey(Job)
@@ -69,26 +69,26 @@
     private var onRoom: () -> Unit = {}
 
     @Volatile
-    private var plan = CreditPlan(self.id, self.zone, emptyList(), members.roll(startedAtMs), subset)
+    private var plan = CreditPlan(self.id, self.zone, emptyList(), members.memberView(startedAtMs), subsetSize)
 
-    override fun room(endpoint: Endpoint): Int = holder(endpoint).room(timers.nowMs())
+    override fun room(endpoint: Endpoint): Int = holder(endpoint).availableCredits(timers.nowMs())
 
     override fun tryStart(endpoint: Endpoint): Boolean = holder(endpoint).tryStart(timers.nowMs())
 
     override fun finish(endpoint: Endpoint, result: CallResult, firstOutputMs: Double) =
         holder(endpoint).finish(result, firstOutputMs)
 
-    override fun expectDemand(endpoint: Endpoint, waiting: Int) {
+    override fun setWaitingCalls(endpoint: Endpoint, waiting: Int) {
         val now = timers.nowMs()
         val holder = holder(endpoint)
         if (waiting == 0) {
             waitingSinceMs.remove(endpoint.pool)
-            holder.expectDemand(0, now)
+            holder.setWaitingCalls(0, now)
             return
         }
         val since = waitingSinceMs.computeIfAbsent(endpoint.pool) { now }
-        if (now - since < plan.waitMs(endpoint)) return
-        holder.expectDemand(waiting, now)
+        if (now - since < plan.spillDelayMs(endpoint)) return
+        holder.setWaitingCalls(waiting, now)
         if (holder.isDue(now)) wake()
     }
 
@@ -128,15 +128,15 @@
         val present = instances().filter { it.zone == self.zone }
         if (present.isEmpty()) return
         val leaving = present.filter(Instance::leaving)
-        members.onList(present.map(Instance::id).toSet(), leaving.map(Instance::id).toSet(), now)
+        members.onMemberList(present.map(Instance::id).toSet(), leaving.map(Instance::id).toSet(), now)
     }
 
     /** Sees to it that [plan] fits the members and endpoints of now. */
     private fun replan(now: Long) {
-        val roll = members.roll(now)
+        val memberView = members.memberView(now)
         val current = endpoints()
-        if (roll != plan.roll || current != plan.endpoints) {
-            plan = CreditPlan(self.id, self.zone, current, roll, subset)
+        if (memberView != plan.memberView || current != plan.endpoints) {
+            plan = CreditPlan(self.id, self.zone, current, memberView, subsetSize)
         }
     }
 
@@ -164,7 +164,7 @@
     /** Makes this instance known to the zone's others, so that none counts its members without it. */
     private fun join(now: Long): Boolean {
         val waited = now - startedAtMs
-        val known = members.roll(now).known
+        val known = members.memberView(now).known
         joining = !(instances().isNotEmpty() && joined.containsAll(known)) && waited < JOIN_MS
         if (!joining) members.onJoined()
         others().filter { it.id !in joined }.forEach { scope.launch { announce(it) } }
@@ -181,7 +181,7 @@
         if (!holder.isDue(now, slackMs)) return null
         val role = plan.role(endpoint)
         val inUse = isInUse(endpoint, holder, now)
-        val granted = owners.unreportedElsewhere(endpoint.id)
+        val granted = owners.callsUnknownToNewOwner(endpoint.id)
         if (role != HolderRole.VOTER && !inUse && granted == 0) return null
         val owner = ownerOf(endpoint)
         if (owner == null) {
@@ -227,7 +227,7 @@
     private fun answer(batch: CreditBatch): CreditAnswers {
         val now = timers.nowMs()
         if (batch.zone == self.zone) {
-            if (batch.goodbye) members.onGoodbye(batch.from) else members.onContact(batch.from, now)
+            if (batch.goodbye) members.onLeave(batch.from) else members.onContact(batch.from, now)
         }
         if (joining || leaving) return CreditAnswers()
         replan(now)
--- a/entry/src/main/kotlin/io/oriolehall/entry/limits/OwnedLimits.kt
+++ b/entry/src/main/kotlin/io/oriolehall/entry/limits/OwnedLimits.kt
@@ -43,15 +43,15 @@
             val own = owned(endpoint)
             own.limit.onWork(request.observed, now)
             own.ledger.answer(holder, request, plan.electorate(endpoint.id), own.limit.limit(now), now)
-        }.also { describe(plan.roll.known, now) }
+        }.also { describe(plan.memberView.known, now) }
     }
 
     /** Calls from this instance's time as owner that a new owner may not know of. */
-    fun unreportedElsewhere(endpoint: EndpointId): Int =
-        owned[endpoint]?.ledger?.unreportedElsewhere(timers.nowMs()) ?: 0
+    fun callsUnknownToNewOwner(endpoint: EndpointId): Int =
+        owned[endpoint]?.ledger?.callsUnknownToNewOwner(timers.nowMs()) ?: 0
 
     /** True when calls of other instances may run on grants of this one. */
-    fun hasGranted(): Boolean = owned.keys.any { unreportedElsewhere(it) > 0 }
+    fun hasGranted(): Boolean = owned.keys.any { callsUnknownToNewOwner(it) > 0 }
 
     /** Reads the load of [endpoints], which this instance owns; less often where the limit is at its height. */
     fun refresh(scope: CoroutineScope, endpoints: List<Endpoint>) {
--- a/entry/src/main/kotlin/io/oriolehall/entry/membership/MembershipService.kt
+++ b/entry/src/main/kotlin/io/oriolehall/entry/membership/MembershipService.kt
@@ -76,7 +76,7 @@
         private set
 
     /** Other instances, for operators. */
-    fun peers(): List<PeerStatus> = reports.describe(view.value, store.state.value.digest.whole, timers.nowMs())
+    fun peers(): List<PeerStatus> = reports.describe(view.value, store.state.value.digest.combined, timers.nowMs())
 
     /** Answers probes and starts to send them. */
     fun start(server: PeerServer) {
@@ -84,7 +84,7 @@
         server.answer(MembershipChannels.HELP) {
             ProbeAnswer(withContext(control) { exchangeGossip(it.address, null) })
         }
-        server.answer(MembershipChannels.FLEET) { withContext(control) { FleetRecords(membership.table()) } }
+        server.answer(MembershipChannels.FLEET) { withContext(control) { FleetRecords(membership.allRecords()) } }
         scope.launch {
             join()
             timers.every("membership round", settings.probePeriodMs, JITTER) { scope.launch { round() } }
@@ -157,7 +157,7 @@
         val heard = coroutineScope {
             membership.helpers(target, random).map { async { askHelper(it, target) } }.awaitAll()
         }
-        if (heard.none { it }) membership.silent(target.id, timers.nowMs())
+        if (heard.none { it }) membership.recordSilence(target.id, timers.nowMs())
     }
 
     private suspend fun askHelper(helper: MemberRecord, target: MemberRecord): Boolean {
@@ -172,25 +172,25 @@
     /** Probes the instance at the published [address]; [id] is whom this instance expects there, if anyone. */
     private suspend fun exchangeGossip(address: NetworkAddress, id: InstanceId?): Gossip? {
         val sentAtMs = timers.wallClockMs()
-        val message = gossip(membership.outgoing(id))
+        val message = gossip(membership.recordsFor(id))
         val outcome = client.call(dialled(address), MembershipChannels.PROBE, message, settings.probeTimeoutMs)
         if (outcome.isErr) return null
         val answer = outcome.value
         takeIn(answer)
         answered++
-        membership.answered(answer.sender.id, answer.wallClockMs - (sentAtMs + timers.wallClockMs()) / 2)
+        membership.recordAnswer(answer.sender.id, answer.wallClockMs - (sentAtMs + timers.wallClockMs()) / 2)
         return answer
     }
 
     private fun answer(message: Gossip): Gossip {
         takeIn(message)
-        return gossip(membership.outgoing(message.sender.id, claimed = message.sender))
+        return gossip(membership.recordsFor(message.sender.id, reportedByTarget = message.sender))
     }
 
     private fun gossip(records: List<MemberRecord>) = Gossip(
         records = records,
         fleetDigest = membership.digest(),
-        configDigest = store.state.value.digest.whole,
+        configDigest = store.state.value.digest.combined,
         highestTicket = store.config.highestTicket,
         platformReachable = reader.reachable,
         wallClockMs = timers.wallClockMs(),
@@ -239,7 +239,7 @@
         mutableView.value = after
         for (member in after.members.values) {
             val old = before.member(member.id)
-            if (old?.incarnation != member.incarnation || old.ownable != member.ownable) record(old, member)
+            if (old?.incarnation != member.incarnation || old.canOwn != member.canOwn) record(old, member)
         }
         if (after.superseded && !before.superseded) log.write(Event.INSTANCE_SUPERSEDED)
     }
--- a/entry/src/main/kotlin/io/oriolehall/entry/orders/EngineOrders.kt
+++ b/entry/src/main/kotlin/io/oriolehall/entry/orders/EngineOrders.kt
@@ -10,7 +10,7 @@
 import io.oriolehall.model.settings.EntrySettings
 import io.oriolehall.peer.PeerClient
 import io.oriolehall.peer.PeerServer
-import io.oriolehall.policy.config.BackOff
+import io.oriolehall.policy.config.Backoff
 import io.oriolehall.policy.hashing.Rendezvous
 import io.oriolehall.policy.membership.MembershipView
 import io.oriolehall.policy.orders.EngineState
@@ -48,7 +48,7 @@
 ) {
     /** Pause after orders whose outcome is not known, so that a load that cannot succeed is not tried without end. */
     private class Retry {
-        val backOff = BackOff(longestMs = LONGEST_RETRY_MS)
+        val backoff = Backoff(maxBoundMs = LONGEST_RETRY_MS)
         var atMs = Long.MIN_VALUE
     }
 
@@ -82,12 +82,12 @@
     /** Starts to look after the engines. */
     fun start(server: PeerServer) {
         permits.serve(server, scope)
-        timers.every("engine orders", timing.checkMs, JITTER) { check() }
+        timers.every("engine orders", timing.checkIntervalMs, JITTER) { check() }
         scope.launch { store.state.drop(1).collect { check() } }
     }
 
     private fun check() {
-        permits.observe()
+        permits.updateOwnership()
         val mine = assigned().filter { isOrderer(it.engine.id) }
         forgetAllBut(mine.map { it.engine.id }.toSet())
         for (one in mine) {
@@ -108,8 +108,8 @@
             when (val decision = decide(target, reading)) {
                 OrderDecision.InForce -> release(target, reading)
                 OrderDecision.Busy -> note(target, reading, OrderPhase.BUSY)
-                is OrderDecision.Behind -> noteBehind(target, reading, decision)
-                is OrderDecision.Send -> if (decision.loads) load(target, reading) else send(target, reading)
+                is OrderDecision.OutdatedTicket -> noteBehind(target, reading, decision)
+                is OrderDecision.Send -> if (decision.requiresLoad) load(target, reading) else send(target, reading)
             }
         } finally {
             tended -= id
@@ -121,7 +121,7 @@
         note(target, reading, OrderPhase.IN_FORCE)
     }
 
-    private fun noteBehind(target: AssignedEngine, reading: Reading, decision: OrderDecision.Behind) {
+    private fun noteBehind(target: AssignedEngine, reading: Reading, decision: OrderDecision.OutdatedTicket) {
         val known = statuses[target.engine.id]?.phase == OrderPhase.BEHIND
         note(target, reading, OrderPhase.BEHIND)
         if (!known) journal.ahead(target, decision.ticket)
@@ -173,15 +173,15 @@
 
     private fun pace(id: EndpointId, outcome: OrderOutcome) {
         val retry = retry(id)
-        if (outcome !is OrderOutcome.Unknown) return retry.backOff.reset()
-        retry.atMs = timers.nowMs() + retry.backOff.next()
+        if (outcome !is OrderOutcome.Unknown) return retry.backoff.reset()
+        retry.atMs = timers.nowMs() + retry.backoff.next()
     }
 
     private fun retry(id: EndpointId) = retries.getOrPut(id) { Retry() }
 
     /** False after a pause or a loss of ownership since the reading was taken. */
     private fun maySend(target: AssignedEngine, reading: Reading): Boolean =
-        timers.nowMs() - reading.takenAtMs <= timing.readAgeMs && isOrderer(target.engine.id)
+        timers.nowMs() - reading.takenAtMs <= timing.maxReadingAgeMs && isOrderer(target.engine.id)
 
     private suspend fun read(target: AssignedEngine): Reading? {
         val takenAtMs = timers.nowMs()
@@ -214,7 +214,7 @@
 
     private fun isOrderer(id: EndpointId): Boolean {
         val current = view()?.takeIf { it.isFresh(timers.nowMs()) } ?: return false
-        return Rendezvous.owner(id, current.owners(self.zone).map { it.id }) == self.id
+        return Rendezvous.owner(id, current.ownerCandidates(self.zone).map { it.id }) == self.id
     }
 
     private companion object {
--- a/entry/src/main/kotlin/io/oriolehall/entry/orders/LoadPermits.kt
+++ b/entry/src/main/kotlin/io/oriolehall/entry/orders/LoadPermits.kt
@@ -11,8 +11,8 @@
 import io.oriolehall.policy.hashing.Rendezvous
 import io.oriolehall.policy.membership.MembershipView
 import io.oriolehall.policy.orders.OrderTiming
-import io.oriolehall.policy.orders.PermitBook
 import io.oriolehall.policy.orders.PermitHolder
+import io.oriolehall.policy.orders.PermitRegistry
 import io.oriolehall.runtime.TimerService
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Job
@@ -47,7 +47,7 @@
     private val timers: TimerService,
 ) {
     private val store = EndpointId("weight-store of ${self.zone}")
-    private val book = PermitBook(limit, timing.permitMs)
+    private val registry = PermitRegistry(limit, timing.permitMs)
 
     /** Answers the other instances of the zone on the thread of [scope]. */
     fun serve(server: PeerServer, scope: CoroutineScope) {
@@ -55,14 +55,14 @@
         server.answer(LOAD_PERMITS) { request -> withContext(control) { answer(request) } }
     }
 
-    /** Notes who owns the store; called at least as often as an engine is looked at. */
-    fun observe() = book.observe(owner() == self.id, timers.nowMs())
+    /** Updates who owns the store; called at least as often as an engine is looked at. */
+    fun updateOwnership() = registry.updateOwnership(owner() == self.id, timers.nowMs())
 
     /** A permit to load [endpoint], or null when there is none now. */
     suspend fun take(endpoint: EndpointId): LoadPermit? {
         val owner = owner() ?: return null
         val askedAtMs = timers.nowMs()
-        val permit = LoadPermit(owner, PermitHolder(endpoint, incarnation), askedAtMs + timing.startMs)
+        val permit = LoadPermit(owner, PermitHolder(endpoint, incarnation), askedAtMs + timing.sendWithinMs)
         return permit.takeIf { ask(owner, PermitRequest(it.holder)) }
     }
 
@@ -79,17 +79,17 @@
     }
 
     private fun answer(request: PermitRequest): PermitAnswer {
-        observe()
+        updateOwnership()
         if (request.release) {
-            book.release(request.holder)
+            registry.release(request.holder)
             return PermitAnswer()
         }
-        return PermitAnswer(book.grant(request.holder, timers.nowMs()))
+        return PermitAnswer(registry.grant(request.holder, timers.nowMs()))
     }
 
     private fun owner(): InstanceId? {
         val current = view()?.takeIf { it.isFresh(timers.nowMs()) } ?: return null
-        return Rendezvous.owner(store, current.owners(self.zone).map { it.id })
+        return Rendezvous.owner(store, current.ownerCandidates(self.zone).map { it.id })
     }
 
     private companion object {
--- a/entry/src/main/kotlin/io/oriolehall/entry/orders/OrderJournal.kt
+++ b/entry/src/main/kotlin/io/oriolehall/entry/orders/OrderJournal.kt
@@ -26,7 +26,7 @@
     )
 
     fun sent(target: AssignedEngine, decision: OrderDecision.Send) = log.write(
-        if (decision.corrects) Event.ORDER_CORRECTS else Event.ORDER_SENT,
+        if (decision.isCorrection) Event.ORDER_CORRECTS else Event.ORDER_SENT,
         "endpoint" to target.engine.id,
         "ticket" to target.version.ticket,
         "fence" to FencingNumber(decision.order.fence),
--- a/entry/src/main/kotlin/io/oriolehall/entry/quarantine/Quarantine.kt
+++ b/entry/src/main/kotlin/io/oriolehall/entry/quarantine/Quarantine.kt
@@ -45,7 +45,7 @@
     fun start() {
         server.answer(CRASHES) { notice ->
             merge(notice.losses)
-            notice.cleared.forEach { fingerprint -> register.getAndUpdate { it.cleared(fingerprint) } }
+            notice.cleared.forEach { fingerprint -> register.getAndUpdate { it.withoutSuspect(fingerprint) } }
             KnownLosses(known)
         }
         server.answer(TRIALS) { decide(it) }
@@ -65,7 +65,7 @@
     /** Clears a suspect that ran through its whole pipeline. */
     fun onCompleted(fingerprint: Fingerprint) {
         if (standing(fingerprint) != Standing.SUSPECT) return
-        register.getAndUpdate { it.cleared(fingerprint) }
+        register.getAndUpdate { it.withoutSuspect(fingerprint) }
         tellAll(CrashNotice(self.id, cleared = listOf(fingerprint)))
     }
 
@@ -101,7 +101,7 @@
     }
 
     private suspend fun exchange() {
-        register.getAndUpdate { it.expired(timers.nowMs()) }
+        register.getAndUpdate { it.withoutExpired(timers.nowMs()) }
         val other = instances().filter { it.id != self.id }.randomOrNull(random) ?: return
         val answer = peers.call(dialled(other.peerAddress), CRASHES, CrashNotice(self.id), CALL_TIMEOUT_MS)
         if (answer.isOk) merge(answer.value.losses)
--- a/entry/src/main/kotlin/io/oriolehall/entry/stages/EndpointSlots.kt
+++ b/entry/src/main/kotlin/io/oriolehall/entry/stages/EndpointSlots.kt
@@ -12,8 +12,8 @@
 import io.oriolehall.policy.admission.AdmissionDecision
 import io.oriolehall.policy.admission.AdmissionPolicy
 import io.oriolehall.policy.admission.FairQueue
+import io.oriolehall.policy.admission.StageDurationEstimator
 import io.oriolehall.policy.admission.StageForecast
-import io.oriolehall.policy.admission.StageTimes
 import io.oriolehall.policy.admission.WaitingCall
 import io.oriolehall.policy.config.ConfigSnapshot
 import io.oriolehall.policy.limits.CallResult
@@ -67,7 +67,7 @@
     private val lines = ConcurrentHashMap<PoolId, Line>()
     private val outstanding = OutstandingCalls()
     private val avoidedUntilMs = ConcurrentHashMap<EndpointId, Long>()
-    private val times = StageTimes<Pair<PoolId, String>>()
+    private val durations = StageDurationEstimator<Pair<PoolId, String>>()
 
     /** Starts the limits' periodic work. */
     fun start() = limits.start { lines.keys.forEach(::serve) }
@@ -123,7 +123,7 @@
     }
 
     private fun observe(stage: Stage, tookMs: Long) =
-        times.observe(stage.key(), tookMs.toDouble(), stage.declaredMs(), timers.nowMs())
+        durations.observe(stage.key(), tookMs.toDouble(), stage.declaredMs(), timers.nowMs())
 
     /** What [decide] says; unless that is true, [slot] is given back, also when the request is cancelled meanwhile. */
     suspend fun keepIf(slot: EndpointSlot, stage: Stage, decide: suspend () -> Boolean): Boolean {
@@ -170,14 +170,14 @@
     private fun serve(pool: PoolId) {
         val line = line(pool)
         synchronized(line) {
-            line.queue.removeLate(timers.nowMs()).forEach { it.item.granted.complete(null) }
+            line.queue.removeExpired(timers.nowMs()).forEach { it.item.granted.complete(null) }
             while (true) {
                 var slot: EndpointSlot? = null
                 val call = line.queue.pollFirst { waiting -> take(waiting.item).also { slot = it } != null } ?: break
                 line.running++
                 call.item.granted.complete(slot)
             }
-            endpoints(pool, emptySet()).forEach { limits.expectDemand(it, line.queue.size) }
+            endpoints(pool, emptySet()).forEach { limits.setWaitingCalls(it, line.queue.size) }
         }
     }
 
@@ -206,7 +206,7 @@
         remainingStages(stage, context).map { ahead ->
             val line = line(ahead.pool)
             val (waiting, running) = synchronized(line) {
-                line.queue.sizeBefore(context.request.organisation.id) to line.running
+                line.queue.callsAhead(context.request.organisation.id) to line.running
             }
             val free = endpoints(ahead.pool, emptySet()).sumOf { minOf(room(it), MAX_ROOM) }
             StageForecast(waiting, running, running + free, meanMs(ahead), boundMs(ahead))
@@ -215,9 +215,9 @@
     private fun remainingStages(stage: Stage, context: StageContext): List<Stage> =
         context.request.pipeline.stages.dropWhile { it != stage }
 
-    private fun meanMs(stage: Stage): Double = times.meanMs(stage.key(), stage.declaredMs(), timers.nowMs())
+    private fun meanMs(stage: Stage): Double = durations.meanMs(stage.key(), stage.declaredMs(), timers.nowMs())
 
-    private fun boundMs(stage: Stage): Double = times.boundMs(stage.key(), stage.declaredMs(), timers.nowMs())
+    private fun boundMs(stage: Stage): Double = durations.boundMs(stage.key(), stage.declaredMs(), timers.nowMs())
 
     private fun Stage.declaredMs() = expectedMs.toDouble()
 
--- a/entry/src/main/kotlin/io/oriolehall/entry/stages/StageRunner.kt
+++ b/entry/src/main/kotlin/io/oriolehall/entry/stages/StageRunner.kt
@@ -44,7 +44,7 @@
         onText: suspend (String) -> Unit,
     ): Result<String, Refusal> {
         val work = StageWork(stage, input, context, GeneratedText(onText))
-        budget.onFirstCall()
+        budget.onFirstAttempt()
         while (true) {
             val held = acquire(work)
             if (held.isErr) return Err(held.error)
@@ -94,7 +94,7 @@
     /** Why the stage is not called again after [failure]; null when it is. */
     private fun refusalAfter(failure: StageFailure, work: StageWork): Refusal? = when {
         failure is StageFailure.Withheld -> work.refusals.withheld(failure)
-        work.mayRepeat(failure) && budget.tryTake() -> null
+        work.mayRepeat(failure) && budget.tryAcquire() -> null
         else -> work.refusals.failed(failure)
     }
 
--- a/entry/src/test/kotlin/io/oriolehall/entry/http/CredentialsTest.kt
+++ b/entry/src/test/kotlin/io/oriolehall/entry/http/CredentialsTest.kt
@@ -15,7 +15,7 @@
 class CredentialsTest {
     private val authority = Organisation(OrganisationId("authority"), listOf(sha256("obi")))
     private val lemn = Organisation(OrganisationId("lemn"), listOf(sha256("beech"), sha256("maple")))
-    private val config = TicketState().accept(ticket(authority, lemn)).config
+    private val config = TicketState().withTicket(ticket(authority, lemn)).config
 
     private fun sha256(text: String) =
         MessageDigest.getInstance("SHA-256").digest(text.encodeToByteArray()).toHexString()
--- a/gateway/src/main/kotlin/io/oriolehall/gateway/fleet/FleetService.kt
+++ b/gateway/src/main/kotlin/io/oriolehall/gateway/fleet/FleetService.kt
@@ -61,7 +61,7 @@
     fun start(server: PeerServer) {
         server.answer(FleetChannels.PROBE) { withContext(control) { answer(it) } }
         server.answer(FleetChannels.INDIRECT_PROBE) { ProbeAnswer(withContext(control) { exchange(it.address, null) }) }
-        server.answer(FleetChannels.RECORDS) { withContext(control) { FleetRecords(membership.table()) } }
+        server.answer(FleetChannels.RECORDS) { withContext(control) { FleetRecords(membership.allRecords()) } }
         server.answer(FleetChannels.STATE) {
             withContext(control) { StateAnswer(state.snapshot(), confirmedAgoMs()) }
         }
@@ -124,7 +124,7 @@
         val reached = coroutineScope {
             membership.helpers(target, random).map { async { probeThrough(it, target) } }.awaitAll()
         }
-        if (reached.none { it }) membership.silent(target.id, timers.nowMs())
+        if (reached.none { it }) membership.recordSilence(target.id, timers.nowMs())
     }
 
     private suspend fun probeThrough(helper: MemberRecord, target: MemberRecord): Boolean {
@@ -138,12 +138,12 @@
 
     private suspend fun exchange(address: NetworkAddress, id: InstanceId?): FleetGossip? {
         val sentAt = state.now()
-        val message = gossip(membership.outgoing(id))
+        val message = gossip(membership.recordsFor(id))
         val outcome = client.call(address, FleetChannels.PROBE, message, settings.probeTimeoutMs)
         if (outcome.isErr) return null
         val answer = outcome.value
         mergeGossip(answer)
-        membership.answered(answer.sender.id, 0)
+        membership.recordAnswer(answer.sender.id, 0)
         confirmFrom(answer, sentAt)
         return answer
     }
@@ -155,7 +155,7 @@
 
     private fun answer(message: FleetGossip): FleetGossip {
         mergeGossip(message)
-        return gossip(membership.outgoing(message.sender.id, claimed = message.sender))
+        return gossip(membership.recordsFor(message.sender.id, reportedByTarget = message.sender))
     }
 
     private fun gossip(records: List<MemberRecord>) = FleetGossip(
@@ -235,7 +235,7 @@
         if (reachable != liveInstances) liveInstances = reachable
         for (member in after.members.values) {
             val old = before.member(member.id)
-            if (old?.incarnation == member.incarnation && old.ownable == member.ownable) continue
+            if (old?.incarnation == member.incarnation && old.canOwn == member.canOwn) continue
             log.write(
                 Event.MEMBER_CHANGED,
                 "member" to member.id,
@@ -260,7 +260,7 @@
             probePeriodMs = 350,
             probeTimeoutMs = 250,
             suspicionMs = 900,
-            pauseMs = 1_500,
+            pauseThresholdMs = 1_500,
         )
     }
 }
--- a/gateway/src/main/kotlin/io/oriolehall/gateway/fleet/Owners.kt
+++ b/gateway/src/main/kotlin/io/oriolehall/gateway/fleet/Owners.kt
@@ -14,7 +14,7 @@
     /** Returns the owner of [subject], or null if there are no members. */
     fun of(subject: String): Member? {
         if (members.isEmpty()) return null
-        return members[ownerBySubject.computeIfAbsent(subject) { Rendezvous.ranked(it, members.keys).first() }]
+        return members[ownerBySubject.computeIfAbsent(subject) { Rendezvous.rankedInstances(it, members.keys).first() }]
     }
 
     /** True if [view] has the same ownable members at the same addresses, so that no owner changes. */
@@ -22,5 +22,5 @@
         members.mapValues { it.value.address }
 
     private fun ownable(view: MembershipView): Map<InstanceId, Member> =
-        view.members.values.filter { it.ownable }.associateBy(Member::id)
+        view.members.values.filter { it.canOwn }.associateBy(Member::id)
 }
--- a/gateway/src/main/kotlin/io/oriolehall/gateway/fleet/PlatformReaders.kt
+++ b/gateway/src/main/kotlin/io/oriolehall/gateway/fleet/PlatformReaders.kt
@@ -15,11 +15,11 @@
 internal object PlatformReaders {
     /** Returns the reader that the owner of [view] follows, or null if that instance reads the platform itself. */
     fun readerFor(view: MembershipView): Member? {
-        val members = view.members.values.filter { it.zone == view.zone && it.ownable }.associateBy(Member::id)
-        val ranked = Rendezvous.ranked("reader of ${view.zone}", members.keys)
+        val members = view.members.values.filter { it.zone == view.zone && it.canOwn }.associateBy(Member::id)
+        val ranked = Rendezvous.rankedInstances("reader of ${view.zone}", members.keys)
         val readers = ranked.take(maxOf(MIN_READERS, ranked.size / INSTANCES_PER_READER))
         if (view.self in readers) return null
-        return Rendezvous.ranked("follower ${view.self}", readers).firstOrNull()?.let(members::get)
+        return Rendezvous.rankedInstances("follower ${view.self}", readers).firstOrNull()?.let(members::get)
     }
 
     /** Zones of up to this size have readers only: one may have stopped while another is cut off from the platform. */
--- a/harness/src/main/kotlin/io/oriolehall/harness/capacity/Capacity.kt
+++ b/harness/src/main/kotlin/io/oriolehall/harness/capacity/Capacity.kt
@@ -77,10 +77,10 @@
                 CreditProbe(it, ZONE_ENDPOINTS).measure()
             },
             Probe("credits, all endpoints each 250 ms", "endpoints of the zone", listOf(10, 30, 60, 89)) {
-                CreditProbe(ZONE_INSTANCES, it, subset = it, CreditProbe.EACH_TICK).measure()
+                CreditProbe(ZONE_INSTANCES, it, subsetSize = it, CreditProbe.EACH_TICK).measure()
             },
             Probe("credits, all endpoints each 250 ms", "instances of the zone", listOf(8, 16, 32, 44)) {
-                CreditProbe(it, ZONE_ENDPOINTS, subset = ZONE_ENDPOINTS, CreditProbe.EACH_TICK).measure()
+                CreditProbe(it, ZONE_ENDPOINTS, subsetSize = ZONE_ENDPOINTS, CreditProbe.EACH_TICK).measure()
             },
             Probe("audit trail", "records", listOf(250, 500, 1_000, 2_000)) { HistoryProbes.audit(it) },
             Probe("request history", "records", listOf(500, 1_000, 2_500, 5_000)) { HistoryProbes.requests(it) },
--- a/harness/src/main/kotlin/io/oriolehall/harness/capacity/CreditProbe.kt
+++ b/harness/src/main/kotlin/io/oriolehall/harness/capacity/CreditProbe.kt
@@ -19,7 +19,7 @@
 import io.oriolehall.policy.limits.CreditTiming
 import io.oriolehall.policy.limits.HolderId
 import io.oriolehall.policy.limits.HolderRole
-import io.oriolehall.policy.limits.ZoneRoll
+import io.oriolehall.policy.limits.ZoneMemberView
 
 /**
  * All holders and owners of one zone's endpoints in this process, with real messages between them. The endpoints form
@@ -28,7 +28,7 @@
 internal class CreditProbe(
     private val instances: Int,
     private val endpoints: Int,
-    private val subset: Int = CreditPlan.SUBSET,
+    private val subsetSize: Int = CreditPlan.SUBSET_SIZE,
     private val timing: CreditTiming = CreditTiming(),
 ) {
     private val requests = PeerCodec("credits", CreditBatch.serializer())
@@ -44,7 +44,7 @@
 
     private inner class Node(val id: InstanceId, index: Int) {
         private val incarnation = Incarnation(START_MS, index)
-        private val plan = CreditPlan(id, ZONE, all, ZoneRoll(ids.toSet(), ids.toSet(), emptySet()), subset)
+        private val plan = CreditPlan(id, ZONE, all, ZoneMemberView(ids.toSet(), ids.toSet(), emptySet()), subsetSize)
         private val holders = HashMap<EndpointId, CreditHolder>()
         private val ledgers = HashMap<EndpointId, CreditLedger>()
 
@@ -119,9 +119,9 @@
         /** Every endpoint renewed at each tick, for comparison. */
         val EACH_TICK = CreditTiming(
             leaseMs = 1_000,
-            echoMs = 1_000,
+            maxStampAgeMs = 1_000,
             renewMs = LeasedLimits.TICK_MS,
-            contendedMs = LeasedLimits.TICK_MS,
+            contendedRenewMs = LeasedLimits.TICK_MS,
         )
         private val ZONE = ZoneId("zone-1")
         private val ADDRESS = NetworkAddress("10.0.0.1", 9_000)
--- a/harness/src/main/kotlin/io/oriolehall/harness/capacity/MembershipProbe.kt
+++ b/harness/src/main/kotlin/io/oriolehall/harness/capacity/MembershipProbe.kt
@@ -43,8 +43,8 @@
 
     /** Empties the queue of records to pass on, as it is some time after the last change. */
     private fun passOnAll(node: Membership) {
-        var records = node.outgoing(to = null)
-        while (records.size > 1) records = node.outgoing(to = null)
+        var records = node.recordsFor(to = null)
+        while (records.size > 1) records = node.recordsFor(to = null)
     }
 
     private fun build(): Map<InstanceId, Membership> {
@@ -77,11 +77,11 @@
     private fun exchange(from: Membership, to: InstanceId) {
         val peer = nodes.getValue(to)
         exchanges++
-        val asked = send(gossip(from, from.outgoing(to)))
+        val asked = send(gossip(from, from.recordsFor(to)))
         takeIn(peer, asked)
-        val answer = send(gossip(peer, peer.outgoing(asked.sender.id, claimed = asked.sender)))
+        val answer = send(gossip(peer, peer.recordsFor(asked.sender.id, reportedByTarget = asked.sender)))
         takeIn(from, answer)
-        from.answered(to, skewMs = 0)
+        from.recordAnswer(to, skewMs = 0)
     }
 
     private fun gossip(node: Membership, records: List<MemberRecord>) =
--- a/harness/src/main/kotlin/io/oriolehall/harness/capacity/TicketProbe.kt
+++ b/harness/src/main/kotlin/io/oriolehall/harness/capacity/TicketProbe.kt
@@ -38,7 +38,7 @@
     }
 
     private fun build() =
-        (0 until objects).fold(TicketState()) { state, index -> state.accept(ticket(index), number) }
+        (0 until objects).fold(TicketState()) { state, index -> state.withTicket(ticket(index), number) }
 
     private fun ticket(index: Int) = Ticket(++number, "operator", "a change for the plan", listOf(objectAt(index)))
 
--- a/policy/src/main/kotlin/io/oriolehall/policy/admission/FairQueue.kt
+++ b/policy/src/main/kotlin/io/oriolehall/policy/admission/FairQueue.kt
@@ -28,7 +28,7 @@
     val size: Int get() = queues.values.sumOf { it.size }
 
     /** Number of calls ahead of a new call of [organisation], if every organisation keeps sending. */
-    fun sizeBefore(organisation: OrganisationId): Int {
+    fun callsAhead(organisation: OrganisationId): Int {
         val own = queues[organisation]?.size ?: 0
         return queues.values.sumOf { minOf(it.size, own + 1) }
     }
@@ -49,10 +49,10 @@
     }
 
     /** Removes and returns the calls whose latest start time has passed. */
-    fun removeLate(nowMs: Long): List<WaitingCall<T>> {
-        val late = queues.values.flatten().filter { it.latestStartMs < nowMs }
-        late.forEach(::remove)
-        return late
+    fun removeExpired(nowMs: Long): List<WaitingCall<T>> {
+        val expired = queues.values.flatten().filter { it.latestStartMs < nowMs }
+        expired.forEach(::remove)
+        return expired
     }
 
     /** Removes and returns the first call in fair-queueing order that [fits], or null if there is none. */
--- a/policy/src/main/kotlin/io/oriolehall/policy/admission/StageTimes.kt
+++ b/policy/src/main/kotlin/io/oriolehall/policy/admission/StageDurationEstimator.kt
@@ -9,7 +9,7 @@
  * back to it while no runs are observed. Otherwise a few slow runs could cause all later requests to be refused, and
  * the recovery of the stage would never be observed. Thread-safe.
  */
-class StageTimes<K : Any> {
+class StageDurationEstimator<K : Any> {
     private class Estimate(val meanMs: Double, val deviationMs: Double, val atMs: Long)
 
     private val estimates = ConcurrentHashMap<K, Estimate>()
--- a/policy/src/main/kotlin/io/oriolehall/policy/config/BackOff.kt
+++ b/policy/src/main/kotlin/io/oriolehall/policy/config/Backoff.kt
@@ -7,11 +7,11 @@
  * instances that failed at the same time do not retry at the same time.
  *
  * @property initialBoundMs bound of the first delay, milliseconds.
- * @property longestMs maximum bound, milliseconds.
+ * @property maxBoundMs maximum bound, milliseconds.
  */
-class BackOff(
+class Backoff(
     private val initialBoundMs: Long = 1_000,
-    private val longestMs: Long = 5_000,
+    private val maxBoundMs: Long = 5_000,
     private val random: Random = Random.Default,
 ) {
     private var boundMs = initialBoundMs
@@ -19,7 +19,7 @@
     /** The next delay, milliseconds. */
     fun next(): Long {
         val delay = random.nextLong(MIN_DELAY_MS, boundMs + 1)
-        boundMs = (boundMs * 2).coerceAtMost(longestMs)
+        boundMs = (boundMs * 2).coerceAtMost(maxBoundMs)
         return delay
     }
 
--- a/policy/src/main/kotlin/io/oriolehall/policy/config/ConfigDigest.kt
+++ b/policy/src/main/kotlin/io/oriolehall/policy/config/ConfigDigest.kt
@@ -5,12 +5,12 @@
 import java.security.MessageDigest
 
 /**
- * Digests of a configuration, updated incrementally with each changed object. Instances compare [whole] first. If it
+ * Digests of a configuration, updated incrementally with each changed object. Instances compare [combined] first. If it
  * differs, they compare [buckets] and exchange only the objects in the buckets that differ.
  */
 data class ConfigDigest(val buckets: List<Long> = List(BUCKETS) { 0L }) {
     /** Digest of the whole configuration; 0 when it is empty. */
-    val whole: Long = buckets.fold(0L) { sum, bucket -> sum * HASH_MULTIPLIER + bucket }
+    val combined: Long = buckets.fold(0L) { sum, bucket -> sum * HASH_MULTIPLIER + bucket }
 
     /** The digest after the object of [key] changed from [before], or from absent if null, to [after]. */
     fun withChange(key: ObjectKey, before: VersionedObject?, after: VersionedObject): ConfigDigest {
@@ -20,7 +20,8 @@
     }
 
     /** Indices of the buckets that differ from [other], the buckets of a peer. */
-    fun differing(other: List<Long>): Set<Int> = buckets.indices.filter { buckets[it] != other.getOrNull(it) }.toSet()
+    fun differingBuckets(other: List<Long>): Set<Int> =
+        buckets.indices.filter { buckets[it] != other.getOrNull(it) }.toSet()
 
     companion object {
         /** Number of buckets. With some thousands of objects, a change transfers about ten of them. */
--- a/policy/src/main/kotlin/io/oriolehall/policy/config/TicketState.kt
+++ b/policy/src/main/kotlin/io/oriolehall/policy/config/TicketState.kt
@@ -15,7 +15,7 @@
     val digest: ConfigDigest = ConfigDigest(),
 ) {
     /** This state after applying [ticket], which the platform published at [revision]. */
-    fun accept(ticket: Ticket, revision: Long = 0): TicketState = merge(VersionedObject.allOf(ticket, revision))
+    fun withTicket(ticket: Ticket, revision: Long = 0): TicketState = merge(VersionedObject.allOf(ticket, revision))
 
     /** This state after merging [versions]; each applies only if it supersedes the version in force. */
     fun merge(versions: Iterable<VersionedObject>): TicketState = versions.fold(this, TicketState::mergeOne)
@@ -31,7 +31,7 @@
     }
 
     /** Objects in the given [buckets] of the digest. */
-    fun inBuckets(buckets: Set<Int>): List<VersionedObject> =
+    fun objectsInBuckets(buckets: Set<Int>): List<VersionedObject> =
         config.objects.filterKeys { ConfigDigest.bucketOf(it) in buckets }.values.toList()
 
     /** The conflict with a different ticket of the same number that is in force, or null if there is none. */
--- a/policy/src/main/kotlin/io/oriolehall/policy/hashing/Rendezvous.kt
+++ b/policy/src/main/kotlin/io/oriolehall/policy/hashing/Rendezvous.kt
@@ -11,14 +11,14 @@
  */
 object Rendezvous {
     /** [candidates] for [subject], highest weight first. */
-    fun ranked(subject: String, candidates: Collection<InstanceId>): List<InstanceId> {
+    fun rankedInstances(subject: String, candidates: Collection<InstanceId>): List<InstanceId> {
         val weights = candidates.associateWith { weight(subject, it.value) }
         val byWeight = compareByDescending<InstanceId> { weights.getValue(it) }
         return candidates.sortedWith(byWeight.thenBy { it })
     }
 
     /** [endpoints] sorted by the weight that [candidate] has for each of them, highest first. */
-    fun preferred(candidate: InstanceId, endpoints: Collection<EndpointId>): List<EndpointId> {
+    fun rankedEndpoints(candidate: InstanceId, endpoints: Collection<EndpointId>): List<EndpointId> {
         val weights = endpoints.associateWith { weight(it.value, candidate.value) }
         val byWeight = compareByDescending<EndpointId> { weights.getValue(it) }
         return endpoints.sortedWith(byWeight.thenBy { it.value })
@@ -26,7 +26,7 @@
 
     /** The highest-ranked candidate for [endpoint], or null if there are no candidates. */
     fun owner(endpoint: EndpointId, candidates: Collection<InstanceId>): InstanceId? =
-        ranked(endpoint.value, candidates).firstOrNull()
+        rankedInstances(endpoint.value, candidates).firstOrNull()
 
     /**
      * Weight of [candidate] for [subject]. The random generator decorrelates the checksums of texts that differ only
--- a/policy/src/main/kotlin/io/oriolehall/policy/keys/Claim.kt
+++ b/policy/src/main/kotlin/io/oriolehall/policy/keys/Claim.kt
@@ -37,14 +37,14 @@
      * Returns this claim with the answer of [witness]. The first answer of a witness is final, except that a later
      * grant replaces it, such as one that arrives after the witness was recorded as [WitnessAnswer.Silent].
      */
-    fun answered(witness: InstanceId, answer: WitnessAnswer): Claim = when {
+    fun withAnswer(witness: InstanceId, answer: WitnessAnswer): Claim = when {
         witness !in panel.members -> this
         witness in answers && answer != WitnessAnswer.Granted -> this
         else -> copy(answers = answers.put(witness, answer))
     }
 
     /** Returns the step that follows from the answers received so far. */
-    fun next(): ClaimStep {
+    fun nextStep(): ClaimStep {
         if (panel.members.isEmpty()) return ClaimStep.Failed(othersBlocked = false)
         val firstAnswer = answers[panel.firstAsked] ?: return ClaimStep.Ask(listOf(panel.firstAsked))
         return when {
--- a/policy/src/main/kotlin/io/oriolehall/policy/keys/KeyHome.kt
+++ b/policy/src/main/kotlin/io/oriolehall/policy/keys/KeyArrivalPolicy.kt
@@ -5,7 +5,7 @@
  *
  * @param self the process that received the request.
  */
-class KeyHome(private val self: KeyHolder, private val rules: KeyRules) {
+class KeyArrivalPolicy(private val self: KeyHolder, private val rules: KeyRules) {
     /**
      * Returns what to do with a request with [key] that arrived at [nowMs].
      *
@@ -20,51 +20,55 @@
         record: KeyRecord?,
         nowMs: Long,
         relayedTo: KeyHolder? = null,
-    ): Arrival = when {
-        relayedTo != null && relayedTo != self -> Arrival.HolderLost
+    ): ArrivalDecision = when {
+        relayedTo != null && relayedTo != self -> ArrivalDecision.HolderLost
         record != null -> decideKnown(record, digest, nowMs, relayedTo)
-        rules.expired(key.bornAtMs, nowMs) -> Arrival.Expired
+        rules.expired(key.bornAtMs, nowMs) -> ArrivalDecision.Expired
         else -> decideNew(key, digest, relayedTo)
     }
 
-    private fun decideNew(key: IdempotencyKey, digest: RequestDigest, relayedTo: KeyHolder?): Arrival = when (key) {
+    private fun decideNew(
+        key: IdempotencyKey,
+        digest: RequestDigest,
+        relayedTo: KeyHolder?,
+    ): ArrivalDecision = when (key) {
         is IdempotencyKey.Token -> decideNewToken(key, digest)
 
         is IdempotencyKey.CallerMade ->
-            if (relayedTo == null) begin(key, digest, KeyState.Claiming) else Arrival.HolderLost
+            if (relayedTo == null) begin(key, digest, KeyState.Claiming) else ArrivalDecision.HolderLost
     }
 
-    private fun decideNewToken(key: IdempotencyKey.Token, digest: RequestDigest): Arrival {
+    private fun decideNewToken(key: IdempotencyKey.Token, digest: RequestDigest): ArrivalDecision {
         val home = key.content.home
         return when {
             home == self -> begin(key, digest, KeyState.Held())
-            home.instance == self.instance && home.peerAddress == self.peerAddress -> Arrival.HolderLost
-            else -> Arrival.Relay(home)
+            home.instance == self.instance && home.peerAddress == self.peerAddress -> ArrivalDecision.HolderLost
+            else -> ArrivalDecision.Relay(home)
         }
     }
 
     private fun begin(key: IdempotencyKey, digest: RequestDigest, state: KeyState) =
-        Arrival.Begin(KeyRecord(digest, key.bornAtMs, state))
+        ArrivalDecision.Begin(KeyRecord(digest, key.bornAtMs, state))
 
     private fun decideKnown(
         record: KeyRecord,
         digest: RequestDigest,
         nowMs: Long,
         relayedTo: KeyHolder?,
-    ): Arrival = when {
-        record.state is KeyState.Yielded ->
-            if (relayedTo == null) Arrival.Relay(record.state.holder) else Arrival.HolderLost
+    ): ArrivalDecision = when {
+        record.state is KeyState.HeldElsewhere ->
+            if (relayedTo == null) ArrivalDecision.Relay(record.state.holder) else ArrivalDecision.HolderLost
 
         record.state == KeyState.Unclaimed -> reclaim(record.copy(digest = digest), nowMs, relayedTo)
 
-        record.digest != digest -> Arrival.Reused(certain = record.isHolder)
+        record.digest != digest -> ArrivalDecision.Reused(knownNotRun = record.isHolder)
 
-        else -> Arrival.Join
+        else -> ArrivalDecision.Join
     }
 
-    private fun reclaim(record: KeyRecord, nowMs: Long, relayedTo: KeyHolder?): Arrival = when {
-        relayedTo != null -> Arrival.HolderLost
-        rules.expired(record.bornAtMs, nowMs) -> Arrival.Expired
-        else -> Arrival.Begin(record.copy(state = KeyState.Claiming))
+    private fun reclaim(record: KeyRecord, nowMs: Long, relayedTo: KeyHolder?): ArrivalDecision = when {
+        relayedTo != null -> ArrivalDecision.HolderLost
+        rules.expired(record.bornAtMs, nowMs) -> ArrivalDecision.Expired
+        else -> ArrivalDecision.Begin(record.copy(state = KeyState.Claiming))
     }
 }
--- a/policy/src/main/kotlin/io/oriolehall/policy/keys/KeyRecord.kt
+++ b/policy/src/main/kotlin/io/oriolehall/policy/keys/KeyRecord.kt
@@ -3,29 +3,29 @@
 import io.oriolehall.model.RunOutcome
 
 /** How to handle a request that arrives with an idempotency key. */
-sealed interface Arrival {
+sealed interface ArrivalDecision {
     /** Start the request: claim its key first, unless [record] says that this process already holds it. */
-    data class Begin(val record: KeyRecord) : Arrival
+    data class Begin(val record: KeyRecord) : ArrivalDecision
 
     /** The request is a retry: return the answer or the refusal of the earlier request. */
-    data object Join : Arrival
+    data object Join : ArrivalDecision
 
     /** Another process may hold the key: relay the request to [holder]. */
-    data class Relay(val holder: KeyHolder) : Arrival
+    data class Relay(val holder: KeyHolder) : ArrivalDecision
 
     /**
      * The key was already used for a different request.
      *
-     * @property certain true when this process holds the key, so that the arriving request has certainly not run under
-     *   it.
+     * @property knownNotRun true when this process holds the key, so that the arriving request has certainly not run
+     *   under it.
      */
-    data class Reused(val certain: Boolean) : Arrival
+    data class Reused(val knownNotRun: Boolean) : ArrivalDecision
 
     /** This process may not run the request and cannot determine whether another process did. */
-    data object HolderLost : Arrival
+    data object HolderLost : ArrivalDecision
 
     /** The key has expired and this process has no record of it. */
-    data object Expired : Arrival
+    data object Expired : ArrivalDecision
 }
 
 /**
@@ -48,12 +48,12 @@
         }
 
     /** The record after its claim has reached [step]. */
-    fun claimed(step: ClaimStep): KeyRecord {
+    fun afterClaimStep(step: ClaimStep): KeyRecord {
         if (state != KeyState.Claiming) return this
         return when (step) {
             is ClaimStep.Ask -> this
             is ClaimStep.Acquired -> withState(KeyState.Held())
-            is ClaimStep.Withdraw -> withState(KeyState.Yielded(step.holder))
+            is ClaimStep.Withdraw -> withState(KeyState.HeldElsewhere(step.holder))
             is ClaimStep.Failed -> withState(if (step.othersBlocked) CLOSED else KeyState.Unclaimed)
         }
     }
--- a/policy/src/main/kotlin/io/oriolehall/policy/keys/KeyState.kt
+++ b/policy/src/main/kotlin/io/oriolehall/policy/keys/KeyState.kt
@@ -3,7 +3,7 @@
 /** State of the request of a key at one instance. A non-idempotent stage may be sent only in state [Held]. */
 sealed interface KeyState {
     /** True when no work is in progress, so that the record may be removed once its key has expired. */
-    fun isSettled(): Boolean = this is Finished || this is Yielded || this == Unclaimed
+    fun isSettled(): Boolean = this is Finished || this is HeldElsewhere || this == Unclaimed
 
     /** The claim has been sent to witnesses and is undecided. */
     data object Claiming : KeyState
@@ -12,7 +12,7 @@
     data object Unclaimed : KeyState
 
     /** Another process may hold the key. This process never will. */
-    data class Yielded(val holder: KeyHolder) : KeyState
+    data class HeldElsewhere(val holder: KeyHolder) : KeyState
 
     /** This process holds the key. [ran] is true when a non-idempotent stage has returned its result. */
     data class Held(val ran: Boolean = false) : KeyState
--- a/policy/src/main/kotlin/io/oriolehall/policy/keys/KeyTable.kt
+++ b/policy/src/main/kotlin/io/oriolehall/policy/keys/KeyTable.kt
@@ -3,7 +3,7 @@
 import java.util.concurrent.ConcurrentHashMap
 
 /** The key records of one process. Thread-safe; each record is updated atomically. */
-class KeyTable(private val arrivalPolicy: KeyHome, private val rules: KeyRules) {
+class KeyTable(private val arrivalPolicy: KeyArrivalPolicy, private val rules: KeyRules) {
     private val records = ConcurrentHashMap<String, KeyRecord>()
 
     /** Number of keys with a record. */
@@ -13,20 +13,21 @@
     fun find(key: String): KeyRecord? = records[key]
 
     /**
-     * Decides how to handle an arriving request and stores the record of a request that begins; see [KeyHome.decide].
+     * Decides how to handle an arriving request and stores the record of a request that begins; see
+     * [KeyArrivalPolicy.decide].
      */
-    fun arrive(
+    fun onArrival(
         key: IdempotencyKey,
         digest: RequestDigest,
         nowMs: Long,
         relayedTo: KeyHolder? = null,
-    ): Arrival {
-        var arrival: Arrival = Arrival.HolderLost
+    ): ArrivalDecision {
+        var decision: ArrivalDecision = ArrivalDecision.HolderLost
         records.compute(key.text) { _, record ->
-            arrival = arrivalPolicy.decide(key, digest, record, nowMs, relayedTo)
-            (arrival as? Arrival.Begin)?.record ?: record
+            decision = arrivalPolicy.decide(key, digest, record, nowMs, relayedTo)
+            (decision as? ArrivalDecision.Begin)?.record ?: record
         }
-        return arrival
+        return decision
     }
 
     /** Applies [transition] to the record of [key]; returns the record before and after, or null if there is none. */
@@ -37,7 +38,7 @@
     }
 
     /** Removes the records whose keys have expired and that have no work in progress. */
-    fun forgetExpired(nowMs: Long) {
+    fun removeExpired(nowMs: Long) {
         records.values.removeIf { rules.expired(it.bornAtMs, nowMs) && it.state.isSettled() }
     }
 }
--- a/policy/src/main/kotlin/io/oriolehall/policy/keys/Witness.kt
+++ b/policy/src/main/kotlin/io/oriolehall/policy/keys/Witness.kt
@@ -9,9 +9,9 @@
  * @property rosterTicket number of the ticket whose witness roster is in force here; 0 for none.
  * @property rosterSinceMs when this process adopted the instances of the roster, by its own clock.
  */
-data class WitnessStanding(val startedAtMs: Long, val rosterTicket: Long, val rosterSinceMs: Long) {
+data class WitnessStatus(val startedAtMs: Long, val rosterTicket: Long, val rosterSinceMs: Long) {
     /** Keys created at or before this time may have been granted earlier without a record at this witness. */
-    fun blindUntilMs(rules: KeyRules): Long = maxOf(startedAtMs, rosterSinceMs) + rules.recoveryWindowMs
+    fun recoveryEndsAtMs(rules: KeyRules): Long = maxOf(startedAtMs, rosterSinceMs) + rules.recoveryWindowMs
 }
 
 /** Decides how a witness answers claims to keys. A grant stands until the key has expired. */
@@ -20,7 +20,7 @@
     fun evaluate(
         request: ClaimRequest,
         granted: KeyHolder?,
-        status: WitnessStanding,
+        status: WitnessStatus,
         nowMs: Long,
     ): WitnessAnswer {
         if (granted != null) return answerGranted(granted, request.holder)
@@ -30,12 +30,12 @@
     private fun answerGranted(granted: KeyHolder, claimant: KeyHolder): WitnessAnswer =
         if (granted == claimant) WitnessAnswer.Granted else WitnessAnswer.HeldBy(granted)
 
-    private fun findFault(request: ClaimRequest, status: WitnessStanding, nowMs: Long): VouchFault? = when {
+    private fun findFault(request: ClaimRequest, status: WitnessStatus, nowMs: Long): VouchFault? = when {
         request.rosterTicket != status.rosterTicket -> VouchFault.ROSTER
         abs(request.claimantClockMs - nowMs) > rules.clockToleranceMs -> VouchFault.CLOCK
         rules.premature(request.bornAtMs, nowMs) -> VouchFault.PREMATURE
         rules.expired(request.bornAtMs, nowMs) -> VouchFault.EXPIRED
-        request.bornAtMs <= status.blindUntilMs(rules) -> VouchFault.NO_MEMORY
+        request.bornAtMs <= status.recoveryEndsAtMs(rules) -> VouchFault.NO_MEMORY
         else -> null
     }
 }
--- a/policy/src/main/kotlin/io/oriolehall/policy/keys/WitnessPanel.kt
+++ b/policy/src/main/kotlin/io/oriolehall/policy/keys/WitnessPanel.kt
@@ -32,7 +32,7 @@
 
         /** The panel of [key]: the highest-ranked instances of [roster] by rendezvous hashing. */
         fun of(key: String, roster: WitnessRoster): WitnessPanel =
-            WitnessPanel(Rendezvous.ranked(key, roster.instances.distinct()).take(MAX_SIZE))
+            WitnessPanel(Rendezvous.rankedInstances(key, roster.instances.distinct()).take(MAX_SIZE))
 
         private fun requiredGrantsOf(size: Int): Int = if (size >= MIN_SIZE_WITH_SPARE) size - 1 else size
     }
--- a/policy/src/main/kotlin/io/oriolehall/policy/keys/WitnessTable.kt
+++ b/policy/src/main/kotlin/io/oriolehall/policy/keys/WitnessTable.kt
@@ -15,7 +15,7 @@
     val size: Int get() = grants.size
 
     /** Answers [request] and records the grant if it is given. */
-    fun claim(request: ClaimRequest, status: WitnessStanding, nowMs: Long): WitnessAnswer {
+    fun claim(request: ClaimRequest, status: WitnessStatus, nowMs: Long): WitnessAnswer {
         var answer: WitnessAnswer = WitnessAnswer.Silent
         grants.compute(request.key) { _, grant ->
             answer = witness.evaluate(request, grant?.holder, status, nowMs)
@@ -25,7 +25,7 @@
     }
 
     /** Removes the grants of expired keys, which no witness grants any more. */
-    fun forgetExpired(nowMs: Long) {
+    fun removeExpired(nowMs: Long) {
         grants.values.removeIf { rules.expired(it.bornAtMs, nowMs) }
     }
 
--- a/policy/src/main/kotlin/io/oriolehall/policy/limits/CreditHolder.kt
+++ b/policy/src/main/kotlin/io/oriolehall/policy/limits/CreditHolder.kt
@@ -37,12 +37,13 @@
 
     /** Unused credits of the current lease; 0 if it has expired. */
     @Synchronized
-    fun room(nowMs: Long): Int = if (nowMs < lease.usableUntilMs) maxOf(0, lease.credits - runningCalls) else 0
+    fun availableCredits(nowMs: Long): Int =
+        if (nowMs < lease.usableUntilMs) maxOf(0, lease.credits - runningCalls) else 0
 
     /** Takes a credit for a call that starts now; returns false if none is available. */
     @Synchronized
     fun tryStart(nowMs: Long): Boolean {
-        if (room(nowMs) == 0) return false
+        if (availableCredits(nowMs) == 0) return false
         runningCalls++
         lastDemandAtMs = nowMs
         return true
@@ -64,7 +65,7 @@
 
     /** Sets the number of calls waiting for this endpoint, which is reported to the owner as demand. */
     @Synchronized
-    fun expectDemand(calls: Int, nowMs: Long) {
+    fun setWaitingCalls(calls: Int, nowMs: Long) {
         waitingCalls = calls
         if (calls > 0) lastDemandAtMs = nowMs
     }
@@ -75,12 +76,12 @@
 
     /**
      * True if the next request is due within [slackMs] milliseconds, or if calls are waiting without a credit and the
-     * last request was made at least [CreditTiming.contendedMs] ago.
+     * last request was made at least [CreditTiming.contendedRenewMs] ago.
      */
     @Synchronized
     fun isDue(nowMs: Long, slackMs: Long = 0): Boolean =
         nowMs + slackMs >= nextRequestAtMs ||
-            (waitingCalls > 0 && room(nowMs) == 0 && nowMs - lastRequestAtMs >= timing.contendedMs)
+            (waitingCalls > 0 && availableCredits(nowMs) == 0 && nowMs - lastRequestAtMs >= timing.contendedRenewMs)
 
     /** Schedules the next request after the retry time, because one was just sent or no owner is available. */
     @Synchronized
--- a/policy/src/main/kotlin/io/oriolehall/policy/limits/CreditLedger.kt
+++ b/policy/src/main/kotlin/io/oriolehall/policy/limits/CreditLedger.kt
@@ -60,7 +60,7 @@
         val credits = grant(holder.instance, budget, nowMs)
         account.grants += Grant(stamp.serial, credits)
         val contended = request.wanted > 0 && demands().sumOf(CreditDemand::wanted) > budget
-        val renewMs = if (contended) timing.contendedMs else timing.renewMs
+        val renewMs = if (contended) timing.contendedRenewMs else timing.renewMs
         return CreditAnswer(endpoint, stamp, credits, timing.leaseMs, renewMs)
     }
 
@@ -68,7 +68,7 @@
      * Calls that may run on grants of this owner, without those of its own instance. A former owner reports them to the
      * new owner, because their holders may not have contacted the new owner yet.
      */
-    fun unreportedElsewhere(nowMs: Long): Int {
+    fun callsUnknownToNewOwner(nowMs: Long): Int {
         expire(nowMs)
         val others = holders.values.filter { it.incarnation != self }.sumOf(HolderAccount::committed)
         return others + drainingCalls.filterNot(DrainingCalls::fromSelf).sumOf(DrainingCalls::count)
@@ -96,7 +96,7 @@
     }
 
     private fun isFresh(echo: CreditStamp?, nowMs: Long): Boolean =
-        echo != null && echo.owner == self && nowMs - echo.atMs <= timing.echoMs
+        echo != null && echo.owner == self && nowMs - echo.atMs <= timing.maxStampAgeMs
 
     private fun openAccount(holder: HolderId, request: CreditRequest, nowMs: Long): HolderAccount {
         val existing = holders[holder.instance]
--- a/policy/src/main/kotlin/io/oriolehall/policy/limits/CreditPlan.kt
+++ b/policy/src/main/kotlin/io/oriolehall/policy/limits/CreditPlan.kt
@@ -13,7 +13,7 @@
  * @property known members that may vote.
  * @property recent known members that joined so recently that other members may not have received their records yet.
  */
-data class ZoneRoll(val owners: Set<InstanceId>, val known: Set<InstanceId>, val recent: Set<InstanceId>)
+data class ZoneMemberView(val owners: Set<InstanceId>, val known: Set<InstanceId>, val recent: Set<InstanceId>)
 
 /**
  * Determines which endpoints an instance requests credits for, and from which owner. Normally it uses only its subset
@@ -22,14 +22,14 @@
  *
  * Immutable; recreated when members or endpoints change.
  *
- * @param subset number of endpoints of a pool in an instance's subset.
+ * @param subsetSize number of endpoints of a pool in an instance's subset.
  */
 class CreditPlan(
     private val self: InstanceId,
     private val zone: ZoneId,
     val endpoints: List<Endpoint>,
-    val roll: ZoneRoll,
-    private val subset: Int,
+    val memberView: ZoneMemberView,
+    private val subsetSize: Int,
 ) {
     private class PlannedEndpoint(
         val endpoint: Endpoint,
@@ -64,28 +64,30 @@
     }
 
     /** True if [endpoint] is in this instance's subset, which it uses even if no calls are waiting. */
-    fun isInSubset(endpoint: Endpoint): Boolean = (plannedEndpoints[endpoint.id]?.rank ?: Int.MAX_VALUE) < subset
+    fun isInSubset(endpoint: Endpoint): Boolean = (plannedEndpoints[endpoint.id]?.rank ?: Int.MAX_VALUE) < subsetSize
 
     /** How long calls must have waited at this instance before it requests credits for [endpoint], milliseconds. */
-    fun waitMs(endpoint: Endpoint): Long {
+    fun spillDelayMs(endpoint: Endpoint): Long {
         val planned = plannedEndpoints[endpoint.id]
-        val steps = if (planned != null) planned.rank / subset else subsetCount(poolSizes[endpoint.pool] ?: 0)
+        val steps = if (planned != null) planned.rank / subsetSize else subsetCount(poolSizes[endpoint.pool] ?: 0)
         return steps * SPILL_STEP_MS
     }
 
-    private fun subsetCount(endpoints: Int): Int = (endpoints + subset - 1) / subset
+    private fun subsetCount(endpoints: Int): Int = (endpoints + subsetSize - 1) / subsetSize
 
     private fun planPool(pool: List<Endpoint>): List<PlannedEndpoint> {
-        val ranks = Rendezvous.preferred(self, pool.map(Endpoint::id)).withIndex().associate { it.value to it.index }
+        val ranks = Rendezvous.rankedEndpoints(self, pool.map(Endpoint::id)).withIndex().associate {
+            it.value to it.index
+        }
         return pool.map {
-            val electorate = Electorate.of(it.id, roll.known, roll.recent)
-            PlannedEndpoint(it, Rendezvous.owner(it.id, roll.owners), electorate, ranks.getValue(it.id))
+            val electorate = Electorate.of(it.id, memberView.known, memberView.recent)
+            PlannedEndpoint(it, Rendezvous.owner(it.id, memberView.owners), electorate, ranks.getValue(it.id))
         }
     }
 
     companion object {
         /** Number of endpoints of each pool in an instance's subset. */
-        const val SUBSET = 4
+        const val SUBSET_SIZE = 4
 
         /** Additional waiting time before the next subset of a pool is used, milliseconds. */
         const val SPILL_STEP_MS = 250L
--- a/policy/src/main/kotlin/io/oriolehall/policy/limits/Electorate.kt
+++ b/policy/src/main/kotlin/io/oriolehall/policy/limits/Electorate.kt
@@ -31,7 +31,11 @@
         /** The voters for [endpoint] among the [known] members of its zone, some of which are [recent]. */
         fun of(endpoint: EndpointId, known: Set<InstanceId>, recent: Set<InstanceId> = emptySet()): Electorate {
             val voterSets = setOf(known, known - recent).filter { it.isNotEmpty() }
-            return Electorate(voterSets.map { Rendezvous.ranked(endpoint.value, it).take(MAX_VOTERS).toSet() }.toSet())
+            return Electorate(
+                voterSets.map {
+                    Rendezvous.rankedInstances(endpoint.value, it).take(MAX_VOTERS).toSet()
+                }.toSet(),
+            )
         }
     }
 }
--- a/policy/src/main/kotlin/io/oriolehall/policy/limits/ZoneMembers.kt
+++ b/policy/src/main/kotlin/io/oriolehall/policy/limits/ZoneMembers.kt
@@ -26,7 +26,7 @@
      * Updates the members from the newest list of [present] instances, which may still contain an instance that has
      * left the zone. Instances that are [leaving] own no endpoints, but hold credits and vote until they have left.
      */
-    fun onList(present: Set<InstanceId>, leaving: Set<InstanceId>, nowMs: Long) {
+    fun onMemberList(present: Set<InstanceId>, leaving: Set<InstanceId>, nowMs: Long) {
         (present - departed).forEach { recordSeen(it, nowMs) }
         live = (present - departed - leaving).ifEmpty { setOf(self) }
         if (self !in leaving) live = live + self
@@ -39,17 +39,17 @@
     }
 
     /** Removes an instance that has announced that it shuts down and holds no credits. */
-    fun onGoodbye(instance: InstanceId) {
+    fun onLeave(instance: InstanceId) {
         departed += instance
         forget(instance)
         live = (live - instance).ifEmpty { setOf(self) }
     }
 
     /** The members that may own endpoints, those that may vote, and those that other members may not have yet. */
-    fun roll(nowMs: Long): ZoneRoll {
+    fun memberView(nowMs: Long): ZoneMemberView {
         lastSeenAtMs.filterValues { nowMs - it > retentionMs }.keys.forEach(::forget)
         val recent = joinedAtMs.filterValues { nowMs - it <= retentionMs }.keys - self
-        return ZoneRoll(live, lastSeenAtMs.keys + self, recent)
+        return ZoneMemberView(live, lastSeenAtMs.keys + self, recent)
     }
 
     private fun recordSeen(instance: InstanceId, nowMs: Long) {
--- a/policy/src/main/kotlin/io/oriolehall/policy/membership/Membership.kt
+++ b/policy/src/main/kotlin/io/oriolehall/policy/membership/Membership.kt
@@ -67,7 +67,7 @@
     /** Detects a pause of this process. The time of the pause does not count towards the suspicion time of others. */
     private fun detectPause(nowMs: Long) {
         val elapsed = nowMs - lastRoundMs
-        lastPauseMs = if (elapsed > settings.pauseMs) elapsed else 0
+        lastPauseMs = if (elapsed > settings.pauseThresholdMs) elapsed else 0
         if (lastPauseMs == 0L) return
         confirmedSincePause = false
         for (entry in entries.values) {
@@ -81,7 +81,7 @@
     }
 
     /** Records an answer from [id]; [skewMs] estimates how far its clock is ahead of the clock of this instance. */
-    fun answered(id: InstanceId, skewMs: Long) {
+    fun recordAnswer(id: InstanceId, skewMs: Long) {
         confirmedSincePause = true
         val entry = entries[id] ?: return
         entry.skewMs = skewMs
@@ -89,7 +89,7 @@
     }
 
     /** Records that neither this instance nor its helpers got an answer from [id]. */
-    fun silent(id: InstanceId, nowMs: Long) {
+    fun recordSilence(id: InstanceId, nowMs: Long) {
         val entry = entries[id] ?: return
         if (entry.silentSinceMs == null) entry.silentSinceMs = nowMs
         if (entry.record.state != MemberState.ALIVE) return
@@ -165,11 +165,13 @@
 
     /**
      * Records to send to [to]: the record of this instance, pending updates, and the stored record of [to] if its state
-     * is not alive or if it differs from [claimed], the record that [to] has just sent of itself.
+     * is not alive or if it differs from [reportedByTarget], the record that [to] has just sent of itself.
      */
-    fun outgoing(to: InstanceId?, claimed: MemberRecord? = null): List<MemberRecord> {
+    fun recordsFor(to: InstanceId?, reportedByTarget: MemberRecord? = null): List<MemberRecord> {
         val stored = to?.let { entries[it]?.record }
-        val disputed = stored?.takeIf { it.state != MemberState.ALIVE || (claimed != null && it != claimed) }
+        val disputed = stored?.takeIf {
+            it.state != MemberState.ALIVE || (reportedByTarget != null && it != reportedByTarget)
+        }
         val pendingUpdates = updates.take(settings.updatesPerMessage, entries.size + 1)
         return (listOfNotNull(ownRecord, disputed) + pendingUpdates).distinctBy(MemberRecord::id)
     }
@@ -183,10 +185,10 @@
         .take(settings.helpers)
 
     /** All records; sent to a peer whose [digest] differs. */
-    fun table(): List<MemberRecord> = entries.values.map(Entry::record) + ownRecord
+    fun allRecords(): List<MemberRecord> = entries.values.map(Entry::record) + ownRecord
 
     /** Digest of the live records; equal on instances whose live records are equal. */
-    fun digest(): Int = table()
+    fun digest(): Int = allRecords()
         .filter { it.state <= MemberState.LEAVING }
         .sumOf { (it.id.value.hashCode() * HASH_MULTIPLIER + it.epoch.hashCode()) * HASH_MULTIPLIER + it.state.ordinal }
 
--- a/policy/src/main/kotlin/io/oriolehall/policy/membership/MembershipView.kt
+++ b/policy/src/main/kotlin/io/oriolehall/policy/membership/MembershipView.kt
@@ -28,7 +28,7 @@
     val reachable: Boolean get() = state <= MemberState.LEAVING
 
     /** True when ownership may be assigned to it: it is live and not shutting down. */
-    val ownable: Boolean get() = state <= MemberState.SUSPECT
+    val canOwn: Boolean get() = state <= MemberState.SUSPECT
 }
 
 /**
@@ -53,14 +53,14 @@
      * already false when the process resumes after a pause, before any timer has run.
      */
     fun isFresh(nowMs: Long, settings: MembershipSettings = MembershipSettings()): Boolean =
-        confirmedSincePause && !superseded && nowMs - asOfMs <= settings.pauseMs
+        confirmedSincePause && !superseded && nowMs - asOfMs <= settings.pauseThresholdMs
 
     fun member(id: InstanceId): Member? = members[id]
 
-    /** Instances of [zone] that are [Member.ownable], sorted by name. */
-    fun owners(
+    /** Instances of [zone] with [Member.canOwn], sorted by name. */
+    fun ownerCandidates(
         zone: ZoneId,
-    ): List<Member> = members.values.filter { it.zone == zone && it.ownable }.sortedBy(Member::id)
+    ): List<Member> = members.values.filter { it.zone == zone && it.canOwn }.sortedBy(Member::id)
 
     /** Instances of [zone] that are [Member.reachable], sorted by name. */
     fun reachable(zone: ZoneId): List<Member> =
--- a/policy/src/main/kotlin/io/oriolehall/policy/membership/ProbeSchedule.kt
+++ b/policy/src/main/kotlin/io/oriolehall/policy/membership/ProbeSchedule.kt
@@ -40,7 +40,7 @@
         inOtherZones.groupBy { it.instance.zone }.flatMap { (zone, records) -> linksOf(zone, records) }
 
     private fun linksOf(zone: ZoneId, records: List<MemberRecord>): List<MemberRecord> {
-        val chosen = Rendezvous.ranked("link ${self.id} $zone", records.map(MemberRecord::id))
+        val chosen = Rendezvous.rankedInstances("link ${self.id} $zone", records.map(MemberRecord::id))
             .take(settings.linksPerZone)
         return records.filter { it.id in chosen }
     }
--- a/policy/src/main/kotlin/io/oriolehall/policy/orders/OrderPolicy.kt
+++ b/policy/src/main/kotlin/io/oriolehall/policy/orders/OrderPolicy.kt
@@ -13,16 +13,17 @@
     data object Busy : OrderDecision
 
     /** The engine has executed [ticket], higher than the ticket in force here; this instance must not send an order. */
-    data class Behind(val ticket: Long) : OrderDecision
+    data class OutdatedTicket(val ticket: Long) : OrderDecision
 
     /**
      * [order] must be sent.
      *
-     * @property loads false if the engine already serves the assignment and only needs the new fencing number, so that
-     *   it rejects orders of lower tickets.
-     * @property corrects true if the engine has already received an order for this ticket but serves something else.
+     * @property requiresLoad false if the engine already serves the assignment and only needs the new fencing number,
+     *   so that it rejects orders of lower tickets.
+     * @property isCorrection true if the engine has already received an order for this ticket but serves something
+     *   else.
      */
-    data class Send(val order: EngineOrder, val loads: Boolean, val corrects: Boolean) : OrderDecision
+    data class Send(val order: EngineOrder, val requiresLoad: Boolean, val isCorrection: Boolean) : OrderDecision
 }
 
 /** Decides on orders from the ticket in force and the engine's load report, which is the record of past orders. */
@@ -36,8 +37,8 @@
         val differs = EngineState.of(report) != EngineState.of(wanted)
         val needsNewNumber = fenced && last.ticket < ticket
         if (report.ordering) return OrderDecision.Busy
-        val number = FencingNumber.next(ticket, last) ?: return OrderDecision.Behind(last.ticket)
+        val number = FencingNumber.next(ticket, last) ?: return OrderDecision.OutdatedTicket(last.ticket)
         if (!differs && !needsNewNumber) return OrderDecision.InForce
-        return OrderDecision.Send(wanted.toOrder(number), loads = differs, corrects = last.ticket == ticket)
+        return OrderDecision.Send(wanted.toOrder(number), requiresLoad = differs, isCorrection = last.ticket == ticket)
     }
 }
--- a/policy/src/main/kotlin/io/oriolehall/policy/orders/PermitBook.kt
+++ b/policy/src/main/kotlin/io/oriolehall/policy/orders/PermitRegistry.kt
@@ -17,12 +17,12 @@
  *
  * @param limit maximum number of concurrent loads from the store.
  */
-class PermitBook(private val limit: Int, private val lifetimeMs: Long) {
+class PermitRegistry(private val limit: Int, private val lifetimeMs: Long) {
     private val expiresAtMs = mutableMapOf<PermitHolder, Long>()
     private var ownerSinceMs: Long? = null
 
     /** Updates whether this instance owns the store, according to an up-to-date member list. */
-    fun observe(isOwner: Boolean, nowMs: Long) {
+    fun updateOwnership(isOwner: Boolean, nowMs: Long) {
         if (isOwner) {
             ownerSinceMs = ownerSinceMs ?: nowMs
         } else {
--- a/policy/src/main/kotlin/io/oriolehall/policy/quarantine/CrashRegister.kt
+++ b/policy/src/main/kotlin/io/oriolehall/policy/quarantine/CrashRegister.kt
@@ -53,13 +53,13 @@
     }
 
     /** This register without [fingerprint], whose request completed, if it was a suspect. A blamed one is kept. */
-    fun cleared(fingerprint: Fingerprint): CrashRegister {
+    fun withoutSuspect(fingerprint: Fingerprint): CrashRegister {
         if (losses[fingerprint].orEmpty().size >= LOSSES_TO_BLAME) return this
         return copy(losses = losses.remove(fingerprint))
     }
 
     /** This register without expired entries. */
-    fun expired(nowMs: Long): CrashRegister {
+    fun withoutExpired(nowMs: Long): CrashRegister {
         val expiredFingerprints = losses.keys.filter { standing(it, nowMs) == Standing.CLEAR }
         if (expiredFingerprints.isEmpty()) return this
         return copy(losses = expiredFingerprints.fold(losses) { map, fingerprint -> map.remove(fingerprint) })
--- a/policy/src/main/kotlin/io/oriolehall/policy/retry/RetryBudget.kt
+++ b/policy/src/main/kotlin/io/oriolehall/policy/retry/RetryBudget.kt
@@ -10,15 +10,15 @@
 class RetryBudget(private val ratio: Double = 0.1, private val burst: Double = 20.0) {
     private var tokens = burst
 
-    /** Adds the retry share of a first call to the budget. */
+    /** Adds the retry share of a first attempt to the budget. */
     @Synchronized
-    fun onFirstCall() {
+    fun onFirstAttempt() {
         tokens = minOf(burst, tokens + ratio)
     }
 
     /** Takes one retry from the budget; returns false if less than one is left. */
     @Synchronized
-    fun tryTake(): Boolean {
+    fun tryAcquire(): Boolean {
         if (tokens < 1) return false
         tokens--
         return true
--- a/policy/src/test/kotlin/io/oriolehall/policy/admission/AdmissionTest.kt
+++ b/policy/src/test/kotlin/io/oriolehall/policy/admission/AdmissionTest.kt
@@ -43,7 +43,7 @@
     fun `calls that are too late leave the queue`() {
         add("a", "late", latestStartMs = 5)
         add("a", "in time", latestStartMs = 50)
-        expectThat(queue.removeLate(10).map { it.item }).containsExactly("late")
+        expectThat(queue.removeExpired(10).map { it.item }).containsExactly("late")
         expectThat(drain()).containsExactly("in time")
     }
 
@@ -64,9 +64,9 @@
 
     @Test
     fun `an estimate follows what is observed and goes back to the declared time when nothing is`() {
-        val times = StageTimes<String>()
-        repeat(100) { times.observe("s", tookMs = 5_000.0, declaredMs = 100.0, nowMs = 0) }
-        expectThat(times.meanMs("s", 100.0, nowMs = 0)).isGreaterThan(4_900.0)
-        expectThat(times.boundMs("s", 100.0, nowMs = 20_000)).isLessThan(110.0)
+        val durations = StageDurationEstimator<String>()
+        repeat(100) { durations.observe("s", tookMs = 5_000.0, declaredMs = 100.0, nowMs = 0) }
+        expectThat(durations.meanMs("s", 100.0, nowMs = 0)).isGreaterThan(4_900.0)
+        expectThat(durations.boundMs("s", 100.0, nowMs = 20_000)).isLessThan(110.0)
     }
 }
--- a/policy/src/test/kotlin/io/oriolehall/policy/config/TicketStateTest.kt
+++ b/policy/src/test/kotlin/io/oriolehall/policy/config/TicketStateTest.kt
@@ -36,10 +36,10 @@
         for (seed in 1..200) {
             val random = Random(seed)
             val tickets = publishedTickets(random)
-            val expected = tickets.fold(TicketState()) { state, (t, revision) -> state.accept(t, revision) }
+            val expected = tickets.fold(TicketState()) { state, (t, revision) -> state.withTicket(t, revision) }
             val shuffled = tickets.shuffled(random)
             val (left, right) = shuffled.chunked(shuffled.size / 2).map { half ->
-                half.fold(TicketState()) { state, (t, revision) -> state.accept(t, revision) }
+                half.fold(TicketState()) { state, (t, revision) -> state.withTicket(t, revision) }
             }
             val merged = left.merge(right.config.objects.values.shuffled(random))
             expectThat(merged).describedAs("seed $seed").isEqualTo(expected)
@@ -53,7 +53,7 @@
             val random = Random(seed)
             var state = TicketState()
             for ((ticket, revision) in publishedTickets(random).shuffled(random)) {
-                val next = state.accept(ticket, revision)
+                val next = state.withTicket(ticket, revision)
                 for ((key, version) in state.config.objects) {
                     check(next.config.objects.getValue(key).ticket >= version.ticket) { "seed $seed: $key went back" }
                 }
@@ -64,7 +64,7 @@
 
     @Test
     fun `a late ticket still puts in force the objects that no higher ticket touched`() {
-        val state = TicketState().accept(ticket(7, zone("a"))).accept(ticket(5, zone("a"), zone("b")))
+        val state = TicketState().withTicket(ticket(7, zone("a"))).withTicket(ticket(5, zone("a"), zone("b")))
         expectThat(state.ticketOf("a")).isEqualTo(7)
         expectThat(state.ticketOf("b")).isEqualTo(5)
     }
@@ -73,7 +73,7 @@
     fun `of two tickets with one number the one published first is in force, and the conflict names the remedy`() {
         val first = ticket(7, zone("a", ServiceState.OUT), author = "ana")
         val second = ticket(7, zone("a", ServiceState.IN_SERVICE), author = "ion")
-        val state = TicketState().accept(second, revision = 2).accept(first, revision = 1)
+        val state = TicketState().withTicket(second, revision = 2).withTicket(first, revision = 1)
         expectThat(state.config.zoneState(ZoneId("a"))).isEqualTo(ServiceState.OUT)
         expectThat(state.conflictWith(second)).isNotNull().get { message }.contains("higher number")
         expectThat(state.conflictWith(first)).isNull()
@@ -81,26 +81,31 @@
 
     @Test
     fun `changes name each object of another ticket and nothing else`() {
-        val before = TicketState().accept(ticket(1, zone("a"), zone("b")), revision = 9)
-        val after = before.accept(ticket(2, zone("a")), revision = 10).accept(ticket(1, zone("a"), zone("b")), 3)
+        val before = TicketState().withTicket(ticket(1, zone("a"), zone("b")), revision = 9)
+        val after = before.withTicket(
+            ticket(2, zone("a")),
+            revision = 10,
+        ).withTicket(ticket(1, zone("a"), zone("b")), 3)
         expectThat(after.changesSince(before)).hasSize(1).get { single().after.ticket }.isEqualTo(2)
     }
 
     @Test
     fun `exchange of the differing buckets alone makes two states equal`() {
         val random = Random(4)
-        val common = publishedTickets(random).fold(TicketState()) { state, (t, revision) -> state.accept(t, revision) }
-        val ahead = common.accept(ticket(900, zone("z1")), 100)
-        expectThat(ahead.digest.whole).isNotEqualTo(common.digest.whole)
-        val buckets = ahead.digest.differing(common.digest.buckets)
+        val common = publishedTickets(random).fold(TicketState()) { state, (t, revision) ->
+            state.withTicket(t, revision)
+        }
+        val ahead = common.withTicket(ticket(900, zone("z1")), 100)
+        expectThat(ahead.digest.combined).isNotEqualTo(common.digest.combined)
+        val buckets = ahead.digest.differingBuckets(common.digest.buckets)
         expectThat(buckets).hasSize(1)
-        expectThat(common.merge(ahead.inBuckets(buckets))).isEqualTo(ahead)
+        expectThat(common.merge(ahead.objectsInBuckets(buckets))).isEqualTo(ahead)
     }
 
     @Test
     fun `size follows from the number of objects and not from the number of tickets`() {
         val state = (1L..5_000L).fold(TicketState()) { state, number ->
-            state.accept(ticket(number, zone("a")), number)
+            state.withTicket(ticket(number, zone("a")), number)
         }
         expectThat(state.config.objects).hasSize(1)
     }
--- a/policy/src/test/kotlin/io/oriolehall/policy/hashing/RendezvousTest.kt
+++ b/policy/src/test/kotlin/io/oriolehall/policy/hashing/RendezvousTest.kt
@@ -37,7 +37,7 @@
     @Test
     fun `the owner is the first of the ranking`() {
         for (endpoint in endpoints.take(100)) {
-            expectThat(Rendezvous.ranked(endpoint.value, instances).first())
+            expectThat(Rendezvous.rankedInstances(endpoint.value, instances).first())
                 .isEqualTo(Rendezvous.owner(endpoint, instances))
         }
     }
--- a/policy/src/test/kotlin/io/oriolehall/policy/keys/KeyModel.kt
+++ b/policy/src/test/kotlin/io/oriolehall/policy/keys/KeyModel.kt
@@ -35,7 +35,7 @@
     val instance: InstanceId,
     val number: Int,
     val clockOffsetMs: Long,
-    val witnessStatus: WitnessStanding,
+    val witnessStatus: WitnessStatus,
     val granted: KeyHolder? = null,
     val record: KeyRecord? = null,
     val claim: Claim? = null,
@@ -114,7 +114,7 @@
     private fun halfTolerance() = rules.clockToleranceMs / 2
 
     private fun process(instance: InstanceId, number: Int, startedAtMs: Long, offsetMs: Long) =
-        Process(instance, number, offsetMs, WitnessStanding(startedAtMs, ROSTER_TICKET, startedAtMs))
+        Process(instance, number, offsetMs, WitnessStatus(startedAtMs, ROSTER_TICKET, startedAtMs))
 
     /** Actual time. Initially the earliest moment at which a process whose clock is ahead accepts the key. */
     private fun trueTimeMs(state: ModelState) = when (state.ticks) {
@@ -157,14 +157,14 @@
     }
 
     private fun arrive(state: ModelState, process: Process, digest: RequestDigest, relayedTo: KeyHolder?): ModelState {
-        val arrival = KeyHome(process.holder, rules)
+        val decision = KeyArrivalPolicy(process.holder, rules)
             .decide(key, digest, process.record, clock(state, process), relayedTo)
-        return when (arrival) {
-            is Arrival.Begin -> state.with(begin(process, arrival.record)).askWitnesses(process.number)
-            is Arrival.Relay -> state.copy(messages = state.messages + Message.Relay(arrival.holder, digest))
-            is Arrival.Reused -> if (arrival.certain) state.withReportedNotRun(digest) else state
-            Arrival.Join -> join(state, process.record, digest)
-            Arrival.HolderLost, Arrival.Expired -> state
+        return when (decision) {
+            is ArrivalDecision.Begin -> state.with(begin(process, decision.record)).askWitnesses(process.number)
+            is ArrivalDecision.Relay -> state.copy(messages = state.messages + Message.Relay(decision.holder, digest))
+            is ArrivalDecision.Reused -> if (decision.knownNotRun) state.withReportedNotRun(digest) else state
+            ArrivalDecision.Join -> join(state, process.record, digest)
+            ArrivalDecision.HolderLost, ArrivalDecision.Expired -> state
         }
     }
 
@@ -184,7 +184,7 @@
 
     private fun ModelState.askWitnesses(number: Int): ModelState {
         val process = processes.first { it.number == number }
-        val step = process.claim?.next() as? ClaimStep.Ask ?: return this
+        val step = process.claim?.nextStep() as? ClaimStep.Ask ?: return this
         val unasked = step.witnesses.filter { it !in process.askedWitnesses }
         val request = ClaimRequest("key", CREATED_AT_MS, process.holder, ROSTER_TICKET, clock(this, process))
         return with(process.copy(askedWitnesses = process.askedWitnesses + unasked))
@@ -220,7 +220,7 @@
     private fun deliverAnswer(state: ModelState, number: Int, from: InstanceId, answer: WitnessAnswer): ModelState {
         val process = state.processes.find { it.number == number } ?: return state
         val claim = process.claim ?: return state
-        return state.with(process.copy(claim = claim.answered(from, answer))).askWitnesses(number)
+        return state.with(process.copy(claim = claim.withAnswer(from, answer))).askWitnesses(number)
     }
 
     private fun transition(state: ModelState, number: Int, change: (KeyRecord) -> KeyRecord): ModelState {
@@ -250,8 +250,8 @@
         for (silentWitness in process.askedWitnesses.filter { it !in claim.answers }) {
             add(deliverAnswer(state, process.number, silentWitness, WitnessAnswer.Silent))
         }
-        val step = claim.next()
-        if (step !is ClaimStep.Ask) add(transition(state, process.number) { it.claimed(step) })
+        val step = claim.nextStep()
+        if (step !is ClaimStep.Ask) add(transition(state, process.number) { it.afterClaimStep(step) })
     }
 
     private fun send(state: ModelState, process: Process): ModelState {
--- a/policy/src/test/kotlin/io/oriolehall/policy/limits/CreditHolderTest.kt
+++ b/policy/src/test/kotlin/io/oriolehall/policy/limits/CreditHolderTest.kt
@@ -11,10 +11,10 @@
 
     @Test
     fun `calls that wait where nobody can be asked are not due again at once`() {
-        holder.expectDemand(1, nowMs = 0)
+        holder.setWaitingCalls(1, nowMs = 0)
         expectThat(holder.isDue(0)).isEqualTo(true)
         holder.postpone(0)
-        expectThat(holder.isDue(timing.contendedMs - 1)).isEqualTo(false)
-        expectThat(holder.isDue(timing.contendedMs)).isEqualTo(true)
+        expectThat(holder.isDue(timing.contendedRenewMs - 1)).isEqualTo(false)
+        expectThat(holder.isDue(timing.contendedRenewMs)).isEqualTo(true)
     }
 }
--- a/policy/src/test/kotlin/io/oriolehall/policy/limits/CreditLedgerTest.kt
+++ b/policy/src/test/kotlin/io/oriolehall/policy/limits/CreditLedgerTest.kt
@@ -8,7 +8,7 @@
 import strikt.assertions.isEqualTo
 
 class CreditLedgerTest {
-    private val timing = CreditTiming(leaseMs = 100, echoMs = 100, drainMs = 400, marginMs = 10, renewMs = 50)
+    private val timing = CreditTiming(leaseMs = 100, maxStampAgeMs = 100, drainMs = 400, marginMs = 10, renewMs = 50)
     private val endpoint = EndpointId("e")
     private val self = Incarnation(startedAtMs = 0, nonce = 0)
     private val ledger = CreditLedger(endpoint, self, timing)
@@ -72,7 +72,7 @@
         request("b", wanted = 0)
         request("b", wanted = 0)
         expectThat(request("guest", wanted = LIMIT, role = HolderRole.GUEST).credits).isEqualTo(1)
-        expectThat(ledger.unreportedElsewhere(now)).describedAs("credits of a and of the guest").isEqualTo(LIMIT)
+        expectThat(ledger.callsUnknownToNewOwner(now)).describedAs("credits of a and of the guest").isEqualTo(LIMIT)
     }
 
     @Test
@@ -97,7 +97,7 @@
     fun `a request that was under way for longer than a stamp lasts revives no allegiance`() {
         letAllFollow()
         val staleStamp = stamps.getValue("a")
-        now += timing.echoMs + 1
+        now += timing.maxStampAgeMs + 1
         expectThat(ledger.followers(now)).describedAs("both have expired").isEqualTo(emptySet())
         val lateAnswer = request("a", wanted = LIMIT, stamp = staleStamp)
         expectThat(lateAnswer.credits).isEqualTo(0)
@@ -122,7 +122,7 @@
         expectThat(request("a").renewMs).isEqualTo(0)
         letAllFollow()
         expectThat(request("a", wanted = 1).renewMs).isEqualTo(timing.renewMs)
-        expectThat(request("a", wanted = LIMIT + 1).renewMs).isEqualTo(timing.contendedMs)
+        expectThat(request("a", wanted = LIMIT + 1).renewMs).isEqualTo(timing.contendedRenewMs)
     }
 
     private companion object {
--- a/policy/src/test/kotlin/io/oriolehall/policy/limits/LeaseSimulation.kt
+++ b/policy/src/test/kotlin/io/oriolehall/policy/limits/LeaseSimulation.kt
@@ -16,11 +16,11 @@
     private val endpoint = EndpointId("e")
     private val timing = CreditTiming(
         leaseMs = 200,
-        echoMs = 150,
+        maxStampAgeMs = 150,
         drainMs = 400,
         marginMs = 20,
         renewMs = 100,
-        contendedMs = 25,
+        contendedRenewMs = 25,
         retryMs = 50,
     )
     private val instanceIds = (1..size).map { InstanceId("i$it") }.toMutableList()
@@ -125,9 +125,9 @@
             if (!holder.isDue(clock())) return
             val owner = Rendezvous.owner(endpoint, memberView) ?: return
             val role = if (name in electorate().voters) HolderRole.VOTER else HolderRole.BORROWER
-            val extraInFlight = ledger.unreportedElsewhere(clock())
+            val extraInFlight = ledger.callsUnknownToNewOwner(clock())
             if (role == HolderRole.BORROWER && !isSending && holder.inFlight == 0 && extraInFlight == 0) return
-            holder.expectDemand(if (isSending) random.nextInt(4) else 0, clock())
+            holder.setWaitingCalls(if (isSending) random.nextInt(4) else 0, clock())
             val sent = holder.nextRequest(owner, role, isSending, clock(), if (owner == name) 0 else extraInFlight)
             send(sent.owner, local = sent.owner == name) { it.answer(sent, this) }
         }
--- a/policy/src/test/kotlin/io/oriolehall/policy/membership/FakeFleet.kt
+++ b/policy/src/test/kotlin/io/oriolehall/policy/membership/FakeFleet.kt
@@ -44,8 +44,8 @@
     }
 
     private fun join(process: Process, contact: Process) {
-        process.membership.merge(contact.membership.table(), nowMs)
-        contact.membership.merge(process.membership.outgoing(contact.id), nowMs)
+        process.membership.merge(contact.membership.allRecords(), nowMs)
+        contact.membership.merge(process.membership.recordsFor(contact.id), nowMs)
     }
 
     fun replace(old: Process, startedAtMs: Long = nowMs): Process = Process(old.zone, old.id, startedAtMs).also(::add)
@@ -63,7 +63,7 @@
                 val helperProcess = processes.last { it.id == helper.id }
                 probe(process, helperProcess) && probe(helperProcess, peer)
             }
-            if (!reachedByHelper) process.membership.silent(peer.id, nowMs)
+            if (!reachedByHelper) process.membership.recordSilence(peer.id, nowMs)
         }
         deathsSeen += process.membership.view().members.values.count { it.state == MemberState.DEAD }
     }
@@ -71,9 +71,9 @@
     private fun probe(from: Process, to: Process): Boolean {
         val blocked = partitioned && from.zone != to.zone
         if (!from.up || !to.up || blocked || random.nextDouble() < lossRate) return false
-        to.membership.merge(from.membership.outgoing(to.id), nowMs)
-        from.membership.merge(to.membership.outgoing(from.id, claimed = from.membership.ownRecord), nowMs)
-        from.membership.answered(to.id, skewMs = 0)
+        to.membership.merge(from.membership.recordsFor(to.id), nowMs)
+        from.membership.merge(to.membership.recordsFor(from.id, reportedByTarget = from.membership.ownRecord), nowMs)
+        from.membership.recordAnswer(to.id, skewMs = 0)
         return true
     }
 }
--- a/policy/src/test/kotlin/io/oriolehall/policy/membership/MembershipTest.kt
+++ b/policy/src/test/kotlin/io/oriolehall/policy/membership/MembershipTest.kt
@@ -23,7 +23,7 @@
         val fleet = FakeFleet(zones = 3, perZone = 4)
         fleet.run(seconds = 15)
         expectThat(fleet.processes).all {
-            get { membership.view().members.values.count(Member::ownable) }.isEqualTo(12)
+            get { membership.view().members.values.count(Member::canOwn) }.isEqualTo(12)
         }
     }
 
@@ -112,7 +112,7 @@
         for (process in fleet.processes - leavingInstance) {
             val member = process.membership.view().member(leavingInstance.id)
             expectThat(member).isNotNull().and {
-                get { ownable }.isFalse()
+                get { canOwn }.isFalse()
                 get { reachable }.isTrue()
             }
         }
@@ -124,11 +124,11 @@
         val self = Instance(InstanceId("self"), ZoneId("z1"), NetworkAddress("127.0.0.1", 1))
         val membership = Membership(self, Incarnation(1, 1), settings, nowMs = 0)
         membership.merge(members, 0)
-        val targets = (1..2_000L).map { membership.beginRound(it * 1_000).also { _ -> membership.outgoing(null) } }
+        val targets = (1..2_000L).map { membership.beginRound(it * 1_000).also { _ -> membership.recordsFor(null) } }
         expectThat(targets).all { get { size }.isLessThanOrEqualTo(3) }
         val probedInOtherZones = targets.flatten().filter { it.instance.zone != self.zone }.distinctBy { it.id }
         expectThat(probedInOtherZones).hasSize(7 * settings.linksPerZone)
-        expectThat(membership.outgoing(null).size).isLessThanOrEqualTo(settings.updatesPerMessage + 2)
+        expectThat(membership.recordsFor(null).size).isLessThanOrEqualTo(settings.updatesPerMessage + 2)
     }
 
     private fun record(id: String, zone: String): MemberRecord {
--- a/policy/src/test/kotlin/io/oriolehall/policy/orders/OrderPolicyTest.kt
+++ b/policy/src/test/kotlin/io/oriolehall/policy/orders/OrderPolicyTest.kt
@@ -55,7 +55,7 @@
     @Test
     fun `an engine that has obeyed a higher ticket is not ordered`() {
         val decision = OrderPolicy.decide(version(6), 6, fenced = false, report(version(7), number(7)))
-        expectThat(decision).isEqualTo(OrderDecision.Behind(7))
+        expectThat(decision).isEqualTo(OrderDecision.OutdatedTicket(7))
     }
 
     @Test
@@ -67,7 +67,7 @@
     @Test
     fun `a fenced engine in the state of a newer ticket learns its number without a load`() {
         expectThat(send(version(5), 9, report(version(5), number(5)))).isNotNull().and {
-            get { loads }.isFalse()
+            get { requiresLoad }.isFalse()
             get { FencingNumber(order.fence).ticket }.isEqualTo(9)
         }
         expectThat(send(version(5), 9, report(version(5), number(5)), fenced = false)).isNull()
@@ -77,7 +77,7 @@
     fun `a state that left its ticket is corrected under a higher number`() {
         val last = number(7)
         expectThat(send(version(7), 7, report(version(6), last), fenced = false)).isNotNull().and {
-            get { corrects }.isTrue()
+            get { isCorrection }.isTrue()
             get { order.fence }.isGreaterThan(last)
         }
     }
--- a/policy/src/test/kotlin/io/oriolehall/policy/orders/PermitBookTest.kt
+++ b/policy/src/test/kotlin/io/oriolehall/policy/orders/PermitBookTest.kt
@@ -10,31 +10,31 @@
 
 class PermitBookTest {
     private val lifetimeMs = 1_000L
-    private val book = PermitBook(limit = 2, lifetimeMs).apply { observe(isOwner = true, nowMs = 0) }
+    private val registry = PermitRegistry(limit = 2, lifetimeMs).apply { updateOwnership(isOwner = true, nowMs = 0) }
 
     private fun holder(name: String) = PermitHolder(EndpointId(name), Incarnation(1, 1))
 
     @Test
     fun `no more permits are out than the store bears, until one is given back or has ended`() {
-        expectThat(book.grant(holder("a"), 1_000)).isTrue()
-        expectThat(book.grant(holder("b"), 1_100)).isTrue()
-        expectThat(book.grant(holder("c"), 1_200)).isFalse()
-        expectThat(book.grant(holder("a"), 1_200)).describedAs("requested again").isTrue()
-        book.release(holder("b"))
-        expectThat(book.grant(holder("c"), 1_300)).isTrue()
-        expectThat(book.grant(holder("d"), 2_199)).isFalse()
-        expectThat(book.grant(holder("d"), 2_200)).describedAs("the permit of a has expired").isTrue()
+        expectThat(registry.grant(holder("a"), 1_000)).isTrue()
+        expectThat(registry.grant(holder("b"), 1_100)).isTrue()
+        expectThat(registry.grant(holder("c"), 1_200)).isFalse()
+        expectThat(registry.grant(holder("a"), 1_200)).describedAs("requested again").isTrue()
+        registry.release(holder("b"))
+        expectThat(registry.grant(holder("c"), 1_300)).isTrue()
+        expectThat(registry.grant(holder("d"), 2_199)).isFalse()
+        expectThat(registry.grant(holder("d"), 2_200)).describedAs("the permit of a has expired").isTrue()
     }
 
     @Test
     fun `a new owner waits until the former one's permits have ended`() {
-        expectThat(book.grant(holder("a"), 999)).isFalse()
-        expectThat(book.grant(holder("a"), 1_000)).isTrue()
-        book.observe(isOwner = false, nowMs = 1_500)
-        expectThat(book.grant(holder("b"), 1_500)).isFalse()
-        book.observe(isOwner = true, nowMs = 1_600)
-        expectThat(book.grant(holder("b"), 2_599)).isFalse()
-        expectThat(book.grant(holder("b"), 2_600)).isTrue()
+        expectThat(registry.grant(holder("a"), 999)).isFalse()
+        expectThat(registry.grant(holder("a"), 1_000)).isTrue()
+        registry.updateOwnership(isOwner = false, nowMs = 1_500)
+        expectThat(registry.grant(holder("b"), 1_500)).isFalse()
+        registry.updateOwnership(isOwner = true, nowMs = 1_600)
+        expectThat(registry.grant(holder("b"), 2_599)).isFalse()
+        expectThat(registry.grant(holder("b"), 2_600)).isTrue()
     }
 
     @Test
--- a/policy/src/test/kotlin/io/oriolehall/policy/quarantine/CrashRegisterTest.kt
+++ b/policy/src/test/kotlin/io/oriolehall/policy/quarantine/CrashRegisterTest.kt
@@ -31,9 +31,9 @@
     @Test
     fun `a suspect that runs to its end is clear again, a blamed request is not`() {
         val suspect = CrashRegister().withLoss(request, firstLoss)
-        expectThat(suspect.cleared(request).standing(request, 2_000)).isEqualTo(Standing.CLEAR)
+        expectThat(suspect.withoutSuspect(request).standing(request, 2_000)).isEqualTo(Standing.CLEAR)
         expectThat(
-            suspect.withLoss(request, secondLoss).cleared(request).standing(request, 4_000),
+            suspect.withLoss(request, secondLoss).withoutSuspect(request).standing(request, 4_000),
         ).isEqualTo(Standing.BLAMED)
     }
 
@@ -42,7 +42,7 @@
         val register = CrashRegister(suspectMs = 100, blameMs = 500).withLoss(request, firstLoss)
         expectThat(register.standing(request, 1_100)).isEqualTo(Standing.CLEAR)
         expectThat(register.withLoss(request, secondLoss).standing(request, 3_499)).isEqualTo(Standing.BLAMED)
-        expectThat(register.withLoss(request, secondLoss).expired(3_500).losses.size).isEqualTo(0)
+        expectThat(register.withLoss(request, secondLoss).withoutExpired(3_500).losses.size).isEqualTo(0)
     }
 
     @Test
--- a/policy/src/test/kotlin/io/oriolehall/policy/retry/RetryBudgetTest.kt
+++ b/policy/src/test/kotlin/io/oriolehall/policy/retry/RetryBudgetTest.kt
@@ -9,8 +9,8 @@
     fun `in a lasting outage retries are a tenth of the calls`() {
         val budget = RetryBudget(ratio = 0.1, burst = 5.0)
         val retries = (1..1_000).count {
-            budget.onFirstCall()
-            budget.tryTake()
+            budget.onFirstAttempt()
+            budget.tryAcquire()
         }
         expectThat(retries).isEqualTo(104)
     }
