Plain wording in cli

Comments, names and messages of the cli module were hard to read for newcomers. They now use the usual terms; behaviour, options, standard output and tests' checks are unchanged. Renamed: Explanation -> RequestFormatter, RequestStory -> RequestTimeline, ServerEvent -> ServerSentEvent, OperatorFailure.NoAnswer -> BadResponse, and private names. Help texts and messages on standard error are reworded.

--- a/cli/src/main/kotlin/io/oriolehall/cli/CallCommands.kt
+++ b/cli/src/main/kotlin/io/oriolehall/cli/CallCommands.kt
@@ -20,27 +20,27 @@
 
 private const val DEFAULT_MAX_TOKENS = 64
 
-/** What commands share that act as an organisation. */
+/** Base class of the commands that call an instance as an organisation. */
 internal abstract class CallCommand(name: String) : CliktCommand(name) {
-    /** Callers' listener of the instance. */
-    protected val address by addressOption("--to", help = "callers' listener of an instance")
+    /** Address of the instance's caller listener. */
+    protected val address by addressOption("--to", help = "address of an instance's caller listener")
     private val organisation by option(help = "name of the organisation").required()
-    private val secret by option(help = "its secret", envvar = "ORIOLEHALL_SECRET").required()
+    private val secret by option(help = "secret of the organisation", envvar = "ORIOLEHALL_SECRET").required()
 
-    /** Runs [call] and reports how it ended by message and exit code. */
-    protected fun perform(call: suspend (CallerClient) -> CallOutcome) {
-        val outcome = withHttp { call(CallerClient(it, address, CallerCredentials(organisation, secret))) }
+    /** Runs [call] and reports its outcome by a message and the exit code. */
+    protected fun runCall(call: suspend (CallerClient) -> CallOutcome) {
+        val outcome = withHttpClient { call(CallerClient(it, address, CallerCredentials(organisation, secret))) }
         echo()
         when (outcome) {
             is CallOutcome.Whole -> echo(
-                "whole answer in ${outcome.tookMs} ms; request ${outcome.requestId} at ${outcome.instance}",
+                "complete answer in ${outcome.tookMs} ms; request ${outcome.requestId} at ${outcome.instance}",
                 err = true,
             )
 
-            is CallOutcome.Refused -> fail(describe(outcome.problem), ExitCode.NOT_SERVED)
+            is CallOutcome.Refused -> fail(describeRefusal(outcome.problem), ExitCode.NOT_SERVED)
 
             is CallOutcome.Broken -> fail(
-                "the answer did not arrive whole (${outcome.reason}); resume request ${outcome.requestId}",
+                "the answer is incomplete (${outcome.reason}); resume request ${outcome.requestId}",
                 ExitCode.NOT_SERVED,
             )
 
@@ -48,49 +48,52 @@
         }
     }
 
-    /** Shows a piece of the answer. */
-    protected fun show(text: String) = echo(text, trailingNewline = false)
+    /** Prints a chunk of the answer without a line break. */
+    protected fun printChunk(text: String) = echo(text, trailingNewline = false)
 
-    private fun describe(problem: Problem): String {
-        val retry = problem.retryAfterMs?.let { "; send again after $it ms" }.orEmpty()
+    private fun describeRefusal(problem: Problem): String {
+        val retryAdvice = problem.retryAfterMs?.let { "; retry after $it ms" }.orEmpty()
         val kind = problem.type.substringAfterLast(':')
         val outcome = problem.outcome.name.lowercase().replace('_', '-')
-        return "refused ($kind, ${problem.status}, outcome $outcome): ${problem.detail}. ${problem.title}$retry"
+        return "refused ($kind, ${problem.status}, outcome $outcome): ${problem.detail}. ${problem.title}$retryAdvice"
     }
 }
 
-/** Sends a request. */
+/** Sends a request to a pipeline and prints the answer. */
 internal class SendCommand : CallCommand("send") {
     private val pipeline by argument(help = "name of the pipeline")
-    private val input by argument(help = "input of its first stage")
-    private val deadline by durationOption("--deadline", help = "time for the whole answer, such as '4 s'")
+    private val input by argument(help = "input of the pipeline's first stage")
+    private val deadlineMs by durationOption("--deadline", help = "time limit for the complete answer, such as '4 s'")
     private val key by option(help = "idempotency key")
-    private val mintKey by option(help = "ask the instance for an idempotency key and use it").flag()
-    private val maxTokens by option(help = "longest answer, tokens").int().default(DEFAULT_MAX_TOKENS)
+    private val mintKey by option(help = "request an idempotency key from the instance and use it").flag()
+    private val maxTokens by option(help = "maximum length of the answer, in tokens").int().default(DEFAULT_MAX_TOKENS)
 
     override fun help(context: Context) = "Sends a request and prints its answer as it arrives."
 
-    override fun run() = perform { client ->
-        val token = if (mintKey) mint(client) else key
-        client.send(pipeline, PipelineRequest(input, maxTokens), deadline, token, ::show)
+    override fun run() = runCall { client ->
+        val idempotencyKey = if (mintKey) mintIdempotencyKey(client) else key
+        client.send(pipeline, PipelineRequest(input, maxTokens), deadlineMs, idempotencyKey, ::printChunk)
     }
 
-    private suspend fun mint(client: CallerClient): String = try {
-        client.mintToken()?.token ?: fail("$address gave no key; check the name and the secret", ExitCode.NOT_SERVED)
+    private suspend fun mintIdempotencyKey(client: CallerClient): String = try {
+        client.mintToken()?.token
+            ?: fail("$address issued no idempotency key; check the organisation's name and secret", ExitCode.NOT_SERVED)
     } catch (e: IOException) {
-        fail("$address gave no key: ${e.message}; nothing was sent", ExitCode.UNREACHABLE)
+        fail("$address issued no idempotency key: ${e.message}; the request was not sent", ExitCode.UNREACHABLE)
     }
 }
 
-/** Resumes a request. */
+/** Fetches the answer of an earlier request, from the text that has been received. */
 internal class ResumeCommand : CallCommand("resume") {
     private val id by argument(help = "identifier of the request")
-    private val received by option(help = "file with the text received so far; without it, the whole answer")
+    private val received by option(
+        help = "file with the text received so far; if omitted, fetches the answer from its start",
+    )
         .path(mustExist = true, canBeDir = false, mustBeReadable = true)
 
-    override fun help(context: Context) = "Fetches the rest of an answer, or all of it."
+    override fun help(context: Context) = "Fetches the rest of an answer, or the complete answer."
 
-    override fun run() = perform { client ->
-        client.resume(RequestId(id), received?.let(Files::readString).orEmpty(), ::show)
+    override fun run() = runCall { client ->
+        client.resume(RequestId(id), received?.let(Files::readString).orEmpty(), ::printChunk)
     }
 }
--- a/cli/src/main/kotlin/io/oriolehall/cli/CheckSettingsCommand.kt
+++ b/cli/src/main/kotlin/io/oriolehall/cli/CheckSettingsCommand.kt
@@ -5,7 +5,7 @@
 import com.github.ajalt.clikt.parameters.arguments.argument
 import com.github.ajalt.clikt.parameters.types.path
 
-/** Checks a settings file. */
+/** Validates the settings file of an entry instance. */
 internal class CheckSettingsCommand : CliktCommand(name = "settings") {
     private val file by argument(help = "INI file of an entry instance").path()
 
--- a/cli/src/main/kotlin/io/oriolehall/cli/Main.kt
+++ b/cli/src/main/kotlin/io/oriolehall/cli/Main.kt
@@ -7,11 +7,11 @@
 import io.oriolehall.cli.logs.ExplainLogsCommand
 
 /*
- * The `oriolehall` command. Exit codes: 0 success; 1 wrong usage or input; 2 the request was refused or the answer is
- * not whole; 3 the instance cannot be reached.
+ * The `oriolehall` command. Exit codes: 0 success; 1 invalid usage or input; 2 the request was refused or its answer
+ * is incomplete; 3 the instance cannot be reached.
  */
 
-/** Runs the sub-command that the first argument names. */
+/** Runs the subcommand named by the first argument. */
 fun main(args: Array<String>) = oriolehall().main(args)
 
 internal fun oriolehall(): CliktCommand = OriolehallCommand().subcommands(
--- a/cli/src/main/kotlin/io/oriolehall/cli/OperatorCommands.kt
+++ b/cli/src/main/kotlin/io/oriolehall/cli/OperatorCommands.kt
@@ -14,17 +14,17 @@
 import kotlinx.serialization.json.JsonPrimitive
 import java.time.Instant
 
-/** What commands share that read an instance's operators' interface. */
+/** Base class of the commands that read an instance's operator API. */
 internal abstract class OperatorCommand(name: String) : CliktCommand(name) {
-    private val address by addressOption("--operators", help = "operators' listener of an instance")
+    private val address by addressOption("--operators", help = "address of an instance's operator listener")
 
-    /** What [read] gives; prints the reason and ends the command when it gives nothing. */
+    /** Returns the result of [read]. If it fails, prints the reason and ends the command. */
     protected fun <T> fetch(read: suspend (OperatorClient) -> Result<T, OperatorFailure>): T {
-        val result = withHttp { read(OperatorClient(it, address)) }
+        val result = withHttpClient { read(OperatorClient(it, address)) }
         if (result.isOk) return result.value
         val code = when (result.error) {
             is OperatorFailure.Unreachable -> ExitCode.UNREACHABLE
-            is OperatorFailure.NoAnswer -> ExitCode.NOT_SERVED
+            is OperatorFailure.BadResponse -> ExitCode.NOT_SERVED
         }
         fail(result.error.message, code)
     }
@@ -32,17 +32,17 @@
 
 /** Prints the state of an instance. */
 internal class StatusCommand : OperatorCommand("status") {
-    override fun help(context: Context) = "Prints the state of an instance and what it sees of the fleet."
+    override fun help(context: Context) = "Prints the state of an instance and its view of the fleet."
 
-    override fun run() = print("", fetch { it.status() })
+    override fun run() = printElement("", fetch { it.status() })
 
-    private fun print(path: String, element: JsonElement) {
+    private fun printElement(path: String, element: JsonElement) {
         when (element) {
             is JsonObject -> element.forEach { (name, value) ->
-                print(if (path.isEmpty()) name else "$path.$name", value)
+                printElement(if (path.isEmpty()) name else "$path.$name", value)
             }
 
-            is JsonArray -> element.forEachIndexed { index, value -> print("$path[$index]", value) }
+            is JsonArray -> element.forEachIndexed { index, value -> printElement("$path[$index]", value) }
 
             is JsonPrimitive -> echo("$path: ${element.content}")
         }
@@ -51,29 +51,29 @@
 
 /** Prints the audit trail of an instance. */
 internal class AuditCommand : OperatorCommand("audit") {
-    override fun help(context: Context) = "Prints the changes that an instance made, oldest first."
+    override fun help(context: Context) = "Prints the changes that an instance has made, oldest first."
 
-    override fun run() = fetch { it.audit() }.forEach { echo(line(it)) }
+    override fun run() = fetch { it.audit() }.forEach { echo(format(it)) }
 
-    private fun line(record: AuditRecord): String {
+    private fun format(record: AuditRecord): String {
         val ticket = record.ticket?.let { " by ticket $it" }.orEmpty()
         val change = if (record.after == null) "" else ": ${record.before ?: "nothing"} -> ${record.after}"
         return "${Instant.ofEpochMilli(record.atMs)} ${record.subject}$ticket (${record.actor}, ${record.cause})$change"
     }
 }
 
-/** Prints what happened to a request, or the newest requests. */
+/** Prints the attempts, times and costs of a request, or a summary of the newest requests. */
 internal class ExplainCommand : OperatorCommand("explain") {
-    private val id by argument(help = "identifier of the request; without it, the newest requests").optional()
+    private val id by argument(help = "identifier of the request; if omitted, lists the newest requests").optional()
 
-    override fun help(context: Context) = "Prints which endpoints ran a request, its attempts, times and costs."
+    override fun help(context: Context) = "Prints the attempts of a request with their endpoints, times and costs."
 
     override fun run() {
-        val wanted = id
-        if (wanted != null) {
-            echo(Explanation.of(fetch { it.explain(wanted) }))
+        val requestId = id
+        if (requestId != null) {
+            echo(RequestFormatter.describe(fetch { it.explain(requestId) }))
         } else {
-            fetch { it.newestRequests() }.forEach { echo(Explanation.headline(it)) }
+            fetch { it.newestRequests() }.forEach { echo(RequestFormatter.summarise(it)) }
         }
     }
 }
--- a/cli/src/main/kotlin/io/oriolehall/cli/Options.kt
+++ b/cli/src/main/kotlin/io/oriolehall/cli/Options.kt
@@ -12,20 +12,22 @@
 import io.oriolehall.model.settings.durationSetting
 import kotlinx.coroutines.runBlocking
 
-private val Deadline = durationSetting("4 s")
+private val DurationSetting = durationSetting("4 s")
 
-/** A required option that takes an address. */
+/** A required option whose value is an IP address and a port. */
 internal fun ParameterHolder.addressOption(name: String, help: String) = option(name, help = help).convert { text ->
-    NetworkAddress.parse(text) ?: fail("'$text' is no address; write an IP number and a port, such as 10.0.0.5:8080")
+    NetworkAddress.parse(text)
+        ?: fail("'$text' is not an address; write an IP address and a port, such as 10.0.0.5:8080")
 }.required()
 
-/** An option that takes a duration with its unit, in milliseconds. */
+/** An option whose value is a duration with a unit; it is converted to milliseconds. */
 internal fun ParameterHolder.durationOption(name: String, help: String) = option(name, help = help).convert { text ->
-    Deadline.parse(text) ?: fail("'$text' is no ${Deadline.expected}; write for example '${Deadline.example}'")
+    DurationSetting.parse(text)
+        ?: fail("'$text' is not ${DurationSetting.expected}; write for example '${DurationSetting.example}'")
 }
 
-/** Runs [block] with an HTTP client of its own. */
-internal fun <T> withHttp(block: suspend (HttpClient) -> T): T = callerHttp().use { http ->
+/** Runs [block] with a new HTTP client, which is closed afterwards. */
+internal fun <T> withHttpClient(block: suspend (HttpClient) -> T): T = callerHttp().use { http ->
     runBlocking { block(http) }
 }
 
--- a/cli/src/main/kotlin/io/oriolehall/cli/RunCommand.kt
+++ b/cli/src/main/kotlin/io/oriolehall/cli/RunCommand.kt
@@ -16,7 +16,7 @@
 import kotlinx.serialization.Serializable
 import java.nio.file.Path
 
-/** The line that `oriolehall run` prints on its standard output once it listens. */
+/** The line that `oriolehall run` prints to standard output once all its listeners are open. */
 @Serializable
 internal data class InstanceReadyLine(
     val ready: Boolean,
@@ -28,38 +28,38 @@
 
 /** Runs an entry instance until it is terminated. */
 internal class RunCommand : CliktCommand(name = "run") {
-    private val settings by option("--settings", help = "INI file of the instance").path().required()
+    private val settingsFile by option("--settings", help = "INI file of the instance").path().required()
 
     override fun help(context: Context) = "Runs an entry instance until SIGTERM or SIGINT."
 
     override fun run() {
-        val read = readSettings(settings)
-        boundThreads()
-        keepListenersUntilStopped()
-        val instance = EntryInstance(read)
+        val settings = readSettings(settingsFile)
+        limitDispatcherThreads()
+        disableServerShutdownHook()
+        val instance = EntryInstance(settings)
         runBlocking {
             val addresses = instance.start()
             Runtime.getRuntime().addShutdownHook(Thread({ runBlocking { instance.stop() } }, "stop"))
-            echo(readyLine(read, addresses))
+            echo(readyLine(settings, addresses))
             awaitCancellation()
         }
     }
 
     /**
-     * A token passes many short coroutines on its way. Few threads hand them on without waking one another; a value
-     * that the operator has set stays.
+     * Limits the threads of the coroutine dispatchers. Each token of an answer passes through many short coroutines,
+     * and with few threads these run without wake-ups between threads. Values set by the operator take precedence.
      */
-    private fun boundThreads() {
+    private fun limitDispatcherThreads() {
         System.getProperties().putIfAbsent(IO_PARALLELISM_PROPERTY, IO_PARALLELISM)
-        System.getProperties().putIfAbsent(CORE_POOL_PROPERTY, CORE_POOL)
+        System.getProperties().putIfAbsent(CORE_POOL_SIZE_PROPERTY, CORE_POOL_SIZE)
     }
 
     /**
-     * The HTTP server would close its listeners at the signal by a shutdown hook of its own, beside the graceful stop,
-     * which closes them when nothing is left.
+     * Disables the HTTP server's own shutdown hook, which would close the listeners as soon as the signal arrives. The
+     * graceful stop closes them once no request is left.
      */
-    private fun keepListenersUntilStopped() {
-        System.setProperty(SERVER_HOOK_PROPERTY, "false")
+    private fun disableServerShutdownHook() {
+        System.setProperty(SERVER_SHUTDOWN_HOOK_PROPERTY, "false")
     }
 
     private fun readyLine(settings: EntrySettings, addresses: EntryAddresses): String {
@@ -75,16 +75,16 @@
 
     private companion object {
         const val IO_PARALLELISM_PROPERTY = "kotlinx.coroutines.io.parallelism"
-        const val SERVER_HOOK_PROPERTY = "io.ktor.server.engine.ShutdownHook"
-        const val CORE_POOL_PROPERTY = "kotlinx.coroutines.scheduler.core.pool.size"
+        const val SERVER_SHUTDOWN_HOOK_PROPERTY = "io.ktor.server.engine.ShutdownHook"
+        const val CORE_POOL_SIZE_PROPERTY = "kotlinx.coroutines.scheduler.core.pool.size"
 
-        /** Threads that may block: four selectors of the listeners and clients, and some beside them. */
+        /** Maximum number of threads that may block: four selectors of the listeners and clients, and a reserve. */
         const val IO_PARALLELISM = "12"
-        const val CORE_POOL = "2"
+        const val CORE_POOL_SIZE = "2"
     }
 }
 
-/** The settings in [file]; when they are wrong, prints each error and ends the command. */
+/** Reads the settings in [file]. If they are invalid, prints each error and ends the command. */
 internal fun CliktCommand.readSettings(file: Path): EntrySettings {
     val settings = EntrySettingsFile.read(file)
     if (settings.isErr) {
--- a/cli/src/main/kotlin/io/oriolehall/cli/client/AnswerAssembler.kt
+++ b/cli/src/main/kotlin/io/oriolehall/cli/client/AnswerAssembler.kt
@@ -8,19 +8,23 @@
 import java.security.MessageDigest
 
 /**
- * Puts an answer together from its events and checks that it is whole.
+ * Assembles an answer from its events and verifies that it is complete.
  *
  * @param received text that arrived on an earlier connection.
  */
-internal class AnswerAssembler(received: String, private val clock: CallClock, private val onText: (String) -> Unit) {
+internal class AnswerAssembler(
+    received: String,
+    private val stopwatch: Stopwatch,
+    private val onText: (String) -> Unit,
+) {
     private val text = StringBuilder(received)
     private val digest = MessageDigest.getInstance("SHA-256").apply { update(received.encodeToByteArray()) }
     private var length = received.encodeToByteArray().size.toLong()
     private var accepted: AcceptedEvent? = null
     private var firstTextMs: Long? = null
 
-    /** Takes [event] in; the outcome if the answer ends with it. */
-    fun take(event: ServerEvent): CallOutcome? = when (event.name) {
+    /** Processes [event]. Returns the outcome if the event ends the answer, otherwise null. */
+    fun process(event: ServerSentEvent): CallOutcome? = when (event.name) {
         "accepted" -> {
             accepted = WireJson.decodeFromString(AcceptedEvent.serializer(), event.data)
             null
@@ -35,12 +39,12 @@
         else -> null
     }
 
-    /** The outcome when the connection ends for [reason] before the answer does. */
-    fun broken(reason: String) = CallOutcome.Broken(reason, accepted?.requestId, text.toString())
+    /** The outcome if the answer cannot be completed because of [reason]. */
+    fun incomplete(reason: String) = CallOutcome.Broken(reason, accepted?.requestId, text.toString())
 
     private fun append(chunk: ChunkEvent): CallOutcome? {
-        if (chunk.offset != length) return broken("text at offset ${chunk.offset} arrived where $length was next")
-        if (firstTextMs == null) firstTextMs = clock.elapsedMs()
+        if (chunk.offset != length) return incomplete("text at offset ${chunk.offset}, expected offset $length")
+        if (firstTextMs == null) firstTextMs = stopwatch.elapsedMs()
         val bytes = chunk.text.encodeToByteArray()
         digest.update(bytes)
         length += bytes.size
@@ -50,27 +54,27 @@
     }
 
     private fun finish(end: EndEvent): CallOutcome {
-        val accepted = accepted ?: return broken("the answer ended before it was accepted")
+        val accepted = accepted ?: return incomplete("the end event arrived before the accepted event")
         val sha256 = digest.digest().toHexString()
-        if (end.length != length) return broken("the answer has $length bytes of ${end.length}")
-        if (end.sha256 != sha256) return broken("the answer's digest is $sha256 and not ${end.sha256}")
+        if (end.length != length) return incomplete("received $length bytes of ${end.length}")
+        if (end.sha256 != sha256) return incomplete("the text has SHA-256 $sha256, expected ${end.sha256}")
         return CallOutcome.Whole(
             requestId = accepted.requestId,
             instance = accepted.instance,
             text = text.toString(),
             firstTextMs = firstTextMs,
-            tookMs = clock.elapsedMs(),
+            tookMs = stopwatch.elapsedMs(),
         )
     }
 
     private fun refused(problem: Problem) = CallOutcome.Refused(problem, accepted?.requestId, text.toString())
 }
 
-/** Time since it was made, milliseconds. */
-internal class CallClock {
-    private val start = System.nanoTime()
+/** Measures the time since it was created. */
+internal class Stopwatch {
+    private val startNanos = System.nanoTime()
 
-    fun elapsedMs(): Long = (System.nanoTime() - start) / NANOS_PER_MS
+    fun elapsedMs(): Long = (System.nanoTime() - startNanos) / NANOS_PER_MS
 
     private companion object {
         const val NANOS_PER_MS = 1_000_000
--- a/cli/src/main/kotlin/io/oriolehall/cli/client/CallOutcome.kt
+++ b/cli/src/main/kotlin/io/oriolehall/cli/client/CallOutcome.kt
@@ -4,13 +4,13 @@
 import io.oriolehall.model.Problem
 import io.oriolehall.model.RequestId
 
-/** How a call ended, as its caller sees it. */
+/** The outcome of a call from the caller's point of view. */
 sealed interface CallOutcome {
     /**
-     * The answer arrived whole: its offsets follow on each other, and its length and digest are those of the end mark.
+     * The answer is complete: its offsets are contiguous, and its length and digest match those of the end event.
      *
-     * @property firstTextMs from sending to the first text, milliseconds; null for an empty answer.
-     * @property tookMs from sending to the end mark, milliseconds.
+     * @property firstTextMs milliseconds from sending the request to the first text; null for an empty answer.
+     * @property tookMs milliseconds from sending the request to the end event.
      */
     data class Whole(
         val requestId: RequestId,
@@ -20,12 +20,12 @@
         val tookMs: Long,
     ) : CallOutcome
 
-    /** The instance refused. [received] is the text that came before a refusal in mid-answer. */
+    /** The instance refused the request. [received] is the text that arrived before a refusal in mid-answer. */
     data class Refused(val problem: Problem, val requestId: RequestId?, val received: String = "") : CallOutcome
 
-    /** The connection broke, or the answer does not agree with itself. [received] can be resumed from. */
+    /** The connection broke, or the answer is inconsistent. The request can be resumed after [received]. */
     data class Broken(val reason: String, val requestId: RequestId?, val received: String = "") : CallOutcome
 
-    /** No connection could be made; nothing was sent. */
+    /** No connection could be opened; the request was not sent. */
     data class Unreachable(val reason: String) : CallOutcome
 }
--- a/cli/src/main/kotlin/io/oriolehall/cli/client/CallerClient.kt
+++ b/cli/src/main/kotlin/io/oriolehall/cli/client/CallerClient.kt
@@ -29,12 +29,12 @@
 import kotlinx.serialization.SerializationException
 import java.net.ConnectException
 
-/** Who calls: an organisation's name and one of its secrets. */
+/** The name of the calling organisation and one of its secrets. */
 data class CallerCredentials(val organisation: String, val secret: String)
 
 /**
- * Calls an entry instance as an organisation does, and checks that each answer is whole. It never sends a request
- * again on its own.
+ * Calls an entry instance on behalf of an organisation and verifies that each answer is complete. It never retries a
+ * request.
  */
 class CallerClient(
     private val http: HttpClient,
@@ -44,9 +44,9 @@
     /**
      * Sends [request] to [pipeline].
      *
-     * @param deadlineMs time the request has from its arrival, milliseconds; null takes the organisation's default.
-     * @param key idempotency key, needed by pipelines that may not run twice.
-     * @param onText called with each piece of the answer as it arrives.
+     * @param deadlineMs milliseconds from the arrival of the request; null selects the organisation's default.
+     * @param key idempotency key, required by pipelines that must not run twice.
+     * @param onText called with each chunk of the answer as it arrives.
      */
     suspend fun send(
         pipeline: String,
@@ -54,7 +54,7 @@
         deadlineMs: Long? = null,
         key: String? = null,
         onText: (String) -> Unit = {},
-    ): CallOutcome = follow("", onText) {
+    ): CallOutcome = execute("", onText) {
         method = HttpMethod.Post
         url("http://$address/v1/pipelines/${pipeline.encodeURLPathPart()}")
         contentType(ContentType.Application.Json)
@@ -63,15 +63,15 @@
         setBody(WireJson.encodeToString(PipelineRequest.serializer(), request))
     }
 
-    /** Fetches the rest of an answer of which [received] has arrived. */
+    /** Fetches the rest of the answer to request [id], of which [received] has already arrived. */
     suspend fun resume(id: RequestId, received: String = "", onText: (String) -> Unit = {}): CallOutcome =
-        follow(received, onText) {
+        execute(received, onText) {
             method = HttpMethod.Get
             url("http://$address/v1/requests/${id.value.encodeURLPathPart()}")
             header(CallerHeaders.LAST_EVENT_ID, received.encodeToByteArray().size)
         }
 
-    /** Asks the instance for an idempotency key; null when it gives none. */
+    /** Requests an idempotency key from the instance. Returns null if it issues none. */
     suspend fun mintToken(): MintedToken? {
         val response = http.post("http://$address/v1/tokens") { authenticate() }
         if (!response.status.isSuccess()) return null
@@ -80,48 +80,50 @@
 
     private fun HttpRequestBuilder.authenticate() = basicAuth(credentials.organisation, credentials.secret)
 
-    private suspend fun follow(
+    private suspend fun execute(
         received: String,
         onText: (String) -> Unit,
-        describe: HttpRequestBuilder.() -> Unit,
+        buildRequest: HttpRequestBuilder.() -> Unit,
     ): CallOutcome {
-        val assembler = AnswerAssembler(received, CallClock(), onText)
+        val assembler = AnswerAssembler(received, Stopwatch(), onText)
         return try {
             http.prepareRequest {
                 authenticate()
-                describe()
-            }.execute { read(it, assembler) }
+                buildRequest()
+            }.execute { readAnswer(it, assembler) }
         } catch (e: ConnectException) {
             CallOutcome.Unreachable("$address: ${e.message}")
         } catch (e: HttpRequestTimeoutException) {
-            assembler.broken("no answer in time: ${e.message}")
+            assembler.incomplete("request timed out: ${e.message}")
         } catch (e: CancellationException) {
             throw e
         } catch (e: Exception) {
-            assembler.broken(e.toString())
+            assembler.incomplete(e.toString())
         }
     }
 
-    private suspend fun read(response: HttpResponse, assembler: AnswerAssembler): CallOutcome {
-        if (!response.status.isSuccess()) return refusal(response)
+    private suspend fun readAnswer(response: HttpResponse, assembler: AnswerAssembler): CallOutcome {
+        if (!response.status.isSuccess()) return readRefusal(response)
         val body = response.bodyAsChannel()
         while (true) {
-            val event = body.readEvent() ?: return assembler.broken("the connection ended before the answer did")
-            assembler.take(event)?.let { return it }
+            val event =
+                body.readEvent()
+                    ?: return assembler.incomplete("the connection was closed before the end of the answer")
+            assembler.process(event)?.let { return it }
         }
     }
 
-    private suspend fun refusal(response: HttpResponse): CallOutcome {
+    private suspend fun readRefusal(response: HttpResponse): CallOutcome {
         val text = response.bodyAsText()
         val problem = try {
             WireJson.decodeFromString(Problem.serializer(), text)
         } catch (e: SerializationException) {
-            untyped(response, text)
+            fallbackProblem(response, text)
         }
         return CallOutcome.Refused(problem, problem.requestId?.let(::RequestId))
     }
 
-    private fun untyped(response: HttpResponse, text: String) = Problem(
+    private fun fallbackProblem(response: HttpResponse, text: String) = Problem(
         type = "about:blank",
         title = response.status.description,
         status = response.status.value,
--- a/cli/src/main/kotlin/io/oriolehall/cli/client/CallerHttp.kt
+++ b/cli/src/main/kotlin/io/oriolehall/cli/client/CallerHttp.kt
@@ -7,7 +7,7 @@
 private const val CONNECT_TIMEOUT_MS = 2_000L
 private const val MAX_CONNECTIONS = 2_000
 
-/** An HTTP client for [CallerClient]; long answers are not cut off. */
+/** Creates an HTTP client for [CallerClient]. It has no request timeout, so that long answers are not cut off. */
 fun callerHttp(): HttpClient = HttpClient(CIO) {
     expectSuccess = false
     engine {
--- a/cli/src/main/kotlin/io/oriolehall/cli/client/OperatorClient.kt
+++ b/cli/src/main/kotlin/io/oriolehall/cli/client/OperatorClient.kt
@@ -18,44 +18,44 @@
 import kotlinx.serialization.builtins.ListSerializer
 import kotlinx.serialization.json.JsonElement
 
-/** Why an instance's operators' interface gave no answer. */
+/** The reason why a call of an instance's operator API failed. */
 sealed interface OperatorFailure {
     val message: String
 
-    /** No answer came. */
+    /** No response arrived. */
     data class Unreachable(override val message: String) : OperatorFailure
 
-    /** The instance has no such thing, or its answer is not understood. */
-    data class NoAnswer(override val message: String) : OperatorFailure
+    /** The response has an error status, such as for an unknown request, or cannot be decoded. */
+    data class BadResponse(override val message: String) : OperatorFailure
 }
 
-/** Reads the operators' interface of one instance at [address]. */
+/** Reads the operator API of the instance at [address]. */
 class OperatorClient(private val http: HttpClient, private val address: NetworkAddress) {
     suspend fun status(): Result<JsonElement, OperatorFailure> = read("/status", JsonElement.serializer())
 
     suspend fun audit(): Result<List<AuditRecord>, OperatorFailure> =
         read("/audit", ListSerializer(AuditRecord.serializer()))
 
-    /** What happened to request [id]. */
+    /** The record of request [id]. */
     suspend fun explain(id: String): Result<RequestRecord, OperatorFailure> =
         read("/explain/${id.encodeURLPathPart()}", RequestRecord.serializer())
 
-    /** The newest requests, newest first. */
+    /** The records of the newest requests, newest first. */
     suspend fun newestRequests(): Result<List<RequestRecord>, OperatorFailure> =
         read("/explain", ListSerializer(RequestRecord.serializer()))
 
-    private suspend fun <T> read(path: String, type: DeserializationStrategy<T>): Result<T, OperatorFailure> = try {
+    private suspend fun <T> read(path: String, decoder: DeserializationStrategy<T>): Result<T, OperatorFailure> = try {
         val response = http.get("http://$address$path")
         val text = response.bodyAsText()
         if (response.status.isSuccess()) {
-            Ok(WireJson.decodeFromString(type, text))
+            Ok(WireJson.decodeFromString(decoder, text))
         } else {
-            Err(OperatorFailure.NoAnswer("$address answered ${response.status.value}: $text"))
+            Err(OperatorFailure.BadResponse("$address responded with status ${response.status.value}: $text"))
         }
     } catch (e: CancellationException) {
         throw e
     } catch (e: SerializationException) {
-        Err(OperatorFailure.NoAnswer("$address is no operators' listener of this version: ${e.message}"))
+        Err(OperatorFailure.BadResponse("$address is not an operator listener of this version: ${e.message}"))
     } catch (e: Exception) {
         Err(OperatorFailure.Unreachable("$address cannot be reached: ${e.message ?: e.toString()}"))
     }
--- a/cli/src/main/kotlin/io/oriolehall/cli/client/ServerEvents.kt
+++ b/cli/src/main/kotlin/io/oriolehall/cli/client/ServerSentEvents.kt
@@ -4,16 +4,16 @@
 import io.ktor.utils.io.readUTF8Line
 
 /** A server-sent event. */
-internal data class ServerEvent(val name: String, val data: String)
+internal data class ServerSentEvent(val name: String, val data: String)
 
-/** Reads the next event, or null at the end of the stream. An event that was cut off is not handed on. */
-internal suspend fun ByteReadChannel.readEvent(): ServerEvent? {
+/** Reads the next event. Returns null at the end of the stream; an incomplete last event is discarded. */
+internal suspend fun ByteReadChannel.readEvent(): ServerSentEvent? {
     var name = "message"
     val data = StringBuilder()
     while (true) {
         val line = readUTF8Line() ?: return null
         when {
-            line.isEmpty() && data.isNotEmpty() -> return ServerEvent(name, data.toString())
+            line.isEmpty() && data.isNotEmpty() -> return ServerSentEvent(name, data.toString())
             line.startsWith("event:") -> name = line.substringAfter(':').trim()
             line.startsWith("data:") -> data.append(line.substringAfter(':').removePrefix(" "))
         }
--- a/cli/src/main/kotlin/io/oriolehall/cli/logs/ExplainLogsCommand.kt
+++ b/cli/src/main/kotlin/io/oriolehall/cli/logs/ExplainLogsCommand.kt
@@ -10,24 +10,27 @@
 import java.nio.file.Path
 import kotlin.io.path.useLines
 
-/** Tells the story of one request from the logs of many instances. */
+/** Prints the timeline of one request, assembled from the logs of several instances. */
 internal class ExplainLogsCommand : CliktCommand("explain-logs") {
     private val request by argument(help = "identifier of the caller's attempt")
-    private val files by argument(help = "logs of instances; standard input without any")
+    private val files by argument(help = "log files of instances; if omitted, reads standard input")
         .path(mustExist = true, canBeDir = false)
         .multiple()
 
     override fun help(context: Context) =
-        "Prints what the logs say of a request (*) and what its instances learnt shortly before and meanwhile."
+        "Prints the log lines of a request (marked *) and related events of its instances shortly before and during it."
 
     override fun run() {
         val lines = if (files.isEmpty()) parse(generateSequence(::readlnOrNull)) else files.flatMap(::read)
-        val story = RequestStory(request, lines)
-        if (story.isEmpty) {
-            echo("no line names request $request; search the logs of all instances, and their lines 107", err = true)
+        val timeline = RequestTimeline(request, lines)
+        if (timeline.isEmpty) {
+            echo(
+                "no line names request $request; search the logs of all instances, also for event 107 (dropped lines)",
+                err = true,
+            )
             throw ProgramResult(ExitCode.BAD_INPUT)
         }
-        story.describe().forEach { echo(it) }
+        timeline.describe().forEach { echo(it) }
     }
 
     private fun read(file: Path): List<LogLine> = file.useLines(block = ::parse)
--- a/cli/src/main/kotlin/io/oriolehall/cli/logs/LogLine.kt
+++ b/cli/src/main/kotlin/io/oriolehall/cli/logs/LogLine.kt
@@ -11,29 +11,29 @@
 import java.time.format.DateTimeParseException
 
 /**
- * One line of an instance's log.
+ * One event in the log of an instance.
  *
- * @property event number of the event, as in docs/EVENTS.md.
- * @property fields what the event says beyond its text, in the order of the line.
+ * @property event number of the event, see docs/EVENTS.md.
+ * @property fields additional fields of the event, in the order of the line.
  */
 internal data class LogLine(
-    val at: Instant,
+    val timestamp: Instant,
     val logger: String,
     val event: Int,
     val message: String,
     val fields: Map<String, String>,
 ) {
-    val request: String? get() = fields["request"]
+    val requestId: String? get() = fields["request"]
 
     companion object {
-        private val Framing = setOf("@timestamp", "message", "logger_name", "thread_name", "level", "event")
+        private val StandardFields = setOf("@timestamp", "message", "logger_name", "thread_name", "level", "event")
 
-        /** The line that [text] holds, whatever stands before its JSON object; null when there is none. */
+        /** Parses the JSON object in [text], ignoring any prefix. Returns null if [text] holds no log line. */
         fun parse(text: String): LogLine? {
             val start = text.indexOf('{')
             if (start < 0) return null
             return try {
-                of(WireJson.parseToJsonElement(text.substring(start)).jsonObject)
+                fromJson(WireJson.parseToJsonElement(text.substring(start)).jsonObject)
             } catch (e: SerializationException) {
                 null
             } catch (e: IllegalArgumentException) {
@@ -43,15 +43,15 @@
             }
         }
 
-        private fun of(json: JsonObject): LogLine? {
+        private fun fromJson(json: JsonObject): LogLine? {
             val fields = json.mapNotNull { (name, value) -> (value as? JsonPrimitive)?.let { name to it } }.toMap()
             val event = fields["event"]?.content?.toIntOrNull() ?: return null
             return LogLine(
-                at = OffsetDateTime.parse(fields["@timestamp"]?.content ?: return null).toInstant(),
+                timestamp = OffsetDateTime.parse(fields["@timestamp"]?.content ?: return null).toInstant(),
                 logger = fields["logger_name"]?.content.orEmpty(),
                 event = event,
                 message = fields["message"]?.content.orEmpty(),
-                fields = fields.filter { (name, value) -> name !in Framing && value !is JsonNull }
+                fields = fields.filter { (name, value) -> name !in StandardFields && value !is JsonNull }
                     .mapValues { it.value.content },
             )
         }
--- a/cli/src/test/kotlin/io/oriolehall/cli/CheckCommandsTest.kt
+++ b/cli/src/test/kotlin/io/oriolehall/cli/CheckCommandsTest.kt
@@ -11,12 +11,12 @@
 import java.nio.file.Files
 import java.nio.file.Path
 
-/** Checks files as an operator does before publishing or starting anything. */
+/** Tests of the commands that validate settings and tickets before they are used. */
 class CheckCommandsTest {
     @TempDir
     private lateinit var directory: Path
 
-    private val settings = """
+    private val settingsText = """
         [instance]
         id = entry-1
         zone = z1
@@ -33,35 +33,37 @@
         wait = 30 s
     """.trimIndent()
 
-    private val zone = """{"kind": "zone", "id": "z3", "state": "out"}"""
-    private val ticket = """{"number": 42, "author": "ana", "cause": "works", "objects": [$zone]}"""
+    private val zoneJson = """{"kind": "zone", "id": "z3", "state": "out"}"""
+    private val ticketJson = """{"number": 42, "author": "ana", "cause": "works", "objects": [$zoneJson]}"""
 
     private fun check(kind: String, text: String): CliktCommandTestResult =
-        oriolehall().test(listOf("check", kind, Files.writeString(file(kind), text).toString()))
+        oriolehall().test(listOf("check", kind, Files.writeString(inputFile(kind), text).toString()))
 
-    private fun file(kind: String) = directory.resolve("given.$kind")
+    private fun inputFile(kind: String) = directory.resolve("given.$kind")
 
-    private fun expectWrongSettings(change: Pair<String, String>, vararg words: String) {
-        val text = settings.replace(change.first, change.second)
+    private fun expectInvalidSettings(replacement: Pair<String, String>, vararg expectedTexts: String) {
+        val text = settingsText.replace(replacement.first, replacement.second)
         expectThat(check("settings", text)) {
             get { statusCode } isEqualTo ExitCode.BAD_INPUT
             get { stdout } isEqualTo ""
-            words.forEach { word -> get { stderr }.contains(word) }
+            expectedTexts.forEach { expected -> get { stderr }.contains(expected) }
         }
     }
 
-    private fun expectWrongTicket(text: String, vararg words: String) {
+    private fun expectInvalidTicket(text: String, vararg expectedTexts: String) {
         expectThat(check("ticket", text)) {
             get { statusCode } isEqualTo ExitCode.BAD_INPUT
             get { stdout } isEqualTo ""
             get { stderr.trimEnd().lines().size } isEqualTo 1
-            (words.toList() + file("ticket").toString()).forEach { word -> get { stderr }.contains(word) }
+            (expectedTexts.toList() + inputFile("ticket").toString()).forEach { expected ->
+                get { stderr }.contains(expected)
+            }
         }
     }
 
     @Test
     fun `correct settings are named with their instance and zone`() {
-        expectThat(check("settings", settings)) {
+        expectThat(check("settings", settingsText)) {
             get { statusCode } isEqualTo 0
             get { stderr } isEqualTo ""
             get { stdout }.contains("settings of instance entry-1 in zone z1 are correct")
@@ -70,32 +72,36 @@
 
     @Test
     fun `an unknown key is named with its file and line`() =
-        expectWrongSettings("zone = z1" to "zone = z1\nzones = z2", "${file("settings")}:4: ", "'zones'")
+        expectInvalidSettings("zone = z1" to "zone = z1\nzones = z2", "${inputFile("settings")}:4: ", "'zones'")
 
     @Test
     fun `a wrong unit is named with what to write instead`() =
-        expectWrongSettings("wait = 30 s" to "wait = 30 sec", "${file("settings")}:14: '30 sec'", "'wait = 30 s'")
+        expectInvalidSettings(
+            "wait = 30 s" to "wait = 30 sec",
+            "${inputFile("settings")}:14: '30 sec'",
+            "'wait = 30 s'",
+        )
 
     @Test
     fun `a missing value is named with what to write instead`() =
-        expectWrongSettings("zone = z1" to "zone =", "${file("settings")}:3: ", "'zone = zone-a'")
+        expectInvalidSettings("zone = z1" to "zone =", "${inputFile("settings")}:3: ", "'zone = zone-a'")
 
     @Test
     fun `a missing key is named with what to write`() =
-        expectWrongSettings("zone = z1\n" to "", "${file("settings")}: ", "'zone = zone-a'")
+        expectInvalidSettings("zone = z1\n" to "", "${inputFile("settings")}: ", "'zone = zone-a'")
 
     @Test
     fun `settings that cannot be read are an error of one line`() {
-        expectThat(oriolehall().test(listOf("check", "settings", file("settings").toString()))) {
+        expectThat(oriolehall().test(listOf("check", "settings", inputFile("settings").toString()))) {
             get { statusCode } isEqualTo ExitCode.BAD_INPUT
-            get { stderr }.contains(file("settings").toString())
+            get { stderr }.contains(inputFile("settings").toString())
             get { stderr.trimEnd().lines().size } isEqualTo 1
         }
     }
 
     @Test
     fun `a correct ticket is named with what it touches`() {
-        expectThat(check("ticket", ticket)) {
+        expectThat(check("ticket", ticketJson)) {
             get { statusCode } isEqualTo 0
             get { stderr } isEqualTo ""
             get { stdout }.contains("ticket 42 is correct and touches zone/z3")
@@ -104,22 +110,22 @@
 
     @Test
     fun `an unknown key of a ticket is named`() =
-        expectWrongTicket(ticket.replace("\"author\"", "\"autor\""), "'autor'", "correct the JSON")
+        expectInvalidTicket(ticketJson.replace("\"author\"", "\"autor\""), "'autor'", "correct the JSON")
 
     @Test
     fun `a wrong value of a ticket is named`() =
-        expectWrongTicket(ticket.replace("42", "\"forty-two\""), "number", "correct the JSON")
+        expectInvalidTicket(ticketJson.replace("42", "\"forty-two\""), "number", "correct the JSON")
 
     @Test
     fun `a missing value of a ticket is named with what to write`() =
-        expectWrongTicket(ticket.replace("\"ana\"", "\"\""), "author", "name the operator who issues the ticket")
+        expectInvalidTicket(ticketJson.replace("\"ana\"", "\"\""), "author", "name the operator who issues the ticket")
 
     @Test
-    fun `a ticket that is no JSON is an error of one line`() = expectWrongTicket("{number:", "not a ticket")
+    fun `a ticket that is no JSON is an error of one line`() = expectInvalidTicket("{number:", "not a ticket")
 
     @Test
     fun `a ticket that cannot be read is an error of one line`() {
-        expectThat(oriolehall().test(listOf("check", "ticket", file("none").toString()))) {
+        expectThat(oriolehall().test(listOf("check", "ticket", inputFile("none").toString()))) {
             get { statusCode } isEqualTo ExitCode.BAD_INPUT
             get { stderr }.contains("cannot be read")
             get { stderr.trimEnd().lines().size } isEqualTo 1
--- a/cli/src/test/kotlin/io/oriolehall/cli/logs/ExplainLogsTest.kt
+++ b/cli/src/test/kotlin/io/oriolehall/cli/logs/ExplainLogsTest.kt
@@ -20,26 +20,26 @@
     private fun line(at: String, instance: String, event: Int, fields: String) =
         """{"@timestamp":"2026-12-04T12:00:$at+00:00","message":"m","logger_name":"$instance","event":$event,$fields}"""
 
-    private fun log(name: String, vararg lines: String): String =
+    private fun writeLog(name: String, vararg lines: String): String =
         Files.write(directory.resolve(name), lines.toList()).toString()
 
     private fun explain(vararg files: String) = oriolehall().test(listOf("explain-logs", "r1") + files)
 
     @Test
     fun `the lines of a request come in order with what its instance learnt before`() {
-        val one = log(
+        val firstLog = writeLog(
             "a",
             line("05.000", "a", 201, """"error":"away""""),
             "edge-1 " + line("09.000", "a", 401, """"request":"r1","reason":"not confirmed","afterMs":"1000""""),
             line("10.000", "a", 202, """"afterMs":"1""""),
         )
-        val other = log(
+        val secondLog = writeLog(
             "b",
             line("06.000", "b", 201, """"error":"away""""),
             line("08.500", "a", 406, """"request":"r1","endpoint":"e1","none":null"""),
             line("08.600", "a", 406, """"request":"r2","endpoint":"e1""""),
         )
-        expectThat(explain(one, other)) {
+        expectThat(explain(firstLog, secondLog)) {
             get { statusCode }.isEqualTo(0)
             get { stdout.trim().lines() }.hasSize(3).and {
                 get { first() }.isEqualTo("-3500 ms  a  201 m  error=away")
@@ -51,7 +51,7 @@
 
     @Test
     fun `a request that no line names ends with a reason`() {
-        expectThat(explain(log("a", line("05.000", "a", 201, """"error":"away"""")))) {
+        expectThat(explain(writeLog("a", line("05.000", "a", 201, """"error":"away"""")))) {
             get { statusCode }.isEqualTo(ExitCode.BAD_INPUT)
             get { stderr }.contains("no line names request r1")
         }
