--- a/dispatch/src/main/kotlin/io/oriolehall/dispatch/admission/StopAdmission.kt
+++ b/dispatch/src/main/kotlin/io/oriolehall/dispatch/admission/ShutdownAdmission.kt
@@ -10,7 +10,7 @@
  * @param stopRequestedAtMs when the instance was told to stop.
  * @param exitAtMs when the process ends.
  */
-class StopAdmission(private val stopRequestedAtMs: Long, private val exitAtMs: Long) {
+class ShutdownAdmission(private val stopRequestedAtMs: Long, private val exitAtMs: Long) {
     /** True when a request that arrived at [arrivedAtMs] and may run until [deadlineAtMs] is admitted. */
     fun admits(arrivedAtMs: Long, deadlineAtMs: Long): Boolean =
         arrivedAtMs - stopRequestedAtMs <= BALANCER_DETECTION_MS || deadlineAtMs <= exitAtMs
--- a/dispatch/src/main/kotlin/io/oriolehall/dispatch/admission/StageAdmission.kt
+++ b/dispatch/src/main/kotlin/io/oriolehall/dispatch/admission/StageAdmission.kt
@@ -28,18 +28,18 @@
      * @param objectiveMs time left until the response is late, milliseconds.
      * @param deadlineMs time left until the request is abandoned, milliseconds.
      * @param priority priority of the request; 0 is the most urgent.
-     * @param othersGiveWay true when requests that are shed first use the same stages.
+     * @param othersAreShedFirst true when requests that are shed first use the same stages.
      */
     fun decide(
         expectedMs: Double,
         objectiveMs: Long,
         deadlineMs: Long,
         priority: Int,
-        othersGiveWay: Boolean,
+        othersAreShedFirst: Boolean,
     ): Decision {
         if (expectedMs > deadlineMs * MAX_DEADLINE_SHARE) return refuse(expectedMs, objectiveMs)
         if (objectiveMs <= 0) return Decision.Admitted
-        if (othersGiveWay && !givesWay(priority)) return Decision.Admitted
+        if (othersAreShedFirst && !isShedFirst(priority)) return Decision.Admitted
         val probability = BANDS[minOf(priority, BANDS.lastIndex)].refusalProbability(expectedMs / objectiveMs)
         return if (random.nextDouble() < probability) refuse(expectedMs, objectiveMs) else Decision.Admitted
     }
@@ -66,6 +66,6 @@
         private const val MAX_RETRY_AFTER_MS = 2_000.0
 
         /** True when requests of [priority] are shed first, before they delay others. */
-        fun givesWay(priority: Int): Boolean = priority >= BANDS.lastIndex
+        fun isShedFirst(priority: Int): Boolean = priority >= BANDS.lastIndex
     }
 }
--- a/dispatch/src/main/kotlin/io/oriolehall/dispatch/admission/StageLoads.kt
+++ b/dispatch/src/main/kotlin/io/oriolehall/dispatch/admission/StageTimeEstimates.kt
@@ -6,13 +6,13 @@
  * Estimates how long stages currently take, from the latest report of each queue's owner. Between reports the backlog
  * is assumed to shrink by one millisecond per millisecond. Times are monotonic milliseconds. Not thread-safe.
  */
-class StageLoads {
+class StageTimeEstimates {
     private class Report(val expectedMs: Long, val atMs: Long)
 
     private val reports = HashMap<String, Report>()
 
     /** Records the time that the owner of the queue of [service] reports. */
-    fun note(service: String, expectedMs: Long, nowMs: Long) {
+    fun record(service: String, expectedMs: Long, nowMs: Long) {
         if (expectedMs > 0) reports[service] = Report(expectedMs, nowMs)
     }
 
--- a/dispatch/src/main/kotlin/io/oriolehall/dispatch/config/ConfigTrust.kt
+++ b/dispatch/src/main/kotlin/io/oriolehall/dispatch/config/ConfigHolder.kt
@@ -13,12 +13,12 @@
  * @property ms monotonic milliseconds.
  * @property wallMs wall clock, milliseconds since the epoch.
  */
-data class Moment(val ms: Long, val wallMs: Long) {
+data class ClockReading(val ms: Long, val wallMs: Long) {
     /** Grows when the machine is suspended, because the monotonic clock stops during a suspension. */
     val clockOffsetMs: Long get() = wallMs - ms
 
     /** The readings [durationMs] earlier. */
-    fun before(durationMs: Long) = Moment(ms - durationMs, wallMs - durationMs)
+    fun before(durationMs: Long) = ClockReading(ms - durationMs, wallMs - durationMs)
 }
 
 /**
@@ -26,12 +26,12 @@
  *
  * @property confirmedAt latest moment at which it was confirmed to be the newest.
  */
-data class TrustedConfig(val table: RouteTable, val revision: Long, val confirmedAt: Moment) {
+data class ConfirmedConfig(val table: RouteTable, val revision: Long, val confirmedAt: ClockReading) {
     /**
      * True when requests with an API key may be forwarded: the last confirmation is more recent than [maxAgeMs], and
      * the machine has not been suspended since.
      */
-    fun mayHonourKeys(now: Moment, maxAgeMs: Long): Boolean {
+    fun mayAcceptApiKeys(now: ClockReading, maxAgeMs: Long): Boolean {
         val suspendedMs = now.clockOffsetMs - confirmedAt.clockOffsetMs
         return now.ms - confirmedAt.ms < maxAgeMs && suspendedMs < MIN_SUSPENSION_MS
     }
@@ -43,26 +43,26 @@
 }
 
 /** Holds the newest configuration. Only the control thread changes it; any thread may read [current]. */
-class ConfigTrust {
+class ConfigHolder {
     @Volatile
-    var current: TrustedConfig? = null
+    var current: ConfirmedConfig? = null
         private set
 
     /**
      * Activates [config] unless the active revision is as high or higher. Returns true when the configuration changed.
      */
-    fun offer(config: ServingConfig, revision: Long, confirmedAt: Moment): Boolean {
+    fun activateIfNewer(config: ServingConfig, revision: Long, confirmedAt: ClockReading): Boolean {
         val previous = current
         if (previous != null && previous.revision >= revision) {
             confirm(revision, confirmedAt)
             return false
         }
-        current = TrustedConfig(RouteTable(config), revision, confirmedAt)
+        current = ConfirmedConfig(RouteTable(config), revision, confirmedAt)
         return true
     }
 
     /** Records that [revision] was the newest at [at]. Ignored when it is not the active revision. */
-    fun confirm(revision: Long, at: Moment) {
+    fun confirm(revision: Long, at: ClockReading) {
         val previous = current ?: return
         if (previous.revision != revision || at.ms <= previous.confirmedAt.ms) return
         current = previous.copy(confirmedAt = at)
--- a/dispatch/src/main/kotlin/io/oriolehall/dispatch/config/Route.kt
+++ b/dispatch/src/main/kotlin/io/oriolehall/dispatch/config/Route.kt
@@ -1,6 +1,7 @@
 package io.oriolehall.dispatch.config
 
 import io.oriolehall.model.OrganisationId
+import kotlinx.serialization.SerialName
 import kotlinx.serialization.Serializable
 
 /** Which requests may be retried when an attempt at an endpoint fails. */
@@ -56,7 +57,7 @@
     val resumable: Boolean = false,
 ) {
     /** True when a request may be retried even if an endpoint may already have run it. */
-    val repeatable: Boolean get() = kind == RouteKind.IDEMPOTENT || (kind == RouteKind.STREAMING && resumable)
+    val retryable: Boolean get() = kind == RouteKind.IDEMPOTENT || (kind == RouteKind.STREAMING && resumable)
 
     /** Services that compute the stages of this route. */
     val stageServices: Set<String> get() = stages.mapTo(mutableSetOf(), StageSpec::service)
@@ -72,7 +73,7 @@
  * @property batch maximum number of pieces in a call.
  * @property callMs fixed time of a call, without its pieces, milliseconds.
  * @property pieceMs approximate time that each piece adds to a call, milliseconds.
- * @property resultRoomBytes memory of a worker for results that have not been freed.
+ * @property resultMemoryBytes memory of a worker for results that have not been freed.
  * @property resultLifetimeMs time after which a worker discards a result that was not freed, milliseconds.
  */
 @Serializable
@@ -81,7 +82,8 @@
     val batch: Int,
     val callMs: Double,
     val pieceMs: Double,
-    val resultRoomBytes: Long,
+    @SerialName("resultRoomBytes")
+    val resultMemoryBytes: Long,
     val resultLifetimeMs: Long,
 )
 
--- a/dispatch/src/main/kotlin/io/oriolehall/dispatch/config/RouteTable.kt
+++ b/dispatch/src/main/kotlin/io/oriolehall/dispatch/config/RouteTable.kt
@@ -32,7 +32,7 @@
     }
 
     /** Priority of the least urgent route that uses all stage services of [route]. */
-    fun lowestRankBeside(route: Route): Int =
+    fun lowestPrioritySharingStages(route: Route): Int =
         lowestPriorities.filterKeys { it.containsAll(route.stageServices) }.values.maxOrNull() ?: route.priority
 
     fun organisation(apiKey: String): Organisation? = organisationsByKey[apiKey]
--- a/dispatch/src/main/kotlin/io/oriolehall/dispatch/endpoints/EndpointDirectory.kt
+++ b/dispatch/src/main/kotlin/io/oriolehall/dispatch/endpoints/EndpointDirectory.kt
@@ -26,7 +26,7 @@
     /** True when this incarnation of [endpoint] is still registered, not draining and not in an evacuated zone. */
     fun isUsable(endpoint: EndpointRecord): Boolean {
         val registered = endpoints[endpoint.id] ?: return false
-        return registered.bornAtMs == endpoint.bornAtMs && !registered.draining && registered.zone !in evacuated
+        return registered.startedAtMs == endpoint.startedAtMs && !registered.draining && registered.zone !in evacuated
     }
 }
 
@@ -45,7 +45,7 @@
         private set
 
     /** Starts the grace period for registrations after the store has recovered from an outage. */
-    fun storeReturned(nowMs: Long) {
+    fun onStoreRecovered(nowMs: Long) {
         graceEndsAtMs = nowMs + reRegistrationGraceMs
     }
 
@@ -55,12 +55,12 @@
     }
 
     /**
-     * Handles the removal of the entry of [id] from the store. [orderly] is true when the store was available
-     * throughout, so that the removal is not a result of an outage.
+     * Handles the removal of the entry of [id] from the store. [storeUninterrupted] is true when the store was
+     * available throughout, so that the removal is not a result of an outage.
      */
-    fun withdraw(id: EndpointId, nowMs: Long, orderly: Boolean) {
+    fun withdraw(id: EndpointId, nowMs: Long, storeUninterrupted: Boolean) {
         val registered = snapshot.endpoints[id] ?: return
-        val mayRegisterAgain = !orderly || nowMs < graceEndsAtMs
+        val mayRegisterAgain = !storeUninterrupted || nowMs < graceEndsAtMs
         if (mayRegisterAgain && !registered.draining) {
             removalTimesMs.putIfAbsent(id, maxOf(graceEndsAtMs, nowMs))
             return
@@ -79,10 +79,10 @@
      * Replaces the directory by [records], all entries of the store at one moment; entries not among them are
      * withdrawn.
      */
-    fun replaceAll(records: Collection<EndpointRecord>, nowMs: Long, orderly: Boolean) {
+    fun replaceAll(records: Collection<EndpointRecord>, nowMs: Long, storeUninterrupted: Boolean) {
         records.forEach(::register)
         val present = records.mapTo(mutableSetOf(), EndpointRecord::id)
-        snapshot.endpoints.keys.filter { it !in present }.forEach { withdraw(it, nowMs, orderly) }
+        snapshot.endpoints.keys.filter { it !in present }.forEach { withdraw(it, nowMs, storeUninterrupted) }
     }
 
     fun setEvacuated(zones: Collection<ZoneId>) {
--- a/dispatch/src/main/kotlin/io/oriolehall/dispatch/endpoints/EndpointHealth.kt
+++ b/dispatch/src/main/kotlin/io/oriolehall/dispatch/endpoints/EndpointHealth.kt
@@ -16,32 +16,32 @@
         private set
 
     /** Moving average of the share of requests that failed, 0 to 1. */
-    var failureShare = 0.0
+    var failureRate = 0.0
         private set
 
     fun isExcluded(nowMs: Long): Boolean = nowMs < excludedUntilMs
 
-    fun succeeded(elapsedMs: Double) {
+    fun onSuccess(elapsedMs: Double) {
         consecutiveFailures = 0
-        failureShare *= 1 - FAILURE_SMOOTHING
+        failureRate *= 1 - FAILURE_SMOOTHING
         responseMs = if (responseMs == 0.0) elapsedMs else responseMs + (elapsedMs - responseMs) * RESPONSE_SMOOTHING
     }
 
     /** Records an error response: the endpoint is reachable and is not excluded. */
-    fun answeredWithFailure() {
-        failureShare += (1 - failureShare) * FAILURE_SMOOTHING
+    fun onErrorResponse() {
+        failureRate += (1 - failureRate) * FAILURE_SMOOTHING
     }
 
     /** Records that the connection was refused, was reset or timed out. */
-    fun failed(nowMs: Long) {
+    fun onConnectionFailure(nowMs: Long) {
         consecutiveFailures++
-        failureShare += (1 - failureShare) * FAILURE_SMOOTHING
+        failureRate += (1 - failureRate) * FAILURE_SMOOTHING
         val backoffMs = minOf(MAX_EXCLUSION_MS, FIRST_EXCLUSION_MS shl minOf(consecutiveFailures - 1, MAX_DOUBLINGS))
         excludedUntilMs = nowMs + backoffMs
     }
 
     /** Records that the endpoint is at capacity, and excludes it for [durationMs]. */
-    fun overloaded(nowMs: Long, durationMs: Long = OVERLOAD_EXCLUSION_MS) {
+    fun onOverload(nowMs: Long, durationMs: Long = OVERLOAD_EXCLUSION_MS) {
         excludedUntilMs = maxOf(excludedUntilMs, nowMs + durationMs)
     }
 
--- a/dispatch/src/main/kotlin/io/oriolehall/dispatch/endpoints/EndpointRecord.kt
+++ b/dispatch/src/main/kotlin/io/oriolehall/dispatch/endpoints/EndpointRecord.kt
@@ -3,30 +3,33 @@
 import io.oriolehall.model.EndpointId
 import io.oriolehall.model.NetworkAddress
 import io.oriolehall.model.ZoneId
+import kotlinx.serialization.SerialName
 import kotlinx.serialization.Serializable
 
 /**
  * The registration of an endpoint.
  *
- * @property bornAtMs start of its process, milliseconds since the epoch; differs after a restart under the same id.
+ * @property startedAtMs start of its process, milliseconds since the epoch; differs after a restart under the same id.
  * @property draining true when it has announced that it will stop.
- * @property coldForMs time that it stays cold, from when the entry was written, milliseconds.
+ * @property coldRemainingMs time that it stays cold, from when the entry was written, milliseconds.
  */
 @Serializable
 data class EndpointRecord(
     val id: EndpointId,
-    val bornAtMs: Long,
+    @SerialName("bornAtMs")
+    val startedAtMs: Long,
     val service: String,
     val address: NetworkAddress,
     val zone: ZoneId,
     val slots: Int,
     val draining: Boolean,
-    val coldForMs: Long,
+    @SerialName("coldForMs")
+    val coldRemainingMs: Long,
 ) {
     /** Identifies this incarnation of the endpoint. */
-    val life: EndpointLife get() = EndpointLife(id, bornAtMs)
+    val incarnation: EndpointIncarnation get() = EndpointIncarnation(id, startedAtMs)
 }
 
 /** Id of an endpoint and the start of its process. State about one incarnation does not apply to the next. */
 @Serializable
-data class EndpointLife(val id: EndpointId, val bornAtMs: Long)
+data class EndpointIncarnation(val id: EndpointId, @SerialName("bornAtMs") val startedAtMs: Long)
--- a/dispatch/src/main/kotlin/io/oriolehall/dispatch/limits/ColdLimit.kt
+++ b/dispatch/src/main/kotlin/io/oriolehall/dispatch/limits/ColdRateLimit.kt
@@ -3,9 +3,9 @@
 /**
  * Limits the requests that this instance sends to one endpoint in any second, so that all instances together stay
  * within the capacity of a cold endpoint. The limit always applies, because an endpoint may become cold without notice.
- * [ColdShare] computes this instance's share of that capacity.
+ * [ColdRateShare] computes this instance's share of that capacity.
  */
-class ColdLimit {
+class ColdRateLimit {
     private val sentAtMs = ArrayDeque<Long>()
 
     /** True when one more request may be sent at [nowMs], with at most [share] requests in any second. */
--- a/dispatch/src/main/kotlin/io/oriolehall/dispatch/limits/ColdShare.kt
+++ b/dispatch/src/main/kotlin/io/oriolehall/dispatch/limits/ColdRateShare.kt
@@ -12,7 +12,7 @@
  *
  * @param instances all live instances.
  */
-class ColdShare(private val self: InstanceId, private val instances: Set<InstanceId>) {
+class ColdRateShare(private val self: InstanceId, private val instances: Set<InstanceId>) {
     private val shares = HashMap<Pair<EndpointId, Double>, Int>()
 
     /**
--- a/dispatch/src/main/kotlin/io/oriolehall/dispatch/limits/RepeatAllowance.kt
+++ b/dispatch/src/main/kotlin/io/oriolehall/dispatch/limits/RetryAllowance.kt
@@ -11,7 +11,7 @@
  * @param windowMs length of the window, milliseconds.
  * @param startedAtMs when the process started, monotonic milliseconds.
  */
-class RepeatAllowance(
+class RetryAllowance(
     private val ratio: Double,
     private val allowance: Double,
     private val windowMs: Long,
@@ -20,13 +20,13 @@
     private val firstAttempts = ArrayDeque<Long>()
     private val retries = ArrayDeque<Long>()
 
-    fun onFirst(nowMs: Long) {
+    fun onFirstAttempt(nowMs: Long) {
         firstAttempts.addLast(nowMs)
         trim(nowMs)
     }
 
     /** Takes one retry from the budget if the window has one left for this instance, one of [instances]. */
-    fun tryTake(nowMs: Long, instances: Int): Boolean {
+    fun tryAcquire(nowMs: Long, instances: Int): Boolean {
         trim(nowMs)
         val startupShare = ((nowMs - startedAtMs).toDouble() / windowMs).coerceIn(0.0, 1.0)
         val share = allowance / maxOf(1, instances) * startupShare
--- a/dispatch/src/main/kotlin/io/oriolehall/dispatch/stages/PieceWork.kt
+++ b/dispatch/src/main/kotlin/io/oriolehall/dispatch/stages/PieceWork.kt
@@ -17,7 +17,7 @@
  * @property group number shared by the pieces of one stage of one request; numbers increase in order of arrival.
  * @property preferredZone zone from which the result will be fetched; null when the zone does not matter.
  * @property resultBytes memory that its result occupies at the worker.
- * @property holdsMemory true while its inputs occupy scarce memory at the workers that computed them.
+ * @property inputsHoldMemory true while its inputs occupy scarce memory at the workers that computed them.
  * @property objectiveAtMs when this stage has to be complete for the request to be on time.
  * @property deadlineAtMs when the request is abandoned.
  * @property priority priority of the request; 0 is the most urgent.
@@ -31,7 +31,7 @@
     val arrivedAtMs: Long,
     val preferredZone: ZoneId?,
     val resultBytes: Long,
-    val holdsMemory: Boolean,
+    val inputsHoldMemory: Boolean,
     val objectiveAtMs: Long,
     val deadlineAtMs: Long,
     val priority: Int,
--- a/dispatch/src/main/kotlin/io/oriolehall/dispatch/stages/StageQueue.kt
+++ b/dispatch/src/main/kotlin/io/oriolehall/dispatch/stages/StageQueue.kt
@@ -37,7 +37,7 @@
     }
 
     /** Removes and returns the pieces that cannot meet their deadline even if they start now. */
-    fun removeHopeless(nowMs: Long): List<PieceWork> {
+    fun removeUnservable(nowMs: Long): List<PieceWork> {
         val removed = waiting.filter { it.deadlineAtMs < nowMs + limits.callMs }
         waiting.removeAll(removed)
         return removed
@@ -73,7 +73,7 @@
     }
 
     /** Records that a group took [tookMs] from its arrival to its last result. */
-    fun completed(tookMs: Long, nowMs: Long) {
+    fun onGroupCompleted(tookMs: Long, nowMs: Long) {
         meanGroupMs =
             if (nowMs - lastEndAtMs > RECENT_MS) tookMs.toDouble() else meanGroupMs + (tookMs - meanGroupMs) * SMOOTHING
         lastEndAtMs = nowMs
@@ -121,10 +121,10 @@
         group.size <= limits.batch && group.size * bytes <= worker.resultCapacityBytes
 
     private fun isLate(piece: PieceWork, doneAtMs: Double): Boolean =
-        !piece.holdsMemory && piece.objectiveAtMs < doneAtMs
+        !piece.inputsHoldMemory && piece.objectiveAtMs < doneAtMs
 
     private fun virtualDueMs(piece: PieceWork): Long =
-        if (piece.holdsMemory) piece.arrivedAtMs else piece.objectiveAtMs + piece.priority * PRIORITY_STEP_MS
+        if (piece.inputsHoldMemory) piece.arrivedAtMs else piece.objectiveAtMs + piece.priority * PRIORITY_STEP_MS
 
     /** Makes a worker prefer pieces of its own zone among those with similar due times. */
     private fun crossZonePenaltyMs(piece: PieceWork, worker: StageWorker): Long {
--- a/dispatch/src/main/kotlin/io/oriolehall/dispatch/stages/StageWorker.kt
+++ b/dispatch/src/main/kotlin/io/oriolehall/dispatch/stages/StageWorker.kt
@@ -36,7 +36,7 @@
     fun expectedMs(pieces: Int): Double = (limits.callMs + pieces * limits.pieceMs) * slowness
 
     /** Memory for results in terms of configured result sizes, bytes. */
-    val resultCapacityBytes: Long get() = (limits.resultRoomBytes / sizeFactor).toLong()
+    val resultCapacityBytes: Long get() = (limits.resultMemoryBytes / sizeFactor).toLong()
 
     /** Memory left for results in terms of configured result sizes, bytes. */
     fun freeResultBytes(nowMs: Long): Long {
@@ -44,8 +44,8 @@
         return resultCapacityBytes - reservedBytes - results.values.sumOf(StoredResult::bytes)
     }
 
-    /** Records the start of [call] and returns its expected end, which has to be passed to [ended]. */
-    fun began(call: PlannedCall, nowMs: Long): Long {
+    /** Records the start of [call] and returns its expected end, which has to be passed to [onCallEnded]. */
+    fun onCallStarted(call: PlannedCall, nowMs: Long): Long {
         val endMs = nowMs + expectedMs(call.pieces.size).toLong()
         expectedCallEndsMs += endMs
         reservedBytes += call.bytes
@@ -53,7 +53,7 @@
     }
 
     /** Records the end of [call] after [elapsedMs], which is null when it does not reflect the worker's speed. */
-    fun ended(call: PlannedCall, expectedEndMs: Long, elapsedMs: Long?) {
+    fun onCallEnded(call: PlannedCall, expectedEndMs: Long, elapsedMs: Long?) {
         expectedCallEndsMs.remove(expectedEndMs)
         reservedBytes -= call.bytes
         if (elapsedMs == null) return
@@ -62,11 +62,11 @@
         slowness = slowness.coerceIn(MIN_SLOWNESS, MAX_SLOWNESS)
     }
 
-    fun holds(handle: String, bytes: Long, nowMs: Long) {
+    fun onResultStored(handle: String, bytes: Long, nowMs: Long) {
         results[handle] = StoredResult(bytes, nowMs + limits.resultLifetimeMs)
     }
 
-    fun freed(handle: String) {
+    fun onResultFreed(handle: String) {
         results.remove(handle)
     }
 
@@ -74,7 +74,7 @@
      * Records that the worker had no memory for a result although this owner expected it to: results are larger than
      * configured, or the worker also stores results of another owner.
      */
-    fun lacksRoom(nowMs: Long) {
+    fun onMemoryExhausted(nowMs: Long) {
         noMemoryUntilMs = nowMs + MEMORY_RETRY_MS
         sizeFactor = minOf(MAX_SIZE_FACTOR, sizeFactor * SIZE_GROWTH_FACTOR)
     }
--- a/dispatch/src/test/kotlin/io/oriolehall/dispatch/admission/StageAdmissionTest.kt
+++ b/dispatch/src/test/kotlin/io/oriolehall/dispatch/admission/StageAdmissionTest.kt
@@ -12,11 +12,11 @@
 class StageAdmissionTest {
     private val admission = StageAdmission(Random(1))
 
-    private fun decide(expectedMs: Double, priority: Int, othersGiveWay: Boolean = false) =
-        admission.decide(expectedMs, 2_000, 15_000, priority, othersGiveWay)
+    private fun decide(expectedMs: Double, priority: Int, othersAreShedFirst: Boolean = false) =
+        admission.decide(expectedMs, 2_000, 15_000, priority, othersAreShedFirst)
 
-    private fun refusedCount(expectedMs: Double, priority: Int, othersGiveWay: Boolean = false): Int =
-        (1..1_000).count { decide(expectedMs, priority, othersGiveWay) is Decision.Refused }
+    private fun refusedCount(expectedMs: Double, priority: Int, othersAreShedFirst: Boolean = false): Int =
+        (1..1_000).count { decide(expectedMs, priority, othersAreShedFirst) is Decision.Refused }
 
     @Test
     fun `everyone is let in while the objective can be met with room to spare`() {
@@ -32,9 +32,9 @@
 
     @Test
     fun `where others give way, the urgent are let in and the others refused entirely`() {
-        expectThat(refusedCount(expectedMs = 2_500.0, priority = 2, othersGiveWay = true)).isEqualTo(1_000)
-        expectThat(refusedCount(expectedMs = 2_500.0, priority = 1, othersGiveWay = true)).isEqualTo(0)
-        expectThat(refusedCount(expectedMs = 2_500.0, priority = 0, othersGiveWay = true)).isEqualTo(0)
+        expectThat(refusedCount(expectedMs = 2_500.0, priority = 2, othersAreShedFirst = true)).isEqualTo(1_000)
+        expectThat(refusedCount(expectedMs = 2_500.0, priority = 1, othersAreShedFirst = true)).isEqualTo(0)
+        expectThat(refusedCount(expectedMs = 2_500.0, priority = 0, othersAreShedFirst = true)).isEqualTo(0)
     }
 
     @Test
--- a/dispatch/src/test/kotlin/io/oriolehall/dispatch/admission/StopAdmissionTest.kt
+++ b/dispatch/src/test/kotlin/io/oriolehall/dispatch/admission/StopAdmissionTest.kt
@@ -6,7 +6,7 @@
 import strikt.assertions.isTrue
 
 class StopAdmissionTest {
-    private val admission = StopAdmission(stopRequestedAtMs = 10_000, exitAtMs = 17_700)
+    private val admission = ShutdownAdmission(stopRequestedAtMs = 10_000, exitAtMs = 17_700)
 
     @Test
     fun `what the balancer sends before it has noticed is taken`() {
--- a/dispatch/src/test/kotlin/io/oriolehall/dispatch/config/ConfigTrustTest.kt
+++ b/dispatch/src/test/kotlin/io/oriolehall/dispatch/config/ConfigTrustTest.kt
@@ -7,50 +7,50 @@
 import strikt.assertions.isTrue
 
 class ConfigTrustTest {
-    private val holder = ConfigTrust()
+    private val holder = ConfigHolder()
 
     private fun config(version: Long) =
         ServingConfig(version, emptyList(), emptyList(), CallerLimits(), emptyList())
 
-    private fun at(ms: Long, offsetMs: Long = 0) = Moment(ms, ms + offsetMs)
+    private fun at(ms: Long, offsetMs: Long = 0) = ClockReading(ms, ms + offsetMs)
 
-    private fun activeConfig(): TrustedConfig = requireNotNull(holder.current)
+    private fun activeConfig(): ConfirmedConfig = requireNotNull(holder.current)
 
     @Test
     fun `an older configuration never takes the place of a newer one`() {
-        holder.offer(config(7), revision = 70, at(100))
-        expectThat(holder.offer(config(6), revision = 60, at(200))).isFalse()
+        holder.activateIfNewer(config(7), revision = 70, at(100))
+        expectThat(holder.activateIfNewer(config(6), revision = 60, at(200))).isFalse()
         expectThat(activeConfig().table.config.version).isEqualTo(7)
     }
 
     @Test
     fun `a confirmation of another revision does not count`() {
-        holder.offer(config(7), revision = 70, at(100))
+        holder.activateIfNewer(config(7), revision = 70, at(100))
         holder.confirm(revision = 60, at(900))
         expectThat(activeConfig().confirmedAt.ms).isEqualTo(100)
     }
 
     @Test
     fun `keys are honoured only while the confirmation is young`() {
-        holder.offer(config(7), revision = 70, at(100))
-        expectThat(activeConfig().mayHonourKeys(at(4_000), maxAgeMs = 4_600)).isTrue()
-        expectThat(activeConfig().mayHonourKeys(at(4_700), maxAgeMs = 4_600)).isFalse()
+        holder.activateIfNewer(config(7), revision = 70, at(100))
+        expectThat(activeConfig().mayAcceptApiKeys(at(4_000), maxAgeMs = 4_600)).isTrue()
+        expectThat(activeConfig().mayAcceptApiKeys(at(4_700), maxAgeMs = 4_600)).isFalse()
         holder.confirm(revision = 70, at(4_500))
-        expectThat(activeConfig().mayHonourKeys(at(4_700), maxAgeMs = 4_600)).isTrue()
+        expectThat(activeConfig().mayAcceptApiKeys(at(4_700), maxAgeMs = 4_600)).isTrue()
     }
 
     @Test
     fun `a machine that was suspended does not honour keys until the next confirmation`() {
-        holder.offer(config(7), revision = 70, at(100))
+        holder.activateIfNewer(config(7), revision = 70, at(100))
         val resumed = at(300, offsetMs = 6_000)
-        expectThat(activeConfig().mayHonourKeys(resumed, maxAgeMs = 4_600)).isFalse()
+        expectThat(activeConfig().mayAcceptApiKeys(resumed, maxAgeMs = 4_600)).isFalse()
         holder.confirm(revision = 70, resumed)
-        expectThat(activeConfig().mayHonourKeys(resumed, maxAgeMs = 4_600)).isTrue()
+        expectThat(activeConfig().mayAcceptApiKeys(resumed, maxAgeMs = 4_600)).isTrue()
     }
 
     @Test
     fun `a clock that was set back does not count as a suspension`() {
-        holder.offer(config(7), revision = 70, at(100))
-        expectThat(activeConfig().mayHonourKeys(at(300, offsetMs = -2_400), maxAgeMs = 4_600)).isTrue()
+        holder.activateIfNewer(config(7), revision = 70, at(100))
+        expectThat(activeConfig().mayAcceptApiKeys(at(300, offsetMs = -2_400), maxAgeMs = 4_600)).isTrue()
     }
 }
--- a/dispatch/src/test/kotlin/io/oriolehall/dispatch/config/RouteTableTest.kt
+++ b/dispatch/src/test/kotlin/io/oriolehall/dispatch/config/RouteTableTest.kt
@@ -46,8 +46,8 @@
         val long = route("/long/", stages("x", "y"), priority = 0)
         val last = route("/last/", stages("x"), priority = 3)
         val table = RouteTable(ServingConfig(1, listOf(short, long, last), emptyList(), CallerLimits(), emptyList()))
-        expectThat(table.lowestRankBeside(short)).isEqualTo(3)
-        expectThat(table.lowestRankBeside(long)).isEqualTo(0)
+        expectThat(table.lowestPrioritySharingStages(short)).isEqualTo(3)
+        expectThat(table.lowestPrioritySharingStages(long)).isEqualTo(0)
     }
 
     @Test
--- a/dispatch/src/test/kotlin/io/oriolehall/dispatch/endpoints/EndpointDirectoryTest.kt
+++ b/dispatch/src/test/kotlin/io/oriolehall/dispatch/endpoints/EndpointDirectoryTest.kt
@@ -30,15 +30,15 @@
     @Test
     fun `an entry that is removed while the store serves is gone at once`() {
         directory.register(endpoint("x"))
-        directory.withdraw(EndpointId("x"), nowMs = 10_000, orderly = true)
+        directory.withdraw(EndpointId("x"), nowMs = 10_000, storeUninterrupted = true)
         expectThat(usableIds()).isEmpty()
     }
 
     @Test
     fun `an entry that lapsed in an outage is kept until its endpoint had time to register again`() {
         directory.register(endpoint("x"))
-        directory.storeReturned(nowMs = 10_000)
-        directory.replaceAll(emptyList(), nowMs = 10_010, orderly = false)
+        directory.onStoreRecovered(nowMs = 10_000)
+        directory.replaceAll(emptyList(), nowMs = 10_010, storeUninterrupted = false)
         directory.expire(nowMs = 11_900)
         expectThat(usableIds()).containsExactly("x")
         directory.expire(nowMs = 12_000)
@@ -48,8 +48,8 @@
     @Test
     fun `an entry that comes back after an outage stays`() {
         directory.register(endpoint("x"))
-        directory.storeReturned(nowMs = 10_000)
-        directory.replaceAll(emptyList(), nowMs = 10_010, orderly = false)
+        directory.onStoreRecovered(nowMs = 10_000)
+        directory.replaceAll(emptyList(), nowMs = 10_010, storeUninterrupted = false)
         directory.register(endpoint("x"))
         directory.expire(nowMs = 20_000)
         expectThat(usableIds()).containsExactly("x")
@@ -58,8 +58,8 @@
     @Test
     fun `a draining endpoint whose entry lapses is gone at once`() {
         directory.register(endpoint("x", draining = true))
-        directory.storeReturned(nowMs = 10_000)
-        directory.withdraw(EndpointId("x"), nowMs = 10_010, orderly = false)
+        directory.onStoreRecovered(nowMs = 10_000)
+        directory.withdraw(EndpointId("x"), nowMs = 10_010, storeUninterrupted = false)
         expectThat(directory.snapshot.endpoints.keys).isEmpty()
     }
 
--- a/dispatch/src/test/kotlin/io/oriolehall/dispatch/limits/SharedLimitsTest.kt
+++ b/dispatch/src/test/kotlin/io/oriolehall/dispatch/limits/SharedLimitsTest.kt
@@ -15,16 +15,16 @@
     @Test
     fun `all instances together stay within the repeats of any window`() {
         val instances = 7
-        val allowances = List(instances) { RepeatAllowance(0.2, 54.0, windowMs = 10_000, startedAtMs = -20_000) }
+        val allowances = List(instances) { RetryAllowance(0.2, 54.0, windowMs = 10_000, startedAtMs = -20_000) }
         val retries = mutableListOf<Long>()
         val firstAttempts = mutableListOf<Long>()
         for (nowMs in 0L until 60_000L step 20) {
             for (allowance in allowances) {
                 if (nowMs % 400 == 0L) {
-                    allowance.onFirst(nowMs)
+                    allowance.onFirstAttempt(nowMs)
                     firstAttempts += nowMs
                 }
-                if (allowance.tryTake(nowMs, instances)) retries += nowMs
+                if (allowance.tryAcquire(nowMs, instances)) retries += nowMs
             }
         }
         for (endMs in 10_000L..60_000L step 500) {
@@ -36,9 +36,9 @@
 
     @Test
     fun `a process that has just started repeats nothing, because the one before may have used the window`() {
-        val allowance = RepeatAllowance(0.2, 54.0, windowMs = 10_000, startedAtMs = 0)
-        expectThat(allowance.tryTake(nowMs = 10, instances = 7)).isFalse()
-        expectThat(allowance.tryTake(nowMs = 10_000, instances = 7)).isTrue()
+        val allowance = RetryAllowance(0.2, 54.0, windowMs = 10_000, startedAtMs = 0)
+        expectThat(allowance.tryAcquire(nowMs = 10, instances = 7)).isFalse()
+        expectThat(allowance.tryAcquire(nowMs = 10_000, instances = 7)).isTrue()
     }
 
     /**
@@ -47,8 +47,8 @@
      */
     @Test
     fun `a service that is used for the first time long after the start has its whole part`() {
-        val allowances = RepeatAllowances(0.2, 54.0, windowMs = 10_000, startedAtMs = 0)
-        expectThat(allowances.of("s").tryTake(nowMs = 15_000, instances = 7)).isTrue()
+        val allowances = RetryAllowances(0.2, 54.0, windowMs = 10_000, startedAtMs = 0)
+        expectThat(allowances.of("s").tryAcquire(nowMs = 15_000, instances = 7)).isTrue()
         expectThat(allowances.of("s")).isEqualTo(allowances.of("s"))
     }
 
@@ -57,8 +57,8 @@
     /** Sends whenever the limits allow it. Returns the maximum number of requests sent in any second. */
     private fun maxRequestsInASecond(instances: Int, perSecond: Double): Int {
         val all = instances(instances)
-        val shares = all.map { ColdShare(it, all).of(EndpointId("e"), perSecond) }
-        val limits = List(instances) { ColdLimit() }
+        val shares = all.map { ColdRateShare(it, all).of(EndpointId("e"), perSecond) }
+        val limits = List(instances) { ColdRateLimit() }
         val sentAtMs = mutableListOf<Long>()
         for (nowMs in 0L until 5_000L step 10) {
             limits.forEachIndexed { i, limit ->
@@ -85,11 +85,11 @@
         val all = instances(80)
         val endpoints = List(63) { EndpointId("e-$it") }
         val endpointsPerInstance = all.map { self ->
-            val share = ColdShare(self, all)
+            val share = ColdRateShare(self, all)
             endpoints.sumOf { share.of(it, 21.5) }
         }
         expectThat(endpointsPerInstance).all { isGreaterThanOrEqualTo(5) }
-        val sendersPerEndpoint = endpoints.map { endpoint -> all.sumOf { ColdShare(it, all).of(endpoint, 21.5) } }
+        val sendersPerEndpoint = endpoints.map { endpoint -> all.sumOf { ColdRateShare(it, all).of(endpoint, 21.5) } }
         expectThat(sendersPerEndpoint).all { isEqualTo(17) }
     }
 }
--- a/dispatch/src/test/kotlin/io/oriolehall/dispatch/load/Deployment.kt
+++ b/dispatch/src/test/kotlin/io/oriolehall/dispatch/load/Deployment.kt
@@ -66,8 +66,8 @@
     val kinds: List<RequestProfile>,
 ) {
     /** True when a kind of request that is shed first uses all stage services of [kind]. */
-    fun othersGiveWay(kind: RequestProfile): Boolean =
-        kinds.any { StageAdmission.givesWay(it.priority) && it.services.containsAll(kind.services) }
+    fun othersAreShedFirst(kind: RequestProfile): Boolean =
+        kinds.any { StageAdmission.isShedFirst(it.priority) && it.services.containsAll(kind.services) }
 }
 
 private fun service(name: String, zones: List<String>, batch: Int, pieceMs: Double, memBytes: Long) = SimulatedService(
@@ -77,7 +77,7 @@
         batch = batch,
         callMs = 240.0,
         pieceMs = pieceMs,
-        resultRoomBytes = memBytes,
+        resultMemoryBytes = memBytes,
         resultLifetimeMs = 4_000,
     ),
     zones,
--- a/dispatch/src/test/kotlin/io/oriolehall/dispatch/load/LoadModel.kt
+++ b/dispatch/src/test/kotlin/io/oriolehall/dispatch/load/LoadModel.kt
@@ -1,7 +1,7 @@
 package io.oriolehall.dispatch.load
 
 import io.oriolehall.dispatch.admission.StageAdmission
-import io.oriolehall.dispatch.admission.StageLoads
+import io.oriolehall.dispatch.admission.StageTimeEstimates
 import io.oriolehall.dispatch.stages.PieceInput
 import io.oriolehall.dispatch.stages.PieceWork
 import io.oriolehall.model.ZoneId
@@ -36,7 +36,7 @@
         it.name to SimulatedQueueOwner(it, timeline, scenario, random)
     }
     private val limits = deployment.services.associate { it.name to it.limits }
-    private val loadEstimates = List(deployment.instances) { StageLoads() }
+    private val loadEstimates = List(deployment.instances) { StageTimeEstimates() }
     private var requestCount = 0
 
     val outcomes = deployment.kinds.associate { it.name to OutcomeCounts() }
@@ -96,7 +96,7 @@
     ) {
         private val id = "r${requestCount++}"
         private val zone = deployment.zones.random(random)
-        private val stageLoads = loadEstimates.random(random)
+        private val stageTimeEstimates = loadEstimates.random(random)
         private val outcomeCounts = outcomes.getValue(kind.name)
         private val resultsByStage = HashMap<Int, List<SimulatedResult>>()
         private val finalStages = kind.stages.indices - kind.stages.flatMap(SimulatedStage::after).toSet()
@@ -114,7 +114,7 @@
                     objectiveAtMs - timeline.nowMs,
                     deadlineAtMs - timeline.nowMs,
                     kind.priority,
-                    deployment.othersGiveWay(kind),
+                    deployment.othersAreShedFirst(kind),
                 )
             } else {
                 StageAdmission.Decision.Admitted
@@ -141,7 +141,7 @@
         }
 
         private fun stageMs(spec: SimulatedStage) =
-            stageLoads.expectedMs(spec.service, limits.getValue(spec.service), timeline.nowMs)
+            stageTimeEstimates.expectedMs(spec.service, limits.getValue(spec.service), timeline.nowMs)
 
         private fun advance() {
             if (finished) return
@@ -159,11 +159,11 @@
             }
             val spec = kind.stages[stage]
             val owner = owners.getValue(spec.service)
-            stageLoads.note(spec.service, owner.expectedMs(), timeline.nowMs)
+            stageTimeEstimates.record(spec.service, owner.expectedMs(), timeline.nowMs)
             owner.run(pieceCounts[stage], spec.relativeCost, { piece, group ->
                 createPiece(stage, piece, group)
             }, { releaseScarceInputs(stage) }) {
-                stageLoads.note(spec.service, owner.expectedMs(), timeline.nowMs)
+                stageTimeEstimates.record(spec.service, owner.expectedMs(), timeline.nowMs)
                 onStageEnded(stage, it)
             }
         }
@@ -193,7 +193,7 @@
                 arrivedAtMs = timeline.nowMs,
                 preferredZone = preferredZone(stage),
                 resultBytes = spec.bytes,
-                holdsMemory = spec.after.any(::isScarce),
+                inputsHoldMemory = spec.after.any(::isScarce),
                 objectiveAtMs = timeline.nowMs + remainingMs / (1 + laterStages(stage)),
                 deadlineAtMs = deadlineAtMs,
                 priority = kind.priority,
@@ -215,7 +215,7 @@
         private fun isScarce(stage: Int): Boolean {
             val spec = kind.stages[stage]
             val service = limits.getValue(spec.service)
-            return service.resultRoomBytes < SCARCE_MEMORY_CALLS * service.batch * spec.bytes
+            return service.resultMemoryBytes < SCARCE_MEMORY_CALLS * service.batch * spec.bytes
         }
 
         private fun laterStages(stage: Int): Int {
--- a/dispatch/src/test/kotlin/io/oriolehall/dispatch/load/SimulatedQueueOwner.kt
+++ b/dispatch/src/test/kotlin/io/oriolehall/dispatch/load/SimulatedQueueOwner.kt
@@ -89,7 +89,7 @@
     }
 
     private fun dispatch() {
-        queue.removeHopeless(timeline.nowMs).map(PieceWork::group).distinct().forEach(::fail)
+        queue.removeUnservable(timeline.nowMs).map(PieceWork::group).distinct().forEach(::fail)
         while (true) {
             val call = queue.next(availableWorkers(), timeline.nowMs) ?: break
             if (queue.size > 0) {
@@ -108,7 +108,7 @@
     }
 
     private fun start(call: PlannedCall) {
-        val endMs = call.worker.began(call, timeline.nowMs)
+        val endMs = call.worker.onCallStarted(call, timeline.nowMs)
         call.pieces.map(PieceWork::group).distinct().forEach { groupId -> onPiecesStarted(groupId, call) }
         val relativeCost = call.pieces.sumOf { groups[it.group]?.relativeCost ?: 1.0 }
         val noise = 0.9 + random.nextDouble() * 0.2
@@ -123,14 +123,14 @@
     }
 
     private fun end(call: PlannedCall, endMs: Long, tookMs: Long) {
-        call.worker.ended(call, endMs, tookMs)
+        call.worker.onCallEnded(call, endMs, tookMs)
         call.pieces.forEach { deliver(call.worker, it) }
         dispatch()
     }
 
     private fun deliver(worker: StageWorker, piece: PieceWork) {
         val result = SimulatedResult("h${nextHandleId++}", worker, this)
-        worker.holds(result.handle, piece.resultBytes, timeline.nowMs)
+        worker.onResultStored(result.handle, piece.resultBytes, timeline.nowMs)
         val group = groups[piece.group]
         if (group == null) {
             free(listOf(result))
@@ -139,7 +139,7 @@
         group.results += result
         if (group.results.size < group.pieces) return
         groups.remove(piece.group)
-        queue.completed(timeline.nowMs - group.startedAtMs, timeline.nowMs)
+        queue.onGroupCompleted(timeline.nowMs - group.startedAtMs, timeline.nowMs)
         group.onDone(group.results)
     }
 
@@ -151,7 +151,7 @@
 
     /** Frees [results] at their workers after the delay of a message. */
     fun free(results: List<SimulatedResult>) = timeline.schedule(12) {
-        results.forEach { it.worker.freed(it.handle) }
+        results.forEach { it.worker.onResultFreed(it.handle) }
         dispatch()
     }
 }
--- a/dispatch/src/test/kotlin/io/oriolehall/dispatch/stages/StageQueueTest.kt
+++ b/dispatch/src/test/kotlin/io/oriolehall/dispatch/stages/StageQueueTest.kt
@@ -22,7 +22,7 @@
         batch = 4,
         callMs = 240.0,
         pieceMs = 30.0,
-        resultRoomBytes = 1_000,
+        resultMemoryBytes = 1_000,
         resultLifetimeMs = 4_000,
     )
     private val queue = StageQueue(limits)
@@ -42,7 +42,7 @@
         bytes: Long = 10,
         input: PieceInput = PieceInput.Key("k"),
         zone: String? = null,
-        holdsMemory: Boolean = input is PieceInput.Results,
+        inputsHoldMemory: Boolean = input is PieceInput.Results,
     ): List<PieceWork> {
         val group = nextGroup++
         return List(count) {
@@ -55,7 +55,7 @@
                 arrivedAtMs = 0,
                 preferredZone = zone?.let(::ZoneId),
                 resultBytes = bytes,
-                holdsMemory = holdsMemory,
+                inputsHoldMemory = inputsHoldMemory,
                 objectiveAtMs = objectiveAtMs,
                 deadlineAtMs = deadlineAtMs,
                 priority = priority,
@@ -70,11 +70,11 @@
         val worker = worker("x")
         queue.add(pieces("a", 1))
         val first = requireNotNull(queue.next(listOf(worker), nowMs = 0))
-        worker.began(first, nowMs = 0)
+        worker.onCallStarted(first, nowMs = 0)
         queue.add(pieces("b", 1))
         queue.add(pieces("c", 2))
         expectThat(queue.next(listOf(worker), nowMs = 10)).isNull()
-        worker.ended(first, 270, elapsedMs = 270)
+        worker.onCallEnded(first, 270, elapsedMs = 270)
         expectThat(queue.next(listOf(worker), nowMs = 270)).isNotNull()
             .get { requests() }.containsExactly("b", "c", "c")
     }
@@ -100,7 +100,7 @@
         val workers = listOf(worker("x"), worker("y", zone = "b"))
         val near = workers[1]
         queue.add(pieces("a", 1, zone = "b"))
-        near.began(requireNotNull(queue.next(workers, nowMs = 0)), nowMs = 0)
+        near.onCallStarted(requireNotNull(queue.next(workers, nowMs = 0)), nowMs = 0)
         queue.add(pieces("c", 1, zone = "b"))
         expectThat(queue.next(workers, nowMs = 199)).isNull()
         expectThat(queue.next(workers, nowMs = 200)).isNotNull().get { worker }.isEqualTo(workers[0])
@@ -112,10 +112,10 @@
         val workers = listOf(worker("x"), own)
         queue.add(pieces("far", 4, input = PieceInput.Results(listOf("h")), zone = "a"))
         queue.add(pieces("near", 4, input = PieceInput.Results(listOf("h")), zone = "b"))
-        workers.first().began(PlannedCall(workers.first(), emptyList()), nowMs = 0)
+        workers.first().onCallStarted(PlannedCall(workers.first(), emptyList()), nowMs = 0)
         expectThat(queue.next(workers, nowMs = 400)).isNotNull().get { requests() }
             .containsExactly(List(4) { "near" })
-        own.ended(PlannedCall(own, emptyList()), 0, elapsedMs = null)
+        own.onCallEnded(PlannedCall(own, emptyList()), 0, elapsedMs = null)
         expectThat(queue.next(workers, nowMs = 400)).isNotNull().get { requests() }
             .containsExactly(List(4) { "far" })
     }
@@ -124,8 +124,8 @@
     @Test
     fun `late pieces that hold no scarce memory wait for those that can be on time`() {
         val input = PieceInput.Results(listOf("h"))
-        queue.add(pieces("late", 4, objectiveAtMs = 100, input = input, holdsMemory = false))
-        queue.add(pieces("timely", 4, objectiveAtMs = 2_000, input = input, holdsMemory = false))
+        queue.add(pieces("late", 4, objectiveAtMs = 100, input = input, inputsHoldMemory = false))
+        queue.add(pieces("timely", 4, objectiveAtMs = 2_000, input = input, inputsHoldMemory = false))
         expectThat(queue.next(listOf(worker("x")), nowMs = 0)).isNotNull().get { requests() }
             .containsExactly(List(4) { "timely" })
     }
@@ -133,17 +133,17 @@
     @Test
     fun `a group waits for room for all of it`() {
         val worker = worker("x")
-        worker.holds("h", 700, nowMs = 0)
+        worker.onResultStored("h", 700, nowMs = 0)
         queue.add(pieces("a", 2, bytes = 200))
         expectThat(queue.next(listOf(worker), nowMs = 0)).isNull()
-        worker.freed("h")
+        worker.onResultFreed("h")
         expectThat(queue.next(listOf(worker), nowMs = 0)).isNotNull().get { pieces }.hasSize(2)
     }
 
     @Test
     fun `results that turn out larger than configured leave room for fewer`() {
         val worker = worker("x")
-        repeat(5) { worker.lacksRoom(nowMs = 0) }
+        repeat(5) { worker.onMemoryExhausted(nowMs = 0) }
         queue.add(pieces("a", 4, bytes = 250))
         expectThat(queue.next(listOf(worker), nowMs = 1_000)).isNotNull().get { pieces }.hasSize(3)
     }
@@ -158,10 +158,10 @@
     @Test
     fun `room comes back when a result is freed or its lifetime is over`() {
         val worker = worker("x")
-        worker.holds("h1", 600, nowMs = 0)
-        worker.holds("h2", 400, nowMs = 0)
+        worker.onResultStored("h1", 600, nowMs = 0)
+        worker.onResultStored("h2", 400, nowMs = 0)
         expectThat(worker.freeResultBytes(nowMs = 10)).isEqualTo(0)
-        worker.freed("h1")
+        worker.onResultFreed("h1")
         expectThat(worker.freeResultBytes(nowMs = 10)).isEqualTo(600)
         expectThat(worker.freeResultBytes(nowMs = 4_000)).isEqualTo(1_000)
     }
@@ -170,7 +170,7 @@
     fun `a request that cannot be served any more leaves the queue`() {
         queue.add(pieces("a", 2, deadlineAtMs = 200))
         queue.add(pieces("b", 1, deadlineAtMs = 2_000))
-        expectThat(queue.removeHopeless(nowMs = 0).map(PieceWork::requestId)).containsExactly("a", "a")
+        expectThat(queue.removeUnservable(nowMs = 0).map(PieceWork::requestId)).containsExactly("a", "a")
         expectThat(queue.size).isEqualTo(1)
     }
 
@@ -203,12 +203,16 @@
             if (nowMs % (2 * pieceIntervalMs) == 0L) queue.add(pieces("$nowMs", 2, objectiveAtMs = nowMs + 1_500))
             for (ended in running.filter { it.endMs == nowMs }) {
                 running.remove(ended)
-                ended.call.worker.ended(ended.call, ended.expectedEndMs, (ended.call.worker.expectedMs(4)).toLong())
+                ended.call.worker.onCallEnded(
+                    ended.call,
+                    ended.expectedEndMs,
+                    (ended.call.worker.expectedMs(4)).toLong(),
+                )
                 done += ended.call.pieces.map { it.requestId.toLong() to nowMs - it.requestId.toLong() }
             }
             while (true) {
                 val call = queue.next(all, nowMs) ?: break
-                val expectedEndMs = call.worker.began(call, nowMs)
+                val expectedEndMs = call.worker.onCallStarted(call, nowMs)
                 running += Running(call, nowMs + 240 + 30L * call.pieces.size, expectedEndMs)
             }
         }
--- a/gateway/src/main/kotlin/io/oriolehall/gateway/Gateway.kt
+++ b/gateway/src/main/kotlin/io/oriolehall/gateway/Gateway.kt
@@ -2,10 +2,10 @@
 
 import io.ktor.network.selector.SelectorManager
 import io.netty.handler.codec.http.DefaultHttpHeaders
+import io.oriolehall.dispatch.admission.ShutdownAdmission
 import io.oriolehall.dispatch.admission.StageAdmission
-import io.oriolehall.dispatch.admission.StopAdmission
 import io.oriolehall.dispatch.config.CallerLimits
-import io.oriolehall.dispatch.limits.RepeatAllowances
+import io.oriolehall.dispatch.limits.RetryAllowances
 import io.oriolehall.dispatch.placement.AffinityPlacement
 import io.oriolehall.gateway.feed.FeedReader
 import io.oriolehall.gateway.feed.PlatformFeed
@@ -14,7 +14,7 @@
 import io.oriolehall.gateway.http.CallerListener
 import io.oriolehall.gateway.requests.EndpointChooser
 import io.oriolehall.gateway.requests.GatewayMetrics
-import io.oriolehall.gateway.requests.Intake
+import io.oriolehall.gateway.requests.RequestAdmission
 import io.oriolehall.gateway.requests.RequestService
 import io.oriolehall.gateway.stages.StageService
 import io.oriolehall.gateway.stages.StageWorkerClient
@@ -76,7 +76,7 @@
         control = control.dispatcher,
         log = log,
     )
-    private val watchMs = settings.bounds.keyTrustMs?.let { it / WATCHES_PER_KEY_PERIOD } ?: DEFAULT_WATCH_MS
+    private val watchMs = settings.bounds.keyRevocationMs?.let { it / WATCHES_PER_KEY_PERIOD } ?: DEFAULT_WATCH_MS
     private val reader = FeedReader(feed(traffic), state, fleet, { fleet.watchMs(watchMs) }, timers, log)
 
     private val pools = EndpointPools(Connector(traffic))
@@ -85,21 +85,26 @@
         self = self.id,
         ownerOf = { fleet.ownerOf("stage queue $it") },
         peers = peerClient,
-        table = { state.trust.current?.table },
+        table = { state.configHolder.current?.table },
         workers = { state.endpoints.usable(it) },
         client = StageWorkerClient(pools, wire),
         scope = traffic.scope,
         log = log,
-        observer = metrics::stageCall,
+        observer = metrics::recordStageCall,
     )
-    private val retryBudgets = RepeatAllowances(
-        ratio = settings.bounds.repeatRatio,
-        allowance = settings.bounds.repeatAllowance,
-        windowMs = settings.bounds.repeatWindowMs,
+    private val retryAllowances = RetryAllowances(
+        ratio = settings.bounds.retryRatio,
+        allowance = settings.bounds.retryAllowance,
+        windowMs = settings.bounds.retryWindowMs,
         startedAtMs = TrafficLoop.nowMs(),
     )
     private val requests = RequestService(
-        intake = Intake(state, wire, settings.bounds.keyTrustMs?.minus(KEY_CHECK_MARGIN_MS), Random.Default),
+        requestAdmission = RequestAdmission(
+            state,
+            wire,
+            settings.bounds.keyRevocationMs?.minus(KEY_CHECK_MARGIN_MS),
+            Random.Default,
+        ),
         stages = stages,
         chooser = EndpointChooser(
             self = self,
@@ -112,27 +117,27 @@
             coldSlack = settings.bounds.coldSlack,
         ),
         admission = StageAdmission(),
-        repeats = retryBudgets::of,
-        instances = { fleet.liveInstances.size },
+        retryAllowance = retryAllowances::of,
+        instanceCount = { fleet.liveInstances.size },
         wire = wire,
-        stopping = { stopAdmission },
+        shutdownAdmission = { shutdownAdmission },
         metrics = metrics,
         log = log,
     )
 
     @Volatile
-    private var leaving = false
+    private var shuttingDown = false
 
     @Volatile
-    private var stopAdmission: StopAdmission? = null
+    private var shutdownAdmission: ShutdownAdmission? = null
     private val callerListener = CallerListener(
         traffic,
         requests,
-        limits = { state.trust.current?.table?.config?.limits ?: CallerLimits() },
-        leaving = { leaving },
+        limits = { state.configHolder.current?.table?.config?.limits ?: CallerLimits() },
+        shuttingDown = { shuttingDown },
     )
     private val readinessListener = CallerListener(traffic, { _, responder ->
-        responder.full(if (ready()) OK else UNAVAILABLE, DefaultHttpHeaders(), ByteArray(0))
+        responder.respond(if (ready()) OK else UNAVAILABLE, DefaultHttpHeaders(), ByteArray(0))
     })
 
     /** Address of the metrics page after the start; null if metrics are not served. */
@@ -140,7 +145,7 @@
         private set
     private val metricsListener = CallerListener(traffic, { _, responder ->
         val headers = DefaultHttpHeaders().set("Content-Type", "text/plain; version=0.0.4")
-        responder.full(OK, headers, metrics.scrape().encodeToByteArray())
+        responder.respond(OK, headers, metrics.scrape().encodeToByteArray())
     })
 
     /** Starts all components and listeners. Returns the address for callers. */
@@ -152,14 +157,14 @@
         timers.every("expire lapsed endpoints", EXPIRY_CHECK_MS) { state.expire() }
         timers.every("report dropped lines", DROPPED_LINES_REPORT_MS) { log.report() }
         traffic.scope.launch { runMaintenance() }
-        readinessListener.start(settings.readiness)
-        metricsAddress = settings.metrics?.let(metricsListener::start)
-        val address = callerListener.start(settings.callers)
+        readinessListener.start(settings.readinessAddress)
+        metricsAddress = settings.metricsAddress?.let(metricsListener::start)
+        val address = callerListener.start(settings.callerAddress)
         log.write(Event.INSTANCE_STARTED, "callers" to address, "incarnation" to incarnation)
         return address
     }
 
-    private fun ready(): Boolean = !leaving && state.complete && state.endpoints.endpoints.isNotEmpty()
+    private fun ready(): Boolean = !shuttingDown && state.complete && state.endpoints.endpoints.isNotEmpty()
 
     /**
      * Shuts down gracefully. The instance first reports that it is not ready, while it continues to serve requests that
@@ -168,17 +173,17 @@
      * accepted meanwhile in the same way: every request that has been read is answered.
      */
     suspend fun stop() {
-        leaving = true
+        shuttingDown = true
         log.write(Event.INSTANCE_STOPPING)
         val stopStartedMs = TrafficLoop.nowMs()
-        val stopDeadlineMs = stopStartedMs + settings.bounds.stopMs - STOP_MARGIN_MS
-        stopAdmission = StopAdmission(stopStartedMs, stopDeadlineMs)
+        val stopDeadlineMs = stopStartedMs + settings.bounds.stopTimeoutMs - STOP_MARGIN_MS
+        shutdownAdmission = ShutdownAdmission(stopStartedMs, stopDeadlineMs)
         fleet.announceLeaving()
         delay(BALANCER_DETECTION_MS)
         closeConnections(stopDeadlineMs)
         callerListener.stopListening()
         closeConnections(stopDeadlineMs)
-        val busy = withContext(traffic.dispatcher) { callerListener.registry.busy }
+        val busy = withContext(traffic.dispatcher) { callerListener.registry.busyCount }
         log.write(if (busy == 0) Event.WORK_FINISHED else Event.WORK_CUT_OFF, "busy" to busy)
         fleet.announceStopped()
         log.write(Event.INSTANCE_STOPPED)
@@ -188,8 +193,8 @@
     private suspend fun closeConnections(stopDeadlineMs: Long) {
         while (TrafficLoop.nowMs() < stopDeadlineMs) {
             val open = withContext(traffic.dispatcher) {
-                callerListener.registry.closeIdle()
-                callerListener.registry.open
+                callerListener.registry.closeIdleConnections()
+                callerListener.registry.openCount
             }
             if (open == 0) return
             delay(STOP_CHECK_MS)
@@ -214,7 +219,7 @@
         while (true) {
             delay(MAINTENANCE_MS)
             stages.handOver()
-            if (++runs % RUNS_PER_POOL_SWEEP == 0) pools.sweep(state.endpoints)
+            if (++runs % RUNS_PER_POOL_SWEEP == 0) pools.removeObsolete(state.endpoints)
         }
     }
 
--- a/gateway/src/main/kotlin/io/oriolehall/gateway/SelfCheck.kt
+++ b/gateway/src/main/kotlin/io/oriolehall/gateway/SelfCheck.kt
@@ -55,15 +55,15 @@
 
     private fun settings() = GatewaySettings(
         instance = Instance(InstanceId("self-check"), ZONE, ANY_PORT),
-        callers = ANY_PORT,
-        readiness = ANY_PORT,
+        callerAddress = ANY_PORT,
+        readinessAddress = ANY_PORT,
         seeds = emptyList(),
-        bounds = Bounds(
-            stopMs = TIMEOUT_MS,
-            keyTrustMs = TIMEOUT_MS,
-            repeatRatio = 0.0,
-            repeatAllowance = 0.0,
-            repeatWindowMs = TIMEOUT_MS,
+        bounds = DeploymentBounds(
+            stopTimeoutMs = TIMEOUT_MS,
+            keyRevocationMs = TIMEOUT_MS,
+            retryRatio = 0.0,
+            retryAllowance = 0.0,
+            retryWindowMs = TIMEOUT_MS,
             coldFactor = 1.0,
             coldSlack = 0.0,
         ),
@@ -79,7 +79,7 @@
             organisations = emptyList(),
         )
         val record =
-            EndpointRecord(EndpointId("endpoint"), 1, SERVICE, endpoint, ZONE, 1, draining = false, coldForMs = 0)
+            EndpointRecord(EndpointId("endpoint"), 1, SERVICE, endpoint, ZONE, 1, draining = false, coldRemainingMs = 0)
         return FeedSnapshot(asOf = 1, configRevision = 1, config, listOf(record), emptyList())
     }
 
@@ -100,12 +100,12 @@
             .set(wire.headers.attemptId, request.headers.get(wire.headers.attemptId))
             .set(wire.headers.signature, "self-check")
         if (request.uri.startsWith("/plain/")) {
-            responder.full(OK, headers, "answer".encodeToByteArray())
+            responder.respond(OK, headers, "answer".encodeToByteArray())
             return
         }
-        responder.begin(OK, headers.set("Content-Type", "text/event-stream"))
-        repeat(2) { responder.data("id: $it\ndata: event\n\n".encodeToByteArray()) }
-        responder.end()
+        responder.startStreaming(OK, headers.set("Content-Type", "text/event-stream"))
+        repeat(2) { responder.writeChunk("id: $it\ndata: event\n\n".encodeToByteArray()) }
+        responder.completeStreaming()
     }
 
     private suspend fun send(address: NetworkAddress, path: String): Boolean = withContext(loop.dispatcher) {
--- a/gateway/src/main/kotlin/io/oriolehall/gateway/feed/FeedReader.kt
+++ b/gateway/src/main/kotlin/io/oriolehall/gateway/feed/FeedReader.kt
@@ -1,6 +1,6 @@
 package io.oriolehall.gateway.feed
 
-import io.oriolehall.dispatch.config.Moment
+import io.oriolehall.dispatch.config.ClockReading
 import io.oriolehall.runtime.Event
 import io.oriolehall.runtime.EventLog
 import io.oriolehall.runtime.TimerService
@@ -53,16 +53,16 @@
         }
     }
 
-    private suspend fun readAll(sentAt: Moment): FeedFailure? {
-        val orderly = reachable
+    private suspend fun readAll(sentAt: ClockReading): FeedFailure? {
+        val storeUninterrupted = reachable
         val answer = feed.snapshot()
         if (answer.isErr) return answer.error
         recordSuccess()
-        state.replace(answer.value, sentAt, orderly, "platform")
+        state.replace(answer.value, sentAt, storeUninterrupted, "platform")
         return null
     }
 
-    private suspend fun watch(sentAt: Moment): FeedFailure? {
+    private suspend fun watch(sentAt: ClockReading): FeedFailure? {
         val answer = feed.changes(state.asOf ?: 0, watchMs())
         if (answer.isErr) return answer.error
         recordSuccess()
@@ -75,7 +75,7 @@
         state.recordPlatformAnswer()
         if (reachable) return
         reachable = true
-        state.storeReturned()
+        state.onStoreRecovered()
         log.write(Event.PLATFORM_REACHED, "afterMs" to timers.nowMs() - unreachableSinceMs, "asOf" to state.asOf)
     }
 
--- a/gateway/src/main/kotlin/io/oriolehall/gateway/feed/PublishedState.kt
+++ b/gateway/src/main/kotlin/io/oriolehall/gateway/feed/PublishedState.kt
@@ -1,7 +1,7 @@
 package io.oriolehall.gateway.feed
 
-import io.oriolehall.dispatch.config.ConfigTrust
-import io.oriolehall.dispatch.config.Moment
+import io.oriolehall.dispatch.config.ClockReading
+import io.oriolehall.dispatch.config.ConfigHolder
 import io.oriolehall.dispatch.config.ServingConfig
 import io.oriolehall.dispatch.endpoints.EndpointDirectory
 import io.oriolehall.dispatch.endpoints.EndpointSnapshot
@@ -19,13 +19,13 @@
 
 /**
  * This instance's copy of the published state: the configuration in force, the endpoints and the evacuated zones. It is
- * changed on the control thread only; [trust] and [endpoints] may be read by any thread.
+ * changed on the control thread only; [configHolder] and [endpoints] may be read by any thread.
  */
 class PublishedState(private val timers: TimerService, private val log: EventLog) {
     private val directory = EndpointDirectory()
     private val evacuated = mutableSetOf<ZoneId>()
 
-    val trust = ConfigTrust()
+    val configHolder = ConfigHolder()
 
     /** Recent changes to this state, for the instances that follow this one. */
     val journal = ChangeJournal()
@@ -43,25 +43,25 @@
         private set
 
     /** True once a snapshot with a configuration has been applied. */
-    val complete: Boolean get() = asOf != null && trust.current != null
+    val complete: Boolean get() = asOf != null && configHolder.current != null
 
     /** Records that the platform has just answered this instance. */
     fun recordPlatformAnswer() {
         platformAnsweredAtMs = timers.nowMs()
     }
 
-    fun now() = Moment(timers.nowMs(), timers.wallClockMs())
+    fun now() = ClockReading(timers.nowMs(), timers.wallClockMs())
 
     /**
      * Replaces the state by [snapshot], unless the state is newer. [readAt] is when the read was sent.
      *
-     * @param orderly true if the store has been available without interruption since the last update.
+     * @param storeUninterrupted true if the store has been available without interruption since the last update.
      */
-    fun replace(snapshot: FeedSnapshot, readAt: Moment, orderly: Boolean, source: String) {
+    fun replace(snapshot: FeedSnapshot, readAt: ClockReading, storeUninterrupted: Boolean, source: String) {
         if ((asOf ?: -1) > snapshot.asOf) return
         val config = snapshot.config
         if (config != null) offer(config, snapshot.configRevision, readAt, source)
-        directory.replaceAll(snapshot.endpoints, timers.nowMs(), orderly)
+        directory.replaceAll(snapshot.endpoints, timers.nowMs(), storeUninterrupted)
         evacuated.clear()
         evacuated += snapshot.evacuated
         asOf = snapshot.asOf
@@ -69,10 +69,10 @@
     }
 
     /** Applies [update], the result of a watch that was sent at [sentAt]. */
-    fun apply(update: FeedChanges, sentAt: Moment) {
+    fun apply(update: FeedChanges, sentAt: ClockReading) {
         update.changes.forEach { applyChange(it, sentAt, "platform") }
         asOf = maxOf(asOf ?: 0, update.asOf)
-        trust.current?.let { trust.confirm(it.revision, sentAt) }
+        configHolder.current?.let { configHolder.confirm(it.revision, sentAt) }
         publish()
     }
 
@@ -80,13 +80,13 @@
      * Applies changes up to [revision] from an instance that this one follows. They are already in force there: for a
      * withdrawn endpoint, that instance has already waited for it to register again.
      */
-    fun applyFollowed(changes: List<PublishedChange>, revision: Long, at: Moment, source: String) {
+    fun applyFollowed(changes: List<PublishedChange>, revision: Long, at: ClockReading, source: String) {
         changes.forEach { applyChange(it, at, source) }
         asOf = maxOf(asOf ?: 0, revision)
         publish()
     }
 
-    private fun applyChange(change: PublishedChange, sentAt: Moment, source: String) = when (change) {
+    private fun applyChange(change: PublishedChange, sentAt: ClockReading, source: String) = when (change) {
         is ConfigPublished -> offer(change.config, change.revision, sentAt, source)
         is EndpointRegistered -> register(change)
         is EndpointWithdrawn -> withdraw(change.id)
@@ -95,8 +95,8 @@
         is Unreadable -> log.write(Event.PUBLISHED_ITEM_UNREADABLE, "key" to change.key, "error" to change.reason)
     }
 
-    private fun offer(config: ServingConfig, revision: Long, at: Moment, source: String) {
-        if (!trust.offer(config, revision, at)) return
+    private fun offer(config: ServingConfig, revision: Long, at: ClockReading, source: String) {
+        if (!configHolder.activateIfNewer(config, revision, at)) return
         journal.add(listOf(ConfigPublished(revision, config)))
         log.write(
             Event.CONFIG_IN_FORCE,
@@ -111,19 +111,19 @@
         val record = change.record
         val old = directory.snapshot.endpoints[record.id]
         directory.register(record)
-        if (old == null || old.bornAtMs != record.bornAtMs || old.draining != record.draining) {
+        if (old == null || old.startedAtMs != record.startedAtMs || old.draining != record.draining) {
             log.write(
                 if (record.draining) Event.ENDPOINT_DRAINING else Event.ENDPOINT_REGISTERED,
                 "endpoint" to record.id,
                 "service" to record.service,
                 "zone" to record.zone,
-                "coldMs" to record.coldForMs,
+                "coldMs" to record.coldRemainingMs,
             )
         }
     }
 
     private fun withdraw(id: EndpointId) {
-        directory.withdraw(id, timers.nowMs(), orderly = true)
+        directory.withdraw(id, timers.nowMs(), storeUninterrupted = true)
         log.write(Event.ENDPOINT_WITHDRAWN, "endpoint" to id)
     }
 
@@ -132,7 +132,7 @@
         log.write(if (on) Event.ZONE_EVACUATED else Event.ZONE_RESTORED, "zone" to zone)
     }
 
-    fun storeReturned() = directory.storeReturned(timers.nowMs())
+    fun onStoreRecovered() = directory.onStoreRecovered(timers.nowMs())
 
     /** Removes lapsed endpoints that have not registered again within their grace period. */
     fun expire() {
@@ -144,7 +144,7 @@
 
     /** Returns the complete state for another instance, or null if it is not complete yet. */
     fun snapshot(): FeedSnapshot? {
-        val confirmed = trust.current ?: return null
+        val confirmed = configHolder.current ?: return null
         return FeedSnapshot(
             asOf = asOf ?: return null,
             configRevision = confirmed.revision,
--- a/gateway/src/main/kotlin/io/oriolehall/gateway/fleet/FleetService.kt
+++ b/gateway/src/main/kotlin/io/oriolehall/gateway/fleet/FleetService.kt
@@ -1,6 +1,6 @@
 package io.oriolehall.gateway.fleet
 
-import io.oriolehall.dispatch.config.Moment
+import io.oriolehall.dispatch.config.ClockReading
 import io.oriolehall.gateway.feed.PeerFeed
 import io.oriolehall.gateway.feed.PublishedState
 import io.oriolehall.model.Incarnation
@@ -148,9 +148,9 @@
         return answer
     }
 
-    private fun confirmFrom(answer: FleetGossip, sentAt: Moment) {
+    private fun confirmFrom(answer: FleetGossip, sentAt: ClockReading) {
         if (answer.confirmedAgoMs < 0) return
-        state.trust.confirm(answer.configRevision, sentAt.before(answer.confirmedAgoMs))
+        state.configHolder.confirm(answer.configRevision, sentAt.before(answer.confirmedAgoMs))
     }
 
     private fun answer(message: FleetGossip): FleetGossip {
@@ -161,14 +161,14 @@
     private fun gossip(records: List<MemberRecord>) = FleetGossip(
         records = records,
         fleetDigest = membership.digest(),
-        configRevision = state.trust.current?.revision ?: 0,
+        configRevision = state.configHolder.current?.revision ?: 0,
         confirmedAgoMs = confirmedAgoMs(),
     )
 
     private fun confirmedAgoMs(): Long {
-        val config = state.trust.current ?: return -1
+        val config = state.configHolder.current ?: return -1
         val now = state.now()
-        return if (config.mayHonourKeys(now, MAX_CONFIRMATION_AGE_MS)) now.ms - config.confirmedAt.ms else -1
+        return if (config.mayAcceptApiKeys(now, MAX_CONFIRMATION_AGE_MS)) now.ms - config.confirmedAt.ms else -1
     }
 
     private fun mergeGossip(gossip: FleetGossip) {
@@ -176,7 +176,9 @@
         if (changed.isNotEmpty()) publish()
         val address = gossip.sender.instance.peerAddress
         if (gossip.fleetDigest != membership.digest()) fetchUnlessRunning { fetchRecords(address) }
-        if (gossip.configRevision > (state.trust.current?.revision ?: 0)) fetchUnlessRunning { fetchState(address) }
+        if (gossip.configRevision > (state.configHolder.current?.revision ?: 0)) {
+            fetchUnlessRunning { fetchState(address) }
+        }
     }
 
     private fun fetchUnlessRunning(fetch: suspend () -> Unit) {
@@ -204,7 +206,7 @@
         val readAt = if (agoMs < 0) sentAt.before(MAX_CONFIRMATION_AGE_MS) else sentAt.before(agoMs)
         val snapshot = answer.value.snapshot ?: return false
         if (snapshot.asOf < (state.asOf ?: 0)) return false
-        state.replace(snapshot, readAt, orderly = true, source = "instance at $address")
+        state.replace(snapshot, readAt, storeUninterrupted = true, source = "instance at $address")
         return true
     }
 
--- a/gateway/src/main/kotlin/io/oriolehall/gateway/fleet/StateFollower.kt
+++ b/gateway/src/main/kotlin/io/oriolehall/gateway/fleet/StateFollower.kt
@@ -1,6 +1,6 @@
 package io.oriolehall.gateway.fleet
 
-import io.oriolehall.dispatch.config.Moment
+import io.oriolehall.dispatch.config.ClockReading
 import io.oriolehall.gateway.feed.PublishedState
 import io.oriolehall.model.Incarnation
 import io.oriolehall.model.InstanceId
@@ -41,7 +41,7 @@
         if (query.incarnation == incarnation) journal.awaitChange(query.position, query.waitMs.coerceIn(0, MAX_WAIT_MS))
         val asOf = state.asOf ?: return null
         val platformAnsweredAtMs = state.platformAnsweredAtMs ?: return null
-        val config = state.trust.current ?: return null
+        val config = state.configHolder.current ?: return null
         val changes = if (query.incarnation == incarnation) journal.changesAfter(query.position) else null
         val agoMs = confirmedAgoMs()
         return FollowAnswer(
@@ -87,15 +87,15 @@
         else -> null
     }
 
-    private fun applyAnswer(member: Member, answer: FollowAnswer, sentAt: Moment) {
+    private fun applyAnswer(member: Member, answer: FollowAnswer, sentAt: ClockReading) {
         val confirmedAt = sentAt.before(answer.confirmedAgoMs)
         val snapshot = answer.snapshot
         if (snapshot != null) {
-            state.replace(snapshot, confirmedAt, orderly = true, source = "instance ${member.id}")
+            state.replace(snapshot, confirmedAt, storeUninterrupted = true, source = "instance ${member.id}")
         } else {
             state.applyFollowed(answer.changes, answer.asOf, confirmedAt, source = "instance ${member.id}")
         }
-        state.trust.confirm(answer.configRevision, confirmedAt)
+        state.configHolder.confirm(answer.configRevision, confirmedAt)
         if (reader != member.id) log.write(Event.STATE_FOLLOWED, "reader" to member.id, "asOf" to answer.asOf)
         reader = member.id
         readerIncarnation = answer.incarnation
--- a/gateway/src/main/kotlin/io/oriolehall/gateway/http/CallerConnection.kt
+++ b/gateway/src/main/kotlin/io/oriolehall/gateway/http/CallerConnection.kt
@@ -214,7 +214,7 @@
         var closesConnection = false
             private set
 
-        override fun full(status: Int, headers: HttpHeaders, body: ByteArray) {
+        override fun respond(status: Int, headers: HttpHeaders, body: ByteArray) {
             check(!started) { "response already started" }
             started = true
             ended = true
@@ -234,7 +234,7 @@
             if (closesConnection) written.addListener(ChannelFutureListener.CLOSE)
         }
 
-        override fun begin(status: Int, headers: HttpHeaders) {
+        override fun startStreaming(status: Int, headers: HttpHeaders) {
             check(!started) { "response already started" }
             started = true
             headers.set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED)
@@ -242,7 +242,7 @@
             ctx.writeAndFlush(DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(status), headers))
         }
 
-        override suspend fun data(bytes: ByteArray) {
+        override suspend fun writeChunk(bytes: ByteArray) {
             ctx.writeAndFlush(DefaultHttpContent(Unpooled.wrappedBuffer(bytes)))
             while (!ctx.channel().isWritable && ctx.channel().isActive) {
                 val signal = CompletableDeferred<Unit>()
@@ -251,7 +251,7 @@
             }
         }
 
-        override fun end() {
+        override fun completeStreaming() {
             ended = true
             val written = ctx.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT)
             if (closesConnection) written.addListener(ChannelFutureListener.CLOSE)
--- a/gateway/src/main/kotlin/io/oriolehall/gateway/http/CallerListener.kt
+++ b/gateway/src/main/kotlin/io/oriolehall/gateway/http/CallerListener.kt
@@ -18,7 +18,7 @@
     private val loop: TrafficLoop,
     private val handler: RequestHandler,
     private val limits: () -> CallerLimits = { CallerLimits() },
-    private val leaving: () -> Boolean = { false },
+    private val shuttingDown: () -> Boolean = { false },
 ) {
     val registry = CallerRegistry()
     private var server: Channel? = null
@@ -49,7 +49,7 @@
         channel.pipeline().addLast(
             HttpRequestDecoder(config),
             HttpResponseEncoder(),
-            CallerConnection(loop.scope, handler, registry, limits, leaving),
+            CallerConnection(loop.scope, handler, registry, limits, shuttingDown),
         )
     }
 
--- a/gateway/src/main/kotlin/io/oriolehall/gateway/http/CallerRegistry.kt
+++ b/gateway/src/main/kotlin/io/oriolehall/gateway/http/CallerRegistry.kt
@@ -4,9 +4,9 @@
 class CallerRegistry {
     private val connections = LinkedHashSet<CallerConnection>()
 
-    val open: Int get() = connections.size
+    val openCount: Int get() = connections.size
 
-    val busy: Int get() = connections.count(CallerConnection::isBusy)
+    val busyCount: Int get() = connections.count(CallerConnection::isBusy)
 
     internal fun add(connection: CallerConnection) {
         connections += connection
@@ -17,5 +17,5 @@
     }
 
     /** Closes idle connections; busy ones are closed after their current response. */
-    fun closeIdle() = connections.toList().forEach(CallerConnection::closeWhenIdle)
+    fun closeIdleConnections() = connections.toList().forEach(CallerConnection::closeWhenIdle)
 }
--- a/gateway/src/main/kotlin/io/oriolehall/gateway/requests/Attempt.kt
+++ b/gateway/src/main/kotlin/io/oriolehall/gateway/requests/Attempt.kt
@@ -34,7 +34,7 @@
     suspend fun run(inputs: List<String>, lastEventId: String?, headTimeoutMs: Long?): AttemptOutcome {
         val acquired = pool.acquire()
         if (acquired.isErr) {
-            pool.health.failed(TrafficLoop.nowMs())
+            pool.health.onConnectionFailure(TrafficLoop.nowMs())
             return AttemptOutcome.NotRun(acquired.error.message, overloaded = false)
         }
         val connection = acquired.value
@@ -80,12 +80,12 @@
     }
 
     private fun headTimedOut(timeoutMs: Long): AttemptOutcome {
-        pool.health.failed(TrafficLoop.nowMs())
+        pool.health.onConnectionFailure(TrafficLoop.nowMs())
         return AttemptOutcome.Lost("no answer in $timeoutMs ms")
     }
 
     private fun lost(reason: String): AttemptOutcome {
-        pool.health.failed(TrafficLoop.nowMs())
+        pool.health.onConnectionFailure(TrafficLoop.nowMs())
         return AttemptOutcome.Lost(reason)
     }
 
@@ -95,7 +95,7 @@
     private suspend fun decline(connection: UpstreamConnection, head: UpstreamEvent.Head): AttemptOutcome {
         context.mayHaveRun = mayHaveRunBefore
         readBody(connection)
-        if (head.status == UNAVAILABLE) pool.health.overloaded(TrafficLoop.nowMs())
+        if (head.status == UNAVAILABLE) pool.health.onOverload(TrafficLoop.nowMs())
         return AttemptOutcome.NotRun("endpoint declined with ${head.status}", overloaded = head.status == UNAVAILABLE)
     }
 
@@ -120,12 +120,12 @@
         val body = readBody(connection) ?: return lost("answer broke off")
         val headers = headerPolicy.responseHeaders(head.headers)
         if (head.status >= FIRST_SERVER_ERROR) {
-            pool.health.answeredWithFailure()
+            pool.health.onErrorResponse()
             return AttemptOutcome.Failure(head.status, headers, body)
         }
-        pool.health.succeeded((TrafficLoop.nowMs() - startedAtMs).toDouble())
+        pool.health.onSuccess((TrafficLoop.nowMs() - startedAtMs).toDouble())
         context.recordFirstByte()
-        responder.full(head.status, headers, body)
+        responder.respond(head.status, headers, body)
         return AttemptOutcome.Delivered(head.status)
     }
 
@@ -141,8 +141,10 @@
                 UpstreamEvent.End -> {
                     if (!splitter.atBoundary) return lost("stream ended inside an event")
                     responseComplete = true
-                    if (!responder.started) responder.begin(head.status, headerPolicy.responseHeaders(head.headers))
-                    responder.end()
+                    if (!responder.started) {
+                        responder.startStreaming(head.status, headerPolicy.responseHeaders(head.headers))
+                    }
+                    responder.completeStreaming()
                     return AttemptOutcome.Delivered(head.status)
                 }
             }
@@ -154,11 +156,11 @@
         if (completeEvents.isEmpty()) return
         if (!responder.started) {
             context.recordFirstByte()
-            responder.begin(head.status, headerPolicy.responseHeaders(head.headers))
-            pool.health.succeeded((TrafficLoop.nowMs() - startedAtMs).toDouble())
+            responder.startStreaming(head.status, headerPolicy.responseHeaders(head.headers))
+            pool.health.onSuccess((TrafficLoop.nowMs() - startedAtMs).toDouble())
         }
         onEvents()
-        responder.data(completeEvents)
+        responder.writeChunk(completeEvents)
     }
 
     private companion object {
--- a/gateway/src/main/kotlin/io/oriolehall/gateway/requests/EndpointChooser.kt
+++ b/gateway/src/main/kotlin/io/oriolehall/gateway/requests/EndpointChooser.kt
@@ -1,8 +1,8 @@
 package io.oriolehall.gateway.requests
 
-import io.oriolehall.dispatch.endpoints.EndpointLife
+import io.oriolehall.dispatch.endpoints.EndpointIncarnation
 import io.oriolehall.dispatch.endpoints.EndpointSnapshot
-import io.oriolehall.dispatch.limits.ColdShare
+import io.oriolehall.dispatch.limits.ColdRateShare
 import io.oriolehall.dispatch.placement.Placement
 import io.oriolehall.dispatch.placement.PlacementCandidate
 import io.oriolehall.dispatch.placement.PlacementRequest
@@ -33,15 +33,15 @@
     private val coldSlack: Double,
 ) {
     private var lastInstances = emptySet<InstanceId>()
-    private var coldShares = ColdShare(self.id, lastInstances)
+    private var coldShares = ColdRateShare(self.id, lastInstances)
 
     /** Chooses an endpoint for [context] that is not in [tried]; null when none is available. */
-    fun choose(context: RequestContext, inputZone: ZoneId?, tried: Set<EndpointLife>): EndpointPool? {
+    fun choose(context: RequestContext, inputZone: ZoneId?, tried: Set<EndpointIncarnation>): EndpointPool? {
         val nowMs = TrafficLoop.nowMs()
         val service = context.table.service(context.service)
         val coldPerSecond = service?.coldPerSecond?.takeIf { it > 0 }?.let { it * coldFactor + coldSlack }
         val connectionsPerInstance = service?.maxConnections?.takeIf { it > 0 }?.let(::connectionShare)
-        val untried = snapshot().usable(context.service).filter { it.life !in tried }.map(pools::of)
+        val untried = snapshot().usable(context.service).filter { it.incarnation !in tried }.map(pools::poolOf)
         val open = untried
             .filter { coldPerSecond == null || it.coldLimit.allows(nowMs, coldShare(it, coldPerSecond)) }
             .filter { connectionsPerInstance == null || it.hasCapacity(connectionsPerInstance) }
@@ -51,18 +51,18 @@
         }.filter { it > 0 }.sorted().let { it.getOrNull(it.size / 2) }
         val candidates = healthy.map { PlacementCandidate(it.endpoint, it.outstanding, slowness(it, medianMs)) }
         val request = PlacementRequest(affinityKey(context), inputZone, self.zone)
-        return placement.choose(candidates, request)?.let { pools.of(it.endpoint) }
+        return placement.choose(candidates, request)?.let { pools.poolOf(it.endpoint) }
     }
 
     /** True when usable endpoints are registered that are not in [tried]; they may only be at their limits now. */
-    fun mayBecomeAvailable(context: RequestContext, tried: Set<EndpointLife>): Boolean =
-        snapshot().usable(context.service).any { it.life !in tried }
+    fun mayBecomeAvailable(context: RequestContext, tried: Set<EndpointIncarnation>): Boolean =
+        snapshot().usable(context.service).any { it.incarnation !in tried }
 
     private fun coldShare(pool: EndpointPool, coldPerSecond: Double): Int {
         val liveInstances = instances()
         if (liveInstances !== lastInstances) {
             lastInstances = liveInstances
-            coldShares = ColdShare(self.id, liveInstances)
+            coldShares = ColdRateShare(self.id, liveInstances)
         }
         return coldShares.of(pool.endpoint.id, coldPerSecond)
     }
@@ -74,7 +74,7 @@
     /** Response time of the endpoint relative to [medianMs], at least 1, plus its share of failures. */
     private fun slowness(pool: EndpointPool, medianMs: Double?): Double {
         val ownMs = pool.health.responseMs
-        return if (medianMs == null || ownMs == 0.0) 1.0 else maxOf(1.0, ownMs / medianMs) + pool.health.failureShare
+        return if (medianMs == null || ownMs == 0.0) 1.0 else maxOf(1.0, ownMs / medianMs) + pool.health.failureRate
     }
 
     /** Placement key: requests that share all parts of the prompt but the last one can use the same cached prefix. */
--- a/gateway/src/main/kotlin/io/oriolehall/gateway/requests/GatewayMetrics.kt
+++ b/gateway/src/main/kotlin/io/oriolehall/gateway/requests/GatewayMetrics.kt
@@ -51,8 +51,8 @@
     }
 
     /** Records a call with [pieces] pieces to a worker of [service] that took [elapsedMs] milliseconds. */
-    fun stageCall(service: String, pieces: Int, elapsedMs: Long, answered: Boolean) {
-        val tags = Tags.of("service", service, "outcome", if (answered) "answered" else "failed")
+    fun recordStageCall(service: String, pieces: Int, elapsedMs: Long, succeeded: Boolean) {
+        val tags = Tags.of("service", service, "outcome", if (succeeded) "answered" else "failed")
         count("oriolehall.stage.calls", tags)
         timer("oriolehall.stage.call", "service", service).record(elapsedMs, TimeUnit.MILLISECONDS)
         DistributionSummary.builder("oriolehall.stage.call.pieces").tag("service", service).register(registry)
--- a/gateway/src/main/kotlin/io/oriolehall/gateway/requests/Intake.kt
+++ b/gateway/src/main/kotlin/io/oriolehall/gateway/requests/RequestAdmission.kt
@@ -3,10 +3,10 @@
 import com.github.michaelbull.result.Err
 import com.github.michaelbull.result.Ok
 import com.github.michaelbull.result.Result
+import io.oriolehall.dispatch.config.ConfirmedConfig
 import io.oriolehall.dispatch.config.Organisation
 import io.oriolehall.dispatch.config.Route
 import io.oriolehall.dispatch.config.RouteTable
-import io.oriolehall.dispatch.config.TrustedConfig
 import io.oriolehall.gateway.feed.PublishedState
 import io.oriolehall.gateway.http.CallerRequest
 import io.oriolehall.gateway.wire.WireProtocol
@@ -18,14 +18,14 @@
  * @param maxConfigAgeMs API keys are rejected when the configuration was last confirmed longer ago than this,
  *   milliseconds; null when keys are accepted without confirmation.
  */
-internal class Intake(
+internal class RequestAdmission(
     private val state: PublishedState,
     private val wire: WireProtocol,
     private val maxConfigAgeMs: Long?,
     private val random: Random,
 ) {
     fun admit(request: CallerRequest): Result<RequestContext, Rejection> {
-        val currentConfig = state.trust.current
+        val currentConfig = state.configHolder.current
             ?: return Err(
                 Rejection.NotExecuted(RefusalCause.NO_CONFIGURATION, "no configuration yet", NO_CONFIG_RETRY_MS),
             )
@@ -40,8 +40,8 @@
         return Ok(context(request, attemptId, table, route, organisation))
     }
 
-    private fun checkKey(currentConfig: TrustedConfig, organisation: Organisation?): Rejection? = when {
-        maxConfigAgeMs != null && !currentConfig.mayHonourKeys(state.now(), maxConfigAgeMs) ->
+    private fun checkKey(currentConfig: ConfirmedConfig, organisation: Organisation?): Rejection? = when {
+        maxConfigAgeMs != null && !currentConfig.mayAcceptApiKeys(state.now(), maxConfigAgeMs) ->
             Rejection.NotExecuted(RefusalCause.UNCONFIRMED, "configuration is not confirmed", UNCONFIRMED_RETRY_MS)
 
         organisation == null -> Rejection.UnknownKey("API key is missing or not known")
--- a/gateway/src/main/kotlin/io/oriolehall/gateway/requests/RequestService.kt
+++ b/gateway/src/main/kotlin/io/oriolehall/gateway/requests/RequestService.kt
@@ -1,10 +1,10 @@
 package io.oriolehall.gateway.requests
 
 import io.netty.handler.codec.http.DefaultHttpHeaders
+import io.oriolehall.dispatch.admission.ShutdownAdmission
 import io.oriolehall.dispatch.admission.StageAdmission
-import io.oriolehall.dispatch.admission.StopAdmission
-import io.oriolehall.dispatch.endpoints.EndpointLife
-import io.oriolehall.dispatch.limits.RepeatAllowance
+import io.oriolehall.dispatch.endpoints.EndpointIncarnation
+import io.oriolehall.dispatch.limits.RetryAllowance
 import io.oriolehall.gateway.TrafficLoop
 import io.oriolehall.gateway.http.CallerRequest
 import io.oriolehall.gateway.http.RequestHandler
@@ -26,27 +26,27 @@
  * request, and retries it only where that is allowed. Used on the traffic thread only.
  */
 internal class RequestService(
-    private val intake: Intake,
+    private val requestAdmission: RequestAdmission,
     private val stages: StageService,
     private val chooser: EndpointChooser,
     private val admission: StageAdmission,
-    private val repeats: (String) -> RepeatAllowance,
-    private val instances: () -> Int,
+    private val retryAllowance: (String) -> RetryAllowance,
+    private val instanceCount: () -> Int,
     private val wire: WireProtocol,
-    private val stopping: () -> StopAdmission?,
+    private val shutdownAdmission: () -> ShutdownAdmission?,
     private val metrics: GatewayMetrics,
     private val log: EventLog,
 ) : RequestHandler {
     private val headerPolicy = HeaderPolicy(wire)
 
     override suspend fun serve(request: CallerRequest, responder: Responder) {
-        val admitted = intake.admit(request)
+        val admitted = requestAdmission.admit(request)
         if (admitted.isErr) {
             reject(request, null, responder, admitted.error)
             return
         }
         val context = admitted.value
-        if (stopping()?.admits(request.receivedAtMs, context.deadlineAtMs) == false) {
+        if (shutdownAdmission()?.admits(request.receivedAtMs, context.deadlineAtMs) == false) {
             val reason = "the instance stops before the request could end"
             reject(
                 request,
@@ -56,7 +56,7 @@
             )
             return
         }
-        repeats(context.service).onFirst(TrafficLoop.nowMs())
+        retryAllowance(context.service).onFirstAttempt(TrafficLoop.nowMs())
         val rejection = try {
             withTimeoutOrNull(context.remainingMs()) { RequestExecution(context, responder).serve() ?: ResponseSent }
                 ?: timeoutRejection(context)
@@ -118,13 +118,13 @@
         if (rejection is Rejection.NotExecuted && rejection.retryAfterMs > 0) {
             headers.set("Retry-After", String.format(Locale.ROOT, "%.3f", rejection.retryAfterMs / MS_PER_SECOND))
         }
-        responder.full(rejection.status, headers, ByteArray(0))
+        responder.respond(rejection.status, headers, ByteArray(0))
     }
 
     /** Execution of one admitted request. */
     private inner class RequestExecution(private val context: RequestContext, private val responder: Responder) {
         private val splitter = EventSplitter()
-        private val triedEndpoints = mutableSetOf<EndpointLife>()
+        private val triedEndpoints = mutableSetOf<EndpointIncarnation>()
         private var lastFailure: AttemptOutcome.Failure? = null
         private var execution: StageExecution? = null
 
@@ -169,7 +169,9 @@
                 objectiveMs = context.objectiveAtMs - nowMs,
                 deadlineMs = context.remainingMs(nowMs),
                 priority = context.priority,
-                othersGiveWay = StageAdmission.givesWay(context.table.lowestRankBeside(context.route)),
+                othersAreShedFirst = StageAdmission.isShedFirst(
+                    context.table.lowestPrioritySharingStages(context.route),
+                ),
             )
             if (decision !is StageAdmission.Decision.Refused) return null
             val reason = "stages take ${expectedMs.toLong()} ms now"
@@ -201,15 +203,15 @@
 
         /** Why the request may not be retried after [outcome]; null when it may. */
         private fun obstacleAfter(outcome: AttemptOutcome, attempts: Int): String? = when {
-            outcome !is AttemptOutcome.NotRun && !context.route.repeatable -> "may have run and runs at most once"
+            outcome !is AttemptOutcome.NotRun && !context.route.retryable -> "may have run and runs at most once"
             attempts >= context.route.maxAttempts -> "all attempts of the route are used"
-            repeats(context.service).tryTake(TrafficLoop.nowMs(), instances()) -> null
+            retryAllowance(context.service).tryAcquire(TrafficLoop.nowMs(), instanceCount()) -> null
             else -> "this instance's share of the retry budget is used up"
         }
 
         private suspend fun attempt(inputs: List<String>, zone: ZoneId?): AttemptOutcome? {
             val pool = awaitEndpoint(zone) ?: return null
-            triedEndpoints += pool.endpoint.life
+            triedEndpoints += pool.endpoint.incarnation
             context.trace.attempts++
             context.trace.endpoint = pool.endpoint.id
             context.trace.endpointZone = pool.endpoint.zone
@@ -244,7 +246,7 @@
 
         /** Timeout for the response head; leaves a retryable request time to retry if the endpoint does not respond. */
         private fun headTimeoutMs(): Long? {
-            if (!context.route.repeatable || triedEndpoints.size >= context.route.maxAttempts) return null
+            if (!context.route.retryable || triedEndpoints.size >= context.route.maxAttempts) return null
             return maxOf(MIN_HEAD_TIMEOUT_MS, (context.route.objectiveMs * HEAD_TIMEOUT_SHARE).toLong())
         }
 
@@ -263,7 +265,7 @@
 
                 failure != null -> {
                     context.trace.failureStatus = failure.status
-                    responder.full(failure.status, failure.headers, failure.body)
+                    responder.respond(failure.status, failure.headers, failure.body)
                     null
                 }
 
--- a/gateway/src/main/kotlin/io/oriolehall/gateway/requests/StageExecution.kt
+++ b/gateway/src/main/kotlin/io/oriolehall/gateway/requests/StageExecution.kt
@@ -112,7 +112,7 @@
             key = key,
             inputs = inputs.map(StageResult::handle),
             resultBytes = spec.resultBytes,
-            inputsScarce = spec.after.any(::isScarce),
+            inputsUseScarceMemory = spec.after.any(::isScarce),
             objectiveInMs = stageObjectiveMs(stage, nowMs),
             deadlineInMs = context.remainingMs(nowMs),
             priority = context.priority,
@@ -186,7 +186,7 @@
 
     private fun isScarce(stage: Int): Boolean {
         val limits = context.table.service(specs[stage].service)?.pieces ?: return false
-        return limits.resultRoomBytes < SCARCE_BELOW_CALLS * limits.batch * specs[stage].resultBytes
+        return limits.resultMemoryBytes < SCARCE_BELOW_CALLS * limits.batch * specs[stage].resultBytes
     }
 
     /** Releases all results. */
--- a/gateway/src/main/kotlin/io/oriolehall/gateway/stages/StageMessages.kt
+++ b/gateway/src/main/kotlin/io/oriolehall/gateway/stages/StageMessages.kt
@@ -14,7 +14,7 @@
  * @property objectiveInMs milliseconds until this stage has to complete for the request to meet its latency objective.
  * @property preferredZone zone in which the stage should run, because large inputs are stored or large results will be
  *   fetched there; null if it does not matter.
- * @property inputsScarce true if the inputs occupy scarce memory at the workers that produced them.
+ * @property inputsUseScarceMemory true if the inputs occupy scarce memory at the workers that produced them.
  * @property deadlineInMs milliseconds until the deadline of the request.
  */
 @Serializable
@@ -26,7 +26,7 @@
     @SerialName("k") val key: String? = null,
     @SerialName("i") val inputs: List<String> = emptyList(),
     @SerialName("b") val resultBytes: Long,
-    @SerialName("m") val inputsScarce: Boolean = false,
+    @SerialName("m") val inputsUseScarceMemory: Boolean = false,
     @SerialName("o") val objectiveInMs: Long,
     @SerialName("d") val deadlineInMs: Long,
     @SerialName("u") val priority: Int,
--- a/gateway/src/main/kotlin/io/oriolehall/gateway/stages/StageOwner.kt
+++ b/gateway/src/main/kotlin/io/oriolehall/gateway/stages/StageOwner.kt
@@ -1,7 +1,7 @@
 package io.oriolehall.gateway.stages
 
 import io.oriolehall.dispatch.config.PieceLimits
-import io.oriolehall.dispatch.endpoints.EndpointLife
+import io.oriolehall.dispatch.endpoints.EndpointIncarnation
 import io.oriolehall.dispatch.endpoints.EndpointRecord
 import io.oriolehall.dispatch.stages.PieceInput
 import io.oriolehall.dispatch.stages.PieceWork
@@ -49,7 +49,7 @@
 
     private val queue = StageQueue(limits)
     private val groups = HashMap<Long, Group>()
-    private val workerStates = LinkedHashMap<EndpointLife, StageWorker>()
+    private val workerStates = LinkedHashMap<EndpointIncarnation, StageWorker>()
     private val releases = HashMap<NetworkAddress, MutableList<String>>()
     private var nextGroupId = 0L
     private var scheduledDispatch: Job? = null
@@ -103,7 +103,7 @@
         arrivedAtMs = nowMs,
         preferredZone = request.preferredZone,
         resultBytes = request.resultBytes,
-        holdsMemory = request.inputsScarce,
+        inputsHoldMemory = request.inputsUseScarceMemory,
         objectiveAtMs = nowMs + request.objectiveInMs,
         deadlineAtMs = nowMs + request.deadlineInMs,
         priority = request.priority,
@@ -128,19 +128,19 @@
 
     private fun currentWorkers(): List<StageWorker> {
         val records = workers()
-        val registered = records.mapTo(HashSet(), EndpointRecord::life)
+        val registered = records.mapTo(HashSet(), EndpointRecord::incarnation)
         workerStates.keys.removeIf { it !in registered }
-        return records.map { record -> workerStates.getOrPut(record.life) { StageWorker(record, limits) } }
+        return records.map { record -> workerStates.getOrPut(record.incarnation) { StageWorker(record, limits) } }
     }
 
     /** Starts all calls for which a worker has capacity. */
     private fun dispatch() {
         val nowMs = TrafficLoop.nowMs()
-        queue.removeHopeless(nowMs).map(PieceWork::group).distinct().forEach { failGroup(it, StageFailure.LATE) }
+        queue.removeUnservable(nowMs).map(PieceWork::group).distinct().forEach { failGroup(it, StageFailure.LATE) }
         val current = currentWorkers()
         while (true) {
             val call = queue.next(current, TrafficLoop.nowMs()) ?: break
-            val expectedEndMs = call.worker.began(call, TrafficLoop.nowMs())
+            val expectedEndMs = call.worker.onCallStarted(call, TrafficLoop.nowMs())
             recordCallStarted(call)
             scope.launch { runCall(call, expectedEndMs) }
         }
@@ -183,22 +183,22 @@
         val elapsedMs = TrafficLoop.nowMs() - startedAtMs
         val nowMs = TrafficLoop.nowMs()
         val overdue = elapsedMs > worker.expectedMs(call.pieces.size)
-        worker.ended(call, expectedEndMs, elapsedMs.takeIf { answer is StageCallAnswer.Done || overdue })
+        worker.onCallEnded(call, expectedEndMs, elapsedMs.takeIf { answer is StageCallAnswer.Done || overdue })
         when (answer) {
             is StageCallAnswer.Done -> {
-                worker.health.succeeded(elapsedMs.toDouble())
+                worker.health.onSuccess(elapsedMs.toDouble())
                 call.pieces.zip(answer.outcomes).forEach { (piece, outcome) ->
                     handleOutcome(worker, piece, outcome, nowMs)
                 }
             }
 
             is StageCallAnswer.Declined -> {
-                worker.health.overloaded(nowMs)
+                worker.health.onOverload(nowMs)
                 call.pieces.forEach(::requeue)
             }
 
             is StageCallAnswer.Failed -> {
-                worker.health.failed(nowMs)
+                worker.health.onConnectionFailure(nowMs)
                 call.pieces.forEach(::retry)
             }
         }
@@ -231,14 +231,14 @@
             PieceOutcome.Failed -> retry(piece)
 
             PieceOutcome.NoRoom -> {
-                worker.lacksRoom(nowMs)
+                worker.onMemoryExhausted(nowMs)
                 requeue(piece)
             }
         }
     }
 
     private fun deliver(worker: StageWorker, piece: PieceWork, handle: String, nowMs: Long) {
-        worker.holds(handle, piece.resultBytes, nowMs)
+        worker.onResultStored(handle, piece.resultBytes, nowMs)
         val result = StageResult(handle, worker.endpoint.address, worker.endpoint.zone)
         val group = groups[piece.group]
         if (group == null) {
@@ -248,7 +248,7 @@
         group.results[piece.piece] = result
         if (!group.complete) return
         groups.remove(piece.group)
-        queue.completed(nowMs - group.arrivedAtMs, nowMs)
+        queue.onGroupCompleted(nowMs - group.arrivedAtMs, nowMs)
         if (!group.done.complete(StageAnswer(group.results.filterNotNull()))) release(group.results.filterNotNull())
     }
 
@@ -283,7 +283,7 @@
     /** Counts the memory as used until the worker has answered, because a call that starts earlier finds no room. */
     private suspend fun free(worker: StageWorker, handles: List<String>) {
         if (!client.free(worker.endpoint, handles)) return
-        handles.forEach(worker::freed)
+        handles.forEach(worker::onResultFreed)
         dispatch()
     }
 
--- a/gateway/src/main/kotlin/io/oriolehall/gateway/stages/StageWorkerClient.kt
+++ b/gateway/src/main/kotlin/io/oriolehall/gateway/stages/StageWorkerClient.kt
@@ -35,21 +35,22 @@
     private class Answer(val status: Int, val headers: HttpHeaders, val body: ByteArray)
 
     suspend fun run(endpoint: EndpointRecord, pieces: List<PieceWork>, timeoutMs: Long): StageCallAnswer {
-        val body = wire.stageCalls.encodeRun(pieces, TrafficLoop.nowMs())
-        val answer = call(endpoint, wire.stageCalls.runPath, body, timeoutMs)
+        val body = wire.stageCallCodec.encodeRun(pieces, TrafficLoop.nowMs())
+        val answer = call(endpoint, wire.stageCallCodec.runPath, body, timeoutMs)
         if (answer is CallOutcome.Failed) return StageCallAnswer.Failed(answer.reason)
         val response = (answer as CallOutcome.Answered).answer
         if (response.headers.contains(wire.headers.notExecuted) || response.status == MISDIRECTED) {
             return StageCallAnswer.Declined(response.status)
         }
-        val outcomes = if (response.status == OK) wire.stageCalls.decodeRun(response.body) else null
+        val outcomes = if (response.status == OK) wire.stageCallCodec.decodeRun(response.body) else null
         if (outcomes?.size != pieces.size) return StageCallAnswer.Failed("answer ${response.status} cannot be used")
         return StageCallAnswer.Done(outcomes)
     }
 
     /** Frees results at the worker. Returns false if the worker did not confirm it; the results then expire later. */
     suspend fun free(endpoint: EndpointRecord, handles: List<String>): Boolean {
-        val answer = call(endpoint, wire.stageCalls.freePath, wire.stageCalls.encodeFree(handles), FREE_TIMEOUT_MS)
+        val answer =
+            call(endpoint, wire.stageCallCodec.releasePath, wire.stageCallCodec.encodeRelease(handles), FREE_TIMEOUT_MS)
         return answer is CallOutcome.Answered && answer.answer.status == OK
     }
 
@@ -65,7 +66,7 @@
         body: ByteArray,
         timeoutMs: Long,
     ): CallOutcome {
-        val pool = pools.of(endpoint)
+        val pool = pools.poolOf(endpoint)
         val acquired = pool.acquire()
         if (acquired.isErr) return CallOutcome.Failed(acquired.error.message)
         val connection = acquired.value
@@ -85,7 +86,7 @@
 
     private fun headers(endpoint: EndpointRecord, body: ByteArray, timeoutMs: Long): HttpHeaders = DefaultHttpHeaders()
         .set("Host", endpoint.address.toString())
-        .set("Content-Type", wire.stageCalls.contentType)
+        .set("Content-Type", wire.stageCallCodec.contentType)
         .set("Content-Length", body.size)
         .set(wire.headers.expectedEndpoint, endpoint.id.value)
         .set(wire.headers.deadlineMs, timeoutMs)
--- a/gateway/src/main/kotlin/io/oriolehall/gateway/upstream/EndpointPool.kt
+++ b/gateway/src/main/kotlin/io/oriolehall/gateway/upstream/EndpointPool.kt
@@ -5,7 +5,7 @@
 import com.github.michaelbull.result.onSuccess
 import io.oriolehall.dispatch.endpoints.EndpointHealth
 import io.oriolehall.dispatch.endpoints.EndpointRecord
-import io.oriolehall.dispatch.limits.ColdLimit
+import io.oriolehall.dispatch.limits.ColdRateLimit
 import io.oriolehall.gateway.TrafficLoop
 
 /**
@@ -16,7 +16,7 @@
     private val idle = ArrayDeque<UpstreamConnection>()
 
     val health = EndpointHealth()
-    val coldLimit = ColdLimit()
+    val coldLimit = ColdRateLimit()
 
     /** Number of requests in flight. */
     var outstanding = 0
--- a/gateway/src/main/kotlin/io/oriolehall/gateway/upstream/EndpointPools.kt
+++ b/gateway/src/main/kotlin/io/oriolehall/gateway/upstream/EndpointPools.kt
@@ -1,26 +1,26 @@
 package io.oriolehall.gateway.upstream
 
-import io.oriolehall.dispatch.endpoints.EndpointLife
+import io.oriolehall.dispatch.endpoints.EndpointIncarnation
 import io.oriolehall.dispatch.endpoints.EndpointRecord
 import io.oriolehall.dispatch.endpoints.EndpointSnapshot
 
 /** Connection pools of all endpoints in use, one per incarnation. Used on the traffic thread only. */
 class EndpointPools(private val connector: Connector) {
-    private val pools = HashMap<EndpointLife, EndpointPool>()
+    private val pools = HashMap<EndpointIncarnation, EndpointPool>()
 
-    fun of(endpoint: EndpointRecord): EndpointPool =
-        pools.getOrPut(endpoint.life) { EndpointPool(endpoint, connector) }
+    fun poolOf(endpoint: EndpointRecord): EndpointPool =
+        pools.getOrPut(endpoint.incarnation) { EndpointPool(endpoint, connector) }
 
     /**
      * Removes pools of unregistered or restarted endpoints without requests in flight, and closes stale connections.
      */
-    fun sweep(snapshot: EndpointSnapshot) {
+    fun removeObsolete(snapshot: EndpointSnapshot) {
         val obsolete = pools.values.filter { pool ->
-            snapshot.endpoints[pool.endpoint.id]?.bornAtMs != pool.endpoint.bornAtMs && pool.outstanding == 0
+            snapshot.endpoints[pool.endpoint.id]?.startedAtMs != pool.endpoint.startedAtMs && pool.outstanding == 0
         }
         obsolete.forEach {
             it.closeAll()
-            pools.remove(it.endpoint.life)
+            pools.remove(it.endpoint.incarnation)
         }
         pools.values.forEach(EndpointPool::closeStale)
     }
--- a/gateway/src/main/kotlin/io/oriolehall/gateway/wire/WireProtocol.kt
+++ b/gateway/src/main/kotlin/io/oriolehall/gateway/wire/WireProtocol.kt
@@ -56,10 +56,10 @@
 }
 
 /** Encoding of calls to stage workers in a deployment's protocol. */
-interface StageCalls {
+interface StageCallCodec {
     val runPath: String
 
-    val freePath: String
+    val releasePath: String
 
     val contentType: String
 
@@ -70,8 +70,13 @@
     fun decodeRun(body: ByteArray): List<PieceOutcome>?
 
     /** Encodes a call that releases the results under [handles]. */
-    fun encodeFree(handles: List<String>): ByteArray
+    fun encodeRelease(handles: List<String>): ByteArray
 }
 
 /** A deployment's protocol as the gateway uses it. */
-class WireProtocol(val headers: HeaderNames, val stageCalls: StageCalls, val keyScheme: String, val readyPath: String)
+class WireProtocol(
+    val headers: HeaderNames,
+    val stageCallCodec: StageCallCodec,
+    val keyScheme: String,
+    val readyPath: String,
+)
--- a/gateway/src/test/kotlin/io/oriolehall/gateway/fleet/StateFollowerTest.kt
+++ b/gateway/src/test/kotlin/io/oriolehall/gateway/fleet/StateFollowerTest.kt
@@ -65,7 +65,16 @@
     }
 
     private fun record(id: String, draining: Boolean = false) =
-        EndpointRecord(EndpointId(id), 1, "s", NetworkAddress("127.0.0.1", 1), ZoneId("z"), 1, draining, coldForMs = 0)
+        EndpointRecord(
+            EndpointId(id),
+            1,
+            "s",
+            NetworkAddress("127.0.0.1", 1),
+            ZoneId("z"),
+            1,
+            draining,
+            coldRemainingMs = 0,
+        )
 
     private fun withReader(test: suspend (Member) -> Unit) = runBlocking {
         server.serve(FleetChannels.FOLLOW) { query, emit ->
@@ -75,7 +84,7 @@
         withContext(control) {
             val snapshot = FeedSnapshot(10, 7, config, listOf(record("a"), record("b")), listOf(ZoneId("y")))
             readerState.recordPlatformAnswer()
-            readerState.replace(snapshot, readerState.now(), orderly = true, source = "test")
+            readerState.replace(snapshot, readerState.now(), storeUninterrupted = true, source = "test")
             test(Member(InstanceId("r"), ZoneId("z"), address, readerIncarnation, MemberState.ALIVE, 0))
         }
     }
@@ -89,7 +98,7 @@
     fun `a follower takes everything first and then each change as it comes`() = withReader { member ->
         expectThat(follower.follow(member)).isTrue()
         expectThat(state.endpoints) isEqualTo readerState.endpoints
-        expectThat(state.trust.current?.revision) isEqualTo 7
+        expectThat(state.configHolder.current?.revision) isEqualTo 7
         val waiting = scope.async { follower.follow(member) }
         yield()
         publish(
@@ -103,7 +112,7 @@
         expectThat(state.endpoints) isEqualTo readerState.endpoints
         expectThat(state.endpoints.usable("s")).isEmpty()
         expectThat(state.endpoints.evacuated).isEmpty()
-        expectThat(state.trust.current?.table?.config?.version) isEqualTo 3
+        expectThat(state.configHolder.current?.table?.config?.version) isEqualTo 3
         expectThat(state.asOf) isEqualTo 12
     }
 
@@ -121,7 +130,7 @@
         confirmedAgoMs = 1_200
         val beforeMs = state.now().ms
         follower.follow(member)
-        val confirmed = checkNotNull(state.trust.current).confirmedAt.ms
+        val confirmed = checkNotNull(state.configHolder.current).confirmedAt.ms
         expectThat(confirmed).isLessThanOrEqualTo(state.now().ms - 1_200)
         expectThat(confirmed).isGreaterThanOrEqualTo(beforeMs - 1_200)
     }
--- a/gateway/src/test/kotlin/io/oriolehall/gateway/path/GatewayPathTest.kt
+++ b/gateway/src/test/kotlin/io/oriolehall/gateway/path/GatewayPathTest.kt
@@ -48,7 +48,7 @@
         val finishFirst = CountDownLatch(1)
         val endpoint = ScriptedEndpoint {
             if (number == 1) finishFirst.await()
-            answer()
+            respond()
         }
         withGateway(endpoint) {
             open("/once/x", deadlineMs = 9_000).use {
@@ -65,7 +65,7 @@
     /** Guards against requests that are read but not answered because they arrive while the process exits. */
     @Test
     fun `a stopped instance takes no more connections`() {
-        withGateway(ScriptedEndpoint { answer() }) {
+        withGateway(ScriptedEndpoint { respond() }) {
             request("/once/x")
             stopAndWait()
             expectThrows<ConnectException> { request("/once/x") }
@@ -74,7 +74,7 @@
 
     @Test
     fun `requests, attempts and refusals are counted`() {
-        withGateway(ScriptedEndpoint { answer() }) {
+        withGateway(ScriptedEndpoint { respond() }) {
             request("/once/x")
             request("/none/x")
             waitUntil { "oriolehall_requests_total" in metrics() }
@@ -89,7 +89,7 @@
 
     @Test
     fun `an endpoint's failure that is passed on does not count as served`() {
-        withGateway(ScriptedEndpoint { answer("500 Internal Server Error") }) {
+        withGateway(ScriptedEndpoint { respond("500 Internal Server Error") }) {
             expectThat(request("/once/x")).startsWith("HTTP/1.1 500")
             waitUntil { "endpoint_failure" in metrics() }
             expectThat("on_time" in metrics()).isFalse()
@@ -98,8 +98,8 @@
 
     @Test
     fun `a request that its endpoint declined goes to another one`() {
-        val declining = ScriptedEndpoint { answer("503 Service Unavailable", "", "N: 1\r\n") }
-        val healthy = ScriptedEndpoint { answer() }
+        val declining = ScriptedEndpoint { respond("503 Service Unavailable", "", "N: 1\r\n") }
+        val healthy = ScriptedEndpoint { respond() }
         withGateway(declining, healthy) {
             repeat(5) { expectThat(request("/once/x")).startsWith("HTTP/1.1 200").endsWith("body") }
         }
@@ -111,7 +111,7 @@
         val finishFirst = CountDownLatch(1)
         val endpoint = ScriptedEndpoint {
             if (number == 1) finishFirst.await(60, TimeUnit.MILLISECONDS)
-            answer()
+            respond()
         }
         GatewayUnderTest(listOf(endpoint), maxConnections = 1).use { gateway ->
             gateway.ready().open("/once/x").use {
@@ -126,7 +126,7 @@
     @Test
     fun `an idempotent request is sent again after a reset`() {
         val failing = ScriptedEndpoint { reset() }
-        val healthy = ScriptedEndpoint { answer() }
+        val healthy = ScriptedEndpoint { respond() }
         withGateway(failing, healthy) {
             repeat(5) { expectThat(request("/plain/x")).startsWith("HTTP/1.1 200") }
         }
@@ -135,7 +135,7 @@
     /** A worker that crashes while it writes the response head sends a head without the signature. */
     @Test
     fun `a success without a signature is not passed on`() {
-        withGateway(ScriptedEndpoint { answer(extra = "") }) {
+        withGateway(ScriptedEndpoint { respond(extra = "") }) {
             expectThat(request("/once/x")).startsWith("HTTP/1.1 502")
         }
     }
@@ -151,7 +151,7 @@
         val ports = CopyOnWriteArrayList<Int>()
         val endpoint = ScriptedEndpoint {
             ports += socket.port
-            answer()
+            respond()
             write("HTTP/1.1 200 OK\r\nA: r1\r\nS: 1\r\nContent-Length: 5\r\n\r\nwrong")
         }
         withGateway(endpoint) {
@@ -186,7 +186,7 @@
         val healthy = ScriptedEndpoint {
             resumedAfter += header("L").orEmpty()
             val events = "id: 2\ndata: b\n\nid: 3\ndata: c\n\n"
-            answer(body = events, extra = "S: second\r\nContent-Type: text/event-stream\r\n")
+            respond(body = events, extra = "S: second\r\nContent-Type: text/event-stream\r\n")
         }
         withGateway(failing, healthy) {
             val answer = StringBuilder()
@@ -225,7 +225,7 @@
         val requestHeads = CopyOnWriteArrayList<List<String>>()
         val endpoint = ScriptedEndpoint {
             requestHeads += head
-            answer()
+            respond()
         }
         GatewayUnderTest(listOf(endpoint), organisations = KEYED_ORGANISATIONS).use {
             it.ready().request("/once/x", headers = "Authorization: Bearer k\r\nO: forged\r\nU: 0\r\nI: h\r\n")
@@ -237,7 +237,7 @@
 
     @Test
     fun `keyed requests are refused once the configuration can no longer be confirmed`() {
-        val endpoint = ScriptedEndpoint { answer() }
+        val endpoint = ScriptedEndpoint { respond() }
         var storeDown = false
         GatewayUnderTest(listOf(endpoint), 1_000, KEYED_ORGANISATIONS, storeReachable = { !storeDown }).use { gateway ->
             gateway.ready()
@@ -255,7 +255,7 @@
 
     @Test
     fun `a request with two framings is rejected, so that nothing can be smuggled`() {
-        val endpoint = ScriptedEndpoint { answer() }
+        val endpoint = ScriptedEndpoint { respond() }
         withGateway(endpoint) {
             expectThat(request("/once/x", headers = "Transfer-Encoding: chunked\r\n")).startsWith("HTTP/1.1 400")
             expectThat(endpoint.requests).isEqualTo(0)
--- a/gateway/src/test/kotlin/io/oriolehall/gateway/path/GatewayUnderTest.kt
+++ b/gateway/src/test/kotlin/io/oriolehall/gateway/path/GatewayUnderTest.kt
@@ -11,7 +11,7 @@
 import io.oriolehall.dispatch.config.ServingConfig
 import io.oriolehall.dispatch.endpoints.EndpointRecord
 import io.oriolehall.dispatch.stages.PieceWork
-import io.oriolehall.gateway.Bounds
+import io.oriolehall.gateway.DeploymentBounds
 import io.oriolehall.gateway.Gateway
 import io.oriolehall.gateway.GatewaySettings
 import io.oriolehall.gateway.feed.FeedChanges
@@ -20,7 +20,7 @@
 import io.oriolehall.gateway.feed.PlatformFeed
 import io.oriolehall.gateway.wire.HeaderNames
 import io.oriolehall.gateway.wire.PieceOutcome
-import io.oriolehall.gateway.wire.StageCalls
+import io.oriolehall.gateway.wire.StageCallCodec
 import io.oriolehall.gateway.wire.WireProtocol
 import io.oriolehall.model.EndpointId
 import io.oriolehall.model.Instance
@@ -78,19 +78,19 @@
 
     private fun settings() = GatewaySettings(
         instance = Instance(InstanceId("i"), ZoneId("z"), NetworkAddress("127.0.0.1", 0)),
-        callers = NetworkAddress("127.0.0.1", 0),
-        readiness = NetworkAddress("127.0.0.1", 0),
+        callerAddress = NetworkAddress("127.0.0.1", 0),
+        readinessAddress = NetworkAddress("127.0.0.1", 0),
         seeds = emptyList(),
-        bounds = Bounds(
-            stopMs = 10_000,
-            keyTrustMs = keyRevocationMs,
-            repeatRatio = 10.0,
-            repeatAllowance = 100.0,
-            repeatWindowMs = 10_000,
+        bounds = DeploymentBounds(
+            stopTimeoutMs = 10_000,
+            keyRevocationMs = keyRevocationMs,
+            retryRatio = 10.0,
+            retryAllowance = 100.0,
+            retryWindowMs = 10_000,
             coldFactor = 1.0,
             coldSlack = 0.0,
         ),
-        metrics = NetworkAddress("127.0.0.1", 0),
+        metricsAddress = NetworkAddress("127.0.0.1", 0),
     )
 
     private fun snapshot(): FeedSnapshot {
@@ -102,7 +102,16 @@
         val services = listOf(Service("s", "/", maxConnections, coldPerSecond = 0.0))
         val config = ServingConfig(1, routes, services, CallerLimits(), organisations)
         val records = endpoints.mapIndexed { i, endpoint ->
-            EndpointRecord(EndpointId("e$i"), 1, "s", endpoint.address, ZoneId("z"), 1, draining = false, coldForMs = 0)
+            EndpointRecord(
+                EndpointId("e$i"),
+                1,
+                "s",
+                endpoint.address,
+                ZoneId("z"),
+                1,
+                draining = false,
+                coldRemainingMs = 0,
+            )
         }
         return FeedSnapshot(1, 1, config, records, emptyList())
     }
@@ -157,16 +166,16 @@
 
         private val WIRE = WireProtocol(
             HEADERS,
-            object : StageCalls {
+            object : StageCallCodec {
                 override val runPath = "/run"
-                override val freePath = "/free"
+                override val releasePath = "/free"
                 override val contentType = "text/plain"
 
                 override fun encodeRun(pieces: List<PieceWork>, nowMs: Long) = ByteArray(0)
 
                 override fun decodeRun(body: ByteArray): List<PieceOutcome>? = null
 
-                override fun encodeFree(handles: List<String>) = ByteArray(0)
+                override fun encodeRelease(handles: List<String>) = ByteArray(0)
             },
             keyScheme = "Bearer",
             readyPath = "/ready",
--- a/gateway/src/test/kotlin/io/oriolehall/gateway/path/ScriptedEndpoint.kt
+++ b/gateway/src/test/kotlin/io/oriolehall/gateway/path/ScriptedEndpoint.kt
@@ -28,7 +28,7 @@
         }
 
         /** Writes a complete response with the attempt identifier of the request. */
-        fun answer(status: String = "200 OK", body: String = "body", extra: String = "S: 1\r\n") = write(
+        fun respond(status: String = "200 OK", body: String = "body", extra: String = "S: 1\r\n") = write(
             "HTTP/1.1 $status\r\nA: ${header("A")}\r\n${extra}Content-Length: ${body.length}\r\n\r\n$body",
         )
 
--- a/gateway/src/test/kotlin/io/oriolehall/gateway/stages/StageFixtures.kt
+++ b/gateway/src/test/kotlin/io/oriolehall/gateway/stages/StageFixtures.kt
@@ -2,19 +2,19 @@
 
 import io.oriolehall.dispatch.stages.PieceWork
 import io.oriolehall.gateway.wire.PieceOutcome
-import io.oriolehall.gateway.wire.StageCalls
+import io.oriolehall.gateway.wire.StageCallCodec
 
 /** Encodes a call as the number of its pieces, and decodes any answer as a single result. */
-internal object PieceCountCalls : StageCalls {
+internal object PieceCountCalls : StageCallCodec {
     override val runPath = "/run"
-    override val freePath = "/free"
+    override val releasePath = "/free"
     override val contentType = "text/plain"
 
     override fun encodeRun(pieces: List<PieceWork>, nowMs: Long) = "${pieces.size}".encodeToByteArray()
 
     override fun decodeRun(body: ByteArray): List<PieceOutcome> = listOf(PieceOutcome.Done("h"))
 
-    override fun encodeFree(handles: List<String>) = ByteArray(0)
+    override fun encodeRelease(handles: List<String>) = ByteArray(0)
 }
 
 internal fun stageRequest(id: String) = StageRequest(
--- a/gateway/src/test/kotlin/io/oriolehall/gateway/stages/StageOwnerTest.kt
+++ b/gateway/src/test/kotlin/io/oriolehall/gateway/stages/StageOwnerTest.kt
@@ -27,7 +27,7 @@
 
 class StageOwnerTest {
     private val log = EventLog { _, _ -> }
-    private val limits = PieceLimits(1, batch = 1, 2_000.0, 10.0, resultRoomBytes = 1_000, resultLifetimeMs = 4_000)
+    private val limits = PieceLimits(1, batch = 1, 2_000.0, 10.0, resultMemoryBytes = 1_000, resultLifetimeMs = 4_000)
 
     /**
      * Guards against incident inc-1449: a request that an instance ran as a fallback, because the owner of the queue
@@ -38,7 +38,7 @@
         val resumeWorker = CountDownLatch(1)
         val worker = ScriptedEndpoint {
             if (number == 1) resumeWorker.await()
-            answer(body = "x")
+            respond(body = "x")
         }
         val loop = TrafficLoop(log)
         val wire = WireProtocol(GatewayUnderTest.HEADERS, PieceCountCalls, "Bearer", "/ready")
@@ -75,11 +75,11 @@
         val worker = ScriptedEndpoint {
             order += head.first().split(' ')[1]
             if (order.last() == PieceCountCalls.runPath) secondRun.countDown()
-            if (order.last() == PieceCountCalls.freePath) secondRun.await(300, TimeUnit.MILLISECONDS)
+            if (order.last() == PieceCountCalls.releasePath) secondRun.await(300, TimeUnit.MILLISECONDS)
             order += "answered"
-            answer(body = "x")
+            respond(body = "x")
         }
-        val smallLimits = limits.copy(resultRoomBytes = 1)
+        val smallLimits = limits.copy(resultMemoryBytes = 1)
         val loop = TrafficLoop(log)
         val wire = WireProtocol(GatewayUnderTest.HEADERS, PieceCountCalls, "Bearer", "/ready")
         val record = EndpointRecord(EndpointId("w"), 1, "s", worker.address, ZoneId("z"), 1, false, 0)
--- a/gateway/src/test/kotlin/io/oriolehall/gateway/stages/StageServiceTest.kt
+++ b/gateway/src/test/kotlin/io/oriolehall/gateway/stages/StageServiceTest.kt
@@ -39,7 +39,7 @@
 class StageServiceTest {
     private val log = EventLog { _, _ -> }
     private val self = member("self")
-    private val limits = PieceLimits(1, batch = 1, 2_000.0, 10.0, resultRoomBytes = 1_000, resultLifetimeMs = 4_000)
+    private val limits = PieceLimits(1, batch = 1, 2_000.0, 10.0, resultMemoryBytes = 1_000, resultLifetimeMs = 4_000)
     private val service = Service("s", "/", maxConnections = 0, coldPerSecond = 0.0, pieces = limits)
     private val table = RouteTable(ServingConfig(1, emptyList(), listOf(service), CallerLimits(), emptyList()))
 
@@ -92,7 +92,7 @@
         val resumeWorker = CountDownLatch(1)
         val script: ScriptedEndpoint.Exchange.() -> Unit = {
             resumeWorker.await()
-            answer(body = "x")
+            respond(body = "x")
         }
         val expectedMs = withStages({ self }, script) { stages ->
             val answers = listOf("begun", "waiting", "last").map { runAsync(stages, it) }
@@ -114,7 +114,7 @@
         var owner = self
         val script: ScriptedEndpoint.Exchange.() -> Unit = {
             if (number == 1) resumeWorker.await()
-            answer(body = "x")
+            respond(body = "x")
         }
         val (begun, waiting) = withStages({ owner }, script) { stages ->
             val answers = listOf("begun", "waiting").map { runAsync(stages, it) }
