policy: correct comments and rename private and in-folder names after a second reading

Comments that did not fit the code or had to be read twice are reworded: the cold causes in EndpointLimit lacked the closed circuit breaker, CircuitBreaker.onWork named a probe although any completed call closes it, "caller" and "owner" stood for other things than elsewhere, and an instance's ID was also called its name.

--- a/policy/src/main/kotlin/io/oriolehall/policy/admission/AdmissionPolicy.kt
+++ b/policy/src/main/kotlin/io/oriolehall/policy/admission/AdmissionPolicy.kt
@@ -32,7 +32,10 @@
 sealed interface AdmissionDecision {
     data object Admit : AdmissionDecision
 
-    /** The request is not expected to meet its deadline; it may be retried after [retryAfterMs] milliseconds. */
+    /**
+     * The request is expected to take [expectedMs] milliseconds and so to miss its deadline. It may be retried after
+     * [retryAfterMs] milliseconds.
+     */
     data class Refuse(val expectedMs: Long, val retryAfterMs: Long) : AdmissionDecision
 }
 
--- a/policy/src/main/kotlin/io/oriolehall/policy/admission/FairQueue.kt
+++ b/policy/src/main/kotlin/io/oriolehall/policy/admission/FairQueue.kt
@@ -27,7 +27,7 @@
 
     val size: Int get() = queues.values.sumOf { it.size }
 
-    /** Number of calls ahead of a new call of [organisation], if every organisation keeps sending. */
+    /** Estimated number of calls served before a new call of [organisation]; assumes that all shares are equal. */
     fun callsAhead(organisation: OrganisationId): Int {
         val own = queues[organisation]?.size ?: 0
         return queues.values.sumOf { minOf(it.size, own + 1) }
--- a/policy/src/main/kotlin/io/oriolehall/policy/config/ConfigDigest.kt
+++ b/policy/src/main/kotlin/io/oriolehall/policy/config/ConfigDigest.kt
@@ -24,17 +24,18 @@
         buckets.indices.filter { buckets[it] != other.getOrNull(it) }.toSet()
 
     companion object {
-        /** Number of buckets. With some thousands of objects, a change transfers about ten of them. */
+        /** Number of buckets. With a few thousand objects, each bucket that differs transfers about ten. */
         const val BUCKETS = 256
         private const val HASH_MULTIPLIER = 1_000_003L
 
         /** Index of the bucket that contains the object of [key]. */
-        fun bucketOf(key: ObjectKey): Int = Math.floorMod(sha256(key.toString()), BUCKETS.toLong()).toInt()
+        fun bucketOf(key: ObjectKey): Int = Math.floorMod(sha256Prefix(key.toString()), BUCKETS.toLong()).toInt()
 
         private fun hashOf(key: ObjectKey, version: VersionedObject): Long =
-            sha256("$key ${version.ticket} ${version.revision} ${version.digest}")
+            sha256Prefix("$key ${version.ticket} ${version.revision} ${version.digest}")
 
-        private fun sha256(text: String): Long =
+        /** First eight bytes of the SHA-256 hash of [text]. */
+        private fun sha256Prefix(text: String): Long =
             ByteBuffer.wrap(MessageDigest.getInstance("SHA-256").digest(text.encodeToByteArray())).long
     }
 }
--- a/policy/src/main/kotlin/io/oriolehall/policy/config/ConfigObjectValidator.kt
+++ b/policy/src/main/kotlin/io/oriolehall/policy/config/ConfigObjectValidator.kt
@@ -23,58 +23,62 @@
     private val NAME = Regex("[A-Za-z0-9][A-Za-z0-9._-]{0,63}")
     private val SHA256_HEX = Regex("[0-9a-f]{64}")
 
-    /** The error in [target], or null if it is valid. */
-    fun check(target: ConfigObject): TicketError? {
-        val remedy = nameRemedy(target.key.name) ?: stateRemedy(target)
-        return remedy?.let { TicketError.BadObject(target.key.toString(), it) }
+    /** The error in [configObject], or null if it is valid. */
+    fun check(configObject: ConfigObject): TicketError? {
+        val remedy = nameRemedy(configObject.key.name) ?: objectRemedy(configObject)
+        return remedy?.let { TicketError.BadObject(configObject.key.toString(), it) }
     }
 
-    private fun stateRemedy(target: ConfigObject): String? = when (target) {
+    private fun objectRemedy(configObject: ConfigObject): String? = when (configObject) {
         is AvailabilityZone -> null
-        is Organisation -> organisationRemedy(target)
-        is Pipeline -> pipelineRemedy(target)
-        is Endpoint -> endpointRemedy(target)
-        is EngineAssignment -> engineRemedy(target)
-        is WitnessRoster -> rosterRemedy(target)
+        is Organisation -> organisationRemedy(configObject)
+        is Pipeline -> pipelineRemedy(configObject)
+        is Endpoint -> endpointRemedy(configObject)
+        is EngineAssignment -> engineRemedy(configObject)
+        is WitnessRoster -> rosterRemedy(configObject)
     }
 
     private fun nameRemedy(name: String): String? =
         if (NAME.matches(name)) null else "name it with 1 to 64 letters, digits, dots, dashes and underscores"
 
-    private fun organisationRemedy(target: Organisation): String? = when {
-        target.secretSha256.size !in 1..MAX_SECRETS -> "give 1 to $MAX_SECRETS secretSha256 digests"
-        !target.secretSha256.all(SHA256_HEX::matches) -> "write each secretSha256 as 64 lower-case hex digits"
-        target.share !in 1..MAX_SHARE -> "use a share in 1..$MAX_SHARE"
-        target.defaultDeadlineMs !in 1..MAX_DEADLINE_MS -> "use a defaultDeadlineMs in 1..$MAX_DEADLINE_MS"
+    private fun organisationRemedy(organisation: Organisation): String? = when {
+        organisation.secretSha256.size !in 1..MAX_SECRETS -> "give 1 to $MAX_SECRETS secretSha256 digests"
+        !organisation.secretSha256.all(SHA256_HEX::matches) -> "write each secretSha256 as 64 lower-case hex digits"
+        organisation.share !in 1..MAX_SHARE -> "use a share in 1..$MAX_SHARE"
+        organisation.defaultDeadlineMs !in 1..MAX_DEADLINE_MS -> "use a defaultDeadlineMs in 1..$MAX_DEADLINE_MS"
         else -> null
     }
 
-    private fun pipelineRemedy(target: Pipeline): String? = when {
-        target.stages.size !in 1..MAX_STAGES -> "give it 1 to $MAX_STAGES stages"
-        target.stages.distinctBy { it.name }.size != target.stages.size -> "give each stage a name of its own"
-        target.stages.any { it.expectedMs !in 1..MAX_DEADLINE_MS } -> "use an expectedMs in 1..$MAX_DEADLINE_MS"
-        else -> target.stages.firstNotNullOfOrNull { nameRemedy(it.name) ?: nameRemedy(it.pool.value) }
+    private fun pipelineRemedy(pipeline: Pipeline): String? = when {
+        pipeline.stages.size !in 1..MAX_STAGES -> "give it 1 to $MAX_STAGES stages"
+        pipeline.stages.distinctBy { it.name }.size != pipeline.stages.size -> "give each stage a name of its own"
+        pipeline.stages.any { it.expectedMs !in 1..MAX_DEADLINE_MS } -> "use an expectedMs in 1..$MAX_DEADLINE_MS"
+        else -> pipeline.stages.firstNotNullOfOrNull { nameRemedy(it.name) ?: nameRemedy(it.pool.value) }
     }
 
-    private fun endpointRemedy(target: Endpoint): String? = when {
-        !target.address.isDialable() -> "write its address as host and port 1..65535"
-        target.coldLimit < 1 -> "use a coldLimit of at least 1"
-        target.warmLimit !in target.coldLimit..MAX_ENDPOINT_LIMIT -> "use a warmLimit in coldLimit..$MAX_ENDPOINT_LIMIT"
-        else -> nameRemedy(target.zone.value) ?: nameRemedy(target.pool.value)
+    private fun endpointRemedy(endpoint: Endpoint): String? = when {
+        !endpoint.address.isDialable() -> "write its address as host and port 1..65535"
+
+        endpoint.coldLimit < 1 -> "use a coldLimit of at least 1"
+
+        endpoint.warmLimit !in endpoint.coldLimit..MAX_ENDPOINT_LIMIT ->
+            "use a warmLimit in coldLimit..$MAX_ENDPOINT_LIMIT"
+
+        else -> nameRemedy(endpoint.zone.value) ?: nameRemedy(endpoint.pool.value)
     }
 
-    private fun engineRemedy(target: EngineAssignment): String? = when {
-        target.model.isBlank() -> "name the model"
-        target.version.isBlank() -> "name the model's version"
-        target.adapter?.isBlank() == true -> "name the adapter, or leave it out"
-        target.role.isBlank() -> "name the role"
+    private fun engineRemedy(assignment: EngineAssignment): String? = when {
+        assignment.model.isBlank() -> "name the model"
+        assignment.version.isBlank() -> "name the model's version"
+        assignment.adapter?.isBlank() == true -> "name the adapter, or leave it out"
+        assignment.role.isBlank() -> "name the role"
         else -> null
     }
 
-    private fun rosterRemedy(target: WitnessRoster): String? = when {
-        target.instances.size !in 1..MAX_WITNESSES -> "name 1 to $MAX_WITNESSES instances"
-        target.instances.distinct().size != target.instances.size -> "name each instance once"
-        else -> target.instances.firstNotNullOfOrNull { nameRemedy(it.value) }
+    private fun rosterRemedy(roster: WitnessRoster): String? = when {
+        roster.instances.size !in 1..MAX_WITNESSES -> "name 1 to $MAX_WITNESSES instances"
+        roster.instances.distinct().size != roster.instances.size -> "name each instance once"
+        else -> roster.instances.firstNotNullOfOrNull { nameRemedy(it.value) }
     }
 
     private fun NetworkAddress.isDialable() = host.isNotBlank() && NetworkAddress.parse(toString()) == this
--- a/policy/src/main/kotlin/io/oriolehall/policy/keys/KeyRecord.kt
+++ b/policy/src/main/kotlin/io/oriolehall/policy/keys/KeyRecord.kt
@@ -59,8 +59,8 @@
     }
 
     /**
-     * The record just before a non-idempotent stage is sent. The caller may send the stage only if the state of the
-     * returned record is [KeyState.Sent]; once the deadline has passed, the request is abandoned instead.
+     * The record just before a non-idempotent stage is sent. The stage may be sent only if the state of the returned
+     * record is [KeyState.Sent]; once the deadline has passed, the request is abandoned instead.
      */
     fun sending(nowMs: Long, deadlineAtMs: Long): KeyRecord = when {
         state !is KeyState.Held -> this
--- a/policy/src/main/kotlin/io/oriolehall/policy/keys/KeyRules.kt
+++ b/policy/src/main/kotlin/io/oriolehall/policy/keys/KeyRules.kt
@@ -10,9 +10,9 @@
  */
 data class KeyRules(val lifetimeMs: Long = 600_000, val clockToleranceMs: Long = 5_000) {
     /**
-     * Time after the start of a witness during which it cannot vouch for newly created keys. The previous process of
-     * the same name, whose clock may have been one tolerance ahead, may have granted a key whose creation time lay one
-     * more tolerance in the future.
+     * Time after the start of a witness during which it cannot confirm that it has not granted a new key before. The
+     * previous process with the same ID, whose clock may have been one tolerance ahead, may have granted a key whose
+     * creation time lay one more tolerance in the future.
      */
     val recoveryWindowMs: Long get() = 2 * clockToleranceMs
 
--- a/policy/src/main/kotlin/io/oriolehall/policy/keys/WitnessPanel.kt
+++ b/policy/src/main/kotlin/io/oriolehall/policy/keys/WitnessPanel.kt
@@ -7,8 +7,8 @@
 /**
  * The witnesses of one key and the number of grants that a claimant needs.
  *
- * Two holders would need 2 x [requiredGrants] grants in total. Since each member grants a key only once, at
- * least `2 x requiredGrants - size` members would have to grant it twice. With five members that is three.
+ * Each member grants a key only once. For two claimants to become holders, at least `2 x requiredGrants - size` members
+ * would have to grant it twice; with five members that is three.
  *
  * @property members the witnesses in the order in which they are asked; all claimants of a key ask the same one first.
  * @property requiredGrants number of grants that makes a claimant the holder.
@@ -19,7 +19,7 @@
 
     /**
      * True when [grants] to one claimant prevent any other claimant from getting enough, even if one of the granting
-     * witnesses has a second process under its name that also grants the key.
+     * witnesses has a second process under its ID that also grants the key.
      */
     fun blocksOthers(grants: Int): Boolean = 2 * grants > members.size
 
@@ -27,7 +27,7 @@
         /** Maximum number of witnesses of a key. */
         const val MAX_SIZE = 5
 
-        /** Smallest panel in which one witness may be silent. */
+        /** Smallest panel in which one witness may fail to grant. */
         private const val MIN_SIZE_WITH_SPARE = 5
 
         /** The panel of [key]: the highest-ranked instances of [roster] by rendezvous hashing. */
--- a/policy/src/main/kotlin/io/oriolehall/policy/limits/CircuitBreaker.kt
+++ b/policy/src/main/kotlin/io/oriolehall/policy/limits/CircuitBreaker.kt
@@ -15,7 +15,7 @@
         else -> State.HALF_OPEN
     }
 
-    /** Records the results of calls; returns true if this closed the breaker after a successful probe. */
+    /** Records the results of calls; returns true if a completed call closed the breaker. */
     fun onWork(work: ObservedWork, nowMs: Long): Boolean {
         if (work.completed > 0) return close()
         consecutiveFailures += work.failed
@@ -39,6 +39,7 @@
     }
 
     private companion object {
+        /** Keeps the shift from overflowing after many failed probes. */
         const val MAX_DOUBLINGS = 10
     }
 }
--- a/policy/src/main/kotlin/io/oriolehall/policy/limits/CreditHolder.kt
+++ b/policy/src/main/kotlin/io/oriolehall/policy/limits/CreditHolder.kt
@@ -22,7 +22,7 @@
 ) {
     private var lease = NO_LEASE
     private var followedOwner: InstanceId? = null
-    private var echo: CreditStamp? = null
+    private var latestStamp: CreditStamp? = null
     private var switchAllowedFromMs = Long.MIN_VALUE
     private var sequence = 0L
     private var runningCalls = 0
@@ -116,7 +116,7 @@
             endpoint = endpoint,
             sequence = ++sequence,
             role = role,
-            echo = echo,
+            echo = latestStamp,
             inFlight = runningCalls + extraInFlight,
             wanted = runningCalls + if (inUse) waitingCalls + 1 else 0,
             ageMs = minOf(nowMs - startedAtMs, CreditRequest.MAX_AGE_MS),
@@ -134,8 +134,8 @@
             unfollow(nowMs)
             return
         }
-        if (echo.isAtLeastAsNewAs(answer.stamp)) return
-        echo = answer.stamp
+        if (latestStamp.isAtLeastAsNewAs(answer.stamp)) return
+        latestStamp = answer.stamp
         switchAllowedFromMs = nowMs + timing.unfollowMs
         nextRequestAtMs = sent.sentAtMs + answer.renewMs
         if (sent.request.release) return
@@ -148,13 +148,13 @@
     private fun follow(owner: InstanceId) {
         lease = NO_LEASE
         followedOwner = owner
-        echo = null
+        latestStamp = null
     }
 
     private fun unfollow(nowMs: Long) {
         lease = NO_LEASE
         followedOwner = null
-        echo = null
+        latestStamp = null
         switchAllowedFromMs = nowMs
         nextRequestAtMs = nowMs
     }
--- a/policy/src/main/kotlin/io/oriolehall/policy/limits/CreditLedger.kt
+++ b/policy/src/main/kotlin/io/oriolehall/policy/limits/CreditLedger.kt
@@ -51,9 +51,9 @@
         expire(nowMs)
         val stamp = CreditStamp(self, nowMs, ++serial)
         if (!isNewest(holder, request, nowMs) || !isFresh(request.echo, nowMs)) return CreditAnswer(endpoint, stamp)
-        val account = openAccount(holder, request, nowMs)
+        val account = openOrUpdateAccount(holder, request, nowMs)
         if (request.release) {
-            close(holder.instance, account, request.inFlight, nowMs)
+            closeAccount(holder.instance, account, request.inFlight, nowMs)
             return CreditAnswer(endpoint, stamp, released = true)
         }
         val budget = budget(electorate, limit, nowMs)
@@ -83,10 +83,10 @@
     /** Voters that currently follow this owner. */
     fun followers(nowMs: Long): Set<InstanceId> {
         expire(nowMs)
-        return voters().keys
+        return followingVoters().keys
     }
 
-    private fun voters() = holders.filterValues { it.role == HolderRole.VOTER }
+    private fun followingVoters() = holders.filterValues { it.role == HolderRole.VOTER }
 
     private fun isNewest(holder: HolderId, request: CreditRequest, nowMs: Long): Boolean {
         val seen = sequences[holder]
@@ -98,10 +98,10 @@
     private fun isFresh(echo: CreditStamp?, nowMs: Long): Boolean =
         echo != null && echo.owner == self && nowMs - echo.atMs <= timing.maxStampAgeMs
 
-    private fun openAccount(holder: HolderId, request: CreditRequest, nowMs: Long): HolderAccount {
+    private fun openOrUpdateAccount(holder: HolderId, request: CreditRequest, nowMs: Long): HolderAccount {
         val existing = holders[holder.instance]
         if (existing != null && existing.incarnation != holder.incarnation) {
-            close(holder.instance, existing, existing.committed, nowMs)
+            closeAccount(holder.instance, existing, existing.committed, nowMs)
         }
         val account = holders.getOrPut(holder.instance) {
             val processStartedAtMs = nowMs - request.ageMs
@@ -109,8 +109,7 @@
                 holder.incarnation,
                 nowMs,
                 processStartedAtMs,
-                settledFromMs =
-                processStartedAtMs + timing.settleMs,
+                settledFromMs = processStartedAtMs + timing.settleMs,
             )
         }
         account.role = request.role
@@ -121,7 +120,7 @@
         return account
     }
 
-    private fun close(holder: InstanceId, account: HolderAccount, calls: Int, nowMs: Long) {
+    private fun closeAccount(holder: InstanceId, account: HolderAccount, calls: Int, nowMs: Long) {
         holders.remove(holder)
         val untilMs = nowMs + timing.drainMs + timing.marginMs
         if (calls > 0) drainingCalls += DrainingCalls(calls, untilMs, fromSelf = account.incarnation == self)
@@ -139,15 +138,15 @@
     }
 
     private fun budget(electorate: Electorate, limit: Int, nowMs: Long): Int {
-        val voters = voters()
-        if (electorate.isCoveredBy(voters.keys) && voters.values.all { it.settledFromMs <= nowMs }) return limit
-        return electorate.share(limit, voters.filterValues { nowMs - it.followingSinceMs >= timing.settleMs }.keys)
+        val followers = followingVoters()
+        if (electorate.isCoveredBy(followers.keys) && followers.values.all { it.settledFromMs <= nowMs }) return limit
+        return electorate.share(limit, followers.filterValues { nowMs - it.followingSinceMs >= timing.settleMs }.keys)
     }
 
     private fun expire(nowMs: Long) {
         val expired = holders.filterValues { nowMs - it.lastRequestAtMs > timing.leaseMs }
         for ((holder, account) in expired) {
-            close(holder, account, account.committed, account.lastRequestAtMs + timing.leaseMs)
+            closeAccount(holder, account, account.committed, account.lastRequestAtMs + timing.leaseMs)
         }
         drainingCalls.removeAll { it.untilMs < nowMs }
         sequences.values.removeAll { nowMs - it.receivedAtMs > SEQUENCE_RETENTION_FACTOR * timing.settleMs }
@@ -157,6 +156,7 @@
         val incarnation: Incarnation,
         val followingSinceMs: Long,
         val processStartedAtMs: Long,
+        /** From this time on, no call of the previous process with the same instance ID can still run. */
         var settledFromMs: Long,
     ) {
         var role = HolderRole.BORROWER
--- a/policy/src/main/kotlin/io/oriolehall/policy/limits/CreditPlan.kt
+++ b/policy/src/main/kotlin/io/oriolehall/policy/limits/CreditPlan.kt
@@ -9,11 +9,15 @@
 /**
  * The members of a zone at one moment; see [ZoneMembers].
  *
- * @property owners members that may own endpoints.
+ * @property ownerCandidates members that may own endpoints.
  * @property known members that may vote.
  * @property recent known members that joined so recently that other members may not have received their records yet.
  */
-data class ZoneMemberView(val owners: Set<InstanceId>, val known: Set<InstanceId>, val recent: Set<InstanceId>)
+data class ZoneMemberView(
+    val ownerCandidates: Set<InstanceId>,
+    val known: Set<InstanceId>,
+    val recent: Set<InstanceId>,
+)
 
 /**
  * Determines which endpoints an instance requests credits for, and from which owner. Normally it uses only its subset
@@ -35,14 +39,16 @@
         val endpoint: Endpoint,
         val owner: InstanceId?,
         val electorate: Electorate,
+        /** Position of the endpoint in this instance's order of preference within the pool; 0 for the first. */
         val rank: Int,
     )
 
     private val poolSizes = endpoints.filter { it.zone == zone }.groupingBy { it.pool }.eachCount()
     private val plannedEndpoints: Map<EndpointId, PlannedEndpoint> =
-        endpoints.filter {
-            it.zone == zone
-        }.groupBy { it.pool }.values.flatMap(::planPool).associateBy { it.endpoint.id }
+        endpoints.filter { it.zone == zone }
+            .groupBy { it.pool }.values
+            .flatMap(::planPool)
+            .associateBy { it.endpoint.id }
 
     /** The endpoint [id], or null if it is not in this zone. */
     fun endpoint(id: EndpointId): Endpoint? = plannedEndpoints[id]?.endpoint
@@ -81,7 +87,7 @@
         }
         return pool.map {
             val electorate = Electorate.of(it.id, memberView.known, memberView.recent)
-            PlannedEndpoint(it, Rendezvous.owner(it.id, memberView.owners), electorate, ranks.getValue(it.id))
+            PlannedEndpoint(it, Rendezvous.owner(it.id, memberView.ownerCandidates), electorate, ranks.getValue(it.id))
         }
     }
 
--- a/policy/src/main/kotlin/io/oriolehall/policy/limits/CreditProtocol.kt
+++ b/policy/src/main/kotlin/io/oriolehall/policy/limits/CreditProtocol.kt
@@ -16,8 +16,8 @@
  * Identifies an owner's answer. A holder returns the newest stamp with its next request, which tells the owner that the
  * request is fresh and which grants the holder has received.
  *
- * @property startedAtMs with [nonce], the owner's incarnation; stored flat and under short names because every message
- *   carries a stamp.
+ * @property startedAtMs with [nonce], the owner's incarnation; written as two fields with short names because every
+ *   message carries a stamp.
  * @property atMs the owner's monotonic clock, milliseconds; not comparable with the clock of any other instance.
  * @property serial number of the answer, counted by the owner for each endpoint.
  */
@@ -90,7 +90,7 @@
     @SerialName("o") val observed: ObservedWork = ObservedWork(),
 ) {
     companion object {
-        /** Upper bound of the reported age, milliseconds: a process of this age or older counts as old. */
+        /** Upper bound of the reported age, milliseconds; older processes report this value. */
         const val MAX_AGE_MS = 60_000L
     }
 }
--- a/policy/src/main/kotlin/io/oriolehall/policy/limits/CreditSplit.kt
+++ b/policy/src/main/kotlin/io/oriolehall/policy/limits/CreditSplit.kt
@@ -8,9 +8,9 @@
 /** Divides an owner's credit budget among the holders. */
 object CreditSplit {
     /**
-     * Credits for each holder, at most [budget] in total. Instances of the zone come first, served evenly up to what
-     * each wants; then guests. Most of the remainder is spread over the instances of the zone that want any credits, so
-     * that a burst can start without waiting; a share is reserved for an instance that begins to send.
+     * Credits for each holder, at most [budget] in total. Instances of the zone are served first, evenly and up to the
+     * number that each wants, then guests. Most of the remainder is spread over the instances of the zone that want any
+     * credits, so that a burst can start without waiting. The rest is kept for instances that start to send calls.
      *
      * @param rotation determines which holder is served first; it changes over time so that no holder starves.
      */
@@ -41,7 +41,7 @@
         return remaining
     }
 
-    /** Divisor of the budget that gives the credits held in reserve while nobody wants them. */
+    /** The budget divided by this number is kept in reserve. */
     private const val RESERVE_DIVISOR = 4
 
     private fun rotate(demands: List<CreditDemand>, by: Long): List<CreditDemand> {
--- a/policy/src/main/kotlin/io/oriolehall/policy/limits/Electorate.kt
+++ b/policy/src/main/kotlin/io/oriolehall/policy/limits/Electorate.kt
@@ -9,9 +9,9 @@
  * so that an owner needs no messages from the other members. Each voter follows one owner at a time, and an owner's
  * budget is the share of the voters that follow it.
  *
- * Some members may not have received the newest members yet. While there are new members, an owner's share is the
- * smaller of the shares computed with and without them, so that owners with different member lists still have one set
- * of voters in common.
+ * Some members may not have received the records of the newest members yet. While there are recent members, an owner's
+ * share is the smaller of the shares computed with and without them, so that owners with different member lists still
+ * have one set of voters in common.
  */
 class Electorate private constructor(private val voterSets: Set<Set<InstanceId>>) {
     /** All voters: the union of those chosen with and without the recent members. */
--- a/policy/src/main/kotlin/io/oriolehall/policy/limits/EndpointLimit.kt
+++ b/policy/src/main/kotlin/io/oriolehall/policy/limits/EndpointLimit.kt
@@ -5,8 +5,8 @@
 /**
  * The number of concurrent calls that an endpoint can handle, as estimated by its owner. A cold endpoint starts at its
  * cold limit, which is then raised step by step to its warm limit. An endpoint is considered cold when its owner first
- * sees it, when its process start time changes, when its load report states it, and when its first outputs take much
- * longer than usual, which is noticed before the next report.
+ * sees it, when its process start time changes, when its load report states it, when its first outputs take much longer
+ * than usual, which is noticed before the next report, and when its circuit breaker closes after failures.
  */
 class EndpointLimit(
     private val coldLimit: Int,
@@ -17,6 +17,8 @@
     private var currentLimit = coldLimit.toDouble()
     private var lastChangeAtMs: Long? = null
     private var report: LoadReport? = null
+
+    /** Moving average of the time to the first output while the endpoint is warm. */
     private var baselineMs: Double? = null
 
     /** Why the limit was last reset to the cold limit. */
--- a/policy/src/main/kotlin/io/oriolehall/policy/limits/RampSettings.kt
+++ b/policy/src/main/kotlin/io/oriolehall/policy/limits/RampSettings.kt
@@ -6,7 +6,7 @@
  * @property raiseIntervalMs time between two raises of the limit, milliseconds.
  * @property raiseFactor factor by which a raise multiplies the limit; it adds at least one call.
  * @property coldRatio ratio of the first-output time to its baseline above which the endpoint is considered cold again.
- * @property failuresToOpen failures without a completed call between them that open the circuit breaker.
+ * @property failuresToOpen number of consecutive failures that opens the circuit breaker.
  * @property firstOpenMs time before the first probe, milliseconds; it doubles with each probe that fails.
  * @property maxOpenMs maximum time before a probe, milliseconds.
  */
--- a/policy/src/main/kotlin/io/oriolehall/policy/limits/ZoneMembers.kt
+++ b/policy/src/main/kotlin/io/oriolehall/policy/limits/ZoneMembers.kt
@@ -3,20 +3,20 @@
 import io.oriolehall.model.InstanceId
 
 /**
- * One instance's list of the instances of its zone. Instances that are considered live may own endpoints. Instances
- * seen within the last [retentionMs] milliseconds may vote. Instances that joined within that time may be missing
- * from the lists of other members.
+ * The member list that an instance keeps of its zone. Instances that are present and not leaving may own endpoints.
+ * Instances seen within the last [retentionMs] milliseconds may vote. Instances that joined within that time may be
+ * missing from the lists of other members.
  */
 class ZoneMembers(private val self: InstanceId, private val retentionMs: Long = DEFAULT_RETENTION_MS) {
     private val lastSeenAtMs = mutableMapOf<InstanceId, Long>()
     private val joinedAtMs = mutableMapOf<InstanceId, Long>()
     private val departed = mutableSetOf<InstanceId>()
-    private var live = setOf(self)
+    private var ownerCandidates = setOf(self)
     private var joined = false
 
     /**
-     * Marks this instance as joined. Instances that it sees for the first time before that were in the zone before it;
-     * later ones count as new members.
+     * Marks this instance as joined. Instances that it sees for the first time after this call count as recent members;
+     * those that it saw before the call were in the zone before it.
      */
     fun onJoined() {
         joined = true
@@ -28,8 +28,8 @@
      */
     fun onMemberList(present: Set<InstanceId>, leaving: Set<InstanceId>, nowMs: Long) {
         (present - departed).forEach { recordSeen(it, nowMs) }
-        live = (present - departed - leaving).ifEmpty { setOf(self) }
-        if (self !in leaving) live = live + self
+        ownerCandidates = (present - departed - leaving).ifEmpty { setOf(self) }
+        if (self !in leaving) ownerCandidates = ownerCandidates + self
     }
 
     /** Records a message from [instance] itself. If it had left, it has been started again under the same ID. */
@@ -42,14 +42,14 @@
     fun onLeave(instance: InstanceId) {
         departed += instance
         forget(instance)
-        live = (live - instance).ifEmpty { setOf(self) }
+        ownerCandidates = (ownerCandidates - instance).ifEmpty { setOf(self) }
     }
 
-    /** The members that may own endpoints, those that may vote, and those that other members may not have yet. */
+    /** The members that may own endpoints, those that may vote, and those that may be missing from other lists. */
     fun memberView(nowMs: Long): ZoneMemberView {
         lastSeenAtMs.filterValues { nowMs - it > retentionMs }.keys.forEach(::forget)
         val recent = joinedAtMs.filterValues { nowMs - it <= retentionMs }.keys - self
-        return ZoneMemberView(live, lastSeenAtMs.keys + self, recent)
+        return ZoneMemberView(ownerCandidates, lastSeenAtMs.keys + self, recent)
     }
 
     private fun recordSeen(instance: InstanceId, nowMs: Long) {
--- a/policy/src/main/kotlin/io/oriolehall/policy/membership/MemberRecord.kt
+++ b/policy/src/main/kotlin/io/oriolehall/policy/membership/MemberRecord.kt
@@ -27,9 +27,9 @@
 /**
  * The record of one instance that instances gossip to each other.
  *
- * @property incarnation identifies the process that runs under the name of the instance.
+ * @property incarnation identifies the process that runs under the ID of the instance.
  * @property epoch version number that only the instance itself increases, to refute reports about it. It starts at the
- *   wall-clock time at which the process started, and above any epoch that others have recorded for the same name.
+ *   wall-clock time at which the process started, and above any epoch that others have recorded for the same ID.
  */
 @Serializable
 data class MemberRecord(
--- a/policy/src/main/kotlin/io/oriolehall/policy/membership/Membership.kt
+++ b/policy/src/main/kotlin/io/oriolehall/policy/membership/Membership.kt
@@ -12,7 +12,7 @@
  * one does not answer, helpers probe it; if they get no answer either, it becomes suspect, and it is declared dead
  * unless it refutes the suspicion in time. Records are gossiped with the probes.
  *
- * This class does no I/O: its owner sends the probes and reports the answers. Not thread-safe.
+ * This class does no I/O: the service that uses it sends the probes and reports the answers. Not thread-safe.
  *
  * All times are monotonic milliseconds of this process.
  */
@@ -41,7 +41,7 @@
     var ownRecord = MemberRecord(self, incarnation, incarnation.startedAtMs)
         private set
 
-    /** True when another process runs under the name of this instance, so that this process has to stop. */
+    /** True when another process runs under the ID of this instance, so that this process has to stop. */
     var superseded = false
         private set
 
@@ -56,9 +56,8 @@
     fun beginRound(nowMs: Long): List<MemberRecord> {
         detectPause(nowMs)
         lastRoundMs = nowMs
-        entries.values.filter {
-            it.isOverdue(nowMs)
-        }.forEach { replace(it, it.record.copy(state = MemberState.DEAD), nowMs) }
+        entries.values.filter { it.isOverdue(nowMs) }
+            .forEach { replace(it, it.record.copy(state = MemberState.DEAD), nowMs) }
         entries.values.removeIf { entry -> entry.endedAtMs?.let { nowMs - it > settings.endedRetentionMs } ?: false }
         if (entries.values.none { it.record.state <= MemberState.LEAVING }) confirmedSincePause = true
         return schedule.next(entries.values.map(Entry::record))
@@ -96,7 +95,7 @@
         replace(entry, entry.record.copy(state = MemberState.SUSPECT), nowMs)
     }
 
-    /** Merges records from a peer. Returns those that changed the state of this instance. */
+    /** Merges records from a peer. Returns those that were not ignored. */
     fun merge(
         records: Collection<MemberRecord>,
         nowMs: Long,
@@ -116,8 +115,8 @@
     }
 
     /**
-     * Merges a record under the name of this instance. After [join], a live process with a greater incarnation
-     * supersedes this one; before, this process takes over the name in any case. Any other record that supersedes
+     * Merges a record with the ID of this instance. After [join], a live process with a greater incarnation
+     * supersedes this one; before that, this process takes over the ID in any case. Any other record that supersedes
      * [ownRecord] is refuted with a higher epoch.
      */
     private fun mergeOwn(record: MemberRecord): Boolean {
@@ -146,7 +145,7 @@
         endedAtMs = if (record.state > MemberState.LEAVING) endedAtMs ?: nowMs else null
     }
 
-    /** Ends the startup phase in which this process takes over its name from any other process. */
+    /** Ends the startup phase in which this process takes over its ID from any other process. */
     fun join() {
         joined = true
         updates.add(ownRecord)
--- a/policy/src/main/kotlin/io/oriolehall/policy/membership/MembershipSettings.kt
+++ b/policy/src/main/kotlin/io/oriolehall/policy/membership/MembershipSettings.kt
@@ -5,7 +5,7 @@
  *
  * @property probePeriodMs time between two rounds of probes, milliseconds.
  * @property probeTimeoutMs timeout of a probe, milliseconds.
- * @property suspicionMs time in which a suspect can refute before it is declared dead, milliseconds.
+ * @property suspicionMs time in which a suspect can refute the suspicion before it is declared dead, milliseconds.
  * @property pauseThresholdMs time between two rounds above which a process considers itself to have been paused,
  *   milliseconds.
  * @property linksPerZone number of instances that an instance probes in each other zone.
--- a/policy/src/main/kotlin/io/oriolehall/policy/membership/MembershipView.kt
+++ b/policy/src/main/kotlin/io/oriolehall/policy/membership/MembershipView.kt
@@ -37,7 +37,7 @@
  *
  * @property asOfMs monotonic time of the last round of probes, milliseconds.
  * @property confirmedSincePause false after a pause of this process until a peer has answered or no live peer is left.
- * @property superseded true when another process runs under the name of this instance, so that this process takes no
+ * @property superseded true when another process runs under the ID of this instance, so that this process takes no
  *   new work.
  */
 data class MembershipView(
@@ -57,12 +57,12 @@
 
     fun member(id: InstanceId): Member? = members[id]
 
-    /** Instances of [zone] with [Member.canOwn], sorted by name. */
+    /** Instances of [zone] with [Member.canOwn], sorted by ID. */
     fun ownerCandidates(
         zone: ZoneId,
     ): List<Member> = members.values.filter { it.zone == zone && it.canOwn }.sortedBy(Member::id)
 
-    /** Instances of [zone] that are [Member.reachable], sorted by name. */
+    /** Instances of [zone] that are [Member.reachable], sorted by ID. */
     fun reachable(zone: ZoneId): List<Member> =
         members.values.filter { it.zone == zone && it.reachable }.sortedBy(Member::id)
 
--- a/policy/src/main/kotlin/io/oriolehall/policy/orders/OrderPolicy.kt
+++ b/policy/src/main/kotlin/io/oriolehall/policy/orders/OrderPolicy.kt
@@ -29,6 +29,8 @@
 /** Decides on orders from the ticket in force and the engine's load report, which is the record of past orders. */
 object OrderPolicy {
     /**
+     * Returns what to do about an engine whose newest load report is [report].
+     *
      * @param wanted the assignment in force, set by the ticket with number [ticket].
      * @param fenced true if the engine rejects orders with lower fencing numbers.
      */
--- a/policy/src/main/kotlin/io/oriolehall/policy/quarantine/CrashRegister.kt
+++ b/policy/src/main/kotlin/io/oriolehall/policy/quarantine/CrashRegister.kt
@@ -52,7 +52,7 @@
         return copy(losses = losses.put(fingerprint, kept)).bounded()
     }
 
-    /** This register without [fingerprint], whose request completed, if it was a suspect. A blamed one is kept. */
+    /** This register after the request of [fingerprint] completed: a suspect is removed, a blamed request is kept. */
     fun withoutSuspect(fingerprint: Fingerprint): CrashRegister {
         if (losses[fingerprint].orEmpty().size >= LOSSES_TO_BLAME) return this
         return copy(losses = losses.remove(fingerprint))
--- a/policy/src/main/kotlin/io/oriolehall/policy/retry/RetryBudget.kt
+++ b/policy/src/main/kotlin/io/oriolehall/policy/retry/RetryBudget.kt
@@ -1,10 +1,10 @@
 package io.oriolehall.policy.retry
 
 /**
- * Limits retries to a ratio of first calls, so that an outage does not multiply the load. Each first call adds [ratio]
- * to the budget, which holds at most [burst] retries. Thread-safe.
+ * Limits retries to a ratio of first attempts, so that an outage does not multiply the load. Each first attempt adds
+ * [ratio] to the budget, which holds at most [burst] retries. Thread-safe.
  *
- * @param ratio retries allowed per first call.
+ * @param ratio retries allowed per first attempt.
  * @param burst maximum number of unused retries; the budget starts with this number.
  */
 class RetryBudget(private val ratio: Double = 0.1, private val burst: Double = 20.0) {
--- a/policy/src/main/kotlin/io/oriolehall/policy/routing/LeastOutstandingPolicy.kt
+++ b/policy/src/main/kotlin/io/oriolehall/policy/routing/LeastOutstandingPolicy.kt
@@ -1,7 +1,8 @@
 package io.oriolehall.policy.routing
 
 /**
- * Prefers endpoints of the caller's zone, and among those the one with the fewest outstanding calls of this instance.
+ * Prefers endpoints of this instance's zone, and among those the one with the fewest outstanding calls of this
+ * instance.
  */
 class LeastOutstandingPolicy : EndpointPolicy {
     override fun choose(candidates: List<Candidate>, context: CallContext): Candidate? {
--- a/policy/src/main/kotlin/io/oriolehall/policy/routing/PowerOfTwoPolicy.kt
+++ b/policy/src/main/kotlin/io/oriolehall/policy/routing/PowerOfTwoPolicy.kt
@@ -3,8 +3,8 @@
 import kotlin.random.Random
 
 /**
- * Prefers endpoints of the caller's zone. Draws two of them at random and chooses the one with fewer outstanding calls
- * of this instance.
+ * Prefers endpoints of this instance's zone. Draws two of them at random and chooses the one with fewer outstanding
+ * calls of this instance.
  */
 class PowerOfTwoPolicy(private val random: Random = Random.Default) : EndpointPolicy {
     override fun choose(candidates: List<Candidate>, context: CallContext): Candidate? {
--- a/policy/src/main/kotlin/io/oriolehall/policy/routing/PrefixAffinityPolicy.kt
+++ b/policy/src/main/kotlin/io/oriolehall/policy/routing/PrefixAffinityPolicy.kt
@@ -4,9 +4,10 @@
 import kotlin.math.ceil
 
 /**
- * Prefers endpoints of the caller's zone, and sends calls whose prompts have the same prefix to the same one of them,
- * where the prefix may be cached, unless that endpoint has much more load than the others (consistent hashing with
- * bounded loads). The engines' caches are not queried, so the choice costs no messages and cannot rely on stale data.
+ * Prefers endpoints of this instance's zone, and sends calls whose prompts have the same prefix to the same one of
+ * them, where the prefix may be cached, unless that endpoint has much more load than the others (consistent hashing
+ * with bounded loads). The engines' caches are not queried, so the choice costs no messages and cannot rely on stale
+ * data.
  *
  * @param loadFactor maximum ratio of an endpoint's outstanding calls to the mean of the eligible endpoints.
  * @param prefixWords number of words at the start of the prompt that are compared.
--- a/policy/src/test/kotlin/io/oriolehall/policy/config/TicketParserTest.kt
+++ b/policy/src/test/kotlin/io/oriolehall/policy/config/TicketParserTest.kt
@@ -40,8 +40,8 @@
 
     @Test
     fun `a ticket over the size limit is rejected before it is read`() {
-        val long = text(zone, author = "a".repeat(TicketParser.MAX_TICKET_BYTES))
-        expectThat(TicketParser.parse(long).error).isA<TicketError.TooLarge>()
+        val oversizedText = text(zone, author = "a".repeat(TicketParser.MAX_TICKET_BYTES))
+        expectThat(TicketParser.parse(oversizedText).error).isA<TicketError.TooLarge>()
     }
 
     @ParameterizedTest
--- a/policy/src/test/kotlin/io/oriolehall/policy/config/TicketStateTest.kt
+++ b/policy/src/test/kotlin/io/oriolehall/policy/config/TicketStateTest.kt
@@ -55,7 +55,9 @@
             for ((ticket, revision) in publishedTickets(random).shuffled(random)) {
                 val next = state.withTicket(ticket, revision)
                 for ((key, version) in state.config.objects) {
-                    check(next.config.objects.getValue(key).ticket >= version.ticket) { "seed $seed: $key went back" }
+                    check(next.config.objects.getValue(key).ticket >= version.ticket) {
+                        "seed $seed: ticket number of $key decreased"
+                    }
                 }
                 state = next
             }
--- a/policy/src/test/kotlin/io/oriolehall/policy/keys/KeyExplorationTest.kt
+++ b/policy/src/test/kotlin/io/oriolehall/policy/keys/KeyExplorationTest.kt
@@ -14,14 +14,14 @@
 
     @Test
     fun `a key of two witnesses, one of them replaced while callers send again`() {
-        expectThat(explore(ModelLimits(WitnessPanel(twoInstances), sends = 2, kills = 1, spawns = 1))).isNull()
+        expectThat(explore(ModelLimits(WitnessPanel(twoInstances), requests = 2, kills = 1, spawns = 1))).isNull()
     }
 
     @Test
     fun `a key whose only witness and holder is replaced`() {
         val singleWitness = WitnessPanel(twoInstances.take(1))
         expectThat(
-            explore(ModelLimits(singleWitness, instances = twoInstances, sends = 2, kills = 2, spawns = 2)),
+            explore(ModelLimits(singleWitness, instances = twoInstances, requests = 2, kills = 2, spawns = 2)),
         ).isNull()
     }
 
@@ -29,26 +29,28 @@
     fun `a key whose lifetime passes`() {
         val singleWitness = WitnessPanel(twoInstances.take(1))
         expectThat(
-            explore(ModelLimits(singleWitness, instances = twoInstances, sends = 3, kills = 1, spawns = 1, ticks = 2)),
+            explore(
+                ModelLimits(singleWitness, instances = twoInstances, requests = 3, kills = 1, spawns = 1, ticks = 2),
+            ),
         ).isNull()
     }
 
     @Test
     fun `a key sent with two bodies`() {
-        expectThat(explore(ModelLimits(WitnessPanel(twoInstances), sends = 3, digests = twoBodies))).isNull()
+        expectThat(explore(ModelLimits(WitnessPanel(twoInstances), requests = 3, digests = twoBodies))).isNull()
     }
 
     @Test
     fun `a key of three witnesses, one of which lives twice under its name`() {
         val limits =
-            ModelLimits(WitnessPanel(threeInstances), duplicatedNames = setOf(threeInstances[0]), sends = 2, ticks = 0)
+            ModelLimits(WitnessPanel(threeInstances), duplicatedIds = setOf(threeInstances[0]), requests = 2, ticks = 0)
         expectThat(explore(limits)).isNull()
     }
 
     @Test
     fun `a key of three witnesses, two of which suffice`() {
         expectThat(
-            explore(ModelLimits(WitnessPanel(threeInstances, requiredGrants = 2), sends = 2, ticks = 0)),
+            explore(ModelLimits(WitnessPanel(threeInstances, requiredGrants = 2), requests = 2, ticks = 0)),
         ).isNull()
     }
 
@@ -57,8 +59,8 @@
         val limits =
             ModelLimits(
                 WitnessPanel(threeInstances, requiredGrants = 2),
-                duplicatedNames = setOf(threeInstances[0]),
-                sends = 2,
+                duplicatedIds = setOf(threeInstances[0]),
+                requests = 2,
                 ticks = 0,
             )
         expectThat(explore(limits)).isNotNull()
@@ -67,7 +69,7 @@
     @Test
     fun `a token sent through every instance while its home is replaced`() {
         val limits =
-            ModelLimits(WitnessPanel(threeInstances), token = true, sends = 3, kills = 2, spawns = 2, ticks = 2)
+            ModelLimits(WitnessPanel(threeInstances), token = true, requests = 3, kills = 2, spawns = 2, ticks = 2)
         expectThat(explore(limits.copy(digests = twoBodies))).isNull()
     }
 
--- a/policy/src/test/kotlin/io/oriolehall/policy/limits/CreditLedgerTest.kt
+++ b/policy/src/test/kotlin/io/oriolehall/policy/limits/CreditLedgerTest.kt
@@ -15,7 +15,7 @@
     private val members = setOf(InstanceId("a"), InstanceId("b"))
     private val sequences = mutableMapOf<String, Long>()
     private val stamps = mutableMapOf<String, CreditStamp>()
-    private var now = 0L
+    private var nowMs = 0L
 
     private fun request(
         holder: String,
@@ -37,7 +37,7 @@
             ageMs = ageMs,
         )
         val id = HolderId(InstanceId(holder), Incarnation(1, nonce))
-        return ledger.answer(id, creditRequest, Electorate.of(endpoint, members), LIMIT, now).also {
+        return ledger.answer(id, creditRequest, Electorate.of(endpoint, members), LIMIT, nowMs).also {
             stamps[holder] = it.stamp
         }
     }
@@ -58,7 +58,7 @@
     fun `a follower of long standing has its share while another member is silent`() {
         repeat(8) {
             request("a", wanted = LIMIT)
-            now += 80
+            nowMs += 80
         }
         expectThat(request("a", wanted = LIMIT).credits).isEqualTo(LIMIT / 2)
     }
@@ -72,18 +72,18 @@
         request("b", wanted = 0)
         request("b", wanted = 0)
         expectThat(request("guest", wanted = LIMIT, role = HolderRole.GUEST).credits).isEqualTo(1)
-        expectThat(ledger.callsUnknownToNewOwner(now)).describedAs("credits of a and of the guest").isEqualTo(LIMIT)
+        expectThat(ledger.callsUnknownToNewOwner(nowMs)).describedAs("credits of a and of the guest").isEqualTo(LIMIT)
     }
 
     @Test
     fun `calls of a holder that fell silent count until they must have ended`() {
         letAllFollow()
         request("a", wanted = LIMIT, inFlight = LIMIT)
-        now += timing.leaseMs + 1
-        expectThat(ledger.followers(now).size).isEqualTo(0)
-        expectThat(ledger.committed(now) >= LIMIT).isEqualTo(true)
-        now += timing.drainMs + timing.marginMs
-        expectThat(ledger.committed(now)).isEqualTo(0)
+        nowMs += timing.leaseMs + 1
+        expectThat(ledger.followers(nowMs).size).isEqualTo(0)
+        expectThat(ledger.committed(nowMs) >= LIMIT).isEqualTo(true)
+        nowMs += timing.drainMs + timing.marginMs
+        expectThat(ledger.committed(nowMs)).isEqualTo(0)
     }
 
     @Test
@@ -97,12 +97,12 @@
     fun `a request that was under way for longer than a stamp lasts revives no allegiance`() {
         letAllFollow()
         val staleStamp = stamps.getValue("a")
-        now += timing.maxStampAgeMs + 1
-        expectThat(ledger.followers(now)).describedAs("both have expired").isEqualTo(emptySet())
+        nowMs += timing.maxStampAgeMs + 1
+        expectThat(ledger.followers(nowMs)).describedAs("both have expired").isEqualTo(emptySet())
         val lateAnswer = request("a", wanted = LIMIT, stamp = staleStamp)
         expectThat(lateAnswer.credits).isEqualTo(0)
         expectThat(lateAnswer.renewMs).describedAs("request again immediately").isEqualTo(0)
-        expectThat(ledger.followers(now)).describedAs("after the late request").isEqualTo(emptySet())
+        expectThat(ledger.followers(nowMs)).describedAs("after the late request").isEqualTo(emptySet())
         request("b")
         expectThat(request("b", wanted = LIMIT).credits).describedAs("a does not follow this owner").isEqualTo(0)
     }
@@ -114,7 +114,7 @@
         request("a", wanted = 1)
         request("a", wanted = 1)
         expectThat(request("c", wanted = 2, role = HolderRole.BORROWER).credits).isEqualTo(2)
-        expectThat(ledger.followers(now)).isEqualTo(members)
+        expectThat(ledger.followers(nowMs)).isEqualTo(members)
     }
 
     @Test
--- a/policy/src/test/kotlin/io/oriolehall/policy/limits/ElectorateTest.kt
+++ b/policy/src/test/kotlin/io/oriolehall/policy/limits/ElectorateTest.kt
@@ -11,20 +11,20 @@
 
 class ElectorateTest {
     private val endpoint = EndpointId("e")
-    private val names = (1..44).map { InstanceId("i$it") }
+    private val instances = (1..44).map { InstanceId("i$it") }
 
     @Test
     fun `all members of a small zone vote and five of a large one`() {
-        expectThat(Electorate.of(endpoint, names.take(3).toSet()).voters).hasSize(3)
-        expectThat(Electorate.of(endpoint, names.toSet()).voters).hasSize(Electorate.MAX_VOTERS)
+        expectThat(Electorate.of(endpoint, instances.take(3).toSet()).voters).hasSize(3)
+        expectThat(Electorate.of(endpoint, instances.toSet()).voters).hasSize(Electorate.MAX_VOTERS)
     }
 
     @Test
     fun `shares of owners add up to the limit while new members are known to some only`() {
         for (seed in 1..2_000) {
             val random = Random(seed)
-            val oldMembers = names.shuffled(random).take(random.nextInt(1, 12)).toSet()
-            val newMembers = (names - oldMembers).shuffled(random).take(random.nextInt(1, 4)).toSet()
+            val oldMembers = instances.shuffled(random).take(random.nextInt(1, 12)).toSet()
+            val newMembers = (instances - oldMembers).shuffled(random).take(random.nextInt(1, 4)).toSet()
             val informed = Electorate.of(endpoint, oldMembers + newMembers, recent = newMembers)
             val uninformed = Electorate.of(endpoint, oldMembers)
             val (firstFollowers, secondFollowers) = (oldMembers + newMembers).partition { random.nextBoolean() }
@@ -35,7 +35,7 @@
 
     @Test
     fun `all voters together hold the whole limit`() {
-        val electorate = Electorate.of(endpoint, names.toSet(), recent = names.take(2).toSet())
+        val electorate = Electorate.of(endpoint, instances.toSet(), recent = instances.take(2).toSet())
         expectThat(electorate.isCoveredBy(electorate.voters)).isEqualTo(true)
         expectThat(electorate.share(LIMIT, electorate.voters)).isEqualTo(LIMIT)
     }
--- a/policy/src/test/kotlin/io/oriolehall/policy/membership/FakeFleet.kt
+++ b/policy/src/test/kotlin/io/oriolehall/policy/membership/FakeFleet.kt
@@ -27,7 +27,9 @@
     var nowMs = 1_000_000L
         private set
     var partitioned = false
-    var deathsSeen = 0
+
+    /** Number of members that processes considered dead, summed over all processes and rounds. */
+    var deadMembersSeen = 0
         private set
     val processes = mutableListOf<Process>()
 
@@ -65,7 +67,7 @@
             }
             if (!reachedByHelper) process.membership.recordSilence(peer.id, nowMs)
         }
-        deathsSeen += process.membership.view().members.values.count { it.state == MemberState.DEAD }
+        deadMembersSeen += process.membership.view().members.values.count { it.state == MemberState.DEAD }
     }
 
     private fun probe(from: Process, to: Process): Boolean {
--- a/policy/src/test/kotlin/io/oriolehall/policy/membership/MembershipTest.kt
+++ b/policy/src/test/kotlin/io/oriolehall/policy/membership/MembershipTest.kt
@@ -45,7 +45,7 @@
             paused.up = true
             fleet.run(seconds = 8)
         }
-        expectThat(fleet.deathsSeen).isEqualTo(0)
+        expectThat(fleet.deadMembersSeen).isEqualTo(0)
     }
 
     @Test
--- a/policy/src/test/kotlin/io/oriolehall/policy/orders/OrderPolicyTest.kt
+++ b/policy/src/test/kotlin/io/oriolehall/policy/orders/OrderPolicyTest.kt
@@ -19,7 +19,7 @@
 import kotlin.random.Random
 
 class OrderPolicyTest {
-    private fun version(ticket: Long) = EngineAssignment(EndpointId("gen"), "oak", "v$ticket")
+    private fun assignment(ticket: Long) = EngineAssignment(EndpointId("gen"), "oak", "v$ticket")
 
     private fun report(served: EngineAssignment? = null, fence: Long = 0, ordering: Boolean = false) = LoadReport(
         running = 0,
@@ -35,17 +35,17 @@
         ordering = ordering,
     )
 
-    private fun number(ticket: Long, last: Long = 0) =
+    private fun fencingNumber(ticket: Long, last: Long = 0) =
         checkNotNull(FencingNumber.next(ticket, FencingNumber(last))).value
 
-    private fun send(wanted: EngineAssignment, ticket: Long, report: LoadReport, fenced: Boolean = true) =
+    private fun decideSend(wanted: EngineAssignment, ticket: Long, report: LoadReport, fenced: Boolean = true) =
         OrderPolicy.decide(wanted, ticket, fenced, report) as? OrderDecision.Send
 
     @Test
     fun `a number never goes back and names its ticket`() {
-        val first = number(ticket = 7)
-        val second = number(ticket = 7, last = first)
-        val highest = number(ticket = 1_000_000_000_000, last = second)
+        val first = fencingNumber(ticket = 7)
+        val second = fencingNumber(ticket = 7, last = first)
+        val highest = fencingNumber(ticket = 1_000_000_000_000, last = second)
         expectThat(second).isGreaterThan(first)
         expectThat(highest).isGreaterThan(second)
         expectThat(FencingNumber(highest).ticket).isEqualTo(1_000_000_000_000)
@@ -54,29 +54,30 @@
 
     @Test
     fun `an engine that has obeyed a higher ticket is not ordered`() {
-        val decision = OrderPolicy.decide(version(6), 6, fenced = false, report(version(7), number(7)))
+        val decision = OrderPolicy.decide(assignment(6), 6, fenced = false, report(assignment(7), fencingNumber(7)))
         expectThat(decision).isEqualTo(OrderDecision.OutdatedTicket(7))
     }
 
     @Test
     fun `an engine that carries out an order is left alone`() {
-        val decision = OrderPolicy.decide(version(7), 7, fenced = true, report(version(6), number(6), ordering = true))
+        val decision = OrderPolicy
+            .decide(assignment(7), 7, fenced = true, report(assignment(6), fencingNumber(6), ordering = true))
         expectThat(decision).isA<OrderDecision.Busy>()
     }
 
     @Test
     fun `a fenced engine in the state of a newer ticket learns its number without a load`() {
-        expectThat(send(version(5), 9, report(version(5), number(5)))).isNotNull().and {
+        expectThat(decideSend(assignment(5), 9, report(assignment(5), fencingNumber(5)))).isNotNull().and {
             get { requiresLoad }.isFalse()
             get { FencingNumber(order.fence).ticket }.isEqualTo(9)
         }
-        expectThat(send(version(5), 9, report(version(5), number(5)), fenced = false)).isNull()
+        expectThat(decideSend(assignment(5), 9, report(assignment(5), fencingNumber(5)), fenced = false)).isNull()
     }
 
     @Test
     fun `a state that left its ticket is corrected under a higher number`() {
-        val last = number(7)
-        expectThat(send(version(7), 7, report(version(6), last), fenced = false)).isNotNull().and {
+        val last = fencingNumber(7)
+        expectThat(decideSend(assignment(7), 7, report(assignment(6), last), fenced = false)).isNotNull().and {
             get { isCorrection }.isTrue()
             get { order.fence }.isGreaterThan(last)
         }
@@ -116,15 +117,18 @@
 
                     2 -> {
                         val knownTicket = random.nextLong(1, highest + 1)
-                        send(version(knownTicket), knownTicket, reportOf(engine), fenced)?.let { delayed += it.order }
+                        decideSend(assignment(knownTicket), knownTicket, reportOf(engine), fenced)
+                            ?.let { delayed += it.order }
                     }
 
-                    else -> send(version(highest), highest, reportOf(engine), fenced)?.let { engine.receive(it.order) }
+                    else ->
+                        decideSend(assignment(highest), highest, reportOf(engine), fenced)
+                            ?.let { engine.receive(it.order) }
                 }
                 if (fenced) expectThat(engine.ticket()).isGreaterThanOrEqualTo(before)
             }
             delayed.shuffled(random).forEach(engine::receive)
-            send(version(highest), highest, reportOf(engine), fenced)?.let { engine.receive(it.order) }
+            decideSend(assignment(highest), highest, reportOf(engine), fenced)?.let { engine.receive(it.order) }
             expectThat(engine.served?.version).describedAs("seed $seed").isEqualTo("v$highest")
         }
     }
