policy: call the process of a token its holder

TokenContent.home and KeyHolder were two names for one thing. TokenCodec's error is called invalid, because it also covers malformed tokens.

--- a/policy/src/main/kotlin/io/oriolehall/policy/keys/KeyArrivalPolicy.kt
+++ b/policy/src/main/kotlin/io/oriolehall/policy/keys/KeyArrivalPolicy.kt
@@ -39,11 +39,11 @@
     }
 
     private fun decideNewToken(key: IdempotencyKey.Token, digest: RequestDigest): ArrivalDecision {
-        val home = key.content.home
+        val holder = key.content.holder
         return when {
-            home == self -> begin(key, digest, KeyState.Held())
-            home.instance == self.instance && home.peerAddress == self.peerAddress -> ArrivalDecision.HolderLost
-            else -> ArrivalDecision.Relay(home)
+            holder == self -> begin(key, digest, KeyState.Held())
+            holder.instance == self.instance && holder.peerAddress == self.peerAddress -> ArrivalDecision.HolderLost
+            else -> ArrivalDecision.Relay(holder)
         }
     }
 
--- a/policy/src/main/kotlin/io/oriolehall/policy/keys/TokenCodec.kt
+++ b/policy/src/main/kotlin/io/oriolehall/policy/keys/TokenCodec.kt
@@ -5,6 +5,7 @@
 import com.github.michaelbull.result.Result
 import io.oriolehall.model.OrganisationId
 import io.oriolehall.model.WireJson
+import kotlinx.serialization.SerialName
 import kotlinx.serialization.Serializable
 import java.security.MessageDigest
 import java.util.Base64
@@ -15,14 +16,14 @@
 /**
  * The signed content of a token.
  *
- * @property home the only process that may run a request under the token.
- * @property bornAtMs time of minting by the clock of [home], milliseconds since the epoch.
+ * @property holder the only process that may run a request under the token.
+ * @property bornAtMs time of minting by the clock of [holder], milliseconds since the epoch.
  * @property random distinguishes tokens minted in the same millisecond.
  */
 @Serializable
 data class TokenContent(
     val organisation: OrganisationId,
-    val home: KeyHolder,
+    @SerialName("home") val holder: KeyHolder,
     val bornAtMs: Long,
     val random: Long,
 )
@@ -35,9 +36,9 @@
 class TokenCodec(secret: String) {
     private val signingKey = SecretKeySpec(secret.toByteArray(), ALGORITHM)
 
-    /** Creates a token for [organisation] whose home is [home]. */
-    fun mint(organisation: OrganisationId, home: KeyHolder, nowMs: Long, random: Random): String {
-        val content = TokenContent(organisation, home, nowMs, random.nextLong())
+    /** Creates a token for [organisation] that is held by [holder]. */
+    fun mint(organisation: OrganisationId, holder: KeyHolder, nowMs: Long, random: Random): String {
+        val content = TokenContent(organisation, holder, nowMs, random.nextLong())
         val body = encoder.encodeToString(WireJson.encodeToString(TokenContent.serializer(), content).toByteArray())
         return "$PREFIX$body.${encoder.encodeToString(sign(body))}"
     }
@@ -46,12 +47,12 @@
     fun verify(token: String): Result<TokenContent, KeyFault> {
         val parts = token.removePrefix(PREFIX).split('.')
         val signature = parts.getOrNull(1)?.let(::decode)
-        if (parts.size != 2 || signature == null || !MessageDigest.isEqual(signature, sign(parts[0]))) return forged
-        val json = decode(parts[0])?.decodeToString() ?: return forged
+        if (parts.size != 2 || signature == null || !MessageDigest.isEqual(signature, sign(parts[0]))) return invalid
+        val json = decode(parts[0])?.decodeToString() ?: return invalid
         return try {
             Ok(WireJson.decodeFromString(TokenContent.serializer(), json))
         } catch (e: IllegalArgumentException) {
-            forged
+            invalid
         }
     }
 
@@ -70,6 +71,6 @@
 
         private const val ALGORITHM = "HmacSHA256"
         private val encoder = Base64.getUrlEncoder().withoutPadding()
-        private val forged = Err(KeyFault("the token was not minted by this system or was altered"))
+        private val invalid = Err(KeyFault("the token was not minted by this system or was altered"))
     }
 }
--- a/policy/src/test/kotlin/io/oriolehall/policy/keys/TokenCodecTest.kt
+++ b/policy/src/test/kotlin/io/oriolehall/policy/keys/TokenCodecTest.kt
@@ -13,15 +13,15 @@
 
 class TokenCodecTest {
     private val codec = TokenCodec("a secret of the tests")
-    private val home = KeyHolder(InstanceId("entry-1"), Incarnation(5, 6), NetworkAddress("10.0.0.1", 7))
-    private val token = codec.mint(OrganisationId("shop"), home, nowMs = 42, Random(1))
+    private val holder = KeyHolder(InstanceId("entry-1"), Incarnation(5, 6), NetworkAddress("10.0.0.1", 7))
+    private val token = codec.mint(OrganisationId("shop"), holder, nowMs = 42, Random(1))
 
     @Test
     fun `a token says who minted it, for whom and when`() {
         val key = IdempotencyKey.parse(token, codec)
         expectThat(key.isOk).isTrue()
         expectThat(key.value).isA<IdempotencyKey.Token>().and {
-            get { content.home } isEqualTo home
+            get { content.holder } isEqualTo holder
             get { content.organisation } isEqualTo OrganisationId("shop")
             get { bornAtMs } isEqualTo 42L
         }
