dispatch: second reading of comments and test names

A reader new to the folder stopped at these lines. Comments that did not fit the code are corrected: the load bound of AffinityPlacement is local to an instance, slowness includes the share of failures, CallerLimits also limits idle connections. "Entry" of an endpoint is called registration as elsewhere; the splitting of groups, the simulated arrivals and the piece counts are explained. No change of behaviour; the test expectations are as before.

--- a/dispatch/src/main/kotlin/io/oriolehall/dispatch/admission/ShutdownAdmission.kt
+++ b/dispatch/src/main/kotlin/io/oriolehall/dispatch/admission/ShutdownAdmission.kt
@@ -7,7 +7,7 @@
  *
  * All times are monotonic milliseconds.
  *
- * @param stopRequestedAtMs when the instance was told to stop.
+ * @param stopRequestedAtMs when the shutdown was requested.
  * @param exitAtMs when the process ends.
  */
 class ShutdownAdmission(private val stopRequestedAtMs: Long, private val exitAtMs: Long) {
--- a/dispatch/src/main/kotlin/io/oriolehall/dispatch/admission/StageAdmission.kt
+++ b/dispatch/src/main/kotlin/io/oriolehall/dispatch/admission/StageAdmission.kt
@@ -5,12 +5,12 @@
 /**
  * Admission control for requests with stages, based on how long their stages currently take.
  *
- * It handles overload of the stage workers that lasts longer than one objective. Admitting every request would make all
- * of them late, because each stage has a large fixed cost and one deadline covers all stages. As the expected time
- * approaches and exceeds the objective, a growing share of requests is refused. Requests of the lowest priority are
- * shed first, before they delay others; where such requests use the same stages, all requests of higher priority are
- * admitted, because stage queues first serve the pieces that can still be on time. A request that cannot meet its
- * deadline is refused in any case.
+ * It handles overload of the stage workers that outlasts the latency objective of a request. Admitting every request
+ * would make all of them late, because each stage has a large fixed cost and one deadline covers all stages. As the
+ * expected time approaches and exceeds the objective, a growing share of requests is refused. Requests of the lowest
+ * priority are shed first, before they delay others; where such requests use the same stages, all requests of higher
+ * priority are admitted, because stage queues first serve the pieces that can still be on time. A request that cannot
+ * meet its deadline is refused in any case.
  */
 class StageAdmission(private val random: Random = Random.Default) {
     sealed interface Decision {
--- a/dispatch/src/main/kotlin/io/oriolehall/dispatch/config/Route.kt
+++ b/dispatch/src/main/kotlin/io/oriolehall/dispatch/config/Route.kt
@@ -4,7 +4,7 @@
 import kotlinx.serialization.SerialName
 import kotlinx.serialization.Serializable
 
-/** Which requests may be retried when an attempt at an endpoint fails. */
+/** Determines whether the requests of a route may be retried when an attempt at an endpoint fails. */
 @Serializable
 enum class RouteKind {
     /** May run any number of times. */
@@ -22,8 +22,9 @@
 data class RouteTarget(val service: String, val weight: Int)
 
 /**
- * A computation that is done before a request is sent to its service.
+ * A computation that has to be complete before a request is sent to a target service of its route.
  *
+ * @property service service whose workers run the stage.
  * @property after indexes of the stages whose results it needs.
  * @property resultBytes approximate size of one result, bytes.
  */
@@ -69,7 +70,7 @@
 /**
  * Limits of a worker of a service that computes stage pieces.
  *
- * @property slots calls that a worker runs concurrently.
+ * @property slots maximum number of concurrent calls to a worker.
  * @property batch maximum number of pieces in a call.
  * @property callMs fixed time of a call, without its pieces, milliseconds.
  * @property pieceMs approximate time that each piece adds to a call, milliseconds.
@@ -90,7 +91,7 @@
 /**
  * Limits of a model engine.
  *
- * @property slots requests that it runs concurrently.
+ * @property slots maximum number of concurrent requests.
  * @property cacheTokens tokens that fit into its cache.
  */
 @Serializable
@@ -112,7 +113,7 @@
     val pieces: PieceLimits? = null,
 )
 
-/** Limits on the size of a caller's request and on the time that the caller may take to send it. */
+/** Limits on the size of a caller's request, on the time to send it, and on the time that a connection may be idle. */
 @Serializable
 data class CallerLimits(
     val maxHeaderBytes: Int = 16_384,
--- a/dispatch/src/main/kotlin/io/oriolehall/dispatch/config/RouteTable.kt
+++ b/dispatch/src/main/kotlin/io/oriolehall/dispatch/config/RouteTable.kt
@@ -15,7 +15,7 @@
 
     private val servicesByName: Map<String, Service> = config.services.associateBy(Service::name)
 
-    /** Priority of the least urgent route with stages, by its set of stage services. */
+    /** For each set of stage services, the priority of the least urgent route that uses exactly that set. */
     private val lowestPriorities: Map<Set<String>, Int> = config.routes
         .filter { it.stages.isNotEmpty() }
         .groupBy(Route::stageServices)
--- a/dispatch/src/main/kotlin/io/oriolehall/dispatch/endpoints/EndpointDirectory.kt
+++ b/dispatch/src/main/kotlin/io/oriolehall/dispatch/endpoints/EndpointDirectory.kt
@@ -31,9 +31,9 @@
 }
 
 /**
- * Maintains the endpoint directory from the entries in the platform's store. Entries that are lost around an outage of
- * the store are kept for [reRegistrationGraceMs] after it recovers, because a live endpoint registers again within that
- * time.
+ * Maintains the endpoint directory from the registrations in the platform's store. Registrations that are lost around
+ * an outage of the store are kept for [reRegistrationGraceMs] after it recovers, because a live endpoint registers
+ * again within that time.
  *
  * All times are monotonic milliseconds. Not thread-safe; [snapshot] is immutable.
  */
@@ -55,7 +55,7 @@
     }
 
     /**
-     * Handles the removal of the entry of [id] from the store. [storeUninterrupted] is true when the store was
+     * Handles the removal of the registration of [id] from the store. [storeUninterrupted] is true when the store was
      * available throughout, so that the removal is not a result of an outage.
      */
     fun withdraw(id: EndpointId, nowMs: Long, storeUninterrupted: Boolean) {
@@ -68,7 +68,7 @@
         remove(id)
     }
 
-    /** Removes entries whose grace period for registering again is over. Returns their ids. */
+    /** Removes endpoints whose grace period for registering again is over. Returns their ids. */
     fun expire(nowMs: Long): List<EndpointId> {
         val expired = removalTimesMs.filterValues { it <= nowMs }.keys.toList()
         expired.forEach(::remove)
@@ -76,7 +76,7 @@
     }
 
     /**
-     * Replaces the directory by [records], all entries of the store at one moment; entries not among them are
+     * Replaces the directory by [records], all registrations in the store; endpoints that are not among them are
      * withdrawn.
      */
     fun replaceAll(records: Collection<EndpointRecord>, nowMs: Long, storeUninterrupted: Boolean) {
--- a/dispatch/src/main/kotlin/io/oriolehall/dispatch/endpoints/EndpointRecord.kt
+++ b/dispatch/src/main/kotlin/io/oriolehall/dispatch/endpoints/EndpointRecord.kt
@@ -11,7 +11,7 @@
  *
  * @property startedAtMs start of its process, milliseconds since the epoch; differs after a restart under the same id.
  * @property draining true when it has announced that it will stop.
- * @property coldRemainingMs time that it stays cold, from when the entry was written, milliseconds.
+ * @property coldRemainingMs time that it stays cold, counted from its registration, milliseconds.
  */
 @Serializable
 data class EndpointRecord(
--- a/dispatch/src/main/kotlin/io/oriolehall/dispatch/limits/RetryAllowance.kt
+++ b/dispatch/src/main/kotlin/io/oriolehall/dispatch/limits/RetryAllowance.kt
@@ -3,7 +3,7 @@
 /**
  * Retry budget: this instance's share of the retries that all instances together may send to a service in a sliding
  * window. The budget is a ratio of the first attempts of this instance plus a fixed allowance divided by the number of
- * instances. A recently started process gets less of the allowance, because its predecessor may already have used up
+ * instances. A recently started process gets less of the allowance, because its predecessor may already have used it in
  * the current window.
  *
  * @param ratio retries per first attempt.
--- a/dispatch/src/main/kotlin/io/oriolehall/dispatch/placement/GenerationPlacement.kt
+++ b/dispatch/src/main/kotlin/io/oriolehall/dispatch/placement/GenerationPlacement.kt
@@ -8,7 +8,7 @@
  * An endpoint that may receive a request.
  *
  * @property outstanding unfinished requests of this instance at the endpoint.
- * @property slowness its response time relative to that of its peers; 1 when unknown.
+ * @property slowness its response time relative to that of its peers, plus its share of failures; 1 when unknown.
  */
 data class PlacementCandidate(val endpoint: EndpointRecord, val outstanding: Int, val slowness: Double = 1.0)
 
@@ -28,7 +28,7 @@
 }
 
 /**
- * Baseline: the endpoint with the fewest outstanding requests of this instance, weighted by slowness; ties go to the
+ * Chooses the endpoint with the fewest outstanding requests of this instance, weighted by slowness; ties go to the
  * instance's own zone.
  */
 object LeastOutstanding : Placement {
@@ -39,10 +39,12 @@
 }
 
 /**
- * Sends requests that share a prompt to the same endpoint by rendezvous hashing with bounded loads, which all instances
- * compute alike without coordination. Endpoints above the load bound are skipped, so that a hot prompt spreads to more
- * endpoints. Recomputing a shared prompt costs more than fetching inputs from another zone, so the zone of the inputs
- * matters only for requests without a shared prompt.
+ * Sends requests that share a prompt to the same endpoint by rendezvous hashing, which ranks the endpoints equally at
+ * all instances without coordination. Endpoints above a bound on the outstanding requests of this instance are skipped,
+ * so that a hot prompt spreads to more endpoints. Recomputing a shared prompt costs more than fetching inputs from
+ * another zone, so the zone of the inputs matters only for requests without a shared prompt.
+ *
+ * @param loadFactor load bound relative to the mean number of outstanding requests per endpoint.
  */
 class AffinityPlacement(private val loadFactor: Double = DEFAULT_LOAD_FACTOR) : Placement {
     override fun choose(candidates: List<PlacementCandidate>, request: PlacementRequest): PlacementCandidate? {
--- a/dispatch/src/main/kotlin/io/oriolehall/dispatch/stages/PieceWork.kt
+++ b/dispatch/src/main/kotlin/io/oriolehall/dispatch/stages/PieceWork.kt
@@ -12,7 +12,8 @@
 }
 
 /**
- * One piece to be computed by a stage worker. Times are monotonic milliseconds.
+ * One piece of a stage of a request; a stage worker computes one result for it. The pieces of a stage may run in
+ * different calls and at different workers. Times are monotonic milliseconds.
  *
  * @property group number shared by the pieces of one stage of one request; numbers increase in order of arrival.
  * @property preferredZone zone from which the result will be fetched; null when the zone does not matter.
--- a/dispatch/src/main/kotlin/io/oriolehall/dispatch/stages/StageQueue.kt
+++ b/dispatch/src/main/kotlin/io/oriolehall/dispatch/stages/StageQueue.kt
@@ -10,11 +10,11 @@
  *
  * Order: pieces whose inputs occupy scarce memory at other workers are served in order of arrival, even when late.
  * Other pieces are served by due time and priority while they can be on time; late ones use the remaining capacity. The
- * pieces of one stage of one request stay together, because the first results would occupy memory while the others
- * wait. Large results are computed in the zone from which they are fetched, unless that takes too long.
+ * pieces of one stage of one request, a group, stay together, because the first results would occupy memory while the
+ * others wait. Large results are computed in the zone from which they are fetched, unless that takes too long.
  *
- * Designed for many small requests on few workers with a fixed cost per call, and for bursts beyond the capacity of
- * full calls. It uses no clock and no I/O. Times are monotonic milliseconds.
+ * Designed for many small requests on few workers with a fixed cost per call, and for bursts beyond what the workers
+ * can handle with full calls. It uses no clock and no I/O. Times are monotonic milliseconds.
  */
 class StageQueue(private val limits: PieceLimits) {
     private val waiting = mutableListOf<PieceWork>()
@@ -60,6 +60,7 @@
 
     /**
      * Time until a group of [pieces] that arrives now would complete, milliseconds; infinite without usable workers.
+     * Computed from the queue and the speed of the workers alone; [expectedMs] also covers observed delays.
      */
     fun estimateMs(workers: Collection<StageWorker>, pieces: Int, nowMs: Long): Double {
         val usable = workers.filter { !it.health.isExcluded(nowMs) }
@@ -109,6 +110,7 @@
             if (remaining == 0) break
             val bytes = maxOf(1, group.first().resultBytes)
             val fitting = minOf(remaining.toLong(), freeBytes / bytes).toInt()
+            // A group is split only if no later call can hold all of it and this call is less than half full.
             if (group.size > fitting && (fitsLater(group, bytes, worker) || chosen.size * 2 >= limits.batch)) continue
             chosen += group.take(fitting)
             freeBytes -= minOf(fitting, group.size) * bytes
--- a/dispatch/src/main/kotlin/io/oriolehall/dispatch/stages/StageWorker.kt
+++ b/dispatch/src/main/kotlin/io/oriolehall/dispatch/stages/StageWorker.kt
@@ -35,10 +35,10 @@
 
     fun expectedMs(pieces: Int): Double = (limits.callMs + pieces * limits.pieceMs) * slowness
 
-    /** Memory for results in terms of configured result sizes, bytes. */
+    /** Memory for results, reduced by [sizeFactor] for comparison with configured result sizes, bytes. */
     val resultCapacityBytes: Long get() = (limits.resultMemoryBytes / sizeFactor).toLong()
 
-    /** Memory left for results in terms of configured result sizes, bytes. */
+    /** Part of [resultCapacityBytes] that is neither occupied nor reserved by running calls, bytes. */
     fun freeResultBytes(nowMs: Long): Long {
         results.values.removeIf { it.expiresAtMs <= nowMs }
         return resultCapacityBytes - reservedBytes - results.values.sumOf(StoredResult::bytes)
@@ -87,7 +87,7 @@
         /** Delay before a worker without memory is tried again; results are freed within about the time of a call. */
         const val MEMORY_RETRY_MS = 250L
 
-        /** Configured sizes are approximate; the size estimate grows by this factor for each piece without memory. */
+        /** Configured sizes are approximate; [sizeFactor] grows by this factor for each piece that lacks memory. */
         const val SIZE_GROWTH_FACTOR = 1.02
         const val MAX_SIZE_FACTOR = 1.2
     }
--- a/dispatch/src/test/kotlin/io/oriolehall/dispatch/admission/StageLoadsTest.kt
+++ b/dispatch/src/test/kotlin/io/oriolehall/dispatch/admission/StageLoadsTest.kt
@@ -7,9 +7,9 @@
 
 class StageLoadsTest {
     private val limits = PieceLimits(1, batch = 4, 240.0, 30.0, resultMemoryBytes = 1_000, resultLifetimeMs = 4_000)
-    private val loads = StageTimeEstimates()
+    private val estimates = StageTimeEstimates()
 
-    private fun expectedMs(nowMs: Long) = loads.expectedMs("s", limits, nowMs)
+    private fun expectedMs(nowMs: Long) = estimates.expectedMs("s", limits, nowMs)
 
     @Test
     fun `a queue of which nothing was said takes one call`() {
@@ -18,7 +18,7 @@
 
     @Test
     fun `what was said holds less the time since then, and never less than one call`() {
-        loads.record("s", 2_000, nowMs = 100)
+        estimates.record("s", 2_000, nowMs = 100)
         expectThat(expectedMs(nowMs = 600)).isEqualTo(1_500.0)
         expectThat(expectedMs(nowMs = 9_000)).isEqualTo(270.0)
     }
--- a/dispatch/src/test/kotlin/io/oriolehall/dispatch/admission/StopAdmissionTest.kt
+++ b/dispatch/src/test/kotlin/io/oriolehall/dispatch/admission/StopAdmissionTest.kt
@@ -13,7 +13,7 @@
         expectThat(admission.admits(arrivedAtMs = 12_300, deadlineAtMs = 27_300)).isTrue()
     }
 
-    /** Guards against a stream that arrived 4.5 s after SIGTERM and was cut off by the exit of the process. */
+    /** Guards against admitting a stream 4.5 s after SIGTERM that the exit of the process then cuts off. */
     @Test
     fun `later on only what ends before the process is taken`() {
         expectThat(admission.admits(arrivedAtMs = 14_500, deadlineAtMs = 29_500)).isFalse()
--- a/dispatch/src/test/kotlin/io/oriolehall/dispatch/load/Deployment.kt
+++ b/dispatch/src/test/kotlin/io/oriolehall/dispatch/load/Deployment.kt
@@ -32,7 +32,7 @@
  * @property value value to the caller of a response on time, relative to other kinds.
  * @property lateValue value of a late response, on the same scale.
  */
-internal data class RequestProfile(
+internal data class RequestKind(
     val name: String,
     val perSecond: Double,
     val priority: Int,
@@ -63,10 +63,10 @@
     val instances: Int,
     val zones: List<String>,
     val services: List<SimulatedService>,
-    val kinds: List<RequestProfile>,
+    val kinds: List<RequestKind>,
 ) {
     /** True when a kind of request that is shed first uses all stage services of [kind]. */
-    fun othersAreShedFirst(kind: RequestProfile): Boolean =
+    fun othersAreShedFirst(kind: RequestKind): Boolean =
         kinds.any { StageAdmission.isShedFirst(it.priority) && it.services.containsAll(kind.services) }
 }
 
@@ -83,10 +83,10 @@
     zones,
 )
 
-private fun threeStages(first: String, second: String, third: String, middlePieces: Double, start: Int = 0) = listOf(
+private fun threeStages(first: String, second: String, third: String, middlePieces: Double, offset: Int = 0) = listOf(
     SimulatedStage(first, bytes = 8_000, relativeCost = 0.3),
-    SimulatedStage(second, after = listOf(start), pieces = middlePieces, bytes = 60_000),
-    SimulatedStage(third, after = listOf(start + 1), pieces = 6.0, bytes = 6_000),
+    SimulatedStage(second, after = listOf(offset), pieces = middlePieces, bytes = 60_000),
+    SimulatedStage(third, after = listOf(offset + 1), pieces = 6.0, bytes = 6_000),
 )
 
 /** Seven instances and eleven stage workers in three zones: few workers, a large fixed cost per call, little memory. */
@@ -99,15 +99,15 @@
         service("third", listOf("a", "b", "b", "c"), batch = 19, pieceMs = 10.9, memBytes = 207_273),
     ),
     kinds = listOf(
-        RequestProfile(
+        RequestKind(
             "summary", 4.8, 1, 1_400, 15_000, 160, 4.3, 0.64,
             listOf(SimulatedStage("first", pieces = 2.5, maxPieces = 10, bytes = 800_000, share = 0.7)),
         ),
-        RequestProfile("advice", 6.95, 0, 2_000, 15_000, 60, 2.0, 0.3, threeStages("first", "second", "third", 4.0)),
-        RequestProfile(
+        RequestKind("advice", 6.95, 0, 2_000, 15_000, 60, 2.0, 0.3, threeStages("first", "second", "third", 4.0)),
+        RequestKind(
             "label", 7.72, 2, 2_000, 6_000, 80, 0.43, 0.065,
             listOf(SimulatedStage("first", pieces = 1.5, maxPieces = 6, bytes = 800_000, share = 0.4)) +
-                threeStages("first", "second", "third", 4.0, start = 1),
+                threeStages("first", "second", "third", 4.0, offset = 1),
         ),
     ),
 )
@@ -122,13 +122,13 @@
         service("third", listOf("a", "b", "c", "d"), batch = 40, pieceMs = 5.18, memBytes = 434_783),
     ),
     kinds = listOf(
-        RequestProfile(
+        RequestKind(
             "draft", 11.8, 1, 2_500, 15_000, 160, 5.3, 0.79,
             listOf(SimulatedStage("first", pieces = 1.5, maxPieces = 6, bytes = 800_000, share = 0.4)) +
-                threeStages("first", "second", "third", 8.0, start = 1),
+                threeStages("first", "second", "third", 8.0, offset = 1),
         ),
-        RequestProfile("note", 18.8, 0, 1_900, 12_000, 60, 1.4, 0.21, threeStages("first", "second", "third", 8.0)),
-        RequestProfile(
+        RequestKind("note", 18.8, 0, 1_900, 12_000, 60, 1.4, 0.21, threeStages("first", "second", "third", 8.0)),
+        RequestKind(
             "sum", 18.8, 2, 990, 4_000, 80, 0.48, 0.072,
             listOf(SimulatedStage("first", pieces = 2.5, maxPieces = 10, bytes = 800_000, share = 0.7)),
         ),
--- a/dispatch/src/test/kotlin/io/oriolehall/dispatch/load/LoadModel.kt
+++ b/dispatch/src/test/kotlin/io/oriolehall/dispatch/load/LoadModel.kt
@@ -36,7 +36,7 @@
         it.name to SimulatedQueueOwner(it, timeline, scenario, random)
     }
     private val limits = deployment.services.associate { it.name to it.limits }
-    private val loadEstimates = List(deployment.instances) { StageTimeEstimates() }
+    private val timeEstimates = List(deployment.instances) { StageTimeEstimates() }
     private var requestCount = 0
 
     val outcomes = deployment.kinds.associate { it.name to OutcomeCounts() }
@@ -63,24 +63,26 @@
         return this
     }
 
-    private fun scheduleArrival(kind: RequestProfile) {
+    private fun scheduleArrival(kind: RequestKind) {
         val factor = scenario.bursts.filter {
             timeline.nowMs in it.fromMs until it.untilMs && (it.kinds == null || kind.name in it.kinds)
         }.fold(1.0) { product, burst -> product * burst.factor }
-        val gapMs = -ln(1 - random.nextDouble()) * MS_PER_SECOND / (kind.perSecond * factor) * MEAN_GROUP_SIZE
+        val gapMs =
+            -ln(1 - random.nextDouble()) * MS_PER_SECOND / (kind.perSecond * factor) * MEAN_SIMULTANEOUS_ARRIVALS
         timeline.schedule(minOf(gapMs, MAX_GAP_MS).toLong()) {
             if (timeline.nowMs >= scenario.durationMs) return@schedule
-            if (gapMs <= MAX_GAP_MS) repeat(1 + random.nextInt(2 * MEAN_GROUP_SIZE - 1)) { arrive(kind) }
+            if (gapMs <= MAX_GAP_MS) repeat(1 + random.nextInt(2 * MEAN_SIMULTANEOUS_ARRIVALS - 1)) { arrive(kind) }
             scheduleArrival(kind)
         }
     }
 
-    private fun arrive(kind: RequestProfile) {
+    private fun arrive(kind: RequestKind) {
         outcomes.getValue(kind.name).sent++
         val pieceCounts = kind.stages.map { if (random.nextDouble() < it.share) drawPieceCount(it) else 0 }
         Attempt(kind, pieceCounts, timeline.nowMs, isRetry = false).begin()
     }
 
+    /** Draws from a log-normal distribution, except for stages with 1, 4 or 8 pieces, which do not vary. */
     private fun drawPieceCount(stage: SimulatedStage): Int {
         if (stage.pieces == 1.0 || stage.pieces == 4.0 || stage.pieces == 8.0) return stage.pieces.toInt()
         val normal = List(UNIFORM_TERMS) { random.nextDouble() }.sum() - UNIFORM_TERMS / 2.0
@@ -89,14 +91,14 @@
 
     /** One attempt of a caller; a refused request is retried once. */
     private inner class Attempt(
-        private val kind: RequestProfile,
+        private val kind: RequestKind,
         private val pieceCounts: List<Int>,
         private val firstSentMs: Long,
         private val isRetry: Boolean,
     ) {
         private val id = "r${requestCount++}"
         private val zone = deployment.zones.random(random)
-        private val stageTimeEstimates = loadEstimates.random(random)
+        private val stageTimeEstimates = timeEstimates.random(random)
         private val outcomeCounts = outcomes.getValue(kind.name)
         private val resultsByStage = HashMap<Int, List<SimulatedResult>>()
         private val finalStages = kind.stages.indices - kind.stages.flatMap(SimulatedStage::after).toSet()
@@ -247,14 +249,22 @@
     private companion object {
         const val DRAIN_MS = 20_000L
         const val MS_PER_SECOND = 1_000.0
+
+        /** A longer gap is drawn again after this time, so that a change of the arrival rate takes effect. */
         const val MAX_GAP_MS = 100.0
 
         /** Mean number of requests that arrive together. */
-        const val MEAN_GROUP_SIZE = 3
+        const val MEAN_SIMULTANEOUS_ARRIVALS = 3
+
+        /** Time from the end of the stages to the first event, as the simulated instances estimate it. */
         const val GENERATION_MS = 200L
         const val LARGE_RESULT_BYTES = 100_000L
         const val SCARCE_MEMORY_CALLS = 4
+
+        /** Uniform random numbers whose sum approximates a normal distribution with a standard deviation of 1. */
         const val UNIFORM_TERMS = 12
+
+        /** Standard deviation of the logarithm of the number of pieces. */
         const val LOG_SIGMA = 0.5
     }
 }
--- a/dispatch/src/test/kotlin/io/oriolehall/dispatch/stages/StageQueueTest.kt
+++ b/dispatch/src/test/kotlin/io/oriolehall/dispatch/stages/StageQueueTest.kt
@@ -120,7 +120,7 @@
             .containsExactly(List(4) { "far" })
     }
 
-    /** Guards against late pieces of later stages whose inputs occupied no scarce memory delaying all other pieces. */
+    /** Guards against late pieces of later stages that delay all others although their inputs hold no scarce memory. */
     @Test
     fun `late pieces that hold no scarce memory wait for those that can be on time`() {
         val input = PieceInput.Results(listOf("h"))
