gateway: second reading, comments and private names

A fresh reader listed what made him stop in gateway/src. No behaviour, message or wire name changed.

Run: mvn -o -B -ntp -pl gateway -am package: the first of two runs failed in GatewayPathTest "a stopping instance refuses what may last longer than it does, and serves the rest" (empty response at line 59), the second passed (gateway 34 tests).

--- a/gateway/src/main/kotlin/io/oriolehall/gateway/Gateway.kt
+++ b/gateway/src/main/kotlin/io/oriolehall/gateway/Gateway.kt
@@ -169,7 +169,7 @@
     /**
      * Shuts down gracefully. The instance first reports that it is not ready, while it continues to serve requests that
      * the load balancer still sends. It then closes connections as they become idle, until all responses in progress
-     * are complete or the time for stopping has expired. Finally it stops accepting connections, and closes those
+     * are complete or the stop timeout has expired. Finally it stops accepting connections, and closes those
      * accepted meanwhile in the same way: every request that has been read is answered.
      */
     suspend fun stop() {
@@ -219,7 +219,7 @@
         while (true) {
             delay(MAINTENANCE_MS)
             stages.handOver()
-            if (++runs % RUNS_PER_POOL_SWEEP == 0) pools.removeObsolete(state.endpoints)
+            if (++runs % RUNS_PER_POOL_CLEANUP == 0) pools.removeObsolete(state.endpoints)
         }
     }
 
@@ -236,13 +236,13 @@
         const val EXPIRY_CHECK_MS = 250L
         const val DROPPED_LINES_REPORT_MS = 1_000L
         const val MAINTENANCE_MS = 50L
-        const val RUNS_PER_POOL_SWEEP = 20
+        const val RUNS_PER_POOL_CLEANUP = 20
 
         /** Time in which the load balancer detects that the instance is not ready: two checks, one second apart. */
         const val BALANCER_DETECTION_MS = 2_300L
         const val STOP_CHECK_MS = 50L
 
-        /** Time reserved for the exit of the process at the end of the time for stopping, in milliseconds. */
+        /** Time reserved for the exit of the process at the end of the stop timeout, in milliseconds. */
         const val STOP_MARGIN_MS = 300L
     }
 }
--- a/gateway/src/main/kotlin/io/oriolehall/gateway/feed/FeedReader.kt
+++ b/gateway/src/main/kotlin/io/oriolehall/gateway/feed/FeedReader.kt
@@ -37,7 +37,7 @@
         while (true) {
             if (!snapshotNeeded && reachable && peers.follow()) continue
             val sentAt = state.now()
-            val failure = if (snapshotNeeded) readAll(sentAt) else watch(sentAt)
+            val failure = if (snapshotNeeded) readSnapshot(sentAt) else watch(sentAt)
             if (failure == null) {
                 if (snapshotNeeded) snapshotNeeded = false
                 continue
@@ -53,7 +53,7 @@
         }
     }
 
-    private suspend fun readAll(sentAt: ClockReading): FeedFailure? {
+    private suspend fun readSnapshot(sentAt: ClockReading): FeedFailure? {
         val storeUninterrupted = reachable
         val answer = feed.snapshot()
         if (answer.isErr) return answer.error
--- a/gateway/src/main/kotlin/io/oriolehall/gateway/feed/PublishedState.kt
+++ b/gateway/src/main/kotlin/io/oriolehall/gateway/feed/PublishedState.kt
@@ -60,7 +60,7 @@
     fun replace(snapshot: FeedSnapshot, readAt: ClockReading, storeUninterrupted: Boolean, source: String) {
         if ((asOf ?: -1) > snapshot.asOf) return
         val config = snapshot.config
-        if (config != null) offer(config, snapshot.configRevision, readAt, source)
+        if (config != null) activateConfig(config, snapshot.configRevision, readAt, source)
         directory.replaceAll(snapshot.endpoints, timers.nowMs(), storeUninterrupted)
         evacuated.clear()
         evacuated += snapshot.evacuated
@@ -87,7 +87,7 @@
     }
 
     private fun applyChange(change: PublishedChange, sentAt: ClockReading, source: String) = when (change) {
-        is ConfigPublished -> offer(change.config, change.revision, sentAt, source)
+        is ConfigPublished -> activateConfig(change.config, change.revision, sentAt, source)
         is EndpointRegistered -> register(change)
         is EndpointWithdrawn -> withdraw(change.id)
         is ZoneEvacuated -> setEvacuated(change.zone, true)
@@ -95,7 +95,7 @@
         is Unreadable -> log.write(Event.PUBLISHED_ITEM_UNREADABLE, "key" to change.key, "error" to change.reason)
     }
 
-    private fun offer(config: ServingConfig, revision: Long, at: ClockReading, source: String) {
+    private fun activateConfig(config: ServingConfig, revision: Long, at: ClockReading, source: String) {
         if (!configHolder.activateIfNewer(config, revision, at)) return
         journal.add(listOf(ConfigPublished(revision, config)))
         log.write(
--- a/gateway/src/main/kotlin/io/oriolehall/gateway/fleet/FleetMessages.kt
+++ b/gateway/src/main/kotlin/io/oriolehall/gateway/fleet/FleetMessages.kt
@@ -16,7 +16,7 @@
  * @property fleetDigest digest of the sender's view of the live members.
  * @property configRevision revision of the sender's configuration; 0 if it has none.
  * @property confirmedAgoMs milliseconds since that revision was last confirmed to be the newest; negative if the sender
- *   has no confirmation that is recent enough to be passed on, so that it suspends API keys.
+ *   has no confirmation that is recent enough to be passed on.
  */
 @Serializable
 data class FleetGossip(
--- a/gateway/src/main/kotlin/io/oriolehall/gateway/fleet/FleetService.kt
+++ b/gateway/src/main/kotlin/io/oriolehall/gateway/fleet/FleetService.kt
@@ -232,7 +232,7 @@
         val before = view
         val after = membership.view()
         view = after
-        if (!owners.hasMembersOf(after)) owners = Owners(after)
+        if (!owners.hasSameMembersAs(after)) owners = Owners(after)
         val reachable = after.members.values.filter { it.reachable }.mapTo(HashSet()) { it.id } + self.id
         if (reachable != liveInstances) liveInstances = reachable
         for (member in after.members.values) {
--- a/gateway/src/main/kotlin/io/oriolehall/gateway/fleet/Owners.kt
+++ b/gateway/src/main/kotlin/io/oriolehall/gateway/fleet/Owners.kt
@@ -8,7 +8,7 @@
 
 /** Assigns subjects to owners among the members of one view, and caches each assignment. Thread-safe. */
 internal class Owners(view: MembershipView) {
-    private val members = ownable(view)
+    private val members = ownerCandidates(view)
     private val ownerBySubject = ConcurrentHashMap<String, InstanceId>()
 
     /** Returns the owner of [subject], or null if there are no members. */
@@ -18,9 +18,9 @@
     }
 
     /** True if [view] has the same ownable members at the same addresses, so that no owner changes. */
-    fun hasMembersOf(view: MembershipView): Boolean = ownable(view).mapValues { it.value.address } ==
+    fun hasSameMembersAs(view: MembershipView): Boolean = ownerCandidates(view).mapValues { it.value.address } ==
         members.mapValues { it.value.address }
 
-    private fun ownable(view: MembershipView): Map<InstanceId, Member> =
+    private fun ownerCandidates(view: MembershipView): Map<InstanceId, Member> =
         view.members.values.filter { it.canOwn }.associateBy(Member::id)
 }
--- a/gateway/src/main/kotlin/io/oriolehall/gateway/fleet/PlatformReaders.kt
+++ b/gateway/src/main/kotlin/io/oriolehall/gateway/fleet/PlatformReaders.kt
@@ -13,7 +13,7 @@
  * fleet.
  */
 internal object PlatformReaders {
-    /** Returns the reader that the owner of [view] follows, or null if that instance reads the platform itself. */
+    /** Returns the reader that the instance with [view] follows, or null if that instance reads the platform itself. */
     fun readerFor(view: MembershipView): Member? {
         val members = view.members.values.filter { it.zone == view.zone && it.canOwn }.associateBy(Member::id)
         val ranked = Rendezvous.rankedInstances("reader of ${view.zone}", members.keys)
@@ -22,7 +22,10 @@
         return Rendezvous.rankedInstances("follower ${view.self}", readers).firstOrNull()?.let(members::get)
     }
 
-    /** Zones of up to this size have readers only: one may have stopped while another is cut off from the platform. */
+    /**
+     * In a zone of up to this size, every instance reads the platform. With three readers, one remains when another has
+     * stopped and a further one is cut off from the platform.
+     */
     private const val MIN_READERS = 3
 
     /** Serving this many followers takes little of a reader's processor time and bandwidth. */
--- a/gateway/src/main/kotlin/io/oriolehall/gateway/fleet/StateFollower.kt
+++ b/gateway/src/main/kotlin/io/oriolehall/gateway/fleet/StateFollower.kt
@@ -58,8 +58,8 @@
 
     /**
      * Waits for changes at [member] and applies them. Returns false if it does not answer, has had no answer from the
-     * platform for too long, suspends API keys, or has an older revision than this instance; this instance then has to
-     * read the platform itself.
+     * platform or no confirmation of its configuration for too long, or has an older revision than this instance; this
+     * instance then has to read the platform itself.
      */
     suspend fun follow(member: Member): Boolean {
         val sentAt = state.now()
@@ -112,7 +112,8 @@
 
         /**
          * A reader that has had no answer from the platform for longer than this is not followed, in milliseconds. The
-         * sum of this and the wait of one query is below 2 s, the shortest bound on putting a configuration in force.
+         * sum of this and the wait of one query is below 2 s, the shortest time within which a
+         * new configuration has to be in force.
          */
         private const val MAX_PLATFORM_SILENCE_MS = 900L
         private const val FOLLOWER_TIMEOUT_MS = 2_000L
--- a/gateway/src/main/kotlin/io/oriolehall/gateway/http/CallerConnection.kt
+++ b/gateway/src/main/kotlin/io/oriolehall/gateway/http/CallerConnection.kt
@@ -53,7 +53,7 @@
     private var activeJob: Job? = null
     private var activeResponse: CallerResponse? = null
     private var closing = false
-    private var timeout: java.util.concurrent.Future<*>? = null
+    private var timeoutTask: java.util.concurrent.Future<*>? = null
 
     /** True while a request is being read or served. */
     val isBusy: Boolean get() = activeJob != null || head != null || pending.isNotEmpty()
@@ -69,7 +69,7 @@
 
     override fun channelInactive(ctx: ChannelHandlerContext) {
         registry.remove(this)
-        timeout?.cancel(false)
+        timeoutTask?.cancel(false)
         writableSignal?.complete(Unit)
         activeJob?.cancel()
     }
@@ -126,7 +126,7 @@
     private fun completeRequest() {
         val request = head ?: return
         head = null
-        timeout?.cancel(false)
+        timeoutTask?.cancel(false)
         pending +=
             CallerRequest(
                 request.method().name(),
@@ -162,7 +162,7 @@
         if (ctx.channel().eventLoop().inEventLoop()) action() else ctx.channel().eventLoop().execute(action)
     }
 
-    /** Closes the connection when the handler returned without completing a response. */
+    /** Serves the next request, or closes the connection if the handler has not completed the response. */
     private fun onServed(response: CallerResponse) {
         activeJob = null
         activeResponse = null
@@ -172,8 +172,8 @@
     }
 
     /**
-     * Rejects an incomplete request and closes the connection, because the remaining bytes of the request cannot be
-     * told from a next request.
+     * Rejects an incomplete request and closes the connection, because its remaining bytes cannot be distinguished
+     * from the next request.
      */
     private fun reject(status: HttpResponseStatus) {
         if (closing) return
@@ -195,8 +195,8 @@
     }
 
     private fun startTimer(delayMs: Long, action: () -> Unit) {
-        timeout?.cancel(false)
-        timeout = ctx.executor().schedule(action, delayMs, TimeUnit.MILLISECONDS)
+        timeoutTask?.cancel(false)
+        timeoutTask = ctx.executor().schedule(action, delayMs, TimeUnit.MILLISECONDS)
     }
 
     private var writableSignal: CompletableDeferred<Unit>? = null
--- a/gateway/src/main/kotlin/io/oriolehall/gateway/requests/EndpointChooser.kt
+++ b/gateway/src/main/kotlin/io/oriolehall/gateway/requests/EndpointChooser.kt
@@ -42,10 +42,10 @@
         val coldPerSecond = service?.coldPerSecond?.takeIf { it > 0 }?.let { it * coldFactor + coldSlack }
         val connectionsPerInstance = service?.maxConnections?.takeIf { it > 0 }?.let(::connectionShare)
         val untried = snapshot().usable(context.service).filter { it.incarnation !in tried }.map(pools::poolOf)
-        val open = untried
+        val withinLimits = untried
             .filter { coldPerSecond == null || it.coldLimit.allows(nowMs, coldShare(it, coldPerSecond)) }
             .filter { connectionsPerInstance == null || it.hasCapacity(connectionsPerInstance) }
-        val healthy = open.filterNot { it.health.isExcluded(nowMs) }.ifEmpty { open }
+        val healthy = withinLimits.filterNot { it.health.isExcluded(nowMs) }.ifEmpty { withinLimits }
         val medianMs = healthy.map {
             it.health.responseMs
         }.filter { it > 0 }.sorted().let { it.getOrNull(it.size / 2) }
@@ -54,7 +54,7 @@
         return placement.choose(candidates, request)?.let { pools.poolOf(it.endpoint) }
     }
 
-    /** True when usable endpoints are registered that are not in [tried]; they may only be at their limits now. */
+    /** True when a usable endpoint outside [tried] is registered, even if it is at its limits now. */
     fun mayBecomeAvailable(context: RequestContext, tried: Set<EndpointIncarnation>): Boolean =
         snapshot().usable(context.service).any { it.incarnation !in tried }
 
@@ -71,13 +71,16 @@
     private fun connectionShare(maxConnections: Int): Int =
         maxOf(1, (maxConnections * USABLE_CONNECTION_SHARE / maxOf(1, instances().size)).toInt())
 
-    /** Response time of the endpoint relative to [medianMs], at least 1, plus its share of failures. */
+    /** Response time relative to [medianMs], at least 1, plus the failure rate; 1 if there is no response time yet. */
     private fun slowness(pool: EndpointPool, medianMs: Double?): Double {
         val ownMs = pool.health.responseMs
         return if (medianMs == null || ownMs == 0.0) 1.0 else maxOf(1.0, ownMs / medianMs) + pool.health.failureRate
     }
 
-    /** Placement key: requests that share all parts of the prompt but the last one can use the same cached prefix. */
+    /**
+     * Placement key: the identifier of the second-to-last part of the prompt. Requests that share all parts but the
+     * last one can use the same cached prefix.
+     */
     private fun affinityKey(context: RequestContext): String? {
         val parts = context.request.headers.get(wire.headers.promptParts)?.split(',') ?: return null
         return parts.getOrNull(parts.size - 2)?.substringBefore(':')
--- a/gateway/src/main/kotlin/io/oriolehall/gateway/requests/Outcome.kt
+++ b/gateway/src/main/kotlin/io/oriolehall/gateway/requests/Outcome.kt
@@ -72,7 +72,7 @@
     }
 }
 
-/** Why a request was refused without having run. */
+/** Why a request was rejected without having run. */
 internal enum class RefusalCause {
     NO_CONFIGURATION,
     UNCONFIRMED,
--- a/gateway/src/main/kotlin/io/oriolehall/gateway/requests/RequestService.kt
+++ b/gateway/src/main/kotlin/io/oriolehall/gateway/requests/RequestService.kt
@@ -232,8 +232,8 @@
         }
 
         /**
-         * Chooses an endpoint. If none has a free slot, waits for a small share of the objective, because connections
-         * and cold limits, which count requests per second, free up soon. Returns null when none becomes available.
+         * Chooses an endpoint. If all are at their connection limit or cold rate limit, waits for a small share of the
+         * objective, because both limits soon permit another request. Returns null when no endpoint becomes available.
          */
         private suspend fun awaitEndpoint(inputZone: ZoneId?): EndpointPool? {
             val untilMs = TrafficLoop.nowMs() + (context.route.objectiveMs * SLOT_WAIT_SHARE).toLong()
@@ -290,7 +290,7 @@
         const val HEAD_TIMEOUT_SHARE = 0.8
         const val MIN_HEAD_TIMEOUT_MS = 150L
 
-        /** Share of the objective that a request waits for a free slot at an endpoint before it is rejected. */
+        /** Share of the objective that a request waits for an endpoint within its limits before it is rejected. */
         const val SLOT_WAIT_SHARE = 0.125
         const val SLOT_POLL_MS = 5L
     }
--- a/gateway/src/main/kotlin/io/oriolehall/gateway/requests/RequestTrace.kt
+++ b/gateway/src/main/kotlin/io/oriolehall/gateway/requests/RequestTrace.kt
@@ -5,7 +5,7 @@
 
 /** Progress of a request, for its log entry. Times are milliseconds since its arrival. */
 internal class RequestTrace {
-    /** Time that stages and first event were expected to take on admission; null for a request without stages. */
+    /** Time expected at admission for the stages and the first event; null for a request without stages. */
     var expectedMs: Long? = null
 
     /** Completion time of each stage, by its index. */
--- a/gateway/src/main/kotlin/io/oriolehall/gateway/requests/StageExecution.kt
+++ b/gateway/src/main/kotlin/io/oriolehall/gateway/requests/StageExecution.kt
@@ -74,7 +74,7 @@
         answers[stage].complete(answer)
     }
 
-    /** Computes [stage]. Inputs that were lost with their worker or have expired are recomputed first. */
+    /** Computes [stage]. If inputs were lost with their worker or have expired, recomputes them and tries again. */
     private suspend fun compute(stage: Int): StageAnswer {
         var answer = runOnce(stage)
         while (answer.failure == StageFailure.INPUT_GONE && canRecompute()) {
@@ -158,7 +158,7 @@
     }
 
     private fun expectedMs(stage: Int, limits: PieceLimits) =
-        stageService.loads.expectedMs(specs[stage].service, limits, TrafficLoop.nowMs())
+        stageService.timeEstimates.expectedMs(specs[stage].service, limits, TrafficLoop.nowMs())
 
     /** Divides the time until the objective equally among [stage] and the longest chain of stages that depend on it. */
     private fun stageObjectiveMs(stage: Int, nowMs: Long): Long {
@@ -179,8 +179,8 @@
     private fun releaseInputsOf(stage: Int, scarceOnly: Boolean = false) {
         val finalStages = context.route.finalStages
         for (input in specs[stage].after.filter { it !in finalStages && (!scarceOnly || isScarce(it)) }) {
-            val open = specs.indices.filter { input in specs[it].after && it != stage && !answers[it].isCompleted }
-            if (open.isEmpty()) release(input)
+            val waiting = specs.indices.filter { input in specs[it].after && it != stage && !answers[it].isCompleted }
+            if (waiting.isEmpty()) release(input)
         }
     }
 
--- a/gateway/src/main/kotlin/io/oriolehall/gateway/stages/StageMessages.kt
+++ b/gateway/src/main/kotlin/io/oriolehall/gateway/stages/StageMessages.kt
@@ -68,7 +68,8 @@
  * inputs are no longer needed.
  *
  * @property queued true if the pieces are queued behind others; results or a failure follow.
- * @property inputsFetched true if all pieces are being computed; results or a failure follow.
+ * @property inputsFetched true if all pieces have been started and have had time to fetch their inputs; results or a
+ *   failure follow.
  * @property expectedMs estimated duration of another stage request that arrives now, in milliseconds.
  */
 @Serializable
--- a/gateway/src/main/kotlin/io/oriolehall/gateway/stages/StageOwner.kt
+++ b/gateway/src/main/kotlin/io/oriolehall/gateway/stages/StageOwner.kt
@@ -65,7 +65,7 @@
         onInputsFetched: suspend () -> Unit = {},
     ): StageAnswer {
         val nowMs = TrafficLoop.nowMs()
-        refusalOf(request, nowMs)?.let { return it.copy(expectedMs = expectedMs()) }
+        admissionFailure(request, nowMs)?.let { return it.copy(expectedMs = expectedMs()) }
         val id = nextGroupId++
         val group = Group(request, fallback, onInputsFetched)
         groups[id] = group
@@ -85,7 +85,7 @@
     /** True while pieces are queued, so that a new request takes longer than its own calls. */
     val backlogged: Boolean get() = queue.size > 0
 
-    private fun refusalOf(request: StageRequest, nowMs: Long): StageAnswer? {
+    private fun admissionFailure(request: StageRequest, nowMs: Long): StageAnswer? {
         val current = currentWorkers()
         if (current.isEmpty()) return StageAnswer(failure = StageFailure.NO_WORKER, retryAfterMs = NO_WORKER_RETRY_MS)
         val estimateMs = queue.estimateMs(current, request.pieces, nowMs)
@@ -276,13 +276,13 @@
         val byAddress = currentWorkers().associateBy { it.endpoint.address }
         for ((address, handles) in batch) {
             val worker = byAddress[address] ?: continue
-            scope.launch { free(worker, handles) }
+            scope.launch { sendRelease(worker, handles) }
         }
     }
 
-    /** Counts the memory as used until the worker has answered, because a call that starts earlier finds no room. */
-    private suspend fun free(worker: StageWorker, handles: List<String>) {
-        if (!client.free(worker.endpoint, handles)) return
+    /** Counts the memory as used until the worker has answered: a call that starts earlier may find it occupied. */
+    private suspend fun sendRelease(worker: StageWorker, handles: List<String>) {
+        if (!client.release(worker.endpoint, handles)) return
         handles.forEach(worker::onResultFreed)
         dispatch()
     }
--- a/gateway/src/main/kotlin/io/oriolehall/gateway/stages/StageService.kt
+++ b/gateway/src/main/kotlin/io/oriolehall/gateway/stages/StageService.kt
@@ -34,7 +34,7 @@
     private val stageOwners = HashMap<String, StageOwner>()
 
     /** Current estimates of stage durations. */
-    internal val loads = StageTimeEstimates()
+    internal val timeEstimates = StageTimeEstimates()
 
     /** Registers the handlers for requests of other instances. */
     fun start(server: PeerServer) {
@@ -69,14 +69,14 @@
             if (answer != null) return answer
         }
         val answer = runLocally(request.withElapsed(TrafficLoop.nowMs() - startMs), fallback = true, onInputsFetched)
-        return answer.also { loads.record(request.service, it.expectedMs, TrafficLoop.nowMs()) }
+        return answer.also { timeEstimates.record(request.service, it.expectedMs, TrafficLoop.nowMs()) }
     }
 
     /** Runs [request] as the owner of the queue. Returns null if another instance has become the owner. */
     private suspend fun runAsOwner(request: StageRequest, onInputsFetched: () -> Unit): StageAnswer? {
-        backlogMs(request.service)?.let { loads.record(request.service, it, TrafficLoop.nowMs()) }
+        backlogMs(request.service)?.let { timeEstimates.record(request.service, it, TrafficLoop.nowMs()) }
         val answer = runLocally(request, fallback = false, onInputsFetched)
-        loads.record(request.service, answer.expectedMs, TrafficLoop.nowMs())
+        timeEstimates.record(request.service, answer.expectedMs, TrafficLoop.nowMs())
         return answer.takeIf { it.failure != StageFailure.NOT_OWNER }
     }
 
@@ -85,13 +85,13 @@
         var answer: StageAnswer? = null
         peers.stream(owner.address, StageChannels.RUN, request, maxOf(1, request.deadlineInMs)) { item ->
             when {
-                item.queued -> loads.record(request.service, item.expectedMs, TrafficLoop.nowMs())
+                item.queued -> timeEstimates.record(request.service, item.expectedMs, TrafficLoop.nowMs())
                 item.inputsFetched -> onInputsFetched()
                 else -> answer = item
             }
         }
         val finalAnswer = answer?.takeIf { it.failure != StageFailure.NOT_OWNER }
-        if (finalAnswer != null) loads.record(request.service, finalAnswer.expectedMs, TrafficLoop.nowMs())
+        if (finalAnswer != null) timeEstimates.record(request.service, finalAnswer.expectedMs, TrafficLoop.nowMs())
         return finalAnswer
     }
 
--- a/gateway/src/main/kotlin/io/oriolehall/gateway/stages/StageWorkerClient.kt
+++ b/gateway/src/main/kotlin/io/oriolehall/gateway/stages/StageWorkerClient.kt
@@ -39,7 +39,7 @@
         val answer = call(endpoint, wire.stageCallCodec.runPath, body, timeoutMs)
         if (answer is CallOutcome.Failed) return StageCallAnswer.Failed(answer.reason)
         val response = (answer as CallOutcome.Answered).answer
-        if (response.headers.contains(wire.headers.notExecuted) || response.status == MISDIRECTED) {
+        if (response.headers.contains(wire.headers.notExecuted) || response.status == MISDIRECTED_REQUEST) {
             return StageCallAnswer.Declined(response.status)
         }
         val outcomes = if (response.status == OK) wire.stageCallCodec.decodeRun(response.body) else null
@@ -48,9 +48,14 @@
     }
 
     /** Frees results at the worker. Returns false if the worker did not confirm it; the results then expire later. */
-    suspend fun free(endpoint: EndpointRecord, handles: List<String>): Boolean {
+    suspend fun release(endpoint: EndpointRecord, handles: List<String>): Boolean {
         val answer =
-            call(endpoint, wire.stageCallCodec.releasePath, wire.stageCallCodec.encodeRelease(handles), FREE_TIMEOUT_MS)
+            call(
+                endpoint,
+                wire.stageCallCodec.releasePath,
+                wire.stageCallCodec.encodeRelease(handles),
+                RELEASE_TIMEOUT_MS,
+            )
         return answer is CallOutcome.Answered && answer.answer.status == OK
     }
 
@@ -112,7 +117,7 @@
 
     private companion object {
         const val OK = 200
-        const val MISDIRECTED = 421
-        const val FREE_TIMEOUT_MS = 1_000L
+        const val MISDIRECTED_REQUEST = 421
+        const val RELEASE_TIMEOUT_MS = 1_000L
     }
 }
--- a/gateway/src/main/kotlin/io/oriolehall/gateway/wire/WireProtocol.kt
+++ b/gateway/src/main/kotlin/io/oriolehall/gateway/wire/WireProtocol.kt
@@ -29,9 +29,9 @@
     val pieceKey: String,
     /** Handles of the results that a model endpoint fetches. */
     val inputs: String,
-    /** Priority rank of the request at a model endpoint; 0 is the most urgent. */
+    /** Priority of the request at a model endpoint; 0 is the most urgent. */
     val requestPriority: String,
-    /** Number of the last event that the caller has received. */
+    /** Identifier of the last event that the caller has received. */
     val lastEventId: String,
     /** Headers that only the gateway may set; they are removed from callers' requests. */
     val reserved: Set<String>,
@@ -48,7 +48,7 @@
     /** One of its inputs no longer exists. */
     data object InputGone : PieceOutcome
 
-    /** The worker had not enough memory for the result. */
+    /** The worker did not have enough memory for the result. */
     data object NoRoom : PieceOutcome
 
     /** The worker failed to compute it. */
@@ -73,7 +73,11 @@
     fun encodeRelease(handles: List<String>): ByteArray
 }
 
-/** A deployment's protocol as the gateway uses it. */
+/**
+ * A deployment's protocol as the gateway uses it.
+ *
+ * @property keyScheme scheme of the Authorization header that carries an API key.
+ */
 class WireProtocol(
     val headers: HeaderNames,
     val stageCallCodec: StageCallCodec,
--- a/gateway/src/test/kotlin/io/oriolehall/gateway/fleet/StateFollowerTest.kt
+++ b/gateway/src/test/kotlin/io/oriolehall/gateway/fleet/StateFollowerTest.kt
@@ -142,8 +142,8 @@
     }
 
     /**
-     * A reader may be cut off from the platform while its followers are not. They must stop following it in time for
-     * the shortest bound on putting a configuration in force, 2 s.
+     * A reader may be cut off from the platform while its followers are not. They must stop following it early enough
+     * to have a new configuration in force within 2 s, the shortest time that is required.
      */
     @Test
     fun `a reader that the platform does not answer any more is left in time`() = withReader { member ->
--- a/gateway/src/test/kotlin/io/oriolehall/gateway/path/GatewayPathTest.kt
+++ b/gateway/src/test/kotlin/io/oriolehall/gateway/path/GatewayPathTest.kt
@@ -42,7 +42,7 @@
         }
     }
 
-    /** The first request keeps the instance running while it stops, as in a separate process. */
+    /** The first request stays in progress, so that the shutdown does not complete while the others are sent. */
     @Test
     fun `a stopping instance refuses what may last longer than it does, and serves the rest`() {
         val finishFirst = CountDownLatch(1)
@@ -105,7 +105,9 @@
         }
     }
 
-    /** 83 requests of one simulated day were refused although a connection would have become free within 45 ms. */
+    /**
+     * In a simulation of one day, 83 requests were rejected although a connection would have become free within 45 ms.
+     */
     @Test
     fun `a request waits a moment for a connection within the endpoint's bound`() {
         val finishFirst = CountDownLatch(1)
--- a/gateway/src/test/kotlin/io/oriolehall/gateway/path/GatewayUnderTest.kt
+++ b/gateway/src/test/kotlin/io/oriolehall/gateway/path/GatewayUnderTest.kt
@@ -44,7 +44,7 @@
     private val storeReachable: () -> Boolean = { true },
 ) : AutoCloseable {
     private val gateway = Gateway(settings(), WIRE, EventLog { _, _ -> }) { _ -> Feed() }
-    val callers: NetworkAddress = runBlocking { gateway.start() }
+    val callerAddress: NetworkAddress = runBlocking { gateway.start() }
 
     /** Stops the gateway in the background. */
     fun stopInBackground() {
@@ -68,7 +68,7 @@
 
     /** Sends a request on a new connection and returns the open connection. */
     fun open(path: String, deadlineMs: Long = 5_000, headers: String = ""): Socket {
-        val socket = Socket(callers.host, callers.port)
+        val socket = Socket(callerAddress.host, callerAddress.port)
         socket.soTimeout = READ_TIMEOUT_MS
         val text = "POST $path HTTP/1.1\r\nHost: h\r\nA: r1\r\nD: $deadlineMs\r\n$headers" +
             "Connection: close\r\nContent-Length: 2\r\n\r\nhi"
--- a/gateway/src/test/kotlin/io/oriolehall/gateway/stages/StageFixtures.kt
+++ b/gateway/src/test/kotlin/io/oriolehall/gateway/stages/StageFixtures.kt
@@ -5,7 +5,7 @@
 import io.oriolehall.gateway.wire.StageCallCodec
 
 /** Encodes a call as the number of its pieces, and decodes any answer as a single result. */
-internal object PieceCountCalls : StageCallCodec {
+internal object PieceCountCodec : StageCallCodec {
     override val runPath = "/run"
     override val releasePath = "/free"
     override val contentType = "text/plain"
--- a/gateway/src/test/kotlin/io/oriolehall/gateway/stages/StageOwnerTest.kt
+++ b/gateway/src/test/kotlin/io/oriolehall/gateway/stages/StageOwnerTest.kt
@@ -41,7 +41,7 @@
             respond(body = "x")
         }
         val loop = TrafficLoop(log)
-        val wire = WireProtocol(GatewayUnderTest.HEADERS, PieceCountCalls, "Bearer", "/ready")
+        val wire = WireProtocol(GatewayUnderTest.HEADERS, PieceCountCodec, "Bearer", "/ready")
         val record = EndpointRecord(EndpointId("w"), 1, "s", worker.address, ZoneId("z"), 1, false, 0)
         val client = StageWorkerClient(EndpointPools(Connector(loop)), wire)
         val owner = StageOwner("s", limits, { listOf(record) }, client, loop.scope, log)
@@ -65,8 +65,8 @@
     }
 
     /**
-     * Guards against a failure seen on quiet-1 of pcta-fittings: calls were sent to workers before these had freed
-     * memory, so that 46 pieces found no room. By then, the inputs of these pieces had been freed.
+     * Guards against a failure (seen in pcta-fittings, quiet-1): calls were sent to workers that had not freed memory
+     * yet, so that 46 pieces found no memory. By then, the inputs of these pieces had been released.
      */
     @Test
     fun `memory counts as taken until the worker has answered that it is free`() {
@@ -74,14 +74,14 @@
         val secondRun = CountDownLatch(2)
         val worker = ScriptedEndpoint {
             order += head.first().split(' ')[1]
-            if (order.last() == PieceCountCalls.runPath) secondRun.countDown()
-            if (order.last() == PieceCountCalls.releasePath) secondRun.await(300, TimeUnit.MILLISECONDS)
+            if (order.last() == PieceCountCodec.runPath) secondRun.countDown()
+            if (order.last() == PieceCountCodec.releasePath) secondRun.await(300, TimeUnit.MILLISECONDS)
             order += "answered"
             respond(body = "x")
         }
         val smallLimits = limits.copy(resultMemoryBytes = 1)
         val loop = TrafficLoop(log)
-        val wire = WireProtocol(GatewayUnderTest.HEADERS, PieceCountCalls, "Bearer", "/ready")
+        val wire = WireProtocol(GatewayUnderTest.HEADERS, PieceCountCodec, "Bearer", "/ready")
         val record = EndpointRecord(EndpointId("w"), 1, "s", worker.address, ZoneId("z"), 1, false, 0)
         val client = StageWorkerClient(EndpointPools(Connector(loop)), wire)
         val owner = StageOwner("s", smallLimits, { listOf(record) }, client, loop.scope, log)
--- a/gateway/src/test/kotlin/io/oriolehall/gateway/stages/StageServiceTest.kt
+++ b/gateway/src/test/kotlin/io/oriolehall/gateway/stages/StageServiceTest.kt
@@ -55,7 +55,7 @@
     ): T {
         val worker = ScriptedEndpoint(script)
         val loop = TrafficLoop(log)
-        val wire = WireProtocol(GatewayUnderTest.HEADERS, PieceCountCalls, "Bearer", "/ready")
+        val wire = WireProtocol(GatewayUnderTest.HEADERS, PieceCountCodec, "Bearer", "/ready")
         val record = EndpointRecord(EndpointId("w"), 1, "s", worker.address, ZoneId("z"), 1, false, 0)
         val selector = SelectorManager(Dispatchers.IO)
         val peerScope = CoroutineScope(Dispatchers.Default)
@@ -84,7 +84,7 @@
         async(start = CoroutineStart.UNDISPATCHED) { stages.run(stageRequest(requestId)) {} }
 
     /**
-     * Guards against a failure seen on trouble-2 of pcta-fittings: an instance was informed of a long queue only by
+     * Guards against a failure (seen in pcta-fittings, trouble-2): an instance was informed of a long queue only by
      * the final answer, seconds later.
      */
     @Test
@@ -96,7 +96,7 @@
         }
         val expectedMs = withStages({ self }, script) { stages ->
             val answers = listOf("begun", "waiting", "last").map { runAsync(stages, it) }
-            val estimateMs = stages.loads.expectedMs("s", limits, TrafficLoop.nowMs())
+            val estimateMs = stages.timeEstimates.expectedMs("s", limits, TrafficLoop.nowMs())
             resumeWorker.countDown()
             answers.forEach { it.cancel() }
             estimateMs
@@ -105,7 +105,7 @@
     }
 
     /**
-     * Guards against a failure seen on trouble-2 of pcta-fittings: requests of callers were rejected with NOT_OWNER
+     * Guards against a failure (seen in pcta-fittings, trouble-2): requests of callers were rejected with NOT_OWNER
      * although this instance could have run them.
      */
     @Test
