Log line 417 and a counter for requests whose endpoint's process ended, with the parts of their prompts

A lost request is now followed by one connection to its endpoint, shared by those that are lost together; if the machine refuses it, the process has ended. The line names the shared parts of the prompt and whether the answer had begun.

No decision changes. GatewayPathTest passes.

--- a/gateway/src/main/kotlin/io/oriolehall/gateway/Gateway.kt
+++ b/gateway/src/main/kotlin/io/oriolehall/gateway/Gateway.kt
@@ -13,6 +13,7 @@
 import io.oriolehall.gateway.feed.ReadingPace
 import io.oriolehall.gateway.fleet.FleetService
 import io.oriolehall.gateway.http.CallerListener
+import io.oriolehall.gateway.quarantine.CrashQuarantine
 import io.oriolehall.gateway.requests.EndpointChooser
 import io.oriolehall.gateway.requests.GatewayMetrics
 import io.oriolehall.gateway.requests.RequestAdmission
@@ -118,7 +119,6 @@
             instances = fleet::liveInstances,
             unreachableZones = fleet::unreachableZones,
             placement = AffinityPlacement(),
-            wire = wire,
             coldFactor = settings.bounds.coldFactor,
             coldSlack = settings.bounds.coldSlack,
         ),
@@ -130,6 +130,7 @@
         metrics = metrics,
         log = log,
         polls = traffic.polls,
+        quarantine = CrashQuarantine(traffic.scope, metrics, log),
     )
 
     @Volatile
--- a/gateway/src/main/kotlin/io/oriolehall/gateway/requests/Attempt.kt
+++ b/gateway/src/main/kotlin/io/oriolehall/gateway/requests/Attempt.kt
@@ -29,6 +29,7 @@
     private var responseComplete = false
     private var startedAtMs = 0L
     private var mayHaveRunBefore = false
+    private var answerBegun = false
 
     /**
      * Sends the request with [inputs] and relays the response to the caller.
@@ -94,12 +95,12 @@
 
     private fun headTimedOut(timeoutMs: Long): AttemptOutcome {
         pool.health.onConnectionFailure(TrafficLoop.nowMs())
-        return AttemptOutcome.Lost("no answer in $timeoutMs ms")
+        return AttemptOutcome.Lost("no answer in $timeoutMs ms", answerBegun, timedOut = true)
     }
 
     private fun lost(reason: String): AttemptOutcome {
         pool.health.onConnectionFailure(TrafficLoop.nowMs())
-        return AttemptOutcome.Lost(reason)
+        return AttemptOutcome.Lost(reason, answerBegun)
     }
 
     private fun isEventStream(head: UpstreamEvent.Head): Boolean =
@@ -168,6 +169,7 @@
             responder.startStreaming(head.status, headerPolicy.responseHeaders(head.headers))
             pool.health.onSuccess((TrafficLoop.nowMs() - startedAtMs).toDouble())
         }
+        answerBegun = true
         onEvents()
         responder.writeChunk(completeEvents)
     }
--- a/gateway/src/main/kotlin/io/oriolehall/gateway/requests/EndpointChooser.kt
+++ b/gateway/src/main/kotlin/io/oriolehall/gateway/requests/EndpointChooser.kt
@@ -9,7 +9,6 @@
 import io.oriolehall.gateway.TrafficLoop
 import io.oriolehall.gateway.upstream.EndpointPool
 import io.oriolehall.gateway.upstream.EndpointPools
-import io.oriolehall.gateway.wire.WireProtocol
 import io.oriolehall.model.Instance
 import io.oriolehall.model.InstanceId
 import io.oriolehall.model.ZoneId
@@ -30,7 +29,6 @@
     private val instances: () -> Set<InstanceId>,
     private val unreachableZones: () -> Set<ZoneId>,
     private val placement: Placement,
-    private val wire: WireProtocol,
     private val coldFactor: Double,
     private val coldSlack: Double,
 ) {
@@ -56,7 +54,8 @@
         val candidates = healthy.map {
             PlacementCandidate(it.endpoint, it.outstanding, slowness(it, medianMs), it.hash)
         }
-        val request = PlacementRequest(affinityKey(context), inputZone, self.zone)
+        // Requests that share all parts of the prompt but the last one can use the same cached prefix.
+        val request = PlacementRequest(context.sharedPromptParts.lastOrNull(), inputZone, self.zone)
         return placement.choose(candidates, request)?.let { pools.poolOf(it.endpoint) }
     }
 
@@ -83,15 +82,6 @@
         return if (medianMs == null || ownMs == 0.0) 1.0 else maxOf(1.0, ownMs / medianMs) + pool.health.failureRate
     }
 
-    /**
-     * Placement key: the identifier of the second-to-last part of the prompt. Requests that share all parts but the
-     * last one can use the same cached prefix.
-     */
-    private fun affinityKey(context: RequestContext): String? {
-        val parts = context.request.headers.get(wire.headers.promptParts)?.split(',') ?: return null
-        return parts.getOrNull(parts.size - 2)?.substringBefore(':')
-    }
-
     private companion object {
         /** Usable share of an endpoint's connection limit; the rest covers closed connections that it still counts. */
         const val USABLE_CONNECTION_SHARE = 0.9
--- a/gateway/src/main/kotlin/io/oriolehall/gateway/requests/GatewayMetrics.kt
+++ b/gateway/src/main/kotlin/io/oriolehall/gateway/requests/GatewayMetrics.kt
@@ -50,6 +50,10 @@
         count("oriolehall.attempts", Tags.of("service", service, "outcome", outcomeLabel))
     }
 
+    /** Counts a request to an endpoint of [service] whose process ended, before or after the answer had begun. */
+    fun recordEndpointLoss(service: String, answerBegun: Boolean) =
+        count("oriolehall.endpoint.losses", Tags.of("service", service, "answer_begun", "$answerBegun"))
+
     /** Records a call with [pieces] pieces to a worker of [service] that took [elapsedMs] milliseconds. */
     fun recordStageCall(service: String, pieces: Int, elapsedMs: Long, succeeded: Boolean) {
         val tags = Tags.of("service", service, "outcome", if (succeeded) "answered" else "failed")
--- a/gateway/src/main/kotlin/io/oriolehall/gateway/requests/Outcome.kt
+++ b/gateway/src/main/kotlin/io/oriolehall/gateway/requests/Outcome.kt
@@ -13,8 +13,13 @@
     /** The endpoint responded with a server error, which has not been forwarded to the caller yet. */
     class Failure(val status: Int, val headers: HttpHeaders, val body: ByteArray) : AttemptOutcome
 
-    /** The connection failed, or the response is missing or invalid; the request may have run. */
-    data class Lost(val reason: String) : AttemptOutcome
+    /**
+     * The connection failed, or the response is missing or invalid; the request may have run.
+     *
+     * @property answerBegun true when an event of the answer had arrived.
+     * @property timedOut true when the endpoint was silent, so that nothing is known of its process.
+     */
+    data class Lost(val reason: String, val answerBegun: Boolean, val timedOut: Boolean = false) : AttemptOutcome
 
     fun describe(): String = when (this) {
         is Delivered -> "delivered $status"
--- a/gateway/src/main/kotlin/io/oriolehall/gateway/requests/RequestAdmission.kt
+++ b/gateway/src/main/kotlin/io/oriolehall/gateway/requests/RequestAdmission.kt
@@ -74,9 +74,15 @@
             organisation = organisation,
             deadlineAtMs = request.receivedAtMs + timeoutMs,
             objectiveAtMs = request.receivedAtMs + route.objectiveMs,
+            sharedPromptParts = sharedPromptParts(request),
         )
     }
 
+    private fun sharedPromptParts(request: CallerRequest): List<String> {
+        val parts = request.headers.get(wire.headers.promptParts) ?: return emptyList()
+        return parts.split(',').dropLast(1).map { it.substringBefore(':').trim() }.filter(String::isNotEmpty)
+    }
+
     /** Chooses one of the services of [route] at random, in proportion to their weights. */
     private fun chooseService(route: Route): String {
         var remainingWeight = random.nextInt(route.targets.sumOf { it.weight }.coerceAtLeast(1))
--- a/gateway/src/main/kotlin/io/oriolehall/gateway/requests/RequestContext.kt
+++ b/gateway/src/main/kotlin/io/oriolehall/gateway/requests/RequestContext.kt
@@ -11,6 +11,8 @@
  *
  * @property attemptId the caller's identifier of this attempt.
  * @property service the service that was chosen among the targets of the route.
+ * @property sharedPromptParts identifiers of the parts of its prompt, in order, without the last one, which belongs to
+ *   this request or its session.
  * @property deadlineAtMs the earlier of the deadlines of the caller and the route.
  * @property objectiveAtMs a response that starts later than this counts as late.
  */
@@ -23,6 +25,7 @@
     val organisation: Organisation?,
     val deadlineAtMs: Long,
     val objectiveAtMs: Long,
+    val sharedPromptParts: List<String>,
 ) {
     val priority: Int get() = organisation?.priority ?: route.priority
 
--- a/gateway/src/main/kotlin/io/oriolehall/gateway/requests/RequestService.kt
+++ b/gateway/src/main/kotlin/io/oriolehall/gateway/requests/RequestService.kt
@@ -10,6 +10,7 @@
 import io.oriolehall.gateway.http.CallerRequest
 import io.oriolehall.gateway.http.RequestHandler
 import io.oriolehall.gateway.http.Responder
+import io.oriolehall.gateway.quarantine.CrashQuarantine
 import io.oriolehall.gateway.stages.StageService
 import io.oriolehall.gateway.upstream.EndpointPool
 import io.oriolehall.gateway.wire.WireProtocol
@@ -38,6 +39,7 @@
     private val metrics: GatewayMetrics,
     private val log: EventLog,
     private val polls: SocketPolls,
+    private val quarantine: CrashQuarantine,
 ) : RequestHandler {
     private val headerPolicy = HeaderPolicy(wire)
 
@@ -231,6 +233,7 @@
             val outcome = attempt.run(inputs, lastEventId, headTimeoutMs())
             metrics.recordAttempt(context.service, outcome)
             if (outcome !is AttemptOutcome.Delivered) logAttempt(pool.endpoint.id.value, outcome)
+            if (outcome is AttemptOutcome.Lost) quarantine.onLost(context, pool, outcome)
             return outcome
         }
 
--- a/gateway/src/main/kotlin/io/oriolehall/gateway/upstream/Connector.kt
+++ b/gateway/src/main/kotlin/io/oriolehall/gateway/upstream/Connector.kt
@@ -8,15 +8,21 @@
 import io.netty.channel.ChannelFuture
 import io.netty.channel.ChannelInitializer
 import io.netty.channel.ChannelOption
+import io.netty.channel.ConnectTimeoutException
 import io.netty.channel.socket.nio.NioChannelOption
 import io.netty.channel.socket.nio.NioSocketChannel
 import io.oriolehall.gateway.TrafficLoop
 import io.oriolehall.model.NetworkAddress
 import jdk.net.ExtendedSocketOptions
 import kotlinx.coroutines.suspendCancellableCoroutine
+import java.net.ConnectException
 
-/** The connection could not be established; no byte of a request was sent. */
-data class ConnectFailure(val address: NetworkAddress, val reason: String) {
+/**
+ * The connection could not be established; no byte of a request was sent.
+ *
+ * @property refused true when the machine answered that no process listens at [address].
+ */
+data class ConnectFailure(val address: NetworkAddress, val reason: String, val refused: Boolean) {
     val message: String get() = "no connection to $address ($reason); is it up and the network whole?"
 }
 
@@ -33,7 +39,9 @@
             })
             .connect(address.host, address.port)
         val cause = future.awaitFailure()
-        return if (cause == null) Ok(connection) else Err(ConnectFailure(address, cause.toString()))
+        if (cause == null) return Ok(connection)
+        val refused = cause is ConnectException && cause !is ConnectTimeoutException
+        return Err(ConnectFailure(address, cause.toString(), refused))
     }
 
     /** TCP keepalive probes detect idle connections whose peer lost power or is unreachable. */
--- a/gateway/src/main/kotlin/io/oriolehall/gateway/upstream/EndpointPool.kt
+++ b/gateway/src/main/kotlin/io/oriolehall/gateway/upstream/EndpointPool.kt
@@ -35,10 +35,27 @@
     /** Returns an idle connection, or opens a new one. */
     suspend fun acquire(): Result<UpstreamConnection, ConnectFailure> {
         takeIdle()?.let { return Ok(it) }
+        return connect()
+    }
+
+    /**
+     * Opens a connection to find out whether the process of the endpoint still runs, and keeps it for later requests.
+     * Returns false only when the machine refuses it; without an answer in [timeoutMs] the endpoint counts as running.
+     */
+    suspend fun isRunning(timeoutMs: Int): Boolean {
+        val connected = connect(timeoutMs)
+        if (connected.isErr) return !connected.error.refused
+        release(connected.value)
+        return true
+    }
+
+    private suspend fun connect(timeoutMs: Int? = null): Result<UpstreamConnection, ConnectFailure> {
         connectionCount++
         var connected = false
         try {
-            return connector.connect(endpoint.address).onSuccess { connected = true }
+            val result = timeoutMs?.let { connector.connect(endpoint.address, it) }
+                ?: connector.connect(endpoint.address)
+            return result.onSuccess { connected = true }
         } finally {
             if (!connected) connectionCount--
         }
--- a/runtime/src/main/kotlin/io/oriolehall/runtime/Event.kt
+++ b/runtime/src/main/kotlin/io/oriolehall/runtime/Event.kt
@@ -66,6 +66,7 @@
     REQUEST_LATE(414, EventLevel.INFO, "request served late"),
     FAILURE_PASSED_ON(415, EventLevel.INFO, "endpoint's failure passed on"),
     REQUEST_ADMITTED(416, EventLevel.INFO, "request let in"),
+    ENDPOINT_ENDED(417, EventLevel.WARN, "endpoint ended while it ran a request"),
     KEY_HOLDER_SILENT(451, EventLevel.WARN, "holder of an idempotency key did not answer"),
     KEY_NOT_CLAIMED(452, EventLevel.WARN, "witnesses did not grant an idempotency key"),
 
