CrashingPromptTest, failing: requests with one part in common end 22 endpoints where five are allowed

Real gateway, six scripted endpoints that end when they begin to answer a request with the part and come back after 0.4 s; twelve such requests, no two alike.

--- a/gateway/src/main/kotlin/io/oriolehall/gateway/quarantine/CrashQuarantine.kt
+++ b/gateway/src/main/kotlin/io/oriolehall/gateway/quarantine/CrashQuarantine.kt
@@ -18,7 +18,7 @@
 ) {
     private val probe = EndpointLossProbe(scope)
 
-    /** Finds out, also when the caller leaves meanwhile, whether the endpoint of [pool] ended while it ran [context]. */
+    /** Finds out whether the endpoint of [pool] ended while it ran [context], also when the caller leaves meanwhile. */
     fun onLost(context: RequestContext, pool: EndpointPool, outcome: AttemptOutcome.Lost): Job? {
         if (outcome.timedOut) return null
         return scope.launch { if (probe.hasEnded(pool)) recordLoss(context, pool, outcome) }
--- a/gateway/src/test/kotlin/io/oriolehall/gateway/path/ScriptedEndpoint.kt
+++ b/gateway/src/test/kotlin/io/oriolehall/gateway/path/ScriptedEndpoint.kt
@@ -4,6 +4,7 @@
 import java.io.BufferedReader
 import java.io.OutputStream
 import java.net.InetAddress
+import java.net.InetSocketAddress
 import java.net.ServerSocket
 import java.net.Socket
 import java.util.concurrent.CopyOnWriteArrayList
@@ -11,8 +12,8 @@
 import kotlin.concurrent.thread
 
 /**
- * An endpoint on a loopback socket that runs [script] for each request, which can write any bytes and close the
- * connection. Counts the requests that it has read.
+ * An endpoint on a loopback socket that runs [script] for each request, which can write any bytes, close the
+ * connection, and end the endpoint. Counts the requests that it has read.
  */
 internal class ScriptedEndpoint(private val script: Exchange.() -> Unit) : AutoCloseable {
     /** One request and the raw connection for its response. */
@@ -39,7 +40,8 @@
         }
     }
 
-    private val server = ServerSocket(0, BACKLOG, InetAddress.getByName("127.0.0.1"))
+    @Volatile
+    private var server = listen(port = 0)
     private val sockets = CopyOnWriteArrayList<Socket>()
     private val requestCount = AtomicInteger()
 
@@ -48,17 +50,34 @@
     val openConnections: Int get() = sockets.count { !it.isClosed }
 
     init {
-        thread(isDaemon = true) {
-            runCatching {
-                while (true) {
-                    val socket = server.accept()
-                    sockets += socket
-                    thread(isDaemon = true) { runCatching { serve(socket) }.also { socket.close() } }
-                }
+        accept()
+    }
+
+    private fun listen(port: Int) = ServerSocket().apply {
+        reuseAddress = true
+        bind(InetSocketAddress(InetAddress.getByName("127.0.0.1"), port), BACKLOG)
+    }
+
+    private fun accept() = thread(isDaemon = true) {
+        runCatching {
+            while (true) {
+                val socket = server.accept()
+                sockets += socket
+                thread(isDaemon = true) { runCatching { serve(socket) }.also { socket.close() } }
             }
         }
     }
 
+    /** Ends the endpoint as a crash of its process does, and starts it again after [downMs]. */
+    fun crash(downMs: Long) {
+        close()
+        thread(isDaemon = true) {
+            Thread.sleep(downMs)
+            server = listen(address.port)
+            accept()
+        }
+    }
+
     private fun serve(socket: Socket) {
         val input = socket.getInputStream().bufferedReader(Charsets.ISO_8859_1)
         while (true) {
