Gateway: requests with a prompt part that ends endpoints are refused after two losses, at every instance

Cause: nothing in the gateway remembers under which requests an endpoint ended. entry has a quarantine, but by the whole input, and here no two requests are alike: they share one part of their prompts. Ruled out: the same request sent again (one send each), load (ends are 0.3 to 4 s apart, endpoints not busier than others).

Change: CrashRegister also takes parts that requests share; CrashQuarantine attributes an end to what no endpoint has lately answered and exchanges losses and answers with all instances; refusals at arrival, before each attempt and after a loss. Parts that cannot be told apart are refused only together.

Why it works: a part that ends every endpoint is never answered, so two losses suffice; a sound part is answered all the time somewhere.

--- a/entry/src/main/kotlin/io/oriolehall/entry/quarantine/Quarantine.kt
+++ b/entry/src/main/kotlin/io/oriolehall/entry/quarantine/Quarantine.kt
@@ -57,7 +57,7 @@
     /** Finds out whether [endpoint] ended while it ran the request, and if so holds it against the request. */
     suspend fun onLostCall(fingerprint: Fingerprint, endpoint: Endpoint, calledAtMs: Long) {
         if (!probe.ended(endpoint, calledAtMs)) return
-        val loss = EndpointLoss(endpoint.id, timers.nowMs())
+        val loss = EndpointLoss(endpoint.id, timers.nowMs(), fingerprint)
         add(fingerprint, loss, cause = "endpoint ${endpoint.id} ended while it ran the request")
         tellAll(CrashNotice(self.id, losses = listOf(SharedLoss(fingerprint, endpoint.id, ageMs = 0))))
     }
@@ -109,7 +109,10 @@
 
     private fun merge(losses: List<SharedLoss>) {
         val now = timers.nowMs()
-        losses.forEach { add(it.fingerprint, EndpointLoss(it.endpoint, now - it.ageMs), "told by another instance") }
+        for (loss in losses) {
+            val received = EndpointLoss(loss.endpoint, now - loss.ageMs, loss.fingerprint)
+            add(loss.fingerprint, received, "told by another instance")
+        }
     }
 
     private fun add(fingerprint: Fingerprint, loss: EndpointLoss, cause: String) {
--- a/gateway/src/main/kotlin/io/oriolehall/gateway/Gateway.kt
+++ b/gateway/src/main/kotlin/io/oriolehall/gateway/Gateway.kt
@@ -14,6 +14,8 @@
 import io.oriolehall.gateway.fleet.FleetService
 import io.oriolehall.gateway.http.CallerListener
 import io.oriolehall.gateway.quarantine.CrashQuarantine
+import io.oriolehall.gateway.quarantine.PeerCrashExchange
+import io.oriolehall.gateway.quarantine.QuarantineService
 import io.oriolehall.gateway.requests.EndpointChooser
 import io.oriolehall.gateway.requests.GatewayMetrics
 import io.oriolehall.gateway.requests.RequestAdmission
@@ -104,6 +106,9 @@
         windowMs = settings.bounds.retryWindowMs,
         startedAtMs = TrafficLoop.nowMs(),
     )
+    private val crashExchange = PeerCrashExchange(peerClient, fleet::otherAddresses, traffic.scope)
+    private val quarantine =
+        QuarantineService(CrashQuarantine(crashExchange, log), crashExchange, traffic, metrics, log)
     private val requests = RequestService(
         requestAdmission = RequestAdmission(
             state,
@@ -130,7 +135,7 @@
         metrics = metrics,
         log = log,
         polls = traffic.polls,
-        quarantine = CrashQuarantine(traffic.scope, metrics, log),
+        quarantine = quarantine,
     )
 
     @Volatile
@@ -160,6 +165,7 @@
     suspend fun start(): NetworkAddress {
         peerServer.start(self.peerAddress)
         stages.start(peerServer)
+        quarantine.start(peerServer, timers)
         fleet.onOwnersChanged { traffic.scope.launch { stages.onOwnersChanged() } }
         fleet.start(peerServer)
         controlScope.launch { reader.run() }
--- a/gateway/src/main/kotlin/io/oriolehall/gateway/fleet/FleetService.kt
+++ b/gateway/src/main/kotlin/io/oriolehall/gateway/fleet/FleetService.kt
@@ -105,6 +105,10 @@
     /** Returns the owner of [subject] and the member that this zone asks when it does not answer, if there is one. */
     fun ownersOf(subject: String): List<Member> = owners.withDeputy(subject)
 
+    /** Addresses of the other reachable instances. */
+    fun otherAddresses(): List<NetworkAddress> =
+        view.members.values.filter { it.reachable && it.id != self.id }.map { it.address }
+
     /** True unless [id] has been declared dead or has stopped. */
     fun isReachable(id: InstanceId): Boolean = id in liveInstances
 
--- a/gateway/src/main/kotlin/io/oriolehall/gateway/requests/Attempt.kt
+++ b/gateway/src/main/kotlin/io/oriolehall/gateway/requests/Attempt.kt
@@ -24,7 +24,7 @@
     private val responder: Responder,
     private val splitter: EventSplitter,
     private val polls: SocketPolls,
-    private val onEvents: () -> Unit,
+    private val onAnswerBegun: () -> Unit,
 ) {
     private var responseComplete = false
     private var startedAtMs = 0L
@@ -128,6 +128,7 @@
         }
         pool.health.onSuccess((TrafficLoop.nowMs() - startedAtMs).toDouble())
         context.recordFirstByte()
+        onAnswerBegun()
         responder.respond(head.status, headers, body)
         return AttemptOutcome.Delivered(head.status)
     }
@@ -169,8 +170,8 @@
             responder.startStreaming(head.status, headerPolicy.responseHeaders(head.headers))
             pool.health.onSuccess((TrafficLoop.nowMs() - startedAtMs).toDouble())
         }
+        if (!answerBegun) onAnswerBegun()
         answerBegun = true
-        onEvents()
         responder.writeChunk(completeEvents)
     }
 
--- a/gateway/src/main/kotlin/io/oriolehall/gateway/requests/Outcome.kt
+++ b/gateway/src/main/kotlin/io/oriolehall/gateway/requests/Outcome.kt
@@ -87,4 +87,5 @@
     STAGE,
     TIMED_OUT,
     DECLINED,
+    QUARANTINED,
 }
--- a/gateway/src/main/kotlin/io/oriolehall/gateway/requests/RequestContext.kt
+++ b/gateway/src/main/kotlin/io/oriolehall/gateway/requests/RequestContext.kt
@@ -5,6 +5,8 @@
 import io.oriolehall.dispatch.config.RouteTable
 import io.oriolehall.gateway.TrafficLoop
 import io.oriolehall.gateway.http.CallerRequest
+import io.oriolehall.policy.quarantine.Fingerprint
+import io.oriolehall.policy.quarantine.RequestFingerprints
 
 /**
  * An admitted request. Times are monotonic milliseconds.
@@ -31,6 +33,19 @@
 
     val trace = RequestTrace()
 
+    val fingerprints: RequestFingerprints by lazy(LazyThreadSafetyMode.NONE) {
+        RequestFingerprints(
+            Fingerprint.ofRequest(
+                service,
+                organisation?.id?.value.orEmpty(),
+                request.uri,
+                sharedPromptParts,
+                request.body,
+            ),
+            sharedPromptParts.map { Fingerprint.ofPromptPart(service, it) },
+        )
+    }
+
     /** True once an endpoint may have started to run the request. */
     var mayHaveRun = false
 
--- a/gateway/src/main/kotlin/io/oriolehall/gateway/requests/RequestService.kt
+++ b/gateway/src/main/kotlin/io/oriolehall/gateway/requests/RequestService.kt
@@ -11,6 +11,7 @@
 import io.oriolehall.gateway.http.RequestHandler
 import io.oriolehall.gateway.http.Responder
 import io.oriolehall.gateway.quarantine.CrashQuarantine
+import io.oriolehall.gateway.quarantine.QuarantineService
 import io.oriolehall.gateway.stages.StageService
 import io.oriolehall.gateway.upstream.EndpointPool
 import io.oriolehall.gateway.wire.WireProtocol
@@ -39,7 +40,7 @@
     private val metrics: GatewayMetrics,
     private val log: EventLog,
     private val polls: SocketPolls,
-    private val quarantine: CrashQuarantine,
+    private val quarantine: QuarantineService,
 ) : RequestHandler {
     private val headerPolicy = HeaderPolicy(wire)
 
@@ -60,6 +61,10 @@
             )
             return
         }
+        quarantine.refusal(context)?.let {
+            reject(request, context, responder, it.rejection())
+            return
+        }
         retryAllowance(context.service).onFirstAttempt(TrafficLoop.nowMs())
         val rejection = try {
             withTimeoutOrNull(context.remainingMs()) { RequestExecution(context, responder).serve() ?: ResponseSent }
@@ -72,6 +77,12 @@
         if (rejection is Rejection) reject(request, context, responder, rejection) else recordCompletion(context)
     }
 
+    private fun CrashQuarantine.Refusal.rejection() = Rejection.NotExecuted(
+        RefusalCause.QUARANTINED,
+        "endpoints ended while they ran requests with fingerprint $fingerprint; change the prompt",
+        remainingMs,
+    )
+
     private fun recordCompletion(context: RequestContext) {
         val firstByteMs = context.trace.firstByteMs
         if (firstByteMs == null) {
@@ -192,6 +203,7 @@
             var reason = "no endpoint can be used"
             var retryObstacle: String? = null
             while (retryObstacle == null) {
+                quarantine.refusal(context)?.let { return finishWithoutDelivery(reason, it.rejection()) }
                 val outcome = attempt(inputs.map { it.handle }, zone)
                 if (outcome is AttemptOutcome.Delivered) return null
                 retryObstacle =
@@ -202,7 +214,8 @@
                 splitter.dropIncompleteEvent()
             }
             context.trace.retryObstacle = retryObstacle
-            return finishWithoutDelivery(reason)
+            val declined = Rejection.NotExecuted(RefusalCause.DECLINED, reason, NO_ENDPOINT_RETRY_AFTER_MS)
+            return finishWithoutDelivery(reason, declined)
         }
 
         /** Why the request may not be retried after [outcome]; null when it may. */
@@ -229,14 +242,22 @@
                 )
             }
             val attempt =
-                Attempt(context, pool, wire, headerPolicy, responder, splitter, polls) { execution?.releaseAll() }
+                Attempt(context, pool, wire, headerPolicy, responder, splitter, polls) { onAnswerBegun() }
             val outcome = attempt.run(inputs, lastEventId, headTimeoutMs())
             metrics.recordAttempt(context.service, outcome)
             if (outcome !is AttemptOutcome.Delivered) logAttempt(pool.endpoint.id.value, outcome)
-            if (outcome is AttemptOutcome.Lost) quarantine.onLost(context, pool, outcome)
+            if (outcome is AttemptOutcome.Lost) {
+                val examination = quarantine.onLost(context, pool, outcome)
+                if (context.route.retryable) examination?.join()
+            }
             return outcome
         }
 
+        private fun onAnswerBegun() {
+            execution?.releaseAll()
+            quarantine.onAnswerBegun(context)
+        }
+
         /**
          * Chooses an endpoint. If all are at their connection limit or cold rate limit, waits for a small share of the
          * objective, because both limits soon permit another request. Returns null when no endpoint becomes available.
@@ -264,7 +285,8 @@
             "leftMs" to context.remainingMs(),
         )
 
-        private fun finishWithoutDelivery(reason: String): Rejection? {
+        /** Rejects with [notRun] if no endpoint may have run the request. */
+        private fun finishWithoutDelivery(reason: String, notRun: Rejection.NotExecuted): Rejection? {
             val failure = lastFailure
             return when {
                 responder.started -> Rejection.OutcomeUnknown(reason)
@@ -277,7 +299,7 @@
 
                 context.mayHaveRun -> Rejection.OutcomeUnknown(reason)
 
-                else -> Rejection.NotExecuted(RefusalCause.DECLINED, reason, NO_ENDPOINT_RETRY_AFTER_MS)
+                else -> notRun
             }
         }
     }
--- /dev/null
+++ b/gateway/src/test/kotlin/io/oriolehall/gateway/quarantine/CrashQuarantineTest.kt
@@ -0,0 +1,68 @@
+package io.oriolehall.gateway.quarantine
+
+import org.junit.jupiter.params.ParameterizedTest
+import org.junit.jupiter.params.provider.ValueSource
+import strikt.api.expectThat
+import strikt.assertions.isEqualTo
+import strikt.assertions.isGreaterThan
+import strikt.assertions.isLessThan
+import strikt.assertions.isLessThanOrEqualTo
+
+/** The bounds are the operators': three requests after the fifth crash and the time that instances need to tell. */
+class CrashQuarantineTest {
+    private fun SimulatedFleet.expectFewCrashes() {
+        val fifthAtMs = crashesAtMs.getOrNull(4) ?: return
+        val late = crashingSentAtMs.count { it > fifthAtMs + NOTICE_BOUND_MS }
+        expectThat(late).describedAs("crashing requests sent late, $crashesAtMs").isLessThanOrEqualTo(MAX_LATE)
+    }
+
+    private fun SimulatedFleet.expectSoundServed() {
+        expectThat(soundSent).isGreaterThan(100)
+        expectThat(soundRefused).describedAs("sound requests refused of ${soundSent + soundRefused}")
+            .isLessThan((soundSent + soundRefused) / ONE_PERCENT)
+    }
+
+    @ParameterizedTest
+    @ValueSource(longs = [1, 2, 3, 4, 5, 6, 7, 8])
+    fun `a small fleet refuses the crashing part only`(seed: Long) {
+        val fleet = SimulatedFleet(8, 13, requestsPerSecond = 12.0, crashingShare = 0.05, seed)
+        fleet.run(untilMs = 60_000)
+        fleet.expectFewCrashes()
+        fleet.expectSoundServed()
+    }
+
+    @ParameterizedTest
+    @ValueSource(longs = [1, 2, 3, 4])
+    fun `a large fleet, where each instance sees few requests, refuses the crashing part only`(seed: Long) {
+        val fleet = SimulatedFleet(95, 74, requestsPerSecond = 40.0, crashingShare = 0.2, seed)
+        fleet.run(untilMs = 40_000)
+        fleet.expectFewCrashes()
+        fleet.expectSoundServed()
+    }
+
+    @ParameterizedTest
+    @ValueSource(longs = [1, 2, 3, 4])
+    fun `endpoints that end by themselves, many at once, do not make sound requests refused`(seed: Long) {
+        val fleet = SimulatedFleet(95, 74, requestsPerSecond = 120.0, crashingShare = 0.0, seed)
+        for (second in 1L..20) fleet.endEndpoints(second * 1_000, count = 15)
+        fleet.run(untilMs = 30_000)
+        fleet.expectSoundServed()
+    }
+
+    @ParameterizedTest
+    @ValueSource(longs = [1, 2, 3, 4])
+    fun `instances that are replaced in turn do not let the crashing part through again`(seed: Long) {
+        val fleet = SimulatedFleet(8, 13, requestsPerSecond = 12.0, crashingShare = 0.2, seed)
+        fleet.restartInstances(fromMs = 15_000, intervalMs = 1_000)
+        fleet.run(untilMs = 40_000)
+        fleet.expectFewCrashes()
+        expectThat(fleet.crashingSentAtMs.count { it > 14_000 }).isEqualTo(0)
+        fleet.expectSoundServed()
+    }
+
+    private companion object {
+        const val NOTICE_BOUND_MS = 3_000L
+        const val MAX_LATE = 3
+        const val ONE_PERCENT = 100
+    }
+}
--- a/harness/src/main/kotlin/io/oriolehall/harness/capacity/HistoryProbes.kt
+++ b/harness/src/main/kotlin/io/oriolehall/harness/capacity/HistoryProbes.kt
@@ -27,7 +27,7 @@
     fun quarantine(fingerprints: Int): List<Quantity> = memory {
         (0 until fingerprints).fold(CrashRegister()) { register, index ->
             val fingerprint = Fingerprint.of(OrganisationId("o"), PipelineId("p"), "input $index")
-            register.withLoss(fingerprint, EndpointLoss(EndpointId("engine-$index"), index.toLong()))
+            register.withLoss(fingerprint, EndpointLoss(EndpointId("engine-$index"), index.toLong(), fingerprint))
         }
     }
 
--- a/policy/src/main/kotlin/io/oriolehall/policy/quarantine/CrashRegister.kt
+++ b/policy/src/main/kotlin/io/oriolehall/policy/quarantine/CrashRegister.kt
@@ -1,13 +1,9 @@
 package io.oriolehall.policy.quarantine
 
-import io.oriolehall.model.EndpointId
 import kotlinx.collections.immutable.PersistentMap
 import kotlinx.collections.immutable.persistentMapOf
 
-/** An endpoint that terminated while it ran a request; [atMs] is the local monotonic time, milliseconds. */
-data class EndpointLoss(val endpoint: EndpointId, val atMs: Long)
-
-/** Quarantine status of a request, determined by its fingerprint. */
+/** Quarantine status of a request, or of a part that requests share, determined by its fingerprint. */
 enum class Standing {
     /** No endpoint losses are recorded for it, or they have expired. */
     CLEAR,
@@ -18,15 +14,19 @@
      */
     SUSPECT,
 
-    /** A second endpoint terminated while it ran this request as its only suspect. The request is refused. */
+    /** A second endpoint terminated while it ran this request, or another one with this part. Requests are refused. */
     BLAMED,
 }
 
 /**
- * Endpoint losses by request fingerprint. Immutable: each change returns a new register.
+ * Endpoint losses by fingerprint. Immutable: each change returns a new register.
+ *
+ * A request is blamed after two losses. A part that requests share is blamed only after losses under different
+ * requests, because one request may crash endpoints for a reason of its own, and only if they did not all happen at
+ * once, because endpoints that terminate together have another cause.
  *
- * @property suspectMs how long a request remains a suspect, milliseconds.
- * @property blameMs how long a blamed request is refused, milliseconds.
+ * @property suspectMs how long a request or part remains a suspect, milliseconds.
+ * @property blameMs how long a blamed request or part is refused, milliseconds.
  */
 data class CrashRegister(
     val losses: PersistentMap<Fingerprint, List<EndpointLoss>> = persistentMapOf(),
@@ -39,24 +39,38 @@
         val newest = recorded.lastOrNull() ?: return Standing.CLEAR
         val age = nowMs - newest.atMs
         return when {
-            recorded.size >= LOSSES_TO_BLAME -> if (age < blameMs) Standing.BLAMED else Standing.CLEAR
+            isBlamed(fingerprint, recorded) -> if (age < blameMs) Standing.BLAMED else Standing.CLEAR
             else -> if (age < suspectMs) Standing.SUSPECT else Standing.CLEAR
         }
     }
 
+    /** Milliseconds after [nowMs] until a blamed [fingerprint] is no longer refused. */
+    fun blameRemainingMs(fingerprint: Fingerprint, nowMs: Long): Long =
+        losses[fingerprint]?.lastOrNull()?.let { maxOf(0, it.atMs + blameMs - nowMs) } ?: 0
+
+    /**
+     * Returns which of [fingerprints], all those of one request, is the reason to refuse it, or null. Parts that were
+     * in all the same losses cannot be told apart. A request that has only some of them is not refused, because its
+     * outcome tells which part is the cause.
+     */
+    fun reasonToRefuse(fingerprints: Collection<Fingerprint>, nowMs: Long): Fingerprint? = fingerprints.firstOrNull {
+        standing(it, nowMs) == Standing.BLAMED && fingerprints.containsAll(inseparableFrom(it, nowMs))
+    }
+
     /** This register with [loss] added; losses of one endpoint at about the same time count as a single loss. */
     fun withLoss(fingerprint: Fingerprint, loss: EndpointLoss): CrashRegister {
         val existing = losses[fingerprint].orEmpty()
         if (existing.any { it.isSameAs(loss) }) return this
-        val kept = (existing + loss).sortedBy(EndpointLoss::atMs).takeLast(LOSSES_TO_BLAME)
+        val kept = (existing + loss).sortedBy(EndpointLoss::atMs).takeLast(MAX_LOSSES)
         return copy(losses = losses.put(fingerprint, kept)).bounded()
     }
 
     /** This register after the request of [fingerprint] completed: a suspect is removed, a blamed request is kept. */
-    fun withoutSuspect(fingerprint: Fingerprint): CrashRegister {
-        if (losses[fingerprint].orEmpty().size >= LOSSES_TO_BLAME) return this
-        return copy(losses = losses.remove(fingerprint))
-    }
+    fun withoutSuspect(fingerprint: Fingerprint): CrashRegister =
+        if (isBlamed(fingerprint, losses[fingerprint].orEmpty())) this else without(fingerprint)
+
+    /** This register without the losses of [fingerprint]. */
+    fun without(fingerprint: Fingerprint): CrashRegister = copy(losses = losses.remove(fingerprint))
 
     /** This register without expired entries. */
     fun withoutExpired(nowMs: Long): CrashRegister {
@@ -65,18 +79,36 @@
         return copy(losses = expiredFingerprints.fold(losses) { map, fingerprint -> map.remove(fingerprint) })
     }
 
+    private fun isBlamed(fingerprint: Fingerprint, recorded: List<EndpointLoss>): Boolean {
+        if (recorded.size < LOSSES_TO_BLAME) return false
+        val isRequest = recorded.any { it.request == fingerprint }
+        val requests = recorded.distinctBy(EndpointLoss::request).size
+        val spanMs = recorded.last().atMs - recorded.first().atMs
+        return isRequest || (requests >= REQUESTS_TO_BLAME && spanMs >= MIN_SPAN_MS)
+    }
+
+    private fun inseparableFrom(blamed: Fingerprint, nowMs: Long): Set<Fingerprint> {
+        val endpoints = losses.getValue(blamed).map(EndpointLoss::endpoint)
+        return losses.filter { (other, recorded) ->
+            recorded.none { it.request == other } &&
+                recorded.map(EndpointLoss::endpoint) == endpoints &&
+                standing(other, nowMs) == Standing.BLAMED
+        }.keys
+    }
+
     private fun bounded(): CrashRegister {
         if (losses.size <= MAX_FINGERPRINTS) return this
         val oldest = losses.minBy { (_, recorded) -> recorded.last().atMs }.key
         return copy(losses = losses.remove(oldest))
     }
 
-    private fun EndpointLoss.isSameAs(other: EndpointLoss): Boolean =
-        endpoint == other.endpoint && Math.abs(atMs - other.atMs) < SAME_LOSS_WINDOW_MS
-
     private companion object {
         const val LOSSES_TO_BLAME = 2
-        const val SAME_LOSS_WINDOW_MS = 1_000L
+        const val REQUESTS_TO_BLAME = 2
+
+        /** Losses of a shared part that all lie within this time count as one, milliseconds. */
+        const val MIN_SPAN_MS = 200L
+        const val MAX_LOSSES = 8
         const val MAX_FINGERPRINTS = 10_000
     }
 }
--- /dev/null
+++ b/policy/src/main/kotlin/io/oriolehall/policy/quarantine/EndpointLoss.kt
@@ -0,0 +1,15 @@
+package io.oriolehall.policy.quarantine
+
+import io.oriolehall.model.EndpointId
+
+/** An endpoint that terminated while it ran [request]; [atMs] is the local monotonic time, milliseconds. */
+data class EndpointLoss(val endpoint: EndpointId, val atMs: Long, val request: Fingerprint) {
+    /** True when both tell of the same end of one endpoint. */
+    internal fun isSameAs(other: EndpointLoss): Boolean =
+        endpoint == other.endpoint && Math.abs(atMs - other.atMs) < SAME_LOSS_WINDOW_MS
+
+    private companion object {
+        /** Instances notice the end of an endpoint at slightly different times. */
+        const val SAME_LOSS_WINDOW_MS = 1_000L
+    }
+}
--- a/runtime/src/main/kotlin/io/oriolehall/runtime/Event.kt
+++ b/runtime/src/main/kotlin/io/oriolehall/runtime/Event.kt
@@ -67,6 +67,8 @@
     FAILURE_PASSED_ON(415, EventLevel.INFO, "endpoint's failure passed on"),
     REQUEST_ADMITTED(416, EventLevel.INFO, "request let in"),
     ENDPOINT_ENDED(417, EventLevel.WARN, "endpoint ended while it ran a request"),
+    REQUESTS_QUARANTINED(418, EventLevel.WARN, "requests that crash endpoints are refused"),
+    QUARANTINE_ENDED(419, EventLevel.INFO, "requests that were held to crash endpoints are served again"),
     KEY_HOLDER_SILENT(451, EventLevel.WARN, "holder of an idempotency key did not answer"),
     KEY_NOT_CLAIMED(452, EventLevel.WARN, "witnesses did not grant an idempotency key"),
 
