A refusal that names another request no longer says that this one has not run

What callers saw (report of other operators): a faulty endpoint writes an earlier refusal once more on a kept connection; callers are told 'not run' for a request that the endpoint runs, or the request is sent to a second endpoint.

Cause: Attempt looked at the marker 'not executed' before it compared the identifier of the attempt, so any refusal counted as the answer. Change: the identifier is compared first, for every answer. The operators' protocol has endpoints repeat it in all their answers. Ruled out: more than the answer in one read, which already ended the connection.

--- a/gateway/src/main/kotlin/io/oriolehall/gateway/requests/Attempt.kt
+++ b/gateway/src/main/kotlin/io/oriolehall/gateway/requests/Attempt.kt
@@ -78,15 +78,19 @@
             withTimeoutOrNull(headTimeoutMs) { connection.receive() } ?: return headTimedOut(headTimeoutMs)
         }
         val head = first as? UpstreamEvent.Head ?: return lost((first as? UpstreamEvent.Broken)?.reason ?: "no head")
-        val declined = head.headers.contains(wire.headers.notExecuted) || head.status == MISDIRECTED_REQUEST
-        return if (declined) decline(connection, head) else relayIfValid(connection, head)
+        return relayIfValid(connection, head)
     }
 
-    /** A response that names another request, or a success without a signature, is misrouted or truncated. */
+    /**
+     * A response that names another request is misrouted, even if it says that its request has not run, and a success
+     * without a signature is truncated.
+     */
     private suspend fun relayIfValid(connection: UpstreamConnection, head: UpstreamEvent.Head): AttemptOutcome {
+        val declined = head.headers.contains(wire.headers.notExecuted) || head.status == MISDIRECTED_REQUEST
         val success = head.status in SUCCESS
         return when {
             head.headers.get(wire.headers.attemptId) != context.attemptId -> lost("not the answer to this request")
+            declined -> decline(connection, head)
             success && !head.headers.contains(wire.headers.signature) -> lost("answer not signed")
             success && isEventStream(head) -> relayEvents(connection, head)
             else -> relayBuffered(connection, head)
--- a/gateway/src/test/kotlin/io/oriolehall/gateway/path/GatewayUnderTest.kt
+++ b/gateway/src/test/kotlin/io/oriolehall/gateway/path/GatewayUnderTest.kt
@@ -28,11 +28,13 @@
 import io.oriolehall.model.NetworkAddress
 import io.oriolehall.model.OrganisationId
 import io.oriolehall.model.ZoneId
+import io.oriolehall.runtime.Event
 import io.oriolehall.runtime.EventLog
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.runBlocking
 import java.net.Socket
 import java.net.URI
+import java.util.concurrent.CopyOnWriteArrayList
 import kotlin.concurrent.thread
 
 /** A gateway on the loopback interface with routes `/plain/`, `/once/` and `/events/` to [endpoints]. */
@@ -43,7 +45,10 @@
     private val maxConnections: Int = 0,
     private val storeReachable: () -> Boolean = { true },
 ) : AutoCloseable {
-    private val gateway = Gateway(settings(), WIRE, EventLog { _, _ -> }) { _ -> Feed() }
+    /** Events that the gateway has logged. */
+    val events = CopyOnWriteArrayList<Event>()
+
+    private val gateway = Gateway(settings(), WIRE, EventLog { event, _ -> events += event }) { _ -> Feed() }
     val callerAddress: NetworkAddress = runBlocking { gateway.start() }
 
     /** Stops the gateway in the background. */
@@ -61,16 +66,16 @@
     }
 
     /** Sends a request on a new connection and returns the response as text; it may be truncated. */
-    fun request(path: String, deadlineMs: Long = 5_000, headers: String = ""): String =
-        open(path, deadlineMs, headers).use { socket ->
+    fun request(path: String, deadlineMs: Long = 5_000, headers: String = "", attempt: String = "r1"): String =
+        open(path, deadlineMs, headers, attempt).use { socket ->
             runCatching { socket.getInputStream().readAllBytes().decodeToString() }.getOrElse { "broken: $it" }
         }
 
     /** Sends a request on a new connection and returns the open connection. */
-    fun open(path: String, deadlineMs: Long = 5_000, headers: String = ""): Socket {
+    fun open(path: String, deadlineMs: Long = 5_000, headers: String = "", attempt: String = "r1"): Socket {
         val socket = Socket(callerAddress.host, callerAddress.port)
         socket.soTimeout = READ_TIMEOUT_MS
-        val text = "POST $path HTTP/1.1\r\nHost: h\r\nA: r1\r\nD: $deadlineMs\r\n$headers" +
+        val text = "POST $path HTTP/1.1\r\nHost: h\r\nA: $attempt\r\nD: $deadlineMs\r\n$headers" +
             "Connection: close\r\nContent-Length: 2\r\n\r\nhi"
         socket.getOutputStream().write(text.encodeToByteArray())
         return socket
