An error that an endpoint answers in place of the rest of a stream is not passed on

What callers saw (report of other operators): a stream had begun and broke off, the next endpoint answered with an error, and its text came in the middle of the stream, or the stream ended as if it were complete. Here the stream was cut, but only because writing a second answer failed with an exception (line 105, an error of the program), and no further endpoint was tried.

Cause: after the head of a stream had gone to the caller, any complete answer was passed on like a first one. Change: it counts as a failed attempt; the request may go on at another endpoint, else the caller sees an incomplete stream. Evidence: FaultyAnswerTest 'an error that another endpoint answers ...' with 409, 404, 200 without events, 500, 302; failed before at 409 (line 105).

--- a/gateway/src/main/kotlin/io/oriolehall/gateway/quarantine/QuarantineService.kt
+++ b/gateway/src/main/kotlin/io/oriolehall/gateway/quarantine/QuarantineService.kt
@@ -46,7 +46,7 @@
      * Returns the job to wait for before the request is sent again.
      */
     fun onLost(context: RequestContext, pool: EndpointPool, outcome: AttemptOutcome.Lost): Job? {
-        if (outcome.timedOut) return null
+        if (!outcome.connectionFailed) return null
         return traffic.scope.launch { if (probe.hasEnded(pool)) recordLoss(context, pool, outcome) }
     }
 
--- a/gateway/src/main/kotlin/io/oriolehall/gateway/requests/Attempt.kt
+++ b/gateway/src/main/kotlin/io/oriolehall/gateway/requests/Attempt.kt
@@ -93,13 +93,22 @@
             declined -> decline(connection, head)
             success && !head.headers.contains(wire.headers.signature) -> lost("answer not signed")
             success && isEventStream(head) -> relayEvents(connection, head)
+            responder.started -> failWithinStream(connection, head)
             else -> relayBuffered(connection, head)
         }
     }
 
+    /** The caller has the beginning of a stream, which only the rest of that stream may follow. */
+    private suspend fun failWithinStream(connection: UpstreamConnection, head: UpstreamEvent.Head): AttemptOutcome {
+        readBody(connection)
+        pool.health.onErrorResponse()
+        val reason = "answered ${head.status} where the rest of a stream is due"
+        return AttemptOutcome.Lost(reason, answerBegun, connectionFailed = false)
+    }
+
     private fun headTimedOut(timeoutMs: Long): AttemptOutcome {
         pool.health.onConnectionFailure(TrafficLoop.nowMs())
-        return AttemptOutcome.Lost("no answer in $timeoutMs ms", answerBegun, timedOut = true)
+        return AttemptOutcome.Lost("no answer in $timeoutMs ms", answerBegun, connectionFailed = false)
     }
 
     private fun lost(reason: String): AttemptOutcome {
--- a/gateway/src/main/kotlin/io/oriolehall/gateway/requests/Outcome.kt
+++ b/gateway/src/main/kotlin/io/oriolehall/gateway/requests/Outcome.kt
@@ -17,9 +17,10 @@
      * The connection failed, or the response is missing or invalid; the request may have run.
      *
      * @property answerBegun true when an event of the answer had arrived.
-     * @property timedOut true when the endpoint was silent, so that nothing is known of its process.
+     * @property connectionFailed true when the connection failed or carried an invalid answer, so that the process of
+     *   the endpoint may have ended.
      */
-    data class Lost(val reason: String, val answerBegun: Boolean, val timedOut: Boolean = false) : AttemptOutcome
+    data class Lost(val reason: String, val answerBegun: Boolean, val connectionFailed: Boolean = true) : AttemptOutcome
 
     fun describe(): String = when (this) {
         is Delivered -> "delivered $status"
--- a/gateway/src/test/kotlin/io/oriolehall/gateway/path/FaultyAnswerTest.kt
+++ b/gateway/src/test/kotlin/io/oriolehall/gateway/path/FaultyAnswerTest.kt
@@ -1,9 +1,13 @@
 package io.oriolehall.gateway.path
 
+import io.oriolehall.runtime.Event
 import org.junit.jupiter.api.Test
 import strikt.api.expectThat
+import strikt.assertions.contains
 import strikt.assertions.isEqualTo
+import strikt.assertions.isFalse
 import strikt.assertions.startsWith
+import java.util.concurrent.CountDownLatch
 import java.util.concurrent.atomic.AtomicInteger
 
 /** Answers of faulty endpoints, and what callers must not be told because of them. */
@@ -34,6 +38,39 @@
         }
     }
 
+    private fun GatewayUnderTest.readStream(delivered: CountDownLatch): String = open("/events/x").use { caller ->
+        val answer = StringBuilder()
+        while ("data: a\n\n" !in answer) answer.append(caller.getInputStream().read().toChar())
+        delivered.countDown()
+        answer.append(runCatching { caller.getInputStream().readAllBytes().decodeToString() }.getOrDefault(""))
+        answer.toString()
+    }
+
+    @Test
+    fun `an error that another endpoint answers does not enter a stream that has begun`() {
+        val answers = listOf("409 Conflict", "404 Not Found", "200 OK", "500 Internal Server Error", "302 Found")
+        for (status in answers) {
+            val delivered = CountDownLatch(1)
+            val endpoints = List(2) {
+                ScriptedEndpoint {
+                    if (header("L") != null) {
+                        respond(status, "error text", "S: 1\r\n")
+                    } else {
+                        write("HTTP/1.1 200 OK\r\nA: r1\r\nS: 1\r\n$EVENT_STREAM\r\nid: 1\ndata: a\n\n")
+                        delivered.await()
+                        reset()
+                    }
+                }
+            }
+            withGateway(*endpoints.toTypedArray()) {
+                val answer = readStream(delivered)
+                expectThat(answer.endsWith("0\r\n\r\n")).describedAs("complete after $status").isFalse()
+                expectThat("error text" in answer).isFalse()
+                expectThat(Event.HTTP_HANDLER_FAILED in events).describedAs("error after $status").isFalse()
+            }
+        }
+    }
+
     @Test
     fun `an answer whose head stops anywhere is not delivered`() {
         val head = "HTTP/1.1 200 OK\r\nA: r1\r\nS: 1\r\nContent-Length: 12\r\n\r\n"
@@ -54,6 +91,7 @@
     }
 
     private companion object {
+        const val EVENT_STREAM = "Content-Type: text/event-stream\r\n"
         const val POLL_MS = 5L
     }
 }
