A stream without a length that ends before its first event is lost, not complete

What callers saw: 200 and an empty stream, marked complete, from an endpoint that ended as it began to answer. Cause: without a length or chunks the end of the connection is the end of the answer, and nothing was missing at that point. Change: such a stream has to bring at least one event. Evidence: FaultyAnswerTest 'a stream that ends with its connection before its first event ...' failed before.

--- a/gateway/src/main/kotlin/io/oriolehall/gateway/requests/Attempt.kt
+++ b/gateway/src/main/kotlin/io/oriolehall/gateway/requests/Attempt.kt
@@ -164,6 +164,7 @@
 
                 UpstreamEvent.End -> {
                     if (!splitter.atBoundary) return lost("stream ended inside an event")
+                    if (head.endsWithConnection && !answerBegun) return lost("stream ended before its first event")
                     responseComplete = true
                     if (!responder.started) {
                         responder.startStreaming(head.status, headerPolicy.responseHeaders(head.headers))
--- a/gateway/src/main/kotlin/io/oriolehall/gateway/upstream/UpstreamConnection.kt
+++ b/gateway/src/main/kotlin/io/oriolehall/gateway/upstream/UpstreamConnection.kt
@@ -105,10 +105,11 @@
             val status = msg.status().code()
             if (status in INFORMATIONAL) return
             if (!HttpUtil.isKeepAlive(msg)) reusable = false
-            if (!HttpUtil.isContentLengthSet(msg) && !HttpUtil.isTransferEncodingChunked(msg)) checkUnframed(status)
+            val endsWithConnection = isUnframed(msg) && mayHaveBody(status)
+            if (endsWithConnection) reusable = false
             readKeepAliveTimeout(msg.headers())
             awaitingFinalHead = false
-            events.trySend(UpstreamEvent.Head(status, msg.headers()))
+            events.trySend(UpstreamEvent.Head(status, msg.headers(), endsWithConnection))
         }
         if (msg is HttpContent && !awaitingFinalHead) {
             enqueue(msg.content())
@@ -120,11 +121,11 @@
     /** True until the final response head has arrived: the decoder emits an empty last content after each 1xx head. */
     private var awaitingFinalHead = true
 
-    /** A body of unknown length ends only when the connection closes, which rules out reuse. */
-    private fun checkUnframed(status: Int) {
-        val hasNoBody = decoder.headRequest || status == NO_CONTENT || status == NOT_MODIFIED
-        if (!hasNoBody) reusable = false
-    }
+    private fun isUnframed(response: HttpResponse): Boolean =
+        !HttpUtil.isContentLengthSet(response) && !HttpUtil.isTransferEncodingChunked(response)
+
+    private fun mayHaveBody(status: Int): Boolean =
+        !decoder.headRequest && status != NO_CONTENT && status != NOT_MODIFIED
 
     private fun enqueue(content: ByteBuf) {
         if (!content.isReadable) return
--- a/gateway/src/main/kotlin/io/oriolehall/gateway/upstream/UpstreamEvent.kt
+++ b/gateway/src/main/kotlin/io/oriolehall/gateway/upstream/UpstreamEvent.kt
@@ -4,7 +4,8 @@
 
 /** An event of the response to one request on an upstream connection; events arrive in order. */
 sealed interface UpstreamEvent {
-    class Head(val status: Int, val headers: HttpHeaders) : UpstreamEvent
+    /** [endsWithConnection] is true when the body has no length and ends when the connection closes. */
+    class Head(val status: Int, val headers: HttpHeaders, val endsWithConnection: Boolean) : UpstreamEvent
 
     class Data(val bytes: ByteArray) : UpstreamEvent
 
--- a/gateway/src/test/kotlin/io/oriolehall/gateway/path/FaultyAnswerTest.kt
+++ b/gateway/src/test/kotlin/io/oriolehall/gateway/path/FaultyAnswerTest.kt
@@ -90,6 +90,18 @@
         }
     }
 
+    @Test
+    fun `a stream that ends with its connection before its first event is not delivered as whole`() {
+        val empty = ScriptedEndpoint {
+            write("HTTP/1.1 200 OK\r\nA: r1\r\nS: 1\r\n$EVENT_STREAM\r\n")
+            socket.close()
+        }
+        val sound = ScriptedEndpoint { respond(body = "id: 1\ndata: a\n\n", extra = "S: 1\r\n$EVENT_STREAM") }
+        withGateway(empty, sound) {
+            repeat(4) { expectThat(request("/events/x$it")).contains("data: a") }
+        }
+    }
+
     private companion object {
         const val EVENT_STREAM = "Content-Type: text/event-stream\r\n"
         const val POLL_MS = 5L
