Endpoints that leave or want a pause get no requests; one decision for all senders

What callers saw: requests went to endpoints that had said in an answer that they leave, as long as the published state called them ready, and again to endpoints that had asked for a pause by Retry-After, where they were declined once more.

Cause: no code read either header, and four places asked different questions before they sent: the chooser (state, cold limit, connections), stage queues (state, health), retries and releases (state). Nothing asked between the choice and the end of connecting.

Change: SendPolicy decides, purely, from EndpointCondition; EndpointSignals keeps what endpoints said in answers; EndpointPool.acquire, the only way to a connection, asks before and after connecting. A request that no endpoint can take because all pause is refused at once with the time of the first one's return.

A second copy of an answer that comes late has a test of its own now: 'a connection on which more than the answer came ...' failed once here, traced: it used one identifier for all requests and two writes, so that the copy could come after the next request was sent; the copy now comes in one write, and the late one has to be told by its identifier.

--- a/dispatch/src/main/kotlin/io/oriolehall/dispatch/endpoints/EndpointHealth.kt
+++ b/dispatch/src/main/kotlin/io/oriolehall/dispatch/endpoints/EndpointHealth.kt
@@ -40,12 +40,12 @@
         consecutiveFailures++
         failureRate += (1 - failureRate) * FAILURE_SMOOTHING
         val backoffMs = minOf(MAX_EXCLUSION_MS, FIRST_EXCLUSION_MS shl minOf(consecutiveFailures - 1, MAX_DOUBLINGS))
-        excludedUntilMs = nowMs + backoffMs
+        excludedUntilMs = maxOf(excludedUntilMs, nowMs + backoffMs)
     }
 
-    /** Records that the endpoint is at capacity, and excludes it for [durationMs]. */
-    fun onOverload(nowMs: Long, durationMs: Long = OVERLOAD_EXCLUSION_MS) {
-        excludedUntilMs = maxOf(excludedUntilMs, nowMs + durationMs)
+    /** Records that the endpoint is at capacity, and excludes it for a moment, or [durationMs] if that is longer. */
+    fun onOverload(nowMs: Long, durationMs: Long = 0) {
+        excludedUntilMs = maxOf(excludedUntilMs, nowMs + maxOf(durationMs, OVERLOAD_EXCLUSION_MS))
     }
 
     private companion object {
--- a/gateway/src/main/kotlin/io/oriolehall/gateway/Gateway.kt
+++ b/gateway/src/main/kotlin/io/oriolehall/gateway/Gateway.kt
@@ -19,10 +19,12 @@
 import io.oriolehall.gateway.requests.EndpointChooser
 import io.oriolehall.gateway.requests.GatewayMetrics
 import io.oriolehall.gateway.requests.RequestAdmission
+import io.oriolehall.gateway.requests.RequestEnvironment
 import io.oriolehall.gateway.requests.RequestService
 import io.oriolehall.gateway.stages.StageService
 import io.oriolehall.gateway.stages.StageWorkerClient
 import io.oriolehall.gateway.upstream.Connector
+import io.oriolehall.gateway.upstream.EndpointAccess
 import io.oriolehall.gateway.upstream.EndpointPools
 import io.oriolehall.gateway.wire.WireProtocol
 import io.oriolehall.model.Incarnation
@@ -85,8 +87,10 @@
     private val watchMs = pace.confirmationMs
     private val reader = FeedReader(feed(traffic), state, fleet, { fleet.watchMs(watchMs) }, pace, timers, log)
 
-    private val pools = EndpointPools(Connector(traffic))
     private val metrics = GatewayMetrics()
+    private val access =
+        EndpointAccess({ state.endpoints }, wire.headers.leaving, log, onSignal = metrics::recordEndpointSignal)
+    private val pools = EndpointPools(Connector(traffic), access)
     private val stages = StageService(
         self = self.id,
         ownersOf = { fleet.ownersOf("stage queue $it") },
@@ -94,7 +98,7 @@
         unreachableZones = fleet::unreachableZones,
         peers = peerClient,
         table = { state.configHolder.current?.table },
-        workers = { state.endpoints.usable(it) },
+        workers = access::endpoints,
         client = StageWorkerClient(pools, wire),
         scope = traffic.scope,
         log = log,
@@ -116,26 +120,27 @@
             settings.bounds.keyRevocationMs?.minus(KEY_CHECK_MARGIN_MS),
             Random.Default,
         ),
-        stages = stages,
-        chooser = EndpointChooser(
-            self = self,
-            pools = pools,
-            snapshot = { state.endpoints },
-            instances = fleet::liveInstances,
-            unreachableZones = fleet::unreachableZones,
-            placement = AffinityPlacement(),
-            coldFactor = settings.bounds.coldFactor,
-            coldSlack = settings.bounds.coldSlack,
+        environment = RequestEnvironment(
+            stages = stages,
+            chooser = EndpointChooser(
+                self = self,
+                pools = pools,
+                instances = fleet::liveInstances,
+                unreachableZones = fleet::unreachableZones,
+                placement = AffinityPlacement(),
+                coldFactor = settings.bounds.coldFactor,
+                coldSlack = settings.bounds.coldSlack,
+            ),
+            stageAdmission = StageAdmission(),
+            retryAllowance = retryAllowances::of,
+            instanceCount = { fleet.liveInstances.size },
+            wire = wire,
+            polls = traffic.polls,
+            quarantine = quarantine,
+            metrics = metrics,
+            log = log,
         ),
-        admission = StageAdmission(),
-        retryAllowance = retryAllowances::of,
-        instanceCount = { fleet.liveInstances.size },
-        wire = wire,
         shutdownAdmission = { shutdownAdmission },
-        metrics = metrics,
-        log = log,
-        polls = traffic.polls,
-        quarantine = quarantine,
     )
 
     @Volatile
--- a/gateway/src/main/kotlin/io/oriolehall/gateway/requests/Attempt.kt
+++ b/gateway/src/main/kotlin/io/oriolehall/gateway/requests/Attempt.kt
@@ -1,14 +1,13 @@
 package io.oriolehall.gateway.requests
 
-import io.oriolehall.gateway.SocketPolls
 import io.oriolehall.gateway.TrafficLoop
 import io.oriolehall.gateway.http.Responder
+import io.oriolehall.gateway.upstream.AcquireFailure
 import io.oriolehall.gateway.upstream.EndpointPool
 import io.oriolehall.gateway.upstream.ResponseBody
 import io.oriolehall.gateway.upstream.UpstreamConnection
 import io.oriolehall.gateway.upstream.UpstreamEvent
 import io.oriolehall.gateway.upstream.receiveBody
-import io.oriolehall.gateway.wire.WireProtocol
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.withTimeoutOrNull
 
@@ -19,13 +18,14 @@
 internal class Attempt(
     private val context: RequestContext,
     private val pool: EndpointPool,
-    private val wire: WireProtocol,
-    private val headerPolicy: HeaderPolicy,
+    environment: RequestEnvironment,
     private val responder: Responder,
     private val splitter: EventSplitter,
-    private val polls: SocketPolls,
     private val onAnswerBegun: () -> Unit,
 ) {
+    private val wire = environment.wire
+    private val headerPolicy = environment.headerPolicy
+    private val polls = environment.polls
     private var responseComplete = false
     private var startedAtMs = 0L
     private var mayHaveRunBefore = false
@@ -39,7 +39,7 @@
     suspend fun run(inputs: List<String>, lastEventId: String?, headTimeoutMs: Long?): AttemptOutcome {
         val acquired = pool.acquire()
         if (acquired.isErr) {
-            pool.health.onConnectionFailure(TrafficLoop.nowMs())
+            if (acquired.error is AcquireFailure.NotConnected) pool.health.onConnectionFailure(TrafficLoop.nowMs())
             return AttemptOutcome.NotRun(acquired.error.message, overloaded = false)
         }
         val connection = acquired.value
@@ -151,9 +151,7 @@
             when (val event = connection.receive()) {
                 is UpstreamEvent.Data -> {
                     forwardEvents(head, event.bytes)
-                    if (splitter.incompleteBytes >
-                        MAX_EVENT_BYTES
-                    ) {
+                    if (splitter.incompleteBytes > MAX_EVENT_BYTES) {
                         return lost("event is longer than $MAX_EVENT_BYTES bytes")
                     }
                 }
@@ -162,20 +160,20 @@
 
                 is UpstreamEvent.Head -> return lost("second head in a stream")
 
-                UpstreamEvent.End -> {
-                    if (!splitter.atBoundary) return lost("stream ended inside an event")
-                    if (head.endsWithConnection && !answerBegun) return lost("stream ended before its first event")
-                    responseComplete = true
-                    if (!responder.started) {
-                        responder.startStreaming(head.status, headerPolicy.responseHeaders(head.headers))
-                    }
-                    responder.completeStreaming()
-                    return AttemptOutcome.Delivered(head.status)
-                }
+                UpstreamEvent.End -> return completeStream(head)
             }
         }
     }
 
+    private fun completeStream(head: UpstreamEvent.Head): AttemptOutcome {
+        if (!splitter.atBoundary) return lost("stream ended inside an event")
+        if (head.endsWithConnection && !answerBegun) return lost("stream ended before its first event")
+        responseComplete = true
+        if (!responder.started) responder.startStreaming(head.status, headerPolicy.responseHeaders(head.headers))
+        responder.completeStreaming()
+        return AttemptOutcome.Delivered(head.status)
+    }
+
     private suspend fun forwardEvents(head: UpstreamEvent.Head, bytes: ByteArray) {
         val completeEvents = splitter.append(bytes)
         if (completeEvents.isEmpty()) return
--- a/gateway/src/main/kotlin/io/oriolehall/gateway/requests/EndpointChooser.kt
+++ b/gateway/src/main/kotlin/io/oriolehall/gateway/requests/EndpointChooser.kt
@@ -1,7 +1,8 @@
 package io.oriolehall.gateway.requests
 
 import io.oriolehall.dispatch.endpoints.EndpointIncarnation
-import io.oriolehall.dispatch.endpoints.EndpointSnapshot
+import io.oriolehall.dispatch.endpoints.SendDecision
+import io.oriolehall.dispatch.endpoints.SendPolicy
 import io.oriolehall.dispatch.limits.ColdRateShare
 import io.oriolehall.dispatch.placement.Placement
 import io.oriolehall.dispatch.placement.PlacementCandidate
@@ -14,8 +15,7 @@
 import io.oriolehall.model.ZoneId
 
 /**
- * Chooses the endpoint for an attempt among the registered endpoints that are within their cold and connection limits.
- * Endpoints excluded for recent failures are used only if no other endpoint is left.
+ * Chooses the endpoint for an attempt among those that [SendPolicy] allows.
  *
  * @param instances all live instances, which share the endpoints.
  * @param unreachableZones zones whose endpoints are used only if no other endpoint is left.
@@ -25,7 +25,6 @@
 internal class EndpointChooser(
     private val self: Instance,
     private val pools: EndpointPools,
-    private val snapshot: () -> EndpointSnapshot,
     private val instances: () -> Set<InstanceId>,
     private val unreachableZones: () -> Set<ZoneId>,
     private val placement: Placement,
@@ -35,19 +34,45 @@
     private var lastInstances = emptySet<InstanceId>()
     private var coldShares = ColdRateShare(self.id, lastInstances)
 
-    /** Chooses an endpoint for [context] that is not in [tried]; null when none is available. */
-    fun choose(context: RequestContext, inputZone: ZoneId?, tried: Set<EndpointIncarnation>): EndpointPool? {
+    /**
+     * Chooses an endpoint for [context] that is not in [tried].
+     *
+     * @param sendAtMs when the request will be sent, monotonic milliseconds.
+     */
+    fun choose(
+        context: RequestContext,
+        inputZone: ZoneId?,
+        tried: Set<EndpointIncarnation>,
+        sendAtMs: Long = TrafficLoop.nowMs(),
+    ): EndpointChoice {
+        val decisions = decide(context, tried, sendAtMs)
+        val allowed = decisions.mapNotNull { (pool, decision) ->
+            (decision as? SendDecision.Allowed)?.let { pool to it }
+        }
+        val bestRank = allowed.minOfOrNull { (_, decision) -> decision.rank }
+            ?: return EndpointChoice.None(decisions.mapNotNull { (_, decision) -> decision as? SendDecision.Denied })
+        val best = allowed.filter { (_, decision) -> decision.rank == bestRank }.map { (pool, _) -> pool }
+        return EndpointChoice.Chosen(place(context, best, inputZone))
+    }
+
+    private fun decide(
+        context: RequestContext,
+        tried: Set<EndpointIncarnation>,
+        sendAtMs: Long,
+    ): List<Pair<EndpointPool, SendDecision>> {
         val nowMs = TrafficLoop.nowMs()
         val service = context.table.service(context.service)
         val coldPerSecond = service?.coldPerSecond?.takeIf { it > 0 }?.let { it * coldFactor + coldSlack }
-        val connectionsPerInstance = service?.maxConnections?.takeIf { it > 0 }?.let(::connectionShare)
-        val untried = snapshot().usable(context.service).filter { it.incarnation !in tried }.map(pools::poolOf)
-        val withinLimits = untried
-            .filter { coldPerSecond == null || it.coldLimit.allows(nowMs, coldShare(it, coldPerSecond)) }
-            .filter { connectionsPerInstance == null || it.hasCapacity(connectionsPerInstance) }
+        val maxConnections = service?.maxConnections?.takeIf { it > 0 }?.let(::connectionShare)
         val cutOff = unreachableZones()
-        val reachable = withinLimits.filterNot { it.endpoint.zone in cutOff }.ifEmpty { withinLimits }
-        val healthy = reachable.filterNot { it.health.isExcluded(nowMs) }.ifEmpty { reachable }
+        return pools.access.endpoints(context.service).filter { it.incarnation !in tried }.map(pools::poolOf).map {
+            val withinColdLimit = coldPerSecond == null || it.coldLimit.allows(nowMs, coldShare(it, coldPerSecond))
+            val condition = it.condition(nowMs, it.endpoint.zone in cutOff, withinColdLimit, maxConnections)
+            it to SendPolicy.decide(condition, sendAtMs)
+        }
+    }
+
+    private fun place(context: RequestContext, healthy: List<EndpointPool>, inputZone: ZoneId?): EndpointPool {
         val medianMs = healthy.map {
             it.health.responseMs
         }.filter { it > 0 }.sorted().let { it.getOrNull(it.size / 2) }
@@ -56,13 +81,9 @@
         }
         // Requests that share all parts of the prompt but the last one can use the same cached prefix.
         val request = PlacementRequest(context.sharedPromptParts.lastOrNull(), inputZone, self.zone)
-        return placement.choose(candidates, request)?.let { pools.poolOf(it.endpoint) }
+        return pools.poolOf(checkNotNull(placement.choose(candidates, request)).endpoint)
     }
 
-    /** True when a usable endpoint outside [tried] is registered, even if it is at its limits now. */
-    fun mayBecomeAvailable(context: RequestContext, tried: Set<EndpointIncarnation>): Boolean =
-        snapshot().usable(context.service).any { it.incarnation !in tried }
-
     private fun coldShare(pool: EndpointPool, coldPerSecond: Double): Int {
         val liveInstances = instances()
         if (liveInstances !== lastInstances) {
--- /dev/null
+++ b/gateway/src/main/kotlin/io/oriolehall/gateway/requests/EndpointSelection.kt
@@ -0,0 +1,55 @@
+package io.oriolehall.gateway.requests
+
+import io.oriolehall.dispatch.endpoints.EndpointIncarnation
+import io.oriolehall.gateway.TrafficLoop
+import io.oriolehall.model.ZoneId
+import kotlinx.coroutines.delay
+
+/** Chooses the endpoints of one request, each of them at most once. */
+internal class EndpointSelection(private val context: RequestContext, private val chooser: EndpointChooser) {
+    private val tried = mutableSetOf<EndpointIncarnation>()
+
+    /** Number of endpoints that were tried. */
+    val triedCount: Int get() = tried.size
+
+    /**
+     * Chooses an endpoint for a request that is sent in [leadMs]. If all are at their limits or end a pause soon, waits
+     * for a small share of the objective.
+     */
+    suspend fun await(inputZone: ZoneId?, leadMs: Long = 0): EndpointChoice {
+        val untilMs = TrafficLoop.nowMs() + (context.route.objectiveMs * SLOT_WAIT_SHARE).toLong()
+        while (true) {
+            val nowMs = TrafficLoop.nowMs()
+            val choice = chooser.choose(context, inputZone, tried, nowMs + leadMs)
+            if (choice !is EndpointChoice.None || nowMs >= untilMs ||
+                !choice.mayEndUntil(untilMs + leadMs)
+            ) {
+                return choice
+            }
+            delay(SLOT_POLL_MS)
+        }
+    }
+
+    /** Records that the endpoint of [choice] gets an attempt. */
+    fun onTried(choice: EndpointChoice.Chosen) {
+        tried += choice.pool.endpoint.incarnation
+    }
+
+    /**
+     * When a caller that is refused now should come back, in milliseconds: when the first paused endpoint is back if
+     * all of them pause, or else soon. 0 if its time does not last until then.
+     */
+    fun retryAfterMs(): Long {
+        val choice = chooser.choose(context, inputZone = null, tried = emptySet())
+        val backAtMs = (choice as? EndpointChoice.None)?.firstBackAtMs ?: return DEFAULT_RETRY_AFTER_MS
+        val waitMs = backAtMs - TrafficLoop.nowMs()
+        return if (waitMs < context.remainingMs()) waitMs else 0
+    }
+
+    private companion object {
+        /** Share of the objective that a request waits for an endpoint within its limits before it is rejected. */
+        const val SLOT_WAIT_SHARE = 0.125
+        const val SLOT_POLL_MS = 5L
+        const val DEFAULT_RETRY_AFTER_MS = 250L
+    }
+}
--- a/gateway/src/main/kotlin/io/oriolehall/gateway/requests/GatewayMetrics.kt
+++ b/gateway/src/main/kotlin/io/oriolehall/gateway/requests/GatewayMetrics.kt
@@ -54,6 +54,9 @@
     fun recordEndpointLoss(service: String, answerBegun: Boolean) =
         count("oriolehall.endpoint.losses", Tags.of("service", service, "answer_begun", "$answerBegun"))
 
+    /** Counts a [signal] of an endpoint: that it leaves, that it pauses, or a pause that cannot be read. */
+    fun recordEndpointSignal(signal: String) = count("oriolehall.endpoint.signals", Tags.of("signal", signal))
+
     /** Records a call with [pieces] pieces to a worker of [service] that took [elapsedMs] milliseconds. */
     fun recordStageCall(service: String, pieces: Int, elapsedMs: Long, succeeded: Boolean) {
         val tags = Tags.of("service", service, "outcome", if (succeeded) "answered" else "failed")
--- a/gateway/src/main/kotlin/io/oriolehall/gateway/stages/StageOwner.kt
+++ b/gateway/src/main/kotlin/io/oriolehall/gateway/stages/StageOwner.kt
@@ -201,7 +201,7 @@
             }
 
             is StageCallAnswer.Declined -> {
-                worker.health.onOverload(nowMs)
+                worker.health.onOverload(nowMs, answer.pauseMs)
                 call.pieces.forEach(::requeue)
             }
 
--- a/gateway/src/main/kotlin/io/oriolehall/gateway/stages/StageWorkerClient.kt
+++ b/gateway/src/main/kotlin/io/oriolehall/gateway/stages/StageWorkerClient.kt
@@ -5,6 +5,7 @@
 import io.oriolehall.dispatch.endpoints.EndpointRecord
 import io.oriolehall.dispatch.stages.PieceWork
 import io.oriolehall.gateway.TrafficLoop
+import io.oriolehall.gateway.upstream.AcquireFailure
 import io.oriolehall.gateway.upstream.EndpointPools
 import io.oriolehall.gateway.upstream.ResponseBody
 import io.oriolehall.gateway.upstream.UpstreamConnection
@@ -18,15 +19,19 @@
 internal sealed interface StageCallAnswer {
     data class Done(val outcomes: List<PieceOutcome>) : StageCallAnswer
 
-    /** The worker reported that it did not run the call. */
-    data class Declined(val status: Int) : StageCallAnswer
+    /**
+     * The worker reported that it did not run the call, or wants no call now.
+     *
+     * @property pauseMs milliseconds for which it wants no calls, 0 if it did not say.
+     */
+    data class Declined(val reason: String, val pauseMs: Long = 0) : StageCallAnswer
 
     /** The call failed without a usable answer; the worker may have run it. */
     data class Failed(val reason: String) : StageCallAnswer
 
     fun describe(): String = when (this) {
         is Done -> outcomes.groupingBy { it::class.simpleName }.eachCount().toString()
-        is Declined -> "declined with $status"
+        is Declined -> "declined: $reason"
         is Failed -> reason
     }
 }
@@ -38,16 +43,22 @@
     suspend fun run(endpoint: EndpointRecord, pieces: List<PieceWork>, timeoutMs: Long): StageCallAnswer {
         val body = wire.stageCallCodec.encodeRun(pieces, TrafficLoop.nowMs())
         val answer = call(endpoint, wire.stageCallCodec.runPath, body, timeoutMs)
-        if (answer is CallOutcome.Failed) return StageCallAnswer.Failed(answer.reason)
-        val response = (answer as CallOutcome.Answered).answer
+        val response = when (answer) {
+            is CallOutcome.Failed -> return StageCallAnswer.Failed(answer.reason)
+            is CallOutcome.Denied -> return StageCallAnswer.Declined(answer.reason, pauseMs(endpoint))
+            is CallOutcome.Answered -> answer.answer
+        }
         if (response.headers.contains(wire.headers.notExecuted) || response.status == MISDIRECTED_REQUEST) {
-            return StageCallAnswer.Declined(response.status)
+            return StageCallAnswer.Declined("status ${response.status}", pauseMs(endpoint))
         }
         val outcomes = if (response.status == OK) wire.stageCallCodec.decodeRun(response.body) else null
         if (outcomes?.size != pieces.size) return StageCallAnswer.Failed("answer ${response.status} cannot be used")
         return StageCallAnswer.Done(outcomes)
     }
 
+    private fun pauseMs(endpoint: EndpointRecord): Long =
+        pools.access.denial(endpoint)?.untilMs?.let { maxOf(0, it - TrafficLoop.nowMs()) } ?: 0
+
     /** Frees results at the worker. Returns false if the worker did not confirm it; the results then expire later. */
     suspend fun release(endpoint: EndpointRecord, handles: List<String>): Boolean {
         val answer =
@@ -64,6 +75,8 @@
         class Answered(val answer: Answer) : CallOutcome
 
         class Failed(val reason: String) : CallOutcome
+
+        class Denied(val reason: String) : CallOutcome
     }
 
     private suspend fun call(
@@ -74,7 +87,14 @@
     ): CallOutcome {
         val pool = pools.poolOf(endpoint)
         val acquired = pool.acquire()
-        if (acquired.isErr) return CallOutcome.Failed(acquired.error.message)
+        if (acquired.isErr) {
+            val failure = acquired.error
+            return if (failure is AcquireFailure.Denied) {
+                CallOutcome.Denied(failure.message)
+            } else {
+                CallOutcome.Failed(failure.message)
+            }
+        }
         val connection = acquired.value
         var answered = false
         try {
--- /dev/null
+++ b/gateway/src/main/kotlin/io/oriolehall/gateway/upstream/EndpointAccess.kt
@@ -0,0 +1,88 @@
+package io.oriolehall.gateway.upstream
+
+import io.netty.handler.codec.http.HttpHeaderNames
+import io.oriolehall.dispatch.endpoints.EndpointCondition
+import io.oriolehall.dispatch.endpoints.EndpointRecord
+import io.oriolehall.dispatch.endpoints.EndpointSignals
+import io.oriolehall.dispatch.endpoints.EndpointSnapshot
+import io.oriolehall.dispatch.endpoints.SendDecision
+import io.oriolehall.dispatch.endpoints.SendObstacle
+import io.oriolehall.dispatch.endpoints.SendPolicy
+import io.oriolehall.gateway.TrafficLoop
+import io.oriolehall.runtime.Event
+import io.oriolehall.runtime.EventLog
+
+/**
+ * Whether this instance may send to an endpoint, by the published state and by what the endpoint has said in its
+ * answers. Used on the traffic thread only.
+ *
+ * @param snapshot the published endpoints.
+ * @param leavingHeader header by which an endpoint says that it leaves.
+ * @param onSignal is called with the kind of each signal of an endpoint, for the counters.
+ */
+class EndpointAccess(
+    private val snapshot: () -> EndpointSnapshot,
+    private val leavingHeader: String,
+    private val log: EventLog,
+    private val onSignal: (String) -> Unit = {},
+    private val signals: EndpointSignals = EndpointSignals(),
+    private val nowMs: () -> Long = TrafficLoop::nowMs,
+) {
+    /** Registered endpoints of [service] that are not about to leave; some may be paused. */
+    fun endpoints(service: String): List<EndpointRecord> =
+        snapshot().usable(service).filterNot { signals.isLeaving(it.id) }
+
+    /** What is known of [endpoint] apart from this instance's own traffic. */
+    fun condition(endpoint: EndpointRecord): EndpointCondition = EndpointCondition(
+        published = published(endpoint),
+        leaving = signals.isLeaving(endpoint.id),
+        pause = signals.pauseOf(endpoint.id),
+    )
+
+    /** Why no request may be sent to [endpoint] now, or null. */
+    fun denial(endpoint: EndpointRecord): SendDecision.Denied? =
+        SendPolicy.decide(condition(endpoint), nowMs()) as? SendDecision.Denied
+
+    /** Takes note of what [endpoint] says of itself in the head of an answer. */
+    fun onAnswer(endpoint: EndpointRecord, head: UpstreamEvent.Head) {
+        if (head.headers.get(leavingHeader)?.trim() == LEAVING && signals.onLeaving(endpoint.id)) {
+            onSignal("leaving")
+            log.write(Event.ENDPOINT_LEAVING, "endpoint" to endpoint.id, "status" to head.status)
+        }
+        if (head.status != UNAVAILABLE) return
+        val text = head.headers.get(HttpHeaderNames.RETRY_AFTER) ?: return
+        val parsed = RetryAfter.parseMs(text)
+        if (parsed.isOk) {
+            pause(endpoint, parsed.value)
+        } else {
+            onSignal("unreadable_pause")
+            log.write(Event.PAUSE_UNREADABLE, "endpoint" to endpoint.id, "error" to parsed.error.message)
+        }
+    }
+
+    /** Forgets pauses that have ended. */
+    fun removeEndedPauses() = signals.removeEndedPauses(nowMs()).forEach {
+        log.write(Event.ENDPOINT_PAUSE_ENDED, "endpoint" to it)
+    }
+
+    private fun pause(endpoint: EndpointRecord, durationMs: Long) {
+        val pause = signals.onPause(endpoint.id, durationMs, nowMs()) ?: return
+        onSignal("pause")
+        log.write(Event.ENDPOINT_PAUSED, "endpoint" to endpoint.id, "forMs" to pause.untilMs - nowMs())
+    }
+
+    private fun published(endpoint: EndpointRecord): SendObstacle? {
+        val registered = snapshot().endpoints[endpoint.id]
+        return when {
+            registered?.startedAtMs != endpoint.startedAtMs -> SendObstacle.NOT_REGISTERED
+            registered.draining -> SendObstacle.DRAINING
+            registered.zone in snapshot().evacuated -> SendObstacle.ZONE_EVACUATED
+            else -> null
+        }
+    }
+
+    private companion object {
+        const val LEAVING = "1"
+        const val UNAVAILABLE = 503
+    }
+}
--- a/gateway/src/main/kotlin/io/oriolehall/gateway/upstream/EndpointPool.kt
+++ b/gateway/src/main/kotlin/io/oriolehall/gateway/upstream/EndpointPool.kt
@@ -1,8 +1,10 @@
 package io.oriolehall.gateway.upstream
 
+import com.github.michaelbull.result.Err
 import com.github.michaelbull.result.Ok
 import com.github.michaelbull.result.Result
 import com.github.michaelbull.result.onSuccess
+import io.oriolehall.dispatch.endpoints.EndpointCondition
 import io.oriolehall.dispatch.endpoints.EndpointHealth
 import io.oriolehall.dispatch.endpoints.EndpointRecord
 import io.oriolehall.dispatch.limits.ColdRateLimit
@@ -13,7 +15,11 @@
  * Connections to one incarnation of an endpoint, with the health and load that this instance has observed in its own
  * traffic. Used on the traffic thread only.
  */
-class EndpointPool(val endpoint: EndpointRecord, private val connector: Connector) {
+class EndpointPool(
+    val endpoint: EndpointRecord,
+    private val connector: Connector,
+    private val access: EndpointAccess,
+) {
     private val idle = ArrayDeque<UpstreamConnection>()
 
     /** Hash of the endpoint's id for rendezvous hashing. */
@@ -30,14 +36,38 @@
         private set
 
     /** True when a request can be sent without exceeding [maxConnections] connections. */
-    fun hasCapacity(maxConnections: Int): Boolean = idle.isNotEmpty() || connectionCount < maxConnections
+    private fun hasCapacity(maxConnections: Int): Boolean = idle.isNotEmpty() || connectionCount < maxConnections
+
+    /** What is known of the endpoint; [withinColdLimit] and [maxConnections] are those of the caller. */
+    fun condition(
+        nowMs: Long,
+        zoneUnreachable: Boolean,
+        withinColdLimit: Boolean,
+        maxConnections: Int?,
+    ): EndpointCondition = access.condition(endpoint).copy(
+        outstanding = outstanding,
+        excluded = health.isExcluded(nowMs),
+        zoneUnreachable = zoneUnreachable,
+        withinColdLimit = withinColdLimit,
+        connectionFree = maxConnections == null || hasCapacity(maxConnections),
+    )
 
-    /** Returns an idle connection, or opens a new one. */
-    suspend fun acquire(): Result<UpstreamConnection, ConnectFailure> {
+    /**
+     * Returns an idle connection, or opens a new one, unless no request may be sent to the endpoint. All connections
+     * for requests come from here. Connecting takes time, so the permission is checked again after it.
+     */
+    suspend fun acquire(): Result<UpstreamConnection, AcquireFailure> {
+        denial()?.let { return Err(it) }
         takeIdle()?.let { return Ok(it) }
-        return connect()
+        val connected = connect()
+        if (connected.isErr) return Err(AcquireFailure.NotConnected(connected.error))
+        val denied = denial() ?: return Ok(connected.value)
+        release(connected.value)
+        return Err(denied)
     }
 
+    private fun denial(): AcquireFailure.Denied? = access.denial(endpoint)?.let { AcquireFailure.Denied(it) }
+
     /**
      * Opens a connection to find out whether the process of the endpoint still runs, and keeps it for later requests.
      * Returns false only when the machine refuses it; without an answer in [timeoutMs] the endpoint counts as running.
@@ -55,7 +85,10 @@
         try {
             val result = timeoutMs?.let { connector.connect(endpoint.address, it) }
                 ?: connector.connect(endpoint.address)
-            return result.onSuccess { connected = true }
+            return result.onSuccess {
+                connected = true
+                it.onHead = { head -> access.onAnswer(endpoint, head) }
+            }
         } finally {
             if (!connected) connectionCount--
         }
--- a/gateway/src/main/kotlin/io/oriolehall/gateway/upstream/EndpointPools.kt
+++ b/gateway/src/main/kotlin/io/oriolehall/gateway/upstream/EndpointPools.kt
@@ -5,14 +5,15 @@
 import io.oriolehall.dispatch.endpoints.EndpointSnapshot
 
 /** Connection pools of all endpoints in use, one per incarnation. Used on the traffic thread only. */
-class EndpointPools(private val connector: Connector) {
+class EndpointPools(private val connector: Connector, val access: EndpointAccess) {
     private val pools = HashMap<EndpointIncarnation, EndpointPool>()
 
     fun poolOf(endpoint: EndpointRecord): EndpointPool =
-        pools.getOrPut(endpoint.incarnation) { EndpointPool(endpoint, connector) }
+        pools.getOrPut(endpoint.incarnation) { EndpointPool(endpoint, connector, access) }
 
     /**
-     * Removes pools of unregistered or restarted endpoints without requests in flight, and closes stale connections.
+     * Removes pools of unregistered or restarted endpoints without requests in flight, closes stale connections, and
+     * forgets pauses that have ended.
      */
     fun removeObsolete(snapshot: EndpointSnapshot) {
         val obsolete = pools.values.filter { pool ->
@@ -23,5 +24,6 @@
             pools.remove(it.endpoint.incarnation)
         }
         pools.values.forEach(EndpointPool::closeStale)
+        access.removeEndedPauses()
     }
 }
--- a/gateway/src/main/kotlin/io/oriolehall/gateway/upstream/UpstreamConnection.kt
+++ b/gateway/src/main/kotlin/io/oriolehall/gateway/upstream/UpstreamConnection.kt
@@ -42,6 +42,9 @@
     var keepAliveTimeoutMs = DEFAULT_KEEP_ALIVE_TIMEOUT_MS
         private set
 
+    /** Is called with the head of each response, before it is received. */
+    internal var onHead: (UpstreamEvent.Head) -> Unit = {}
+
     /** When the connection became idle, monotonic milliseconds. */
     var idleSinceMs = 0L
 
@@ -109,7 +112,9 @@
             if (endsWithConnection) reusable = false
             readKeepAliveTimeout(msg.headers())
             awaitingFinalHead = false
-            events.trySend(UpstreamEvent.Head(status, msg.headers(), endsWithConnection))
+            val head = UpstreamEvent.Head(status, msg.headers(), endsWithConnection)
+            onHead(head)
+            events.trySend(head)
         }
         if (msg is HttpContent && !awaitingFinalHead) {
             enqueue(msg.content())
--- a/gateway/src/main/kotlin/io/oriolehall/gateway/wire/WireProtocol.kt
+++ b/gateway/src/main/kotlin/io/oriolehall/gateway/wire/WireProtocol.kt
@@ -21,6 +21,8 @@
     val signature: String,
     /** Present in a response when the endpoint did not run the request. */
     val notExecuted: String,
+    /** Present in a response, with the value 1, when the endpoint is about to stop. */
+    val leaving: String,
     /** Parts of the prompt in order, each as an identifier and a token count. */
     val promptParts: String,
     /** Number of pieces of each stage, in the order of the stages. */
--- a/gateway/src/test/kotlin/io/oriolehall/gateway/path/GatewayPathTest.kt
+++ b/gateway/src/test/kotlin/io/oriolehall/gateway/path/GatewayPathTest.kt
@@ -154,15 +154,32 @@
         val ports = CopyOnWriteArrayList<Int>()
         val endpoint = ScriptedEndpoint {
             ports += socket.port
-            respond()
-            write("HTTP/1.1 200 OK\r\nA: r1\r\nS: 1\r\nContent-Length: 5\r\n\r\nwrong")
+            val head = "HTTP/1.1 200 OK\r\nA: ${header("A")}\r\nS: 1\r\n"
+            write("${head}Content-Length: 4\r\n\r\nbody${head}Content-Length: 5\r\n\r\nwrong")
         }
         withGateway(endpoint) {
-            repeat(5) { expectThat(request("/once/x")).endsWith("body") }
+            repeat(5) { expectThat(request("/once/x", attempt = "r$it")).endsWith("body") }
             expectThat(ports.distinct().size).isEqualTo(5)
         }
     }
 
+    /** The second copy comes when the connection carries the next request, which only the identifier can tell. */
+    @Test
+    fun `a second copy of an answer that comes late is not the answer to the next request`() {
+        val endpoint = ScriptedEndpoint {
+            if (header("A") == "first") {
+                respond(body = "first")
+            } else {
+                write("HTTP/1.1 200 OK\r\nA: first\r\nS: 1\r\nContent-Length: 5\r\n\r\nfirst")
+                respond(body = "second")
+            }
+        }
+        withGateway(endpoint) {
+            expectThat(request("/once/x", attempt = "first")).endsWith("first")
+            expectThat(request("/once/x", attempt = "second")).startsWith("HTTP/1.1 502")
+        }
+    }
+
     @Test
     fun `an answer that is cut short is not passed on`() {
         val truncating = ScriptedEndpoint {
--- a/gateway/src/test/kotlin/io/oriolehall/gateway/path/GatewayUnderTest.kt
+++ b/gateway/src/test/kotlin/io/oriolehall/gateway/path/GatewayUnderTest.kt
@@ -43,6 +43,7 @@
     private val keyRevocationMs: Long? = null,
     private val organisations: List<Organisation> = emptyList(),
     private val maxConnections: Int = 0,
+    private val draining: Set<String> = emptySet(),
     private val storeReachable: () -> Boolean = { true },
 ) : AutoCloseable {
     /** Events that the gateway has logged. */
@@ -114,7 +115,7 @@
                 endpoint.address,
                 ZoneId("z"),
                 1,
-                draining = false,
+                draining = "e$i" in draining,
                 coldRemainingMs = 0,
             )
         }
@@ -160,6 +161,7 @@
             expectedEndpoint = "E",
             signature = "S",
             notExecuted = "N",
+            leaving = "G",
             promptParts = "P",
             pieceCounts = "C",
             pieceKey = "K",
--- a/gateway/src/test/kotlin/io/oriolehall/gateway/stages/StageFixtures.kt
+++ b/gateway/src/test/kotlin/io/oriolehall/gateway/stages/StageFixtures.kt
@@ -1,8 +1,14 @@
 package io.oriolehall.gateway.stages
 
+import io.oriolehall.dispatch.endpoints.EndpointRecord
+import io.oriolehall.dispatch.endpoints.EndpointSnapshot
 import io.oriolehall.dispatch.stages.PieceWork
+import io.oriolehall.gateway.path.GatewayUnderTest
+import io.oriolehall.gateway.upstream.EndpointAccess
 import io.oriolehall.gateway.wire.PieceOutcome
 import io.oriolehall.gateway.wire.StageCallCodec
+import io.oriolehall.runtime.EventLog
+import kotlinx.collections.immutable.persistentMapOf
 
 /** Encodes a call as the number of its pieces, and decodes any answer as a single result. */
 internal object PieceCountCodec : StageCallCodec {
@@ -28,3 +34,9 @@
     deadlineInMs = 30_000,
     priority = 0,
 )
+
+/** Access to [endpoint], the only registered one. */
+internal fun openAccess(endpoint: EndpointRecord): EndpointAccess {
+    val snapshot = EndpointSnapshot(persistentMapOf(endpoint.id to endpoint))
+    return EndpointAccess({ snapshot }, GatewayUnderTest.HEADERS.leaving, EventLog { _, _ -> })
+}
--- a/gateway/src/test/kotlin/io/oriolehall/gateway/stages/StageOwnerTest.kt
+++ b/gateway/src/test/kotlin/io/oriolehall/gateway/stages/StageOwnerTest.kt
@@ -43,7 +43,7 @@
         val loop = TrafficLoop(log)
         val wire = WireProtocol(GatewayUnderTest.HEADERS, PieceCountCodec, "Bearer", "/ready")
         val record = EndpointRecord(EndpointId("w"), 1, "s", worker.address, ZoneId("z"), 1, false, 0)
-        val client = StageWorkerClient(EndpointPools(Connector(loop)), wire)
+        val client = StageWorkerClient(EndpointPools(Connector(loop), openAccess(record)), wire)
         val owner = StageOwner("s", limits, { listOf(record) }, { emptySet() }, client, loop.scope, log)
         val (begun, waiting, fallback) = runBlocking {
             withContext(loop.dispatcher) {
@@ -83,7 +83,7 @@
         val loop = TrafficLoop(log)
         val wire = WireProtocol(GatewayUnderTest.HEADERS, PieceCountCodec, "Bearer", "/ready")
         val record = EndpointRecord(EndpointId("w"), 1, "s", worker.address, ZoneId("z"), 1, false, 0)
-        val client = StageWorkerClient(EndpointPools(Connector(loop)), wire)
+        val client = StageWorkerClient(EndpointPools(Connector(loop), openAccess(record)), wire)
         val owner = StageOwner("s", smallLimits, { listOf(record) }, { emptySet() }, client, loop.scope, log)
         runBlocking {
             withContext(loop.dispatcher) {
--- a/gateway/src/test/kotlin/io/oriolehall/gateway/stages/StageServiceTest.kt
+++ b/gateway/src/test/kotlin/io/oriolehall/gateway/stages/StageServiceTest.kt
@@ -78,7 +78,7 @@
             peers = PeerClient(selector, peerScope),
             table = { table },
             workers = { listOf(record) },
-            client = StageWorkerClient(EndpointPools(Connector(loop)), wire),
+            client = StageWorkerClient(EndpointPools(Connector(loop), openAccess(record)), wire),
             scope = loop.scope,
             log = log,
             observer = { _, _, _, _ -> },
--- a/runtime/src/main/kotlin/io/oriolehall/runtime/Event.kt
+++ b/runtime/src/main/kotlin/io/oriolehall/runtime/Event.kt
@@ -39,6 +39,11 @@
     STATE_FOLLOWED(216, EventLevel.INFO, "published state followed at another instance"),
     STATE_NOT_FOLLOWED(217, EventLevel.INFO, "published state read from the platform by this instance itself"),
 
+    ENDPOINT_LEAVING(219, EventLevel.INFO, "endpoint says that it leaves"),
+    ENDPOINT_PAUSED(220, EventLevel.INFO, "endpoint wants no requests for a time"),
+    ENDPOINT_PAUSE_ENDED(221, EventLevel.INFO, "pause of an endpoint has ended"),
+    PAUSE_UNREADABLE(222, EventLevel.WARN, "pause that an endpoint asks for cannot be read"),
+
     PEER_FRAME_REJECTED(301, EventLevel.WARN, "frame from a peer rejected"),
     PEER_CONNECTION_LOST(302, EventLevel.DEBUG, "connection to a peer lost"),
     MEMBERSHIP_JOINED(303, EventLevel.INFO, "instance joined the fleet"),
