An attempt that sent nothing no longer counts against the route's attempts and the retry budget

Cause: an attempt counted when its endpoint was chosen. Both bounds are about requests that arrive at endpoints; a refused connection is none. Change: only attempts in which the request left count; each endpoint is still tried once at most, within the deadline.

--- a/gateway/src/main/kotlin/io/oriolehall/gateway/requests/Attempt.kt
+++ b/gateway/src/main/kotlin/io/oriolehall/gateway/requests/Attempt.kt
@@ -40,19 +40,19 @@
         val acquired = pool.acquire()
         if (acquired.isErr) {
             if (acquired.error is AcquireFailure.NotConnected) pool.health.onConnectionFailure(TrafficLoop.nowMs())
-            return AttemptOutcome.NotRun(acquired.error.message, overloaded = false)
+            return AttemptOutcome.NotRun(acquired.error.message, sent = false)
         }
         val connection = acquired.value
         pool.outstanding++
         try {
             noticeDeparture()
             val remainingMs = context.remainingMs()
-            if (remainingMs <= 0) return AttemptOutcome.NotRun("deadline passed", overloaded = false)
+            if (remainingMs <= 0) return AttemptOutcome.NotRun("deadline passed", sent = false)
             val headers = headerPolicy.requestHeaders(context, pool.endpoint, inputs, lastEventId, remainingMs)
             pool.coldLimit.onSent(TrafficLoop.nowMs())
             startedAtMs = TrafficLoop.nowMs()
             if (!connection.send(context.request.method, context.request.uri, headers, context.request.body)) {
-                return AttemptOutcome.NotRun("connection closed before the request", overloaded = false)
+                return AttemptOutcome.NotRun("connection closed before the request", sent = false)
             }
             mayHaveRunBefore = context.mayHaveRun
             context.mayHaveRun = true
@@ -123,7 +123,7 @@
         context.mayHaveRun = mayHaveRunBefore
         readBody(connection)
         if (head.status == UNAVAILABLE) pool.health.onOverload(TrafficLoop.nowMs())
-        return AttemptOutcome.NotRun("endpoint declined with ${head.status}", overloaded = head.status == UNAVAILABLE)
+        return AttemptOutcome.NotRun("endpoint declined with ${head.status}", sent = true)
     }
 
     /** Reads the response body to its end, so that the connection can be reused. */
--- a/gateway/src/main/kotlin/io/oriolehall/gateway/requests/AttemptSequence.kt
+++ b/gateway/src/main/kotlin/io/oriolehall/gateway/requests/AttemptSequence.kt
@@ -20,10 +20,12 @@
     private val splitter = EventSplitter()
     private var lastFailure: AttemptOutcome.Failure? = null
 
+    /** Number of attempts in which the request left this instance. */
+    private var sentAttempts = 0
+
     /** Sends the request until a response was written, and returns null then, or else the rejection to send. */
     suspend fun run(): Rejection? {
         traceInputs()
-        var attempts = 0
         var reason = "no endpoint can be used"
         var retryObstacle: String? = null
         while (retryObstacle == null) {
@@ -31,7 +33,7 @@
             val outcome = attempt()
             if (outcome is AttemptOutcome.Delivered) return null
             retryObstacle =
-                if (outcome == null) "no other endpoint has a free slot" else obstacleAfter(outcome, ++attempts)
+                if (outcome == null) "no other endpoint has a free slot" else obstacleAfter(outcome)
             if (outcome == null) continue
             reason = outcome.describe()
             if (outcome is AttemptOutcome.Failure) lastFailure = outcome
@@ -49,11 +51,13 @@
     }
 
     /** Why the request may not be retried after [outcome]; null when it may. */
-    private fun obstacleAfter(outcome: AttemptOutcome, attempts: Int): String? {
+    private fun obstacleAfter(outcome: AttemptOutcome): String? {
+        if (outcome is AttemptOutcome.NotRun && !outcome.sent) return null
+        sentAttempts++
         val allowance = environment.retryAllowance(context.service)
         return when {
             outcome !is AttemptOutcome.NotRun && !context.route.retryable -> "may have run and runs at most once"
-            attempts >= context.route.maxAttempts -> "all attempts of the route are used"
+            sentAttempts >= context.route.maxAttempts -> "all attempts of the route are used"
             allowance.tryAcquire(TrafficLoop.nowMs(), environment.instanceCount()) -> null
             else -> "this instance's share of the retry budget is used up"
         }
@@ -95,7 +99,7 @@
 
     /** Timeout for the response head; leaves a retryable request time to retry if the endpoint does not respond. */
     private fun headTimeoutMs(): Long? {
-        if (!context.route.retryable || endpoints.triedCount >= context.route.maxAttempts) return null
+        if (!context.route.retryable || sentAttempts + 1 >= context.route.maxAttempts) return null
         return maxOf(MIN_HEAD_TIMEOUT_MS, (context.route.objectiveMs * HEAD_TIMEOUT_SHARE).toLong())
     }
 
--- a/gateway/src/main/kotlin/io/oriolehall/gateway/requests/EndpointSelection.kt
+++ b/gateway/src/main/kotlin/io/oriolehall/gateway/requests/EndpointSelection.kt
@@ -9,9 +9,6 @@
 internal class EndpointSelection(private val context: RequestContext, private val chooser: EndpointChooser) {
     private val tried = mutableSetOf<EndpointIncarnation>()
 
-    /** Number of endpoints that were tried. */
-    val triedCount: Int get() = tried.size
-
     /**
      * Chooses an endpoint for a request that is sent in [leadMs]. If all are at their limits or end a pause soon, waits
      * for a small share of the objective.
--- a/gateway/src/main/kotlin/io/oriolehall/gateway/requests/Outcome.kt
+++ b/gateway/src/main/kotlin/io/oriolehall/gateway/requests/Outcome.kt
@@ -7,8 +7,8 @@
     /** The complete response was written to the caller. */
     data class Delivered(val status: Int) : AttemptOutcome
 
-    /** The endpoint did not run the request. */
-    data class NotRun(val reason: String, val overloaded: Boolean) : AttemptOutcome
+    /** The endpoint did not run the request; [sent] is false when no byte of it has left. */
+    data class NotRun(val reason: String, val sent: Boolean) : AttemptOutcome
 
     /** The endpoint responded with a server error, which has not been forwarded to the caller yet. */
     class Failure(val status: Int, val headers: HttpHeaders, val body: ByteArray) : AttemptOutcome
