--- a/dispatch/src/main/kotlin/io/oriolehall/dispatch/endpoints/EndpointDirectory.kt
+++ b/dispatch/src/main/kotlin/io/oriolehall/dispatch/endpoints/EndpointDirectory.kt
@@ -24,10 +24,15 @@
     /** Endpoints of [service] that may receive new work. */
     fun usable(service: String): List<EndpointRecord> = endpointsByService[service].orEmpty()
 
-    /** True when this incarnation of [endpoint] is still registered, not draining and not in an evacuated zone. */
-    fun isUsable(endpoint: EndpointRecord): Boolean {
-        val registered = endpoints[endpoint.id] ?: return false
-        return registered.startedAtMs == endpoint.startedAtMs && !registered.draining && registered.zone !in evacuated
+    /** Why this incarnation of [endpoint] may not receive new work, or null. */
+    fun obstacleFor(endpoint: EndpointRecord): SendObstacle? {
+        val registered = endpoints[endpoint.id]
+        return when {
+            registered?.startedAtMs != endpoint.startedAtMs -> SendObstacle.NOT_REGISTERED
+            registered.draining -> SendObstacle.DRAINING
+            registered.zone in evacuated -> SendObstacle.ZONE_EVACUATED
+            else -> null
+        }
     }
 }
 
--- a/dispatch/src/test/kotlin/io/oriolehall/dispatch/endpoints/EndpointDirectoryTest.kt
+++ b/dispatch/src/test/kotlin/io/oriolehall/dispatch/endpoints/EndpointDirectoryTest.kt
@@ -7,7 +7,7 @@
 import strikt.api.expectThat
 import strikt.assertions.containsExactly
 import strikt.assertions.isEmpty
-import strikt.assertions.isFalse
+import strikt.assertions.isEqualTo
 
 class EndpointDirectoryTest {
     private val directory = EndpointDirectory(reRegistrationGraceMs = 2_000)
@@ -68,6 +68,6 @@
         val first = endpoint("x", startedAtMs = 1)
         directory.register(first)
         directory.register(endpoint("x", startedAtMs = 2))
-        expectThat(directory.snapshot.isUsable(first)).isFalse()
+        expectThat(directory.snapshot.obstacleFor(first)).isEqualTo(SendObstacle.NOT_REGISTERED)
     }
 }
--- a/gateway/src/main/kotlin/io/oriolehall/gateway/requests/EndpointChooser.kt
+++ b/gateway/src/main/kotlin/io/oriolehall/gateway/requests/EndpointChooser.kt
@@ -72,11 +72,10 @@
         }
     }
 
-    private fun place(context: RequestContext, healthy: List<EndpointPool>, inputZone: ZoneId?): EndpointPool {
-        val medianMs = healthy.map {
-            it.health.responseMs
-        }.filter { it > 0 }.sorted().let { it.getOrNull(it.size / 2) }
-        val candidates = healthy.map {
+    private fun place(context: RequestContext, usable: List<EndpointPool>, inputZone: ZoneId?): EndpointPool {
+        val responseTimes = usable.map { it.health.responseMs }.filter { it > 0 }.sorted()
+        val medianMs = responseTimes.getOrNull(responseTimes.size / 2)
+        val candidates = usable.map {
             PlacementCandidate(it.endpoint, it.outstanding, slowness(it, medianMs), it.hash)
         }
         // Requests that share all parts of the prompt but the last one can use the same cached prefix.
--- a/gateway/src/main/kotlin/io/oriolehall/gateway/requests/RequestService.kt
+++ b/gateway/src/main/kotlin/io/oriolehall/gateway/requests/RequestService.kt
@@ -47,11 +47,9 @@
             return
         }
         environment.retryAllowance(context.service).onFirstAttempt(TrafficLoop.nowMs())
+        val execution = RequestExecution(context, responder, environment)
         val rejection = try {
-            withTimeoutOrNull(context.remainingMs()) {
-                RequestExecution(context, responder, environment).serve() ?: ResponseSent
-            }
-                ?: timeoutRejection(context)
+            withTimeoutOrNull(context.remainingMs()) { execution.serve() ?: ResponseSent } ?: timeoutRejection(context)
         } catch (e: CancellationException) {
             log.write(Event.CALLER_LEFT, logFields(context))
             metrics.recordEnded(context, "caller_left")
--- a/gateway/src/main/kotlin/io/oriolehall/gateway/upstream/EndpointAccess.kt
+++ b/gateway/src/main/kotlin/io/oriolehall/gateway/upstream/EndpointAccess.kt
@@ -6,7 +6,6 @@
 import io.oriolehall.dispatch.endpoints.EndpointSignals
 import io.oriolehall.dispatch.endpoints.EndpointSnapshot
 import io.oriolehall.dispatch.endpoints.SendDecision
-import io.oriolehall.dispatch.endpoints.SendObstacle
 import io.oriolehall.dispatch.endpoints.SendPolicy
 import io.oriolehall.gateway.TrafficLoop
 import io.oriolehall.runtime.Event
@@ -34,7 +33,7 @@
 
     /** What is known of [endpoint] apart from this instance's own traffic. */
     fun condition(endpoint: EndpointRecord): EndpointCondition = EndpointCondition(
-        published = published(endpoint),
+        published = snapshot().obstacleFor(endpoint),
         leaving = signals.isLeaving(endpoint.id),
         pause = signals.pauseOf(endpoint.id),
     )
@@ -71,16 +70,6 @@
         log.write(Event.ENDPOINT_PAUSED, "endpoint" to endpoint.id, "forMs" to pause.untilMs - nowMs())
     }
 
-    private fun published(endpoint: EndpointRecord): SendObstacle? {
-        val registered = snapshot().endpoints[endpoint.id]
-        return when {
-            registered?.startedAtMs != endpoint.startedAtMs -> SendObstacle.NOT_REGISTERED
-            registered.draining -> SendObstacle.DRAINING
-            registered.zone in snapshot().evacuated -> SendObstacle.ZONE_EVACUATED
-            else -> null
-        }
-    }
-
     private companion object {
         const val LEAVING = "1"
         const val UNAVAILABLE = 503
