--- a/cli/src/test/kotlin/io/oriolehall/cli/logs/ExplainLogsTest.kt
+++ b/cli/src/test/kotlin/io/oriolehall/cli/logs/ExplainLogsTest.kt
@@ -49,6 +49,19 @@
         }
     }
 
+    @Test
+    fun `what endpoints said of themselves and what is quarantined belongs to the timeline`() {
+        val log = writeLog(
+            "a",
+            line("08.100", "a", 219, """"endpoint":"e1","status":"200""""),
+            line("08.200", "a", 220, """"endpoint":"e2","forMs":"3000""""),
+            line("08.300", "a", 418, """"fingerprint":"f""""),
+            line("09.000", "a", 401, """"request":"r1","reason":"no endpoint can be used","afterMs":"2""""),
+        )
+        val events = Regex(" a {2}(\\d+) m").findAll(explain(log).stdout).map { it.groupValues[1] }.toList()
+        expectThat(events).isEqualTo(listOf("219", "220", "418", "401"))
+    }
+
     @Test
     fun `a request that no line names ends with a reason`() {
         expectThat(explain(writeLog("a", line("05.000", "a", 201, """"error":"away"""")))) {
