Two callers no longer get the same token

Cause: KeyService minted from a seeded kotlin.random.Random, which is not safe for threads, while requests are served on several; within one millisecond two tokens could get the same number. Evidence: KeyServiceTest, 8 threads, 20,000 tokens each: 159,219 of 160,000 were different before, all are now. Ruled out: endpoints (the order ran once for each answer), the caller's client (both tokens came from mint calls). No other shared random source without a lock was found in the main code.

Change: SecureRandom.

--- a/entry/src/main/kotlin/io/oriolehall/entry/keys/KeyService.kt
+++ b/entry/src/main/kotlin/io/oriolehall/entry/keys/KeyService.kt
@@ -17,7 +17,8 @@
 import io.oriolehall.policy.keys.TokenCodec
 import io.oriolehall.runtime.EventLog
 import io.oriolehall.runtime.TimerService
-import kotlin.random.Random
+import java.security.SecureRandom
+import kotlin.random.asKotlinRandom
 
 /** Idempotency keys of one instance: it mints tokens, holds keys, witnesses those of others and relays requests. */
 class KeyService(
@@ -32,7 +33,9 @@
     private val log: EventLog,
 ) {
     private val clock = KeyClock(timers)
-    private val random = Random(self.incarnation.startedAtMs xor self.incarnation.nonce.toLong())
+
+    /** Safe for use by several threads: requests for tokens are served concurrently. */
+    private val random = SecureRandom().asKotlinRandom()
     private val tokens = TokenCodec(secret)
     private val table = KeyTable(KeyArrivalPolicy(self, rules), rules)
     private val witness = WitnessService(config, rules, clock)
