--- a/review/standin/LargeBodies.java
+++ b/review/standin/LargeBodies.java
@@ -18,14 +18,19 @@
     private static final int ORDER_CLIENTS = 12;
     private static final int ORDER_PAUSE_MS = 250;
     private static final int WORK_MS = 60;
-    private static final int DESIGN_WORK_MS = Integer.getInteger("work", 60);
+    private static final int DESIGN_WORK_MS = 2_500;
+    private static final int DESIGN_DEADLINE_MS = 15_000;
     private static final int TIMEOUT_MS = 2_000;
     private static final int DEADLINE_MS = 4_000;
     private static final int CHECK_MS = TIMEOUT_MS + 500;
-    private static final int BODY_BYTES = Integer.getInteger("bytes", 4_000_000);
+    private static final int BODY_BYTES = 2_000_000;
+
+    /** A requester sends 50,000 bytes every 25 ms: 80 of them use 160 MB/s of the 250 MB/s of two machines' links. */
+    private static final int PART_BYTES = 50_000;
+    private static final int PART_MS = 25;
 
     /** The dose: so many requesters at once, in bursts of this length with a pause between them. */
-    private static final int UPLOAD_CLIENTS = Integer.getInteger("uploads", 20);
+    private static final int UPLOAD_CLIENTS = 80;
     private static final int BURST_MS = 5_000;
     private static final int PAUSE_MS = 3_000;
 
@@ -43,7 +48,7 @@
             lab.register("i-app-" + i, "app", worker.address(), "ready", System.currentTimeMillis(), 0);
         }
         lab.publish(1, Lab.route("order", "unsafe", "app", TIMEOUT_MS, 1, "") + ","
-            + Lab.route("design", "unsafe", "app", TIMEOUT_MS, 1, ""), Lab.service("app", 0, ""));
+            + Lab.route("design", "unsafe", "app", DESIGN_DEADLINE_MS, 1, ""), Lab.service("app", 0, ""));
         lab.createGateways(2);
         lab.startGateways();
         Balancer balancer = new Balancer(lab);
@@ -155,14 +160,21 @@
         try (Socket socket = Http.connect(gateway.frontend(), 1_000)) {
             Thread giveUp = Http.daemon(() -> {
                 try {
-                    Thread.sleep(DEADLINE_MS);
+                    Thread.sleep(DESIGN_DEADLINE_MS);
                     socket.close();
                 } catch (Exception e) {
                     // answered
                 }
             });
-            Http.write(socket, Lab.head("POST", "/design/x", attempt, DEADLINE_MS, "Content-Length: " + body.length + "\r\n"));
-            Http.write(socket, body);
+            Http.write(socket, Lab.head("POST", "/design/x", attempt, DESIGN_DEADLINE_MS,
+                "Content-Length: " + body.length + "\r\n"));
+            int sent = 0;
+            while (sent < body.length) {
+                int size = Math.min(PART_BYTES, body.length - sent);
+                socket.getOutputStream().write(body, sent, size);
+                sent += size;
+                Thread.sleep(PART_MS);
+            }
             Http.Message answer = Http.read(socket.getInputStream(), true, false);
             giveUp.interrupt();
             String status = answer == null || answer.body() == null ? "closed" : "" + answer.status();
--- a/review/standin/Main.java
+++ b/review/standin/Main.java
@@ -9,7 +9,8 @@
 
     private static final Map<String, Case> CASES = Map.of(
         "late-stage-answer", new LateStageAnswer(), "large-bodies", new LargeBodies(),
-        "odd-keys", new OddKeys());
+        "odd-keys", new OddKeys(), "config-storm", new ConfigStorm(),
+        "cold-workers", new ColdWorkers());
 
     private Main() {}
 
--- a/review/standin/OddKeys.java
+++ b/review/standin/OddKeys.java
@@ -1,4 +1,5 @@
 import java.net.Socket;
+import java.util.List;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
 
@@ -41,9 +42,10 @@
         Thread.sleep(APPLY_MS + 500);
         Map<String, Integer> answers = new ConcurrentHashMap<>();
         for (int second = 0; second < CHECK_S; second++) {
-            for (Gateway gateway : lab.gateways) ask(lab, gateway, answers);
+            for (Gateway gateway : lab.gateways) Http.daemon(() -> ask(lab, gateway, answers));
             Thread.sleep(1_000);
         }
+        Thread.sleep(3_000);
         lab.record("answers to requests on /stock/ and /order/: %s; calls to the store: %d", Lab.tally(answers),
             lab.store.calls());
         for (Gateway gateway : lab.gateways) {
@@ -53,7 +55,7 @@
     }
 
     private void ask(Lab lab, Gateway gateway, Map<String, Integer> answers) {
-        for (String route : new String[] {"stock", "order"}) {
+        for (String route : List.of("stock", "order")) {
             String attempt = lab.attemptId();
             String head = Lab.head(route.equals("stock") ? "GET" : "POST", "/" + route + "/x", attempt, 2_000,
                 route.equals("stock") ? "" : "Content-Length: 0\r\n");
