--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -2,4 +2,4 @@
 # Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run. TROUBLE=0 leaves out the disruption.
 folder="$(cd "$(dirname "$0")" && pwd)"
 cd "$folder/../.." || exit 2
-exec java -Xmx256m -cp target/review Main odd-keys "$folder"
+exec java -Xmx256m -cp target/review Main config-storm "$folder"
--- a/review/standin/Main.java
+++ b/review/standin/Main.java
@@ -8,9 +8,11 @@
     }
 
     private static final Map<String, Case> CASES = Map.of(
-        "late-stage-answer", new LateStageAnswer(), "large-bodies", new LargeBodies(),
-        "odd-keys", new OddKeys(), "config-storm", new ConfigStorm(),
-        "cold-workers", new ColdWorkers());
+        "late-stage-answer", new LateStageAnswer(),
+        "config-storm", new ConfigStorm(),
+        "odd-keys", new OddKeys(),
+        "crashing-request", new CrashingRequest(),
+        "large-bodies", new LargeBodies());
 
     private Main() {}
 
