--- a/review/standin/Gateway.java
+++ b/review/standin/Gateway.java
@@ -1,4 +1,5 @@
 import java.io.File;
+import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
@@ -95,6 +96,12 @@
         }
     }
 
+    /** What the last process has written. */
+    List<String> log() throws Exception {
+        byte[] text = Files.readAllBytes(folder.resolve(name + "-" + starts + ".log"));
+        return new String(text, StandardCharsets.UTF_8).lines().toList();
+    }
+
     boolean isAlive() {
         return process != null && process.isAlive();
     }
--- a/review/standin/Lab.java
+++ b/review/standin/Lab.java
@@ -132,11 +132,21 @@
     }
 
     /** The exit code of the run. */
-    int verdict() {
+    int verdict() throws Exception {
+        recordEndedThreads();
         record(violations.isEmpty() ? "the rule held" : "the rule was broken " + violations.size() + " times");
         return violations.isEmpty() ? 0 : 1;
     }
 
+    /** Records the threads of the gateways that ended with an error, as their logs say. */
+    private void recordEndedThreads() throws Exception {
+        for (Gateway gateway : gateways) {
+            for (String line : gateway.log()) {
+                if (line.startsWith("Exception in thread ")) record("%s: %s", gateway.name, line);
+            }
+        }
+    }
+
     private void endProcesses() {
         for (Gateway gateway : gateways) {
             try {
