--- a/dispatch/src/main/kotlin/io/oriolehall/dispatch/config/RouteTable.kt
+++ b/dispatch/src/main/kotlin/io/oriolehall/dispatch/config/RouteTable.kt
@@ -31,8 +31,20 @@
         return routesByHost[hostName]?.firstOrNull { path.startsWith(it.prefix) }
     }
 
+    /** What a request on [route], one of the routes of this table, needs to be served. */
+    fun plan(route: Route): RequestPlan {
+        val names = route.targets.map(RouteTarget::service) + route.stages.map(StageSpec::service)
+        return RequestPlan(
+            version = config.version,
+            route = route,
+            keysRequired = keysRequired,
+            lowestSharedPriority = lowestPrioritySharingStages(route),
+            services = names.mapNotNull(servicesByName::get).associateBy(Service::name),
+        )
+    }
+
     /** Priority of the least urgent route that uses all stage services of [route]. */
-    fun lowestPrioritySharingStages(route: Route): Int =
+    private fun lowestPrioritySharingStages(route: Route): Int =
         lowestPriorities.filterKeys { it.containsAll(route.stageServices) }.values.maxOrNull() ?: route.priority
 
     fun organisation(apiKey: String): Organisation? = organisationsByKey[apiKey]
--- a/dispatch/src/test/kotlin/io/oriolehall/dispatch/config/RouteTableTest.kt
+++ b/dispatch/src/test/kotlin/io/oriolehall/dispatch/config/RouteTableTest.kt
@@ -6,6 +6,7 @@
 import strikt.assertions.containsExactly
 import strikt.assertions.isEqualTo
 import strikt.assertions.isNull
+import java.lang.ref.WeakReference
 
 class RouteTableTest {
     private fun route(prefix: String, stages: List<StageSpec> = emptyList(), priority: Int = 0) = Route(
@@ -46,8 +47,32 @@
         val long = route("/long/", stages("x", "y"), priority = 0)
         val last = route("/last/", stages("x"), priority = 3)
         val table = RouteTable(ServingConfig(1, listOf(short, long, last), emptyList(), CallerLimits(), emptyList()))
-        expectThat(table.lowestPrioritySharingStages(short)).isEqualTo(3)
-        expectThat(table.lowestPrioritySharingStages(long)).isEqualTo(0)
+        expectThat(table.plan(short).lowestSharedPriority).isEqualTo(3)
+        expectThat(table.plan(long).lowestSharedPriority).isEqualTo(0)
+    }
+
+    @Test
+    fun `the plan of a request has the limits of the services that it uses`() {
+        val services = listOf("s", "x", "y").map { Service(it, "/", maxConnections = 7, coldPerSecond = 0.0) }
+        val route = route("/a/", listOf(StageSpec("x", emptyList(), 1)))
+        val plan = RouteTable(ServingConfig(5, listOf(route), services, CallerLimits(), emptyList())).plan(route)
+        expectThat(listOf("s", "x", "y").map { plan.service(it)?.maxConnections }).containsExactly(7, 7, null)
+        expectThat(plan.version).isEqualTo(5)
+    }
+
+    /** Guards against a table for each request in flight: with many versions they would exhaust the heap. */
+    @Test
+    fun `the plan of a request does not keep the configuration in memory`() {
+        fun planAndTable(): Pair<RequestPlan, WeakReference<RouteTable>> {
+            val route = route("/a/")
+            val table = RouteTable(ServingConfig(1, listOf(route), emptyList(), CallerLimits(), emptyList()))
+            return table.plan(route) to WeakReference(table)
+        }
+        val (plan, table) = planAndTable()
+        val waitUntilMs = System.currentTimeMillis() + MAX_COLLECTION_MS
+        while (table.get() != null && System.currentTimeMillis() < waitUntilMs) System.gc()
+        expectThat(table.get()).isNull()
+        expectThat(plan.route.prefix).isEqualTo("/a/")
     }
 
     @Test
@@ -65,4 +90,8 @@
         )
         expectThat(route("/a/", stages).finalStages).containsExactly(0, 2)
     }
+
+    private companion object {
+        const val MAX_COLLECTION_MS = 5_000L
+    }
 }
--- a/gateway/src/main/kotlin/io/oriolehall/gateway/feed/FeedReader.kt
+++ b/gateway/src/main/kotlin/io/oriolehall/gateway/feed/FeedReader.kt
@@ -56,7 +56,8 @@
                 snapshotNeeded = false
                 continue
             }
-            if (failure is FeedFailure.HistoryGone) {
+            val changesUnavailable = failure is FeedFailure.HistoryGone || failure is FeedFailure.TooLong
+            if (changesUnavailable && !snapshotNeeded) {
                 log.write(Event.FEED_HISTORY_GONE, "after" to state.asOf, "error" to failure.message)
                 snapshotNeeded = true
                 continue
--- a/gateway/src/main/kotlin/io/oriolehall/gateway/feed/PlatformFeed.kt
+++ b/gateway/src/main/kotlin/io/oriolehall/gateway/feed/PlatformFeed.kt
@@ -56,6 +56,12 @@
     /** The store no longer has the changes after the requested revision; a full snapshot is needed. */
     data class HistoryGone(override val message: String) : FeedFailure
 
+    /**
+     * The answer was longer than this instance reads. If it held changes, a full snapshot is needed, which is read in
+     * pages.
+     */
+    data class TooLong(override val message: String) : FeedFailure
+
     /** The platform did not answer, or its answer cannot be used. */
     data class Unavailable(override val message: String) : FeedFailure
 }
--- a/gateway/src/main/kotlin/io/oriolehall/gateway/requests/EndpointChooser.kt
+++ b/gateway/src/main/kotlin/io/oriolehall/gateway/requests/EndpointChooser.kt
@@ -61,7 +61,7 @@
         sendAtMs: Long,
     ): List<Pair<EndpointPool, SendDecision>> {
         val nowMs = TrafficLoop.nowMs()
-        val service = context.table.service(context.service)
+        val service = context.plan.service(context.service)
         val coldPerSecond = service?.coldPerSecond?.takeIf { it > 0 }?.let { it * coldFactor + coldSlack }
         val maxConnections = service?.maxConnections?.takeIf { it > 0 }?.let(::connectionShare)
         val cutOff = unreachableZones()
--- a/gateway/src/main/kotlin/io/oriolehall/gateway/requests/HeaderPolicy.kt
+++ b/gateway/src/main/kotlin/io/oriolehall/gateway/requests/HeaderPolicy.kt
@@ -25,7 +25,7 @@
         for ((name, value) in source.iteratorAsString()) {
             val lowercaseName = name.lowercase()
             if (lowercaseName in hopByHop || lowercaseName in gatewayOnly || lowercaseName in NOT_FORWARDED) continue
-            if (lowercaseName == "authorization" && context.table.keysRequired) continue
+            if (lowercaseName == "authorization" && context.plan.keysRequired) continue
             forwarded.add(name, value)
         }
         val body = context.request.body
--- a/gateway/src/main/kotlin/io/oriolehall/gateway/requests/RequestAdmission.kt
+++ b/gateway/src/main/kotlin/io/oriolehall/gateway/requests/RequestAdmission.kt
@@ -68,8 +68,7 @@
         return RequestContext(
             request = request,
             attemptId = attemptId,
-            table = table,
-            route = route,
+            plan = table.plan(route),
             service = chooseService(route),
             organisation = organisation,
             deadlineAtMs = request.receivedAtMs + timeoutMs,
--- a/gateway/src/main/kotlin/io/oriolehall/gateway/requests/RequestContext.kt
+++ b/gateway/src/main/kotlin/io/oriolehall/gateway/requests/RequestContext.kt
@@ -1,8 +1,8 @@
 package io.oriolehall.gateway.requests
 
 import io.oriolehall.dispatch.config.Organisation
+import io.oriolehall.dispatch.config.RequestPlan
 import io.oriolehall.dispatch.config.Route
-import io.oriolehall.dispatch.config.RouteTable
 import io.oriolehall.gateway.TrafficLoop
 import io.oriolehall.gateway.http.CallerRequest
 import io.oriolehall.policy.quarantine.Fingerprint
@@ -12,6 +12,7 @@
  * An admitted request. Times are monotonic milliseconds.
  *
  * @property attemptId the caller's identifier of this attempt.
+ * @property plan what the configuration that admitted the request says about it.
  * @property service the service that was chosen among the targets of the route.
  * @property sharedPromptParts identifiers of the parts of its prompt, in order, without the last one, which belongs to
  *   this request or its session.
@@ -21,14 +22,15 @@
 internal class RequestContext(
     val request: CallerRequest,
     val attemptId: String,
-    val table: RouteTable,
-    val route: Route,
+    val plan: RequestPlan,
     val service: String,
     val organisation: Organisation?,
     val deadlineAtMs: Long,
     val objectiveAtMs: Long,
     val sharedPromptParts: List<String>,
 ) {
+    val route: Route get() = plan.route
+
     val priority: Int get() = organisation?.priority ?: route.priority
 
     val trace = RequestTrace()
--- a/gateway/src/main/kotlin/io/oriolehall/gateway/requests/RequestExecution.kt
+++ b/gateway/src/main/kotlin/io/oriolehall/gateway/requests/RequestExecution.kt
@@ -38,7 +38,7 @@
     /** Least time that the stages take, milliseconds; a pause that ends before does not matter. */
     private fun minStageMs(pieceCounts: List<Int>): Long = context.route.stages
         .filterIndexed { stage, _ -> pieceCounts[stage] > 0 }
-        .maxOfOrNull { context.table.service(it.service)?.pieces?.callMs ?: 0.0 }
+        .maxOfOrNull { context.plan.service(it.service)?.pieces?.callMs ?: 0.0 }
         ?.toLong() ?: 0
 
     private fun logAdmitted() = environment.log.write(
@@ -48,7 +48,7 @@
         "organisation" to context.organisation?.id,
         "expectedMs" to context.trace.expectedMs,
         "leftMs" to context.remainingMs(),
-        "configVersion" to context.table.config.version,
+        "configVersion" to context.plan.version,
     )
 
     private fun noEndpoint() =
@@ -63,9 +63,7 @@
             objectiveMs = context.objectiveAtMs - nowMs,
             deadlineMs = context.remainingMs(nowMs),
             priority = context.priority,
-            othersAreShedFirst = StageAdmission.isShedFirst(
-                context.table.lowestPrioritySharingStages(context.route),
-            ),
+            othersAreShedFirst = StageAdmission.isShedFirst(context.plan.lowestSharedPriority),
         )
         if (decision !is StageAdmission.Decision.Refused) return null
         val reason = "stages take ${expectedMs.toLong()} ms now"
--- a/gateway/src/main/kotlin/io/oriolehall/gateway/requests/RequestService.kt
+++ b/gateway/src/main/kotlin/io/oriolehall/gateway/requests/RequestService.kt
@@ -94,7 +94,7 @@
             "reason" to rejection.reason,
             "organisation" to context?.organisation?.id,
             "afterMs" to TrafficLoop.nowMs() - request.receivedAtMs,
-            "configVersion" to context?.table?.config?.version,
+            "configVersion" to context?.plan?.version,
         )
         val event = if (isFailure) Event.REQUEST_FAILED else Event.REQUEST_REFUSED
         log.write(event, fields + context?.trace?.fields().orEmpty())
--- a/gateway/src/main/kotlin/io/oriolehall/gateway/requests/StageExecution.kt
+++ b/gateway/src/main/kotlin/io/oriolehall/gateway/requests/StageExecution.kt
@@ -140,7 +140,7 @@
      */
     private fun startDelayMs(stage: Int): Long {
         val independent = specs[stage].after.isEmpty() && stage in context.route.finalStages
-        val limits = context.table.service(specs[stage].service)?.pieces
+        val limits = context.plan.service(specs[stage].service)?.pieces
         if (!independent || limits == null || specs[stage].resultBytes < LARGE_RESULT_BYTES) return 0
         val slackMs = expectedMs() - FIRST_EVENT_MS - expectedMs(stage, limits) * START_MARGIN_FACTOR
         return maxOf(0, slackMs.toLong())
@@ -150,7 +150,7 @@
     fun expectedMs(): Double {
         val stageEndMs = DoubleArray(specs.size)
         for (stage in specs.indices) {
-            val limits = context.table.service(specs[stage].service)?.pieces
+            val limits = context.plan.service(specs[stage].service)?.pieces
             val stageMs = if (counts[stage] == 0 || limits == null) 0.0 else expectedMs(stage, limits)
             stageEndMs[stage] = stageMs + (specs[stage].after.maxOfOrNull { stageEndMs[it] } ?: 0.0)
         }
@@ -185,7 +185,7 @@
     }
 
     private fun isScarce(stage: Int): Boolean {
-        val limits = context.table.service(specs[stage].service)?.pieces ?: return false
+        val limits = context.plan.service(specs[stage].service)?.pieces ?: return false
         return limits.resultMemoryBytes < SCARCE_BELOW_CALLS * limits.batch * specs[stage].resultBytes
     }
 
--- a/gateway/src/main/kotlin/io/oriolehall/gateway/upstream/ResponseBody.kt
+++ b/gateway/src/main/kotlin/io/oriolehall/gateway/upstream/ResponseBody.kt
@@ -6,7 +6,17 @@
 sealed interface ResponseBody {
     class Complete(val bytes: ByteArray) : ResponseBody
 
-    data class Unusable(val reason: String) : ResponseBody
+    sealed interface Unusable : ResponseBody {
+        val reason: String
+    }
+
+    /** The connection was closed or carried something else before the end of the body. */
+    data class Broken(override val reason: String) : Unusable
+
+    /** The body has more than [maxBytes]. */
+    data class TooLong(val maxBytes: Int) : Unusable {
+        override val reason get() = "answer is longer than $maxBytes bytes"
+    }
 }
 
 /**
@@ -18,10 +28,10 @@
     while (true) {
         when (val event = receive()) {
             is UpstreamEvent.Data -> body.writeBytes(event.bytes)
-            is UpstreamEvent.Broken -> return ResponseBody.Unusable(event.reason)
-            is UpstreamEvent.Head -> return ResponseBody.Unusable("second head in an answer")
+            is UpstreamEvent.Broken -> return ResponseBody.Broken(event.reason)
+            is UpstreamEvent.Head -> return ResponseBody.Broken("second head in an answer")
             UpstreamEvent.End -> return ResponseBody.Complete(body.toByteArray())
         }
-        if (body.size() > maxBytes) return ResponseBody.Unusable("answer is longer than $maxBytes bytes")
+        if (body.size() > maxBytes) return ResponseBody.TooLong(maxBytes)
     }
 }
--- a/gateway/src/test/kotlin/io/oriolehall/gateway/feed/FeedReaderTest.kt
+++ b/gateway/src/test/kotlin/io/oriolehall/gateway/feed/FeedReaderTest.kt
@@ -1,5 +1,6 @@
 package io.oriolehall.gateway.feed
 
+import com.github.michaelbull.result.Err
 import com.github.michaelbull.result.Ok
 import com.github.michaelbull.result.Result
 import io.oriolehall.dispatch.config.CallerLimits
@@ -24,6 +25,7 @@
 import org.junit.jupiter.api.Test
 import strikt.api.expectThat
 import strikt.assertions.containsExactly
+import strikt.assertions.containsExactlyInAnyOrder
 import strikt.assertions.isEqualTo
 import strikt.assertions.isGreaterThanOrEqualTo
 
@@ -72,6 +74,22 @@
         withTimeout(5_000) { readAgain.await() }
     }
 
+    /** Guards against a watch whose answer never fits: no change was taken until the store dropped its history. */
+    @Test
+    fun `changes that do not fit into an answer are replaced by a snapshot`() = runBlocking<Unit> {
+        val watchedAgain = CompletableDeferred<Unit>()
+        read { number ->
+            if (number > 1) {
+                watchedAgain.complete(Unit)
+                awaitCancellation()
+            }
+            state.apply(FeedChanges(1, listOf(PublishedChange.EndpointWithdrawn(EndpointId("e1")))), state.now())
+            Err(FeedFailure.TooLong("answer is longer than 10 bytes"))
+        }
+        withTimeout(5_000) { watchedAgain.await() }
+        expectThat(state.endpoints.usable("s").map { it.id.value }).containsExactlyInAnyOrder("e1", "e2")
+    }
+
     @Test
     fun `an entry that another writer replaced names no endpoint, and the others hold`() = runBlocking<Unit> {
         val applied = CompletableDeferred<Unit>()
--- a/gateway/src/test/kotlin/io/oriolehall/gateway/feed/PublishedStateTest.kt
+++ b/gateway/src/test/kotlin/io/oriolehall/gateway/feed/PublishedStateTest.kt
@@ -17,6 +17,7 @@
 import strikt.assertions.containsExactly
 import strikt.assertions.isNotNull
 import strikt.assertions.isNull
+import java.lang.ref.WeakReference
 
 class PublishedStateTest {
     private val log = EventLog { _, _ -> }
@@ -52,4 +53,21 @@
         expectThat(table.organisation("old")).isNull()
         expectThat(table.organisation("new")).isNotNull()
     }
+
+    /** Guards against review case 2: every version was kept, and some hundred versions exhausted the heap. */
+    @Test
+    fun `only the configuration in force stays in memory when versions come in quick succession`() {
+        val versions = (1L..300L).map { version ->
+            val config = ServingConfig(version, emptyList(), emptyList(), CallerLimits(), emptyList())
+            state.apply(FeedChanges(version, listOf(PublishedChange.ConfigPublished(version, config))), state.now())
+            WeakReference(config)
+        }
+        val waitUntilMs = System.currentTimeMillis() + MAX_COLLECTION_MS
+        while (versions.count { it.get() != null } > 1 && System.currentTimeMillis() < waitUntilMs) System.gc()
+        expectThat(versions.filter { it.get() != null }.map { it.get()?.version }).containsExactly(300L)
+    }
+
+    private companion object {
+        const val MAX_COLLECTION_MS = 5_000L
+    }
 }
