A request that crashes endpoints amid its answer is refused

Cause: losses after the first event were held against nobody, and a first event cleared all losses of a request and its parts. Ruled out: ends that are not noticed (each has its line 417, with answerBegun=true).

Change: losses have their phase. The beginning of an answer clears losses before an answer, the end of one clears all. Three losses at any time blame a request, five a part; two before an answer, as until now. Requests that are lost with one endpoint share one examination and one notice, and the periodic exchange asks for the losses since the last one, because an end amid answers concerns all streams of an endpoint.

--- a/gateway/src/main/kotlin/io/oriolehall/gateway/quarantine/CrashExchange.kt
+++ b/gateway/src/main/kotlin/io/oriolehall/gateway/quarantine/CrashExchange.kt
@@ -2,7 +2,6 @@
 
 import io.oriolehall.model.NetworkAddress
 import io.oriolehall.peer.PeerClient
-import io.oriolehall.policy.quarantine.Fingerprint
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.async
 import kotlinx.coroutines.awaitAll
@@ -10,11 +9,11 @@
 
 /** Exchanges what instances know of crashing requests. */
 internal interface CrashExchange {
-    /** Tells all other instances; [onSound] gets the suspected fingerprints that others know to be sound, if any. */
-    fun tell(notice: CrashNotice, onSound: (List<Fingerprint>) -> Unit = {})
+    /** Tells all other instances; [onCleared] gets the suspected fingerprints that others know to be sound, if any. */
+    fun tell(notice: CrashNotice, onCleared: (ClearedFingerprints) -> Unit = {})
 
-    /** Asks another instance for all that it knows. Returns null if there is no other one, or it does not answer. */
-    suspend fun ask(): KnownCrashes?
+    /** Sends [query] to another instance. Returns null if there is no other one, or it does not answer. */
+    suspend fun ask(query: CrashQuery): KnownCrashes?
 }
 
 /**
@@ -28,17 +27,18 @@
     private val others: () -> List<NetworkAddress>,
     private val scope: CoroutineScope,
 ) : CrashExchange {
-    override fun tell(notice: CrashNotice, onSound: (List<Fingerprint>) -> Unit) {
+    override fun tell(notice: CrashNotice, onCleared: (ClearedFingerprints) -> Unit) {
         scope.launch {
             val answers = others().map { async { client.call(it, CrashChannels.NOTICE, notice, CALL_TIMEOUT_MS) } }
-            val sound = answers.awaitAll().flatMap { if (it.isOk) it.value.sound else emptyList() }.distinct()
-            if (sound.isNotEmpty()) onSound(sound)
+            val cleared = answers.awaitAll().filter { it.isOk }.map { it.value.cleared }
+            val all = cleared.fold(ClearedFingerprints(), ClearedFingerprints::plus)
+            if (!all.isEmpty) onCleared(all)
         }
     }
 
-    override suspend fun ask(): KnownCrashes? {
+    override suspend fun ask(query: CrashQuery): KnownCrashes? {
         val address = others().randomOrNull() ?: return null
-        val answer = client.call(address, CrashChannels.KNOWN, CrashQuery(), CALL_TIMEOUT_MS)
+        val answer = client.call(address, CrashChannels.KNOWN, query, CALL_TIMEOUT_MS)
         return if (answer.isOk) answer.value else null
     }
 
--- a/gateway/src/main/kotlin/io/oriolehall/gateway/quarantine/CrashQuarantine.kt
+++ b/gateway/src/main/kotlin/io/oriolehall/gateway/quarantine/CrashQuarantine.kt
@@ -13,8 +13,11 @@
 
 /**
  * Keeps requests that crash endpoints from crashing more of them. Attributes the end of an endpoint to the requests
- * that had no answer from it yet and to the parts of their prompts, except what endpoints have lately answered, and
- * exchanges what it learns with the other instances. Used on the traffic thread only.
+ * that it was running and to the parts of their prompts, and exchanges what it learns with the other instances. Used on
+ * the traffic thread only.
+ *
+ * A loss is not held against what an endpoint has lately got through: a loss before the answer had begun not against
+ * what has had the beginning of an answer, and a loss amid the answer not against what has had a complete one.
  */
 internal class CrashQuarantine(
     private val exchange: CrashExchange,
@@ -22,11 +25,18 @@
     private val nowMs: () -> Long = TrafficLoop::nowMs,
 ) {
     private var register = CrashRegister()
-    private val sound = SoundFingerprints()
+    private val begun = SoundFingerprints()
+    private val completed = SoundFingerprints()
 
-    /** The losses that this instance knows, with their ages. */
-    fun known(): List<SharedLoss> = register.losses.flatMap { (fingerprint, losses) ->
-        losses.map { SharedLoss(fingerprint, it.endpoint, it.request, nowMs() - it.atMs) }
+    /** The losses of the last [maxAgeMs] milliseconds that this instance knows, and those of all that is blamed. */
+    fun known(maxAgeMs: Long = Long.MAX_VALUE): List<SharedLoss> {
+        val now = nowMs()
+        return register.losses.flatMap { (fingerprint, losses) ->
+            val isBlamed = register.standing(fingerprint, now) == Standing.BLAMED
+            losses.filter { isBlamed || now - it.atMs <= maxAgeMs }.map {
+                SharedLoss(fingerprint, it.endpoint, it.request, now - it.atMs, it.answerBegun)
+            }
+        }
     }
 
     /** Returns why the request with [fingerprints] is refused, or null if it may run. */
@@ -36,39 +46,60 @@
         return Refusal(reason, register.blameRemainingMs(reason, nowMs()))
     }
 
-    /** Records that [endpoint] ended before it answered the request with [fingerprints]. */
-    fun onEndpointEnded(fingerprints: RequestFingerprints, endpoint: EndpointId) {
-        val suspects = fingerprints.all.filterNot { sound.contains(it, nowMs()) }
-        val losses = suspects.map { SharedLoss(it, endpoint, fingerprints.request, ageMs = 0) }
-        addLosses(losses, "this instance")
-        exchange.tell(CrashNotice(losses), onSound = ::clearEverywhere)
+    /** Records that [endpoint] ended while it ran the requests [lost]. */
+    fun onEndpointEnded(endpoint: EndpointId, lost: List<LostRequest>) {
+        val losses = lost.flatMap { request ->
+            request.fingerprints.all.map {
+                SharedLoss(it, endpoint, request.fingerprints.request, ageMs = 0, request.answerBegun)
+            }
+        }
+        val suspected = losses.filterNot(::isCleared)
+        if (suspected.isEmpty()) return
+        addLosses(suspected, "this instance")
+        exchange.tell(CrashNotice(suspected), onCleared = ::clearEverywhere)
     }
 
     /** Records that an endpoint has begun to answer the request with [fingerprints]. */
     fun onAnswerBegun(fingerprints: RequestFingerprints) {
-        fingerprints.all.forEach { sound.add(it, nowMs()) }
-        clearEverywhere(fingerprints.all)
+        fingerprints.all.forEach { begun.add(it, nowMs()) }
+        clearEverywhere(ClearedFingerprints(begun = fingerprints.all))
+    }
+
+    /** Records that an endpoint has answered the request with [fingerprints] to the end. */
+    fun onAnswerCompleted(fingerprints: RequestFingerprints) {
+        fingerprints.all.forEach { completed.add(it, nowMs()) }
+        clearEverywhere(ClearedFingerprints(completed = fingerprints.all))
     }
 
     /**
      * Takes what another instance tells. Returns the fingerprints that it suspects and that have been answered here.
-     * What others have seen answered does not enter [sound], or instances would confirm it to each other without end.
+     * What others have seen answered is not remembered, or instances would confirm it to each other without end.
      */
-    fun onNotice(notice: CrashNotice): List<Fingerprint> {
-        clear(notice.sound)
-        addLosses(notice.losses, "another instance")
-        return notice.losses.map(SharedLoss::fingerprint).filter { sound.contains(it, nowMs()) }.distinct()
+    fun onNotice(notice: CrashNotice): ClearedFingerprints {
+        clear(notice.cleared)
+        addLosses(notice.losses.filterNot(::isCleared), "another instance")
+        val told = notice.losses.map(SharedLoss::fingerprint).distinct()
+        return ClearedFingerprints(
+            told.filter {
+                begun.contains(it, nowMs())
+            },
+            told.filter { completed.contains(it, nowMs()) },
+        )
     }
 
     fun removeExpired() {
         register = register.withoutExpired(nowMs())
     }
 
+    private fun isCleared(loss: SharedLoss): Boolean =
+        (if (loss.answerBegun) completed else begun).contains(loss.fingerprint, nowMs())
+
     private fun addLosses(losses: List<SharedLoss>, source: String) {
         val now = nowMs()
-        for (loss in losses.filterNot { sound.contains(it.fingerprint, now) }) {
+        for (loss in losses) {
             val before = register.standing(loss.fingerprint, now)
-            register = register.withLoss(loss.fingerprint, EndpointLoss(loss.endpoint, now - loss.ageMs, loss.request))
+            val recorded = EndpointLoss(loss.endpoint, now - loss.ageMs, loss.request, loss.answerBegun)
+            register = register.withLoss(loss.fingerprint, recorded)
             val after = register.standing(loss.fingerprint, now)
             if (after == before || after != Standing.BLAMED) continue
             log.write(
@@ -81,23 +112,34 @@
         }
     }
 
-    private fun clearEverywhere(fingerprints: List<Fingerprint>) {
+    private fun clearEverywhere(fingerprints: ClearedFingerprints) {
         val cleared = clear(fingerprints)
-        if (cleared.isNotEmpty()) exchange.tell(CrashNotice(sound = cleared))
+        if (!cleared.isEmpty) exchange.tell(CrashNotice(begun = cleared.begun, completed = cleared.completed))
     }
 
-    /** Removes the losses of [fingerprints]. Returns those that had any. */
-    private fun clear(fingerprints: List<Fingerprint>): List<Fingerprint> {
-        val known = fingerprints.filter { it in register.losses }
-        for (fingerprint in known) {
-            if (register.standing(fingerprint, nowMs()) == Standing.BLAMED) {
-                log.write(Event.QUARANTINE_ENDED, "fingerprint" to fingerprint)
-            }
-            register = register.without(fingerprint)
+    /** Removes the losses that are no longer held against [fingerprints]. Returns those that had any. */
+    private fun clear(fingerprints: ClearedFingerprints) = ClearedFingerprints(
+        begun = fingerprints.begun.filter { clear(it, CrashRegister::withoutLossesBeforeAnswer) },
+        completed = fingerprints.completed.filter { clear(it, CrashRegister::without) },
+    )
+
+    /** Applies [removal] to [fingerprint] and returns true if it had losses to remove. */
+    private fun clear(fingerprint: Fingerprint, removal: CrashRegister.(Fingerprint) -> CrashRegister): Boolean {
+        val before = register
+        if (fingerprint !in before.losses) return false
+        val after = before.removal(fingerprint)
+        if (after.losses[fingerprint] == before.losses[fingerprint]) return false
+        register = after
+        val wasBlamed = before.standing(fingerprint, nowMs()) == Standing.BLAMED
+        if (wasBlamed && after.standing(fingerprint, nowMs()) != Standing.BLAMED) {
+            log.write(Event.QUARANTINE_ENDED, "fingerprint" to fingerprint)
         }
-        return known
+        return true
     }
 
     /** A request is refused for [fingerprint] during the next [remainingMs] milliseconds. */
     data class Refusal(val fingerprint: Fingerprint, val remainingMs: Long)
 }
+
+/** A request that an endpoint did not finish; [answerBegun] is true when a part of the answer had arrived. */
+internal class LostRequest(val fingerprints: RequestFingerprints, val answerBegun: Boolean)
--- a/gateway/src/main/kotlin/io/oriolehall/gateway/requests/AttemptSequence.kt
+++ b/gateway/src/main/kotlin/io/oriolehall/gateway/requests/AttemptSequence.kt
@@ -84,7 +84,11 @@
         val attempt = Attempt(context, pool, environment, responder, splitter, ::onAnswerBegun)
         val outcome = attempt.run(execution.inputs.map { it.handle }, lastEventId, headTimeoutMs())
         environment.metrics.recordAttempt(context.service, outcome)
-        if (outcome !is AttemptOutcome.Delivered) logAttempt(pool.endpoint.id.value, outcome)
+        if (outcome is AttemptOutcome.Delivered) {
+            environment.quarantine.onAnswerCompleted(context)
+        } else {
+            logAttempt(pool.endpoint.id.value, outcome)
+        }
         if (outcome is AttemptOutcome.Lost) {
             val examination = environment.quarantine.onLost(context, pool, outcome)
             if (context.route.retryable) examination?.join()
--- a/gateway/src/test/kotlin/io/oriolehall/gateway/quarantine/CrashQuarantineTest.kt
+++ b/gateway/src/test/kotlin/io/oriolehall/gateway/quarantine/CrashQuarantineTest.kt
@@ -60,6 +60,59 @@
         fleet.expectSoundServed()
     }
 
+    /** Guards against review case 4: a request that crashed endpoints after its first event was never refused. */
+    @ParameterizedTest
+    @ValueSource(longs = [1, 2, 3, 4, 5, 6, 7, 8])
+    fun `a request that crashes endpoints amid its answer is refused`(seed: Long) {
+        val fleet = SimulatedFleet(
+            8,
+            13,
+            requestsPerSecond = 12.0,
+            crashingShare = 0.05,
+            seed,
+            CrashKind.REQUEST_AMID_ANSWER,
+            maxStreamMs = 3_000,
+        )
+        fleet.run(untilMs = 60_000)
+        val thirdAtMs = fleet.crashesAtMs[2]
+        expectThat(fleet.crashingSentAtMs.count { it > thirdAtMs + NOTICE_BOUND_MS }).isEqualTo(0)
+        fleet.expectSoundServed()
+    }
+
+    /** Guards against the fault of review case 4 where the requests have only a part in common. */
+    @ParameterizedTest
+    @ValueSource(longs = [1, 2, 3, 4, 5, 6, 7, 8])
+    fun `a part that crashes endpoints amid the answer is refused`(seed: Long) {
+        val fleet = SimulatedFleet(
+            8,
+            13,
+            requestsPerSecond = 12.0,
+            crashingShare = 0.05,
+            seed,
+            CrashKind.PART_AMID_ANSWER,
+            maxStreamMs = 3_000,
+        )
+        fleet.run(untilMs = 60_000)
+        fleet.expectFewCrashes()
+        fleet.expectSoundServed()
+    }
+
+    @ParameterizedTest
+    @ValueSource(longs = [1, 2, 3, 4])
+    fun `endpoints that end by themselves amid many answers do not make sound requests refused`(seed: Long) {
+        val fleet = SimulatedFleet(
+            95,
+            74,
+            requestsPerSecond = 120.0,
+            crashingShare = 0.0,
+            seed,
+            maxStreamMs = 4_000,
+        )
+        for (second in 1L..20) fleet.endEndpoints(second * 1_000, count = 15)
+        fleet.run(untilMs = 30_000)
+        fleet.expectSoundServed()
+    }
+
     private companion object {
         const val NOTICE_BOUND_MS = 3_000L
         const val MAX_LATE = 3
--- a/gateway/src/test/kotlin/io/oriolehall/gateway/quarantine/SimulatedFleet.kt
+++ b/gateway/src/test/kotlin/io/oriolehall/gateway/quarantine/SimulatedFleet.kt
@@ -7,11 +7,19 @@
 import java.util.PriorityQueue
 import kotlin.random.Random
 
+/** When endpoints crash under a crashing request, and whether its callers send different requests or one only. */
+internal enum class CrashKind(val amidAnswer: Boolean, val sameRequest: Boolean) {
+    PART_BEFORE_ANSWER(amidAnswer = false, sameRequest = false),
+    PART_AMID_ANSWER(amidAnswer = true, sameRequest = false),
+    REQUEST_AMID_ANSWER(amidAnswer = true, sameRequest = true),
+}
+
 /**
- * Instances that exchange what they know of crashing requests, in simulated time, in front of endpoints that crash when
- * they begin to answer a request with one certain part. Callers send requests to random instances.
+ * Instances that exchange what they know of crashing requests, in simulated time, in front of endpoints that crash
+ * under the requests with one certain part. Callers send requests to random instances.
  *
  * @param crashingShare share of the requests that have the part.
+ * @param maxStreamMs longest time from the beginning of an answer to its end.
  */
 internal class SimulatedFleet(
     private val instanceCount: Int,
@@ -19,10 +27,13 @@
     private val requestsPerSecond: Double,
     private val crashingShare: Double,
     seed: Long,
+    private val crashKind: CrashKind = CrashKind.PART_BEFORE_ANSWER,
+    private val maxStreamMs: Long = 1,
 ) {
     private class Action(val atMs: Long, val order: Long, val run: () -> Unit)
 
     private class Running(val instance: Int, val endpoint: Int, val request: RequestFingerprints) {
+        var begun = false
         var ended = false
     }
 
@@ -78,14 +89,15 @@
     private fun newInstance(index: Int) = CrashQuarantine(Exchange(index), EventLog { _, _ -> }) { nowMs }
 
     private inner class Exchange(private val self: Int) : CrashExchange {
-        override fun tell(notice: CrashNotice, onSound: (List<Fingerprint>) -> Unit) {
+        override fun tell(notice: CrashNotice, onCleared: (ClearedFingerprints) -> Unit) {
             at(nowMs + NOTICE_MS) {
-                val sound = instances.filterIndexed { index, _ -> index != self }.flatMap { it.onNotice(notice) }
-                if (sound.isNotEmpty()) at(nowMs + NOTICE_MS) { onSound(sound.distinct()) }
+                val cleared = instances.filterIndexed { index, _ -> index != self }.map { it.onNotice(notice) }
+                    .fold(ClearedFingerprints(), ClearedFingerprints::plus)
+                if (!cleared.isEmpty) at(nowMs + NOTICE_MS) { onCleared(cleared) }
             }
         }
 
-        override suspend fun ask(): KnownCrashes? = null
+        override suspend fun ask(query: CrashQuery): KnownCrashes? = null
     }
 
     private fun scheduleNextRequest() {
@@ -98,10 +110,12 @@
     private fun send() {
         val number = requestNumber++
         val crashes = random.nextDouble() < crashingShare
-        val parts = listOf("shared ${number % SHARED_PARTS}", "session ${random.nextInt(SESSIONS)}") +
-            listOf("bad").filter { crashes }
+        val repeats = crashes && crashKind.sameRequest
+        val session = if (repeats) "bad" else "${random.nextInt(SESSIONS)}"
+        val shared = if (repeats) 0 else number % SHARED_PARTS
+        val parts = listOf("shared $shared", "session $session") + listOf("bad").filter { crashes && !repeats }
         val fingerprints = RequestFingerprints(
-            Fingerprint.ofRequest("s", "o", "/$number", parts, ByteArray(0)),
+            Fingerprint.ofRequest("s", "o", if (repeats) "/bad" else "/$number", parts, ByteArray(0)),
             parts.map { Fingerprint.ofPromptPart("s", it) },
         )
         val instance = random.nextInt(instanceCount)
@@ -117,23 +131,40 @@
     }
 
     private fun begin(request: Running, crashes: Boolean) {
-        if (crashes) {
-            crashesAtMs += nowMs
-            end(request.endpoint)
-        } else {
-            request.ended = true
-            running -= request
-            instances[request.instance].onAnswerBegun(request.request)
+        if (crashes && !crashKind.amidAnswer) {
+            crash(request)
+            return
+        }
+        request.begun = true
+        instances[request.instance].onAnswerBegun(request.request)
+        at(nowMs + random.nextLong(maxStreamMs)) {
+            when {
+                request.ended -> Unit
+                crashes -> crash(request)
+                else -> complete(request)
+            }
         }
     }
 
+    private fun crash(request: Running) {
+        crashesAtMs += nowMs
+        end(request.endpoint)
+    }
+
+    private fun complete(request: Running) {
+        request.ended = true
+        running -= request
+        instances[request.instance].onAnswerCompleted(request.request)
+    }
+
     private fun end(endpoint: Int) {
         downUntilMs[endpoint] = nowMs + DOWN_MS
         val lost = running.filter { it.endpoint == endpoint && !it.ended }
         running.removeAll(lost)
-        for (request in lost) {
-            request.ended = true
-            instances[request.instance].onEndpointEnded(request.request, EndpointId("e$endpoint"))
+        lost.forEach { it.ended = true }
+        for ((instance, requests) in lost.groupBy(Running::instance)) {
+            val runs = requests.map { LostRequest(it.request, it.begun) }
+            instances[instance].onEndpointEnded(EndpointId("e$endpoint"), runs)
         }
     }
 
--- a/policy/src/main/kotlin/io/oriolehall/policy/quarantine/CrashRegister.kt
+++ b/policy/src/main/kotlin/io/oriolehall/policy/quarantine/CrashRegister.kt
@@ -21,7 +21,8 @@
 /**
  * Endpoint losses by fingerprint. Immutable: each change returns a new register.
  *
- * A request is blamed after two losses. A part that requests share is blamed only after losses under different
+ * A request is blamed after two losses before its answer had begun, or after three at any time. A part that requests
+ * share is blamed after two losses before an answer, or after five at any time, but only if they were under different
  * requests, because one request may crash endpoints for a reason of its own, and only if they did not all happen at
  * once, because endpoints that terminate together have another cause.
  *
@@ -57,11 +58,15 @@
         standing(it, nowMs) == Standing.BLAMED && fingerprints.containsAll(inseparableFrom(it, nowMs))
     }
 
-    /** This register with [loss] added; losses of one endpoint at about the same time count as a single loss. */
+    /**
+     * This register with [loss] added. Losses of one endpoint at about the same time count as a single loss, which is
+     * the strongest one.
+     */
     fun withLoss(fingerprint: Fingerprint, loss: EndpointLoss): CrashRegister {
         val existing = losses[fingerprint].orEmpty()
-        if (existing.any { it.isSameAs(loss) }) return this
-        val kept = (existing + loss).sortedBy(EndpointLoss::atMs).takeLast(MAX_LOSSES)
+        val same = existing.find { it.isSameAs(loss) }
+        if (same != null && (loss.answerBegun || !same.answerBegun)) return this
+        val kept = (existing - setOfNotNull(same) + loss).sortedBy(EndpointLoss::atMs).takeLast(MAX_LOSSES)
         return copy(losses = losses.put(fingerprint, kept)).bounded()
     }
 
@@ -69,6 +74,12 @@
     fun withoutSuspect(fingerprint: Fingerprint): CrashRegister =
         if (isBlamed(fingerprint, losses[fingerprint].orEmpty())) this else without(fingerprint)
 
+    /** This register without the losses of [fingerprint] before an answer had begun. */
+    fun withoutLossesBeforeAnswer(fingerprint: Fingerprint): CrashRegister {
+        val kept = losses[fingerprint].orEmpty().filter(EndpointLoss::answerBegun)
+        return if (kept.isEmpty()) without(fingerprint) else copy(losses = losses.put(fingerprint, kept))
+    }
+
     /** This register without the losses of [fingerprint]. */
     fun without(fingerprint: Fingerprint): CrashRegister = copy(losses = losses.remove(fingerprint))
 
@@ -80,13 +91,17 @@
     }
 
     private fun isBlamed(fingerprint: Fingerprint, recorded: List<EndpointLoss>): Boolean {
-        if (recorded.size < LOSSES_TO_BLAME) return false
         val isRequest = recorded.any { it.request == fingerprint }
-        val requests = recorded.distinctBy(EndpointLoss::request).size
-        val spanMs = recorded.last().atMs - recorded.first().atMs
-        return isRequest || (requests >= REQUESTS_TO_BLAME && spanMs >= MIN_SPAN_MS)
+        val beforeAnswer = recorded.count { !it.answerBegun }
+        val enough = beforeAnswer >= LOSSES_BEFORE_ANSWER_TO_BLAME ||
+            recorded.size >= if (isRequest) LOSSES_TO_BLAME_REQUEST else LOSSES_TO_BLAME_PART
+        return enough && (isRequest || haveNothingElseInCommon(recorded))
     }
 
+    private fun haveNothingElseInCommon(recorded: List<EndpointLoss>): Boolean =
+        recorded.distinctBy(EndpointLoss::request).size >= REQUESTS_TO_BLAME &&
+            recorded.last().atMs - recorded.first().atMs >= MIN_SPAN_MS
+
     private fun inseparableFrom(blamed: Fingerprint, nowMs: Long): Set<Fingerprint> {
         val endpoints = losses.getValue(blamed).map(EndpointLoss::endpoint)
         return losses.filter { (other, recorded) ->
@@ -103,7 +118,9 @@
     }
 
     private companion object {
-        const val LOSSES_TO_BLAME = 2
+        const val LOSSES_BEFORE_ANSWER_TO_BLAME = 2
+        const val LOSSES_TO_BLAME_REQUEST = 3
+        const val LOSSES_TO_BLAME_PART = 5
         const val REQUESTS_TO_BLAME = 2
 
         /** Losses of a shared part that all lie within this time count as one, milliseconds. */
