Requests that are in progress at the end of a stop get an answer

Cause: the stop waited and then ended the process; nothing ended the requests. Ruled out: late requests, which are admitted only if their deadline is before the exit.

Change: at the end of the stop timeout each execution is ended with 503 and Retry-After if the request has not run, else 502; a stream that has begun is broken off. An answer closes its connection only if no other request has been read on it.

--- a/gateway/src/main/kotlin/io/oriolehall/gateway/Gateway.kt
+++ b/gateway/src/main/kotlin/io/oriolehall/gateway/Gateway.kt
@@ -190,7 +190,8 @@
      * Shuts down gracefully. The instance first reports that it is not ready, while it continues to serve requests that
      * the load balancer still sends. It then closes connections as they become idle, until all responses in progress
      * are complete or the stop timeout has expired. Finally it stops accepting connections, and closes those
-     * accepted meanwhile in the same way: every request that has been read is answered.
+     * accepted meanwhile in the same way. Requests that are in progress when the timeout expires are ended with an answer
+     * that says whether they may have run; only a stream that has begun ends without one.
      */
     suspend fun stop() {
         shuttingDown = true
@@ -203,8 +204,11 @@
         closeConnections(stopDeadlineMs)
         callerListener.stopListening()
         closeConnections(stopDeadlineMs)
+        val unfinished = withContext(traffic.dispatcher) { requests.endExecutions() }
+        if (unfinished > 0) awaitAnswers()
         val busy = withContext(traffic.dispatcher) { callerListener.registry.busyCount }
-        log.write(if (busy == 0) Event.WORK_FINISHED else Event.WORK_CUT_OFF, "busy" to busy)
+        val finished = unfinished == 0 && busy == 0
+        log.write(if (finished) Event.WORK_FINISHED else Event.WORK_CUT_OFF, "requests" to unfinished, "busy" to busy)
         fleet.announceStopped()
         log.write(Event.INSTANCE_STOPPED)
     }
@@ -221,6 +225,15 @@
         }
     }
 
+    /** Waits until the answers to ended requests have been written. */
+    private suspend fun awaitAnswers() {
+        val untilMs = TrafficLoop.nowMs() + FINAL_ANSWERS_MS
+        while (TrafficLoop.nowMs() < untilMs) {
+            if (withContext(traffic.dispatcher) { callerListener.registry.busyCount } == 0) return
+            delay(FINAL_ANSWERS_CHECK_MS)
+        }
+    }
+
     /** Stops immediately, without waiting for requests in progress. */
     fun close() {
         callerListener.close()
@@ -255,6 +268,10 @@
         const val BALANCER_DETECTION_MS = 2_300L
         const val STOP_CHECK_MS = 50L
 
+        /** Longest wait for the answers to requests that the stop has ended, milliseconds. */
+        const val FINAL_ANSWERS_MS = 150L
+        const val FINAL_ANSWERS_CHECK_MS = 5L
+
         /** Time reserved for the exit of the process at the end of the stop timeout, in milliseconds. */
         const val STOP_MARGIN_MS = 300L
     }
--- a/gateway/src/main/kotlin/io/oriolehall/gateway/http/CallerConnection.kt
+++ b/gateway/src/main/kotlin/io/oriolehall/gateway/http/CallerConnection.kt
@@ -273,7 +273,7 @@
         }
 
         private fun setConnectionHeader(headers: HttpHeaders) {
-            closesConnection = !keepAlive || shuttingDown()
+            closesConnection = !keepAlive || (shuttingDown() && pending.isEmpty())
             if (closesConnection) headers.set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE)
         }
     }
--- a/gateway/src/main/kotlin/io/oriolehall/gateway/requests/RequestService.kt
+++ b/gateway/src/main/kotlin/io/oriolehall/gateway/requests/RequestService.kt
@@ -9,6 +9,9 @@
 import io.oriolehall.runtime.Event
 import io.oriolehall.runtime.write
 import kotlinx.coroutines.CancellationException
+import kotlinx.coroutines.Job
+import kotlinx.coroutines.currentCoroutineContext
+import kotlinx.coroutines.job
 import kotlinx.coroutines.withTimeoutOrNull
 import java.util.Locale
 
@@ -24,6 +27,17 @@
     private val wire = environment.wire
     private val metrics = environment.metrics
     private val log = environment.log
+    private val executions = HashSet<Job>()
+
+    /**
+     * Ends all executions because the instance stops. Their callers are told whether the request may have run. Returns
+     * the number of executions.
+     */
+    fun endExecutions(): Int {
+        val ended = executions.toList()
+        ended.forEach { it.cancel(InstanceStopping()) }
+        return ended.size
+    }
 
     override suspend fun serve(request: CallerRequest, responder: Responder) {
         val admitted = requestAdmission.admit(request)
@@ -49,7 +63,10 @@
         environment.retryAllowance(context.service).onFirstAttempt(TrafficLoop.nowMs())
         val execution = RequestExecution(context, responder, environment)
         val rejection = try {
-            withTimeoutOrNull(context.remainingMs()) { execution.serve() ?: ResponseSent } ?: timeoutRejection(context)
+            withTimeoutOrNull(context.remainingMs()) { registered { execution.serve() ?: ResponseSent } }
+                ?: timeoutRejection(context)
+        } catch (e: InstanceStopping) {
+            stopRejection(context, e)
         } catch (e: CancellationException) {
             log.write(Event.CALLER_LEFT, logFields(context))
             metrics.recordEnded(context, "caller_left")
@@ -79,6 +96,29 @@
 
     private object ResponseSent
 
+    /** The instance stops before an execution has ended. */
+    private class InstanceStopping : CancellationException("the instance stops")
+
+    /** Runs [execution] so that [endExecutions] can end it. */
+    private suspend fun <T> registered(execution: suspend () -> T): T {
+        val job = currentCoroutineContext().job
+        executions += job
+        try {
+            return execution()
+        } finally {
+            executions -= job
+        }
+    }
+
+    private fun stopRejection(context: RequestContext, cause: InstanceStopping): Rejection {
+        val reason = "${cause.message} before the request ended"
+        return if (context.mayHaveRun) {
+            Rejection.OutcomeUnknown(reason)
+        } else {
+            Rejection.NotExecuted(RefusalCause.STOPPING, reason, OTHER_INSTANCE_RETRY_AFTER_MS)
+        }
+    }
+
     private fun timeoutRejection(context: RequestContext): Rejection = if (context.mayHaveRun) {
         Rejection.TimedOut("no answer in time")
     } else {
--- a/gateway/src/test/kotlin/io/oriolehall/gateway/path/GatewayUnderTest.kt
+++ b/gateway/src/test/kotlin/io/oriolehall/gateway/path/GatewayUnderTest.kt
@@ -44,6 +44,7 @@
     private val organisations: List<Organisation> = emptyList(),
     private val maxConnections: Int = 0,
     private val draining: Set<String> = emptySet(),
+    private val stopTimeoutMs: Long = 10_000,
     private val storeReachable: () -> Boolean = { true },
 ) : AutoCloseable {
     /** Events that the gateway has logged. */
@@ -88,7 +89,7 @@
         readinessAddress = NetworkAddress("127.0.0.1", 0),
         seeds = emptyList(),
         bounds = DeploymentBounds(
-            stopTimeoutMs = 10_000,
+            stopTimeoutMs = stopTimeoutMs,
             keyRevocationMs = keyRevocationMs,
             retryRatio = 10.0,
             retryAllowance = 100.0,
