--- a/dispatch/src/test/kotlin/io/oriolehall/dispatch/config/RouteTableTest.kt
+++ b/dispatch/src/test/kotlin/io/oriolehall/dispatch/config/RouteTableTest.kt
@@ -61,6 +61,7 @@
     }
 
     /** Guards against a table for each request in flight: with many versions they would exhaust the heap. */
+    @Suppress("ExplicitGarbageCollectionCall") // The test is about what a collection frees.
     @Test
     fun `the plan of a request does not keep the configuration in memory`() {
         fun planAndTable(): Pair<RequestPlan, WeakReference<RouteTable>> {
--- a/gateway/src/test/kotlin/io/oriolehall/gateway/feed/PublishedStateTest.kt
+++ b/gateway/src/test/kotlin/io/oriolehall/gateway/feed/PublishedStateTest.kt
@@ -55,6 +55,7 @@
     }
 
     /** Guards against review case 2: every version was kept, and some hundred versions exhausted the heap. */
+    @Suppress("ExplicitGarbageCollectionCall") // The test is about what a collection frees.
     @Test
     fun `only the configuration in force stays in memory when versions come in quick succession`() {
         val versions = (1L..300L).map { version ->
