Answers that are being collected share a limited memory

Cause: each answer was limited to 4 MB, their sum was not. Ruled out: junk and header lines without end (the decoder stops them); interim answers were read until the deadline, without memory.

All that precedes the end of a head is limited to 128 kB. 64 kB instead of 256 kB are queued for a slow caller, with the parts counted. Gauge oriolehall_answer_memory_bytes.

FaultyAnswerTest 'bytes without end in place of a head ...' failed before for interim answers.

--- a/gateway/src/main/kotlin/io/oriolehall/gateway/Gateway.kt
+++ b/gateway/src/main/kotlin/io/oriolehall/gateway/Gateway.kt
@@ -23,6 +23,7 @@
 import io.oriolehall.gateway.requests.RequestService
 import io.oriolehall.gateway.stages.StageService
 import io.oriolehall.gateway.stages.StageWorkerClient
+import io.oriolehall.gateway.upstream.AnswerMemory
 import io.oriolehall.gateway.upstream.Connector
 import io.oriolehall.gateway.upstream.EndpointAccess
 import io.oriolehall.gateway.upstream.EndpointPools
@@ -90,7 +91,8 @@
     private val metrics = GatewayMetrics()
     private val access =
         EndpointAccess({ state.endpoints }, wire.headers.leaving, log, onSignal = metrics::recordEndpointSignal)
-    private val pools = EndpointPools(Connector(traffic), access)
+    private val answerMemory = AnswerMemory().also { metrics.observeAnswerMemory(it::takenBytes) }
+    private val pools = EndpointPools(Connector(traffic, answerMemory), access)
     private val stages = StageService(
         self = self.id,
         ownersOf = { fleet.ownersOf("stage queue $it") },
@@ -190,8 +192,8 @@
      * Shuts down gracefully. The instance first reports that it is not ready, while it continues to serve requests that
      * the load balancer still sends. It then closes connections as they become idle, until all responses in progress
      * are complete or the stop timeout has expired. Finally it stops accepting connections, and closes those
-     * accepted meanwhile in the same way. Requests that are in progress when the timeout expires are ended with an answer
-     * that says whether they may have run; only a stream that has begun ends without one.
+     * accepted meanwhile in the same way. Requests that are in progress when the timeout expires are ended with an
+     * answer that says whether they may have run; only a stream that has begun ends without one.
      */
     suspend fun stop() {
         shuttingDown = true
--- a/gateway/src/main/kotlin/io/oriolehall/gateway/requests/GatewayMetrics.kt
+++ b/gateway/src/main/kotlin/io/oriolehall/gateway/requests/GatewayMetrics.kt
@@ -1,6 +1,7 @@
 package io.oriolehall.gateway.requests
 
 import io.micrometer.core.instrument.DistributionSummary
+import io.micrometer.core.instrument.Gauge
 import io.micrometer.core.instrument.Tags
 import io.micrometer.core.instrument.Timer
 import io.micrometer.prometheusmetrics.PrometheusConfig
@@ -18,6 +19,11 @@
 
     fun scrape(): String = registry.scrape()
 
+    /** Shows the memory of answers that are being collected, in bytes, as a gauge. */
+    fun observeAnswerMemory(takenBytes: () -> Long) {
+        Gauge.builder("oriolehall.answer.memory", takenBytes) { it().toDouble() }.baseUnit("bytes").register(registry)
+    }
+
     /** Records a completed request whose first byte was sent to the caller after [firstByteMs] milliseconds. */
     fun recordCompleted(context: RequestContext, outcome: String, firstByteMs: Long) {
         recordEnded(context, outcome)
--- a/gateway/src/main/kotlin/io/oriolehall/gateway/upstream/Connector.kt
+++ b/gateway/src/main/kotlin/io/oriolehall/gateway/upstream/Connector.kt
@@ -26,13 +26,17 @@
     val message: String get() = "no connection to $address ($reason); is it up and the network whole?"
 }
 
-/** Opens connections to endpoints and to the platform. */
-class Connector(private val loop: TrafficLoop) {
+/**
+ * Opens connections to endpoints or to the platform.
+ *
+ * @param memory memory for the answers on all these connections.
+ */
+class Connector(private val loop: TrafficLoop, private val memory: AnswerMemory = AnswerMemory()) {
     suspend fun connect(
         address: NetworkAddress,
         timeoutMs: Int = CONNECT_TIMEOUT_MS,
     ): Result<UpstreamConnection, ConnectFailure> {
-        val connection = UpstreamConnection()
+        val connection = UpstreamConnection(memory)
         val future = bootstrap(timeoutMs)
             .handler(object : ChannelInitializer<Channel>() {
                 override fun initChannel(channel: Channel) = connection.install(channel)
--- a/gateway/src/main/kotlin/io/oriolehall/gateway/upstream/UpstreamConnection.kt
+++ b/gateway/src/main/kotlin/io/oriolehall/gateway/upstream/UpstreamConnection.kt
@@ -17,6 +17,7 @@
 import io.netty.handler.codec.http.HttpUtil
 import io.netty.handler.codec.http.HttpVersion
 import io.netty.handler.codec.http.LastHttpContent
+import io.netty.handler.codec.http.TooLongHttpHeaderException
 import io.netty.util.ReferenceCountUtil
 import kotlinx.coroutines.channels.Channel.Factory.UNLIMITED
 import kotlinx.coroutines.channels.Channel as EventQueue
@@ -26,7 +27,7 @@
  * makes the connection unusable, because it may belong to the response to another request. Used on the traffic thread
  * only.
  */
-class UpstreamConnection internal constructor() : ChannelInboundHandlerAdapter() {
+class UpstreamConnection internal constructor(internal val memory: AnswerMemory) : ChannelInboundHandlerAdapter() {
     private val decoder = ResponseDecoder()
     private val events = EventQueue<UpstreamEvent>(UNLIMITED)
     private var queuedBytes = 0
@@ -70,7 +71,7 @@
             headers,
             io.netty.handler.codec.http.EmptyHttpHeaders.INSTANCE,
         )
-        decoder.headRequest = method == "HEAD"
+        decoder.beginResponse(headRequest = method == "HEAD")
         responsePending = true
         used = true
         channel.writeAndFlush(message).addListener { if (!it.isSuccess) fail("write failed: ${it.cause()}") }
@@ -80,7 +81,7 @@
     suspend fun receive(): UpstreamEvent {
         val event = events.receive()
         if (event is UpstreamEvent.Data) {
-            queuedBytes -= event.bytes.size
+            queuedBytes -= event.bytes.size + EVENT_OVERHEAD_BYTES
             if (queuedBytes < LOW_WATER_BYTES) channel.config().isAutoRead = true
         }
         return event
@@ -112,6 +113,7 @@
             if (endsWithConnection) reusable = false
             readKeepAliveTimeout(msg.headers())
             awaitingFinalHead = false
+            decoder.onFinalHead()
             val head = UpstreamEvent.Head(status, msg.headers(), endsWithConnection)
             onHead(head)
             events.trySend(head)
@@ -136,7 +138,7 @@
         if (!content.isReadable) return
         val bytes = ByteArray(content.readableBytes())
         content.readBytes(bytes)
-        queuedBytes += bytes.size
+        queuedBytes += bytes.size + EVENT_OVERHEAD_BYTES
         if (queuedBytes > HIGH_WATER_BYTES) channel.config().isAutoRead = false
         events.trySend(UpstreamEvent.Data(bytes))
     }
@@ -177,6 +179,35 @@
         HttpDecoderConfig().setMaxHeaderSize(MAX_HEADER_BYTES).setMaxChunkSize(MAX_CHUNK_BYTES),
     ) {
         var headRequest = false
+            private set
+        private var awaitsHead = false
+        private var bytesBeforeHead = 0
+
+        fun beginResponse(headRequest: Boolean) {
+            this.headRequest = headRequest
+            awaitsHead = true
+            bytesBeforeHead = 0
+        }
+
+        fun onFinalHead() {
+            awaitsHead = false
+        }
+
+        /**
+         * Limits all that precedes the end of the head. The decoder limits a single head, but not heads of interim
+         * answers or blank lines before the final one.
+         */
+        override fun decode(ctx: ChannelHandlerContext, buffer: ByteBuf, out: MutableList<Any>) {
+            val readableBefore = buffer.readableBytes()
+            super.decode(ctx, buffer, out)
+            if (!awaitsHead) return
+            bytesBeforeHead += readableBefore - buffer.readableBytes()
+            if (bytesBeforeHead >
+                MAX_BYTES_BEFORE_HEAD
+            ) {
+                throw TooLongHttpHeaderException("no head in $bytesBeforeHead bytes")
+            }
+        }
 
         fun unreadBytes(): Int = actualReadableBytes()
 
@@ -192,9 +223,13 @@
 
         /** Applies when the endpoint sends no Keep-Alive timeout. */
         const val DEFAULT_KEEP_ALIVE_TIMEOUT_MS = 4_000L
-        const val HIGH_WATER_BYTES = 262_144
-        const val LOW_WATER_BYTES = 65_536
+        const val HIGH_WATER_BYTES = 65_536
+        const val LOW_WATER_BYTES = 16_384
+
+        /** Memory of a queued event beside its content. */
+        const val EVENT_OVERHEAD_BYTES = 64
         const val MAX_HEADER_BYTES = 32_768
         const val MAX_CHUNK_BYTES = 65_536
+        const val MAX_BYTES_BEFORE_HEAD = 131_072
     }
 }
--- a/gateway/src/test/kotlin/io/oriolehall/gateway/path/FaultyAnswerTest.kt
+++ b/gateway/src/test/kotlin/io/oriolehall/gateway/path/FaultyAnswerTest.kt
@@ -6,6 +6,7 @@
 import strikt.assertions.contains
 import strikt.assertions.isEqualTo
 import strikt.assertions.isFalse
+import strikt.assertions.isLessThan
 import strikt.assertions.startsWith
 import java.util.concurrent.CountDownLatch
 import java.util.concurrent.atomic.AtomicInteger
@@ -102,7 +103,35 @@
         }
     }
 
+    /** Guards against a faulty endpoint that sends bytes which are no answer until the caller closes the connection. */
+    @Test
+    fun `bytes without end in place of a head end the attempt`() {
+        val head = "HTTP/1.1 200 OK\r\nA: r1\r\nS: 1\r\n"
+        val floods = mapOf(
+            "junk" to "x",
+            "header lines" to "H: v\r\n",
+            "blank lines" to "\r\n",
+            "interim answers" to "HTTP/1.1 100 Continue\r\n\r\n",
+        )
+        for ((kind, text) in floods) {
+            val endpoint = ScriptedEndpoint {
+                if (kind == "header lines") write(head)
+                while (true) write(text.repeat(FLOOD_REPEATS))
+            }
+            withGateway(endpoint) {
+                val startMs = System.currentTimeMillis()
+                expectThat(request("/once/x")).describedAs(kind).startsWith("HTTP/1.1 502")
+                expectThat(System.currentTimeMillis() - startMs).describedAs("ms for $kind").isLessThan(MAX_FLOOD_MS)
+            }
+        }
+    }
+
     private companion object {
+        const val FLOOD_REPEATS = 1_000
+
+        /** The deadline of the requests is 5 s. */
+        const val MAX_FLOOD_MS = 2_500L
+
         const val EVENT_STREAM = "Content-Type: text/event-stream\r\n"
         const val POLL_MS = 5L
     }
