--- a/gateway/src/main/kotlin/io/oriolehall/gateway/quarantine/CrashQuarantine.kt
+++ b/gateway/src/main/kotlin/io/oriolehall/gateway/quarantine/CrashQuarantine.kt
@@ -79,20 +79,16 @@
         clear(notice.cleared)
         addLosses(notice.losses.filterNot(::isCleared), "another instance")
         val told = notice.losses.map(SharedLoss::fingerprint).distinct()
-        return ClearedFingerprints(
-            told.filter {
-                begun.contains(it, nowMs())
-            },
-            told.filter { completed.contains(it, nowMs()) },
-        )
+        return ClearedFingerprints(begun = told.filter { it in begun }, completed = told.filter { it in completed })
     }
 
     fun removeExpired() {
         register = register.withoutExpired(nowMs())
     }
 
-    private fun isCleared(loss: SharedLoss): Boolean =
-        (if (loss.answerBegun) completed else begun).contains(loss.fingerprint, nowMs())
+    private fun isCleared(loss: SharedLoss): Boolean = loss.fingerprint in if (loss.answerBegun) completed else begun
+
+    private operator fun SoundFingerprints.contains(fingerprint: Fingerprint): Boolean = contains(fingerprint, nowMs())
 
     private fun addLosses(losses: List<SharedLoss>, source: String) {
         val now = nowMs()
