--- a/gateway/src/test/kotlin/io/oriolehall/gateway/quarantine/CrashQuarantineTest.kt
+++ b/gateway/src/test/kotlin/io/oriolehall/gateway/quarantine/CrashQuarantineTest.kt
@@ -1,8 +1,15 @@
 package io.oriolehall.gateway.quarantine
 
+import io.oriolehall.model.EndpointId
+import io.oriolehall.policy.quarantine.Fingerprint
+import io.oriolehall.policy.quarantine.RequestFingerprints
+import io.oriolehall.runtime.EventLog
+import org.junit.jupiter.api.Test
 import org.junit.jupiter.params.ParameterizedTest
 import org.junit.jupiter.params.provider.ValueSource
 import strikt.api.expectThat
+import strikt.assertions.containsExactlyInAnyOrder
+import strikt.assertions.hasSize
 import strikt.assertions.isEqualTo
 import strikt.assertions.isGreaterThan
 import strikt.assertions.isLessThan
@@ -113,6 +120,31 @@
         fleet.expectSoundServed()
     }
 
+    /** Guards against exchanges that grow with all losses of a minute: an end amid answers concerns every stream. */
+    @Test
+    fun `another instance learns what is recent and all that is blamed`() {
+        var nowMs = 0L
+        val quarantine = CrashQuarantine(NoExchange, EventLog { _, _ -> }) { nowMs }
+        fun endpointEnds(endpoint: String, request: String) {
+            val fingerprints = RequestFingerprints(Fingerprint.ofPromptPart("s", request), emptyList())
+            quarantine.onEndpointEnded(EndpointId(endpoint), listOf(LostRequest(fingerprints, answerBegun = true)))
+        }
+        for (endpoint in listOf("e1", "e2", "e3")) endpointEnds(endpoint, "blamed")
+        endpointEnds("e1", "old")
+        nowMs = 20_000
+        endpointEnds("e4", "recent")
+        val recent = quarantine.known(maxAgeMs = 10_000)
+        expectThat(recent.map { it.endpoint.value }).containsExactlyInAnyOrder("e1", "e2", "e3", "e4")
+        expectThat(recent.map { it.fingerprint }.toSet()).hasSize(2)
+        expectThat(quarantine.known()).hasSize(5)
+    }
+
+    private object NoExchange : CrashExchange {
+        override fun tell(notice: CrashNotice, onCleared: (ClearedFingerprints) -> Unit) = Unit
+
+        override suspend fun ask(query: CrashQuery): KnownCrashes? = null
+    }
+
     private companion object {
         const val NOTICE_BOUND_MS = 3_000L
         const val MAX_LATE = 3
