--- a/gateway/src/main/kotlin/io/oriolehall/gateway/feed/FeedReader.kt
+++ b/gateway/src/main/kotlin/io/oriolehall/gateway/feed/FeedReader.kt
@@ -64,7 +64,7 @@
             }
             recordFailure(failure)
             if (peers.refresh(state)) log.write(Event.FEED_READ_FROM_PEER, "asOf" to state.asOf)
-            delay(backoffMs())
+            delay(if (failure is FeedFailure.UnusableListing) UNUSABLE_LISTING_RETRY_MS else backoffMs())
         }
     }
 
@@ -100,6 +100,9 @@
 
     private fun recordFailure(failure: FeedFailure) {
         consecutiveFailures++
+        if (failure is FeedFailure.UnusableListing) {
+            log.write(Event.FEED_LISTING_UNUSABLE, "error" to failure.message, "retryMs" to UNUSABLE_LISTING_RETRY_MS)
+        }
         if (!reachable) return
         reachable = false
         unreachableSinceMs = timers.nowMs()
@@ -115,6 +118,9 @@
         const val FIRST_BACKOFF_MS = 50L
         const val MAX_BACKOFF_MS = 400L
         const val MAX_DOUBLINGS = 4
+
+        /** A listing costs many calls, and it stays unusable until items are removed. */
+        const val UNUSABLE_LISTING_RETRY_MS = 2_000L
     }
 }
 
--- a/gateway/src/main/kotlin/io/oriolehall/gateway/feed/PlatformFeed.kt
+++ b/gateway/src/main/kotlin/io/oriolehall/gateway/feed/PlatformFeed.kt
@@ -62,6 +62,9 @@
      */
     data class TooLong(override val message: String) : FeedFailure
 
+    /** The platform answers, but a listing of its items makes no progress or is larger than an instance can hold. */
+    data class UnusableListing(override val message: String) : FeedFailure
+
     /** The platform did not answer, or its answer cannot be used. */
     data class Unavailable(override val message: String) : FeedFailure
 }
--- a/gateway/src/test/kotlin/io/oriolehall/gateway/feed/FeedReaderTest.kt
+++ b/gateway/src/test/kotlin/io/oriolehall/gateway/feed/FeedReaderTest.kt
@@ -10,6 +10,7 @@
 import io.oriolehall.model.NetworkAddress
 import io.oriolehall.model.ZoneId
 import io.oriolehall.runtime.CoroutineTimerService
+import io.oriolehall.runtime.Event
 import io.oriolehall.runtime.EventLog
 import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.CoroutineScope
@@ -28,6 +29,7 @@
 import strikt.assertions.containsExactlyInAnyOrder
 import strikt.assertions.isEqualTo
 import strikt.assertions.isGreaterThanOrEqualTo
+import java.util.concurrent.CopyOnWriteArrayList
 
 class FeedReaderTest {
     private val log = EventLog { _, _ -> }
@@ -104,6 +106,28 @@
         expectThat(state.endpoints.usable("s").map { it.id.value }).containsExactly("e2")
     }
 
+    /** Guards against review case 3: a listing that makes no progress was read without a pause. */
+    @Test
+    fun `a listing that cannot be used is read again later`() = runBlocking<Unit> {
+        val events = CopyOnWriteArrayList<Event>()
+        val readAgain = CompletableDeferred<Long>()
+        val startMs = timers.nowMs()
+        var listings = 0
+        val feed = object : PlatformFeed {
+            override suspend fun snapshot(): Result<FeedSnapshot, FeedFailure> {
+                if (++listings == 1) return Err(FeedFailure.UnusableListing("a page is repeated"))
+                readAgain.complete(timers.nowMs() - startMs)
+                return Ok(this@FeedReaderTest.snapshot())
+            }
+
+            override suspend fun changes(revision: Long, waitMs: Long) = awaitCancellation()
+        }
+        val reader = FeedReader(feed, state, { false }, { 20 }, pace, timers, { event, _ -> events += event })
+        scope.launch { reader.run() }
+        expectThat(withTimeout(5_000) { readAgain.await() }).isGreaterThanOrEqualTo(1_900)
+        expectThat(events.count { it == Event.FEED_LISTING_UNUSABLE }).isEqualTo(1)
+    }
+
     @Test
     fun `changes that arrive all the time are read together`() = runBlocking<Unit> {
         val done = CompletableDeferred<Long>()
--- a/runtime/src/main/kotlin/io/oriolehall/runtime/Event.kt
+++ b/runtime/src/main/kotlin/io/oriolehall/runtime/Event.kt
@@ -43,6 +43,7 @@
     ENDPOINT_PAUSED(220, EventLevel.INFO, "endpoint wants no requests for a time"),
     ENDPOINT_PAUSE_ENDED(221, EventLevel.INFO, "pause of an endpoint has ended"),
     PAUSE_UNREADABLE(222, EventLevel.WARN, "pause that an endpoint asks for cannot be read"),
+    FEED_LISTING_UNUSABLE(223, EventLevel.ERROR, "listing of the platform cannot be used"),
 
     PEER_FRAME_REJECTED(301, EventLevel.WARN, "frame from a peer rejected"),
     PEER_CONNECTION_LOST(302, EventLevel.DEBUG, "connection to a peer lost"),
