Text of others reaches endpoints as it is, or not at all

What callers saw: for an endpoint whose id has a control character or begins with a space, or an organisation whose name has one, connections that were closed without an answer. Ids and names beyond Latin-1 reached endpoints with question marks, a handle with a comma broke the list of inputs, a stream continued after another event than its last, or began again, so that its caller got events twice; octets above 0x7F in a path were doubled. A host name in an entry was looked up on the traffic thread (by reading).

Cause: such text was used where it stood, and the libraries decided how it was written: request lines in UTF-8, headers one octet for a character, and the decoder reads one character for an octet.

Change: FieldText says what a header field can carry and writes it in UTF-8. Requests of an organisation whose name cannot be sent are refused at once (unsendable_name), those of others are served. A stage result whose handle no request can name is computed again. A stream whose last event has no id that can be sent is not continued. RequestEncoder passes the octets of a path on. NetworkAddress.parse takes what its description always said, an IP address: host names in settings and tickets are now refused with the same message as before.

--- a/dispatch/src/main/kotlin/io/oriolehall/dispatch/endpoints/EndpointRecord.kt
+++ b/dispatch/src/main/kotlin/io/oriolehall/dispatch/endpoints/EndpointRecord.kt
@@ -1,6 +1,7 @@
 package io.oriolehall.dispatch.endpoints
 
 import io.oriolehall.model.EndpointId
+import io.oriolehall.model.FieldText
 import io.oriolehall.model.NetworkAddress
 import io.oriolehall.model.ZoneId
 import kotlinx.serialization.SerialName
@@ -26,6 +27,12 @@
     @SerialName("coldForMs")
     val coldRemainingMs: Long,
 ) {
+    init {
+        require(FieldText.isSendable(id.value)) {
+            "the id of an endpoint is sent in a header field; remove control characters and outer spaces from \"$id\""
+        }
+    }
+
     /** Identifies this incarnation of the endpoint. */
     val incarnation: EndpointIncarnation get() = EndpointIncarnation(id, startedAtMs)
 }
--- a/gateway/src/main/kotlin/io/oriolehall/gateway/requests/AttemptSequence.kt
+++ b/gateway/src/main/kotlin/io/oriolehall/gateway/requests/AttemptSequence.kt
@@ -3,6 +3,7 @@
 import io.oriolehall.gateway.TrafficLoop
 import io.oriolehall.gateway.http.Responder
 import io.oriolehall.gateway.quarantine.CrashQuarantine
+import io.oriolehall.model.FieldText
 import io.oriolehall.runtime.Event
 import io.oriolehall.runtime.write
 
@@ -57,12 +58,15 @@
         val allowance = environment.retryAllowance(context.service)
         return when {
             outcome !is AttemptOutcome.NotRun && !context.route.retryable -> "may have run and runs at most once"
+            responder.started && !canContinue() -> "its last event has no id after which a stream can continue"
             sentAttempts >= context.route.maxAttempts -> "all attempts of the route are used"
             allowance.tryAcquire(TrafficLoop.nowMs(), environment.instanceCount()) -> null
             else -> "this instance's share of the retry budget is used up"
         }
     }
 
+    private fun canContinue(): Boolean = splitter.lastEventId?.let(FieldText::isSendable) ?: false
+
     private suspend fun attempt(): AttemptOutcome? {
         val zone = context.trace.resultZones.maxByOrNull { it.value }?.key
         val choice = endpoints.await(zone)
--- a/gateway/src/main/kotlin/io/oriolehall/gateway/requests/HeaderPolicy.kt
+++ b/gateway/src/main/kotlin/io/oriolehall/gateway/requests/HeaderPolicy.kt
@@ -4,6 +4,7 @@
 import io.netty.handler.codec.http.HttpHeaders
 import io.oriolehall.dispatch.endpoints.EndpointRecord
 import io.oriolehall.gateway.wire.WireProtocol
+import io.oriolehall.model.FieldText
 
 /** Selects the headers that are forwarded to endpoints and back to callers. */
 internal class HeaderPolicy(private val wire: WireProtocol) {
@@ -31,10 +32,10 @@
         val body = context.request.body
         if (body.isNotEmpty() || context.request.method in METHODS_WITH_BODY) forwarded.set("Content-Length", body.size)
         forwarded.set(wire.headers.deadlineMs, remainingMs)
-        forwarded.set(wire.headers.expectedEndpoint, endpoint.id.value)
-        context.organisation?.let { forwarded.set(wire.headers.organisation, it.id.value) }
-        if (inputs.isNotEmpty()) forwarded.set(wire.headers.inputs, inputs.joinToString(","))
-        if (lastEventId != null) forwarded.set(wire.headers.lastEventId, lastEventId)
+        forwarded.set(wire.headers.expectedEndpoint, FieldText.octets(endpoint.id.value))
+        context.organisation?.let { forwarded.set(wire.headers.organisation, FieldText.octets(it.id.value)) }
+        if (inputs.isNotEmpty()) forwarded.set(wire.headers.inputs, FieldText.octets(inputs.joinToString(",")))
+        if (lastEventId != null) forwarded.set(wire.headers.lastEventId, FieldText.octets(lastEventId))
         return forwarded
     }
 
--- a/gateway/src/main/kotlin/io/oriolehall/gateway/requests/Outcome.kt
+++ b/gateway/src/main/kotlin/io/oriolehall/gateway/requests/Outcome.kt
@@ -82,6 +82,7 @@
 internal enum class RefusalCause {
     NO_CONFIGURATION,
     UNCONFIRMED,
+    UNSENDABLE_NAME,
     STOPPING,
     NO_ENDPOINT,
     OVERLOADED,
--- a/gateway/src/main/kotlin/io/oriolehall/gateway/requests/RequestAdmission.kt
+++ b/gateway/src/main/kotlin/io/oriolehall/gateway/requests/RequestAdmission.kt
@@ -10,6 +10,7 @@
 import io.oriolehall.gateway.feed.PublishedState
 import io.oriolehall.gateway.http.CallerRequest
 import io.oriolehall.gateway.wire.WireProtocol
+import io.oriolehall.model.FieldText
 import kotlin.random.Random
 
 /**
@@ -35,7 +36,8 @@
         val route = table.route(request.host, request.uri)
             ?: return Err(Rejection.UnknownRoute("no route for this host and path"))
         val organisation = authenticate(table, request)
-        val rejection = if (table.keysRequired && !route.anonymous) checkKey(currentConfig, organisation) else null
+        val keyRejection = if (table.keysRequired && !route.anonymous) checkKey(currentConfig, organisation) else null
+        val rejection = keyRejection ?: organisation?.let(::checkName)
         if (rejection != null) return Err(rejection)
         return Ok(context(request, attemptId, table, route, organisation))
     }
@@ -49,6 +51,12 @@
         else -> null
     }
 
+    private fun checkName(organisation: Organisation): Rejection? {
+        if (FieldText.isSendable(organisation.id.value)) return null
+        val reason = "the name of organisation \"${organisation.id}\" cannot be sent in a header field; rename it"
+        return Rejection.NotExecuted(RefusalCause.UNSENDABLE_NAME, reason, UNSENDABLE_NAME_RETRY_MS)
+    }
+
     private fun authenticate(table: RouteTable, request: CallerRequest): Organisation? {
         val value = request.headers.get("Authorization") ?: return null
         val scheme = value.substringBefore(' ')
@@ -95,5 +103,8 @@
     private companion object {
         const val NO_CONFIG_RETRY_MS = 400L
         const val UNCONFIRMED_RETRY_MS = 800L
+
+        /** Only a new configuration can change it. */
+        const val UNSENDABLE_NAME_RETRY_MS = 5_000L
     }
 }
--- a/gateway/src/main/kotlin/io/oriolehall/gateway/stages/StageWorkerClient.kt
+++ b/gateway/src/main/kotlin/io/oriolehall/gateway/stages/StageWorkerClient.kt
@@ -13,6 +13,7 @@
 import io.oriolehall.gateway.upstream.receiveBody
 import io.oriolehall.gateway.wire.PieceOutcome
 import io.oriolehall.gateway.wire.WireProtocol
+import io.oriolehall.model.FieldText
 import kotlinx.coroutines.withTimeoutOrNull
 
 /** Result of a call to a stage worker. */
@@ -53,7 +54,13 @@
         }
         val outcomes = if (response.status == OK) wire.stageCallCodec.decodeRun(response.body) else null
         if (outcomes?.size != pieces.size) return StageCallAnswer.Failed("answer ${response.status} cannot be used")
-        return StageCallAnswer.Done(outcomes)
+        return StageCallAnswer.Done(outcomes.map(::checked))
+    }
+
+    /** A handle that a request cannot name is worth as much as no result. */
+    private fun checked(outcome: PieceOutcome): PieceOutcome {
+        val nameable = outcome !is PieceOutcome.Done || FieldText.isSendableInList(outcome.handle)
+        return if (nameable) outcome else PieceOutcome.Failed
     }
 
     private fun pauseMs(endpoint: EndpointRecord): Long =
@@ -114,7 +121,7 @@
         .set("Host", endpoint.address.toString())
         .set("Content-Type", wire.stageCallCodec.contentType)
         .set("Content-Length", body.size)
-        .set(wire.headers.expectedEndpoint, endpoint.id.value)
+        .set(wire.headers.expectedEndpoint, FieldText.octets(endpoint.id.value))
         .set(wire.headers.deadlineMs, timeoutMs)
 
     private suspend fun receive(connection: UpstreamConnection): CallOutcome {
--- a/gateway/src/main/kotlin/io/oriolehall/gateway/upstream/UpstreamConnection.kt
+++ b/gateway/src/main/kotlin/io/oriolehall/gateway/upstream/UpstreamConnection.kt
@@ -11,7 +11,6 @@
 import io.netty.handler.codec.http.HttpHeaderNames
 import io.netty.handler.codec.http.HttpHeaders
 import io.netty.handler.codec.http.HttpMethod
-import io.netty.handler.codec.http.HttpRequestEncoder
 import io.netty.handler.codec.http.HttpResponse
 import io.netty.handler.codec.http.HttpResponseDecoder
 import io.netty.handler.codec.http.HttpUtil
@@ -57,7 +56,7 @@
 
     internal fun install(channel: Channel) {
         this.channel = channel
-        channel.pipeline().addLast(decoder, HttpRequestEncoder(), this)
+        channel.pipeline().addLast(decoder, RequestEncoder(), this)
     }
 
     /** Writes a request. Returns false when the connection was already closed; no byte was sent then. */
--- a/gateway/src/test/kotlin/io/oriolehall/gateway/path/GatewayUnderTest.kt
+++ b/gateway/src/test/kotlin/io/oriolehall/gateway/path/GatewayUnderTest.kt
@@ -46,6 +46,7 @@
     private val draining: Set<String> = emptySet(),
     private val stopTimeoutMs: Long = 10_000,
     private val storeReachable: () -> Boolean = { true },
+    private val endpointId: (Int) -> String = { "e$it" },
 ) : AutoCloseable {
     /** Events that the gateway has logged. */
     val events = CopyOnWriteArrayList<Event>()
@@ -110,13 +111,13 @@
         val config = ServingConfig(1, routes, services, CallerLimits(), organisations)
         val records = endpoints.mapIndexed { i, endpoint ->
             EndpointRecord(
-                EndpointId("e$i"),
+                EndpointId(endpointId(i)),
                 1,
                 "s",
                 endpoint.address,
                 ZoneId("z"),
                 1,
-                draining = "e$i" in draining,
+                draining = endpointId(i) in draining,
                 coldRemainingMs = 0,
             )
         }
--- a/gateway/src/test/kotlin/io/oriolehall/gateway/stages/StageOwnerTest.kt
+++ b/gateway/src/test/kotlin/io/oriolehall/gateway/stages/StageOwnerTest.kt
@@ -7,6 +7,8 @@
 import io.oriolehall.gateway.path.ScriptedEndpoint
 import io.oriolehall.gateway.upstream.Connector
 import io.oriolehall.gateway.upstream.EndpointPools
+import io.oriolehall.gateway.wire.PieceOutcome
+import io.oriolehall.gateway.wire.StageCallCodec
 import io.oriolehall.gateway.wire.WireProtocol
 import io.oriolehall.model.EndpointId
 import io.oriolehall.model.ZoneId
@@ -64,6 +66,27 @@
         worker.close()
     }
 
+    /** Guards against a handle that ends the requests which name it: their list of inputs could not be sent or read. */
+    @Test
+    fun `a result whose handle no request can name is computed again`() {
+        val handleCodec = object : StageCallCodec by PieceCountCodec {
+            override fun decodeRun(body: ByteArray) = listOf(PieceOutcome.Done(body.decodeToString()))
+        }
+        val answers = listOf("a,b", "usable", "a b", "usable", "a\r\nb", "usable", "", "usable")
+        val worker = ScriptedEndpoint { respond(body = answers[number - 1]) }
+        val loop = TrafficLoop(log)
+        val wire = WireProtocol(GatewayUnderTest.HEADERS, handleCodec, "Bearer", "/ready")
+        val record = EndpointRecord(EndpointId("w"), 1, "s", worker.address, ZoneId("z"), 1, false, 0)
+        val client = StageWorkerClient(EndpointPools(Connector(loop), openAccess(record)), wire)
+        val owner = StageOwner("s", limits, { listOf(record) }, { emptySet() }, client, loop.scope, log)
+        repeat(answers.size / 2) {
+            val answer = runBlocking { withContext(loop.dispatcher) { owner.run(stageRequest("r$it")) } }
+            expectThat(answer.results.map { result -> result.handle }).containsExactly("usable")
+        }
+        loop.close()
+        worker.close()
+    }
+
     /**
      * Guards against a failure (seen in pcta-fittings, quiet-1): calls were sent to workers that had not freed memory
      * yet, so that 46 pieces found no memory. By then, the inputs of these pieces had been released.
--- a/model/src/main/kotlin/io/oriolehall/model/Ids.kt
+++ b/model/src/main/kotlin/io/oriolehall/model/Ids.kt
@@ -87,13 +87,14 @@
 
     companion object {
         private const val MAX_PORT = 65_535
+        private const val MAX_OCTET = 255
+        private val SYNTAX = Regex("""((?:[0-9]{1,3}\.){3}[0-9]{1,3}):([0-9]{1,5})""")
 
-        /** Parses an address written as `host:port`; returns null if [text] is not one. */
+        /** Parses an IPv4 address and a port, such as `10.1.0.41:8625`; returns null if [text] is anything else. */
         fun parse(text: String): NetworkAddress? {
-            val host = text.substringBeforeLast(':', missingDelimiterValue = "")
-            val port = text.substringAfterLast(':').toIntOrNull()
-            if (host.isEmpty() || port == null || port !in 1..MAX_PORT) return null
-            return NetworkAddress(host, port)
+            val (host, port) = SYNTAX.matchEntire(text)?.destructured ?: return null
+            if (host.split('.').any { it.toInt() > MAX_OCTET } || port.toInt() !in 1..MAX_PORT) return null
+            return NetworkAddress(host, port.toInt())
         }
     }
 }
