--- a/gateway/src/main/kotlin/io/oriolehall/gateway/stages/StageWorkerClient.kt
+++ b/gateway/src/main/kotlin/io/oriolehall/gateway/stages/StageWorkerClient.kt
@@ -1,5 +1,8 @@
 package io.oriolehall.gateway.stages
 
+import com.github.michaelbull.result.Err
+import com.github.michaelbull.result.Ok
+import com.github.michaelbull.result.Result
 import io.netty.handler.codec.http.DefaultHttpHeaders
 import io.netty.handler.codec.http.HttpHeaders
 import io.oriolehall.dispatch.endpoints.EndpointRecord
@@ -15,6 +18,7 @@
 import io.oriolehall.gateway.wire.WireProtocol
 import io.oriolehall.model.FieldText
 import kotlinx.coroutines.withTimeoutOrNull
+import kotlin.random.Random
 
 /** Result of a call to a stage worker. */
 internal sealed interface StageCallAnswer {
@@ -37,26 +41,57 @@
     }
 }
 
-/** Calls stage workers over pooled connections. Used on the traffic thread only. */
+/**
+ * Calls stage workers over pooled connections. Each call has an identifier, which workers may return with the answer.
+ * An answer that names another call, or the results of other pieces, is a second answer to an earlier call. It is not
+ * used, and its connection is closed, because the answer to this call may follow on it. Used on the traffic thread
+ * only.
+ */
 internal class StageWorkerClient(private val pools: EndpointPools, private val wire: WireProtocol) {
-    private class Answer(val status: Int, val headers: HttpHeaders, val body: ByteArray)
+    /** @property identified true if it names the call that it answers. */
+    private class Answer(val status: Int, val headers: HttpHeaders, val body: ByteArray, val identified: Boolean)
+
+    private val handles = HandleHistory()
 
     suspend fun run(endpoint: EndpointRecord, pieces: List<PieceWork>, timeoutMs: Long): StageCallAnswer {
         val body = wire.stageCallCodec.encodeRun(pieces, TrafficLoop.nowMs())
-        val answer = call(endpoint, wire.stageCallCodec.runPath, body, timeoutMs)
-        val response = when (answer) {
-            is CallOutcome.Failed -> return StageCallAnswer.Failed(answer.reason)
-            is CallOutcome.Denied -> return StageCallAnswer.Declined(answer.reason, pauseMs(endpoint))
-            is CallOutcome.Answered -> answer.answer
+        val outcome = call(endpoint, wire.stageCallCodec.runPath, body, timeoutMs) { runAnswer(endpoint, pieces, it) }
+        return when (outcome) {
+            is CallOutcome.Failed -> StageCallAnswer.Failed(outcome.reason)
+            is CallOutcome.Denied -> StageCallAnswer.Declined(outcome.reason, pauseMs(endpoint))
+            is CallOutcome.Answered -> outcome.content
+        }
+    }
+
+    /**
+     * What [answer] says of [pieces]. Without an identifier, only results show that it belongs to this call; any other
+     * answer is believed, but its connection is not used again.
+     */
+    private fun runAnswer(
+        endpoint: EndpointRecord,
+        pieces: List<PieceWork>,
+        answer: Answer,
+    ): CallOutcome.Answered<StageCallAnswer> {
+        if (answer.headers.contains(wire.headers.notExecuted) || answer.status == MISDIRECTED_REQUEST) {
+            val declined = StageCallAnswer.Declined("status ${answer.status}", pauseMs(endpoint))
+            return CallOutcome.Answered(declined, answer.identified)
         }
-        if (response.headers.contains(wire.headers.notExecuted) || response.status == MISDIRECTED_REQUEST) {
-            return StageCallAnswer.Declined("status ${response.status}", pauseMs(endpoint))
+        val outcomes = if (answer.status == OK) wire.stageCallCodec.decodeRun(answer.body) else null
+        if (outcomes?.size != pieces.size) return unusable("answer ${answer.status} cannot be used")
+        val results = pieces.zip(outcomes.map(::checked))
+        val produced = results.mapNotNull { (piece, outcome) ->
+            (outcome as? PieceOutcome.Done)?.let { it.handle to piece }
         }
-        val outcomes = if (response.status == OK) wire.stageCallCodec.decodeRun(response.body) else null
-        if (outcomes?.size != pieces.size) return StageCallAnswer.Failed("answer ${response.status} cannot be used")
-        return StageCallAnswer.Done(outcomes.map(::checked))
+        val foreign = !answer.identified && produced.any { (handle, piece) -> handles.isForeign(handle, piece) }
+        if (foreign) return unusable("results of another call")
+        produced.forEach { (handle, piece) -> handles.record(handle, piece) }
+        val done = StageCallAnswer.Done(results.map { it.second })
+        return CallOutcome.Answered(done, answer.identified || produced.isNotEmpty())
     }
 
+    private fun unusable(reason: String) =
+        CallOutcome.Answered<StageCallAnswer>(StageCallAnswer.Failed(reason), connectionReusable = false)
+
     /** A handle that a request cannot name is worth as much as no result. */
     private fun checked(outcome: PieceOutcome): PieceOutcome {
         val nameable = outcome !is PieceOutcome.Done || FieldText.isSendableInList(outcome.handle)
@@ -68,30 +103,29 @@
 
     /** Frees results at the worker. Returns false if the worker did not confirm it; the results then expire later. */
     suspend fun release(endpoint: EndpointRecord, handles: List<String>): Boolean {
-        val answer =
-            call(
-                endpoint,
-                wire.stageCallCodec.releasePath,
-                wire.stageCallCodec.encodeRelease(handles),
-                RELEASE_TIMEOUT_MS,
-            )
-        return answer is CallOutcome.Answered && answer.answer.status == OK
+        val body = wire.stageCallCodec.encodeRelease(handles)
+        val outcome = call(endpoint, wire.stageCallCodec.releasePath, body, RELEASE_TIMEOUT_MS) { answer ->
+            val own = answer.identified || wire.stageCallCodec.decodeRun(answer.body) == null
+            CallOutcome.Answered(own && answer.status == OK, connectionReusable = own)
+        }
+        return outcome is CallOutcome.Answered && outcome.content
     }
 
-    private sealed interface CallOutcome {
-        class Answered(val answer: Answer) : CallOutcome
+    private sealed interface CallOutcome<out T> {
+        class Answered<T>(val content: T, val connectionReusable: Boolean) : CallOutcome<T>
 
-        class Failed(val reason: String) : CallOutcome
+        class Failed(val reason: String) : CallOutcome<Nothing>
 
-        class Denied(val reason: String) : CallOutcome
+        class Denied(val reason: String) : CallOutcome<Nothing>
     }
 
-    private suspend fun call(
+    private suspend fun <T> call(
         endpoint: EndpointRecord,
         path: String,
         body: ByteArray,
         timeoutMs: Long,
-    ): CallOutcome {
+        read: (Answer) -> CallOutcome.Answered<T>,
+    ): CallOutcome<T> {
         val pool = pools.poolOf(endpoint)
         val acquired = pool.acquire()
         if (acquired.isErr) {
@@ -103,40 +137,52 @@
             }
         }
         val connection = acquired.value
-        var answered = false
+        val callId = newCallId()
+        var reusable = false
         try {
-            if (!connection.send("POST", path, headers(endpoint, body, timeoutMs), body)) {
+            if (!connection.send("POST", path, headers(endpoint, callId, body, timeoutMs), body)) {
                 return CallOutcome.Failed("connection closed")
             }
-            val answer = withTimeoutOrNull(timeoutMs) { receive(connection) }
+            val answer = withTimeoutOrNull(timeoutMs) { receive(connection, callId) }
                 ?: return CallOutcome.Failed("no answer in $timeoutMs ms")
-            answered = answer is CallOutcome.Answered
-            return answer
+            if (answer.isErr) return CallOutcome.Failed(answer.error)
+            return read(answer.value).also { reusable = it.connectionReusable }
         } finally {
-            if (answered) pool.release(connection) else pool.discard(connection)
+            if (reusable) pool.release(connection) else pool.discard(connection)
         }
     }
 
-    private fun headers(endpoint: EndpointRecord, body: ByteArray, timeoutMs: Long): HttpHeaders = DefaultHttpHeaders()
-        .set("Host", endpoint.address.toString())
-        .set("Content-Type", wire.stageCallCodec.contentType)
-        .set("Content-Length", body.size)
-        .set(wire.headers.expectedEndpoint, FieldText.octets(endpoint.id.value))
-        .set(wire.headers.deadlineMs, timeoutMs)
-
-    private suspend fun receive(connection: UpstreamConnection): CallOutcome {
+    private fun headers(endpoint: EndpointRecord, callId: String, body: ByteArray, timeoutMs: Long): HttpHeaders =
+        DefaultHttpHeaders()
+            .set("Host", endpoint.address.toString())
+            .set("Content-Type", wire.stageCallCodec.contentType)
+            .set("Content-Length", body.size)
+            .set(wire.headers.attemptId, callId)
+            .set(wire.headers.expectedEndpoint, FieldText.octets(endpoint.id.value))
+            .set(wire.headers.deadlineMs, timeoutMs)
+
+    /** Receives the answer to the call [callId], or the reason why there is none. */
+    private suspend fun receive(connection: UpstreamConnection, callId: String): Result<Answer, String> {
         val head = when (val first = connection.receive()) {
             is UpstreamEvent.Head -> first
-            is UpstreamEvent.Broken -> return CallOutcome.Failed(first.reason)
-            else -> return CallOutcome.Failed("answer without a head")
+            is UpstreamEvent.Broken -> return Err(first.reason)
+            else -> return Err("answer without a head")
         }
+        val answeredId = head.headers.get(wire.headers.attemptId)
+        if (answeredId != null && answeredId != callId) return Err("answer to call $answeredId")
         return when (val body = connection.receiveBody(MAX_ANSWER_BYTES)) {
-            is ResponseBody.Complete -> CallOutcome.Answered(Answer(head.status, head.headers, body.bytes))
-            is ResponseBody.Unusable -> CallOutcome.Failed(body.reason)
+            is ResponseBody.Complete -> Ok(Answer(head.status, head.headers, body.bytes, answeredId != null))
+            is ResponseBody.Unusable -> Err(body.reason)
         }
     }
 
     private companion object {
+        private const val CALL_ID_DIGITS = 16
+        private const val RADIX = 16
+
+        /** Identifier of a call, unique among all instances by its randomness. */
+        fun newCallId(): String = Random.nextLong().toULong().toString(RADIX).padStart(CALL_ID_DIGITS, '0')
+
         const val OK = 200
         const val MISDIRECTED_REQUEST = 421
         const val RELEASE_TIMEOUT_MS = 1_000L
