Confirmations without a body are not decoded

Each release of stage results at a worker that does not return the identifier of a call made the decoder fail on an empty text, with an exception for each. Found by reading again; the processor time was not measured.

--- a/gateway/src/main/kotlin/io/oriolehall/gateway/stages/StageWorkerClient.kt
+++ b/gateway/src/main/kotlin/io/oriolehall/gateway/stages/StageWorkerClient.kt
@@ -105,12 +105,15 @@
     suspend fun release(endpoint: EndpointRecord, handles: List<String>): Boolean {
         val body = wire.stageCallCodec.encodeRelease(handles)
         val outcome = call(endpoint, wire.stageCallCodec.releasePath, body, RELEASE_TIMEOUT_MS) { answer ->
-            val own = answer.identified || wire.stageCallCodec.decodeRun(answer.body) == null
+            val own = answer.identified || !holdsResults(answer)
             CallOutcome.Answered(own && answer.status == OK, connectionReusable = own)
         }
         return outcome is CallOutcome.Answered && outcome.content
     }
 
+    private fun holdsResults(answer: Answer) =
+        answer.body.isNotEmpty() && wire.stageCallCodec.decodeRun(answer.body) != null
+
     private sealed interface CallOutcome<out T> {
         class Answered<T>(val content: T, val connectionReusable: Boolean) : CallOutcome<T>
 
