A status that is no HTTP status makes a response malformed; no request waits behind an unread upload

A connection whose complete response had come before its upload was written was used again, and the next request waited until its deadline (504).

Change: UpstreamConnection accepts three digits from 100 to 599 only; anything else breaks the response before its head is passed on, for plain requests, streams, stage calls, releases and the store. Line 420 and the counter malformed_response. EndpointPool gives a connection to no other request until the last one was written.

--- a/gateway/src/main/kotlin/io/oriolehall/gateway/requests/GatewayMetrics.kt
+++ b/gateway/src/main/kotlin/io/oriolehall/gateway/requests/GatewayMetrics.kt
@@ -60,7 +60,10 @@
     fun recordEndpointLoss(service: String, answerBegun: Boolean) =
         count("oriolehall.endpoint.losses", Tags.of("service", service, "answer_begun", "$answerBegun"))
 
-    /** Counts a [signal] of an endpoint: that it leaves, that it pauses, or a pause that cannot be read. */
+    /**
+     * Counts a [signal] of an endpoint: that it leaves, that it pauses, a pause that cannot be read, or a malformed
+     * response.
+     */
     fun recordEndpointSignal(signal: String) = count("oriolehall.endpoint.signals", Tags.of("signal", signal))
 
     /** Records a call with [pieces] pieces to a worker of [service] that took [elapsedMs] milliseconds. */
--- a/gateway/src/main/kotlin/io/oriolehall/gateway/upstream/EndpointAccess.kt
+++ b/gateway/src/main/kotlin/io/oriolehall/gateway/upstream/EndpointAccess.kt
@@ -59,6 +59,12 @@
         }
     }
 
+    /** Takes note of a response of [endpoint] that cannot be decoded. */
+    fun onMalformed(endpoint: EndpointRecord, error: String) {
+        onSignal("malformed_response")
+        log.write(Event.RESPONSE_MALFORMED, "endpoint" to endpoint.id, "error" to error)
+    }
+
     /** Forgets pauses that have ended. */
     fun removeEndedPauses() = signals.removeEndedPauses(nowMs()).forEach {
         log.write(Event.ENDPOINT_PAUSE_ENDED, "endpoint" to it)
--- a/gateway/src/main/kotlin/io/oriolehall/gateway/upstream/EndpointPool.kt
+++ b/gateway/src/main/kotlin/io/oriolehall/gateway/upstream/EndpointPool.kt
@@ -36,7 +36,8 @@
         private set
 
     /** True when a request can be sent without exceeding [maxConnections] connections. */
-    private fun hasCapacity(maxConnections: Int): Boolean = idle.isNotEmpty() || connectionCount < maxConnections
+    private fun hasCapacity(maxConnections: Int): Boolean =
+        connectionCount < maxConnections || idle.any { it.requestWritten }
 
     /** What is known of the endpoint; [withinColdLimit] and [maxConnections] are those of the caller. */
     fun condition(
@@ -88,6 +89,7 @@
             return result.onSuccess {
                 connected = true
                 it.onHead = { head -> access.onAnswer(endpoint, head) }
+                it.onMalformed = { error -> access.onMalformed(endpoint, error) }
             }
         } finally {
             if (!connected) connectionCount--
@@ -121,9 +123,14 @@
         idle.clear()
     }
 
+    /**
+     * Leaves connections on which a request is still being written: an endpoint may respond early and read on later, or
+     * never, and the next request would wait behind the earlier one. [closeStale] ends those that remain so.
+     */
     private fun takeIdle(): UpstreamConnection? {
         while (true) {
-            val connection = idle.removeLastOrNull() ?: return null
+            val connection = idle.lastOrNull { it.requestWritten } ?: return null
+            idle.remove(connection)
             if (isReusable(connection)) return connection
             discard(connection)
         }
--- a/gateway/src/main/kotlin/io/oriolehall/gateway/upstream/UpstreamConnection.kt
+++ b/gateway/src/main/kotlin/io/oriolehall/gateway/upstream/UpstreamConnection.kt
@@ -10,7 +10,9 @@
 import io.netty.handler.codec.http.HttpDecoderConfig
 import io.netty.handler.codec.http.HttpHeaderNames
 import io.netty.handler.codec.http.HttpHeaders
+import io.netty.handler.codec.http.HttpMessage
 import io.netty.handler.codec.http.HttpMethod
+import io.netty.handler.codec.http.HttpObject
 import io.netty.handler.codec.http.HttpResponse
 import io.netty.handler.codec.http.HttpResponseDecoder
 import io.netty.handler.codec.http.HttpUtil
@@ -45,6 +47,9 @@
     /** Is called with the head of each response, before it is received. */
     internal var onHead: (UpstreamEvent.Head) -> Unit = {}
 
+    /** Is called with the error when a response cannot be decoded. */
+    internal var onMalformed: (String) -> Unit = {}
+
     /** When the connection became idle, monotonic milliseconds. */
     var idleSinceMs = 0L
 
@@ -52,6 +57,10 @@
     var used = false
         private set
 
+    /** False while a request is being written, which may last beyond the end of its response. */
+    var requestWritten = true
+        private set
+
     val isOpen: Boolean get() = channel.isActive && reusable
 
     internal fun install(channel: Channel) {
@@ -73,10 +82,19 @@
         decoder.beginResponse(headRequest = method == "HEAD")
         responsePending = true
         used = true
-        channel.writeAndFlush(message).addListener { if (!it.isSuccess) fail("write failed: ${it.cause()}") }
+        requestWritten = false
+        channel.writeAndFlush(message).addListener { onWriteEnded(it.cause()) }
         return true
     }
 
+    /**
+     * A write that is in progress fails before the end of the connection is reported, so that a response without a
+     * length that ends before its request was written is broken.
+     */
+    private fun onWriteEnded(cause: Throwable?) {
+        if (cause == null) requestWritten = true else fail("write failed: $cause")
+    }
+
     suspend fun receive(): UpstreamEvent {
         val event = events.receive()
         if (event is UpstreamEvent.Data) {
@@ -95,7 +113,7 @@
         try {
             when {
                 !responsePending -> fail("bytes outside an answer")
-                decoderFailed(msg) -> fail("not an HTTP answer")
+                decoderFailed(msg) -> failMalformed((msg as HttpObject).decoderResult().cause())
                 else -> handleMessage(msg)
             }
         } finally {
@@ -158,7 +176,13 @@
     }
 
     private fun decoderFailed(msg: Any): Boolean =
-        msg is io.netty.handler.codec.http.HttpObject && msg.decoderResult().isFailure
+        msg is HttpObject && msg.decoderResult().isFailure
+
+    private fun failMalformed(cause: Throwable) {
+        val error = cause.toString().take(MAX_ERROR_CHARS)
+        if (failure == null) onMalformed(error)
+        fail("not an HTTP answer: $error")
+    }
 
     override fun exceptionCaught(ctx: ChannelHandlerContext, cause: Throwable) = fail(cause.toString())
 
@@ -173,7 +197,7 @@
         if (channel.isOpen) channel.close()
     }
 
-    /** Decodes responses and reports the bytes received beyond the last one. */
+    /** Decodes responses, checks their status, and reports the bytes received beyond the last one. */
     private class ResponseDecoder : HttpResponseDecoder(
         HttpDecoderConfig().setMaxHeaderSize(MAX_HEADER_BYTES).setMaxChunkSize(MAX_CHUNK_BYTES),
     ) {
@@ -210,16 +234,27 @@
 
         fun unreadBytes(): Int = actualReadableBytes()
 
-        override fun isContentAlwaysEmpty(msg: io.netty.handler.codec.http.HttpMessage): Boolean =
+        /** The decoder accepts any integer, for example 000, 1000 and +200. */
+        override fun createMessage(initialLine: Array<String>): HttpMessage {
+            val status = initialLine[1]
+            require(STATUS.matches(status)) { "status '$status' is not three digits from 100 to 599" }
+            return super.createMessage(initialLine)
+        }
+
+        override fun isContentAlwaysEmpty(msg: HttpMessage): Boolean =
             headRequest || super.isContentAlwaysEmpty(msg)
     }
 
     private companion object {
+        val STATUS = Regex("[1-5][0-9]{2}")
         val INFORMATIONAL = 100..199
         const val NO_CONTENT = 204
         const val NOT_MODIFIED = 304
         const val MS_PER_SECOND = 1_000L
 
+        /** An error may quote what the endpoint sent. */
+        const val MAX_ERROR_CHARS = 200
+
         /** Applies when the endpoint sends no Keep-Alive timeout. */
         const val DEFAULT_KEEP_ALIVE_TIMEOUT_MS = 4_000L
         const val HIGH_WATER_BYTES = 65_536
--- a/gateway/src/test/kotlin/io/oriolehall/gateway/path/GatewayUnderTest.kt
+++ b/gateway/src/test/kotlin/io/oriolehall/gateway/path/GatewayUnderTest.kt
@@ -47,6 +47,7 @@
     private val stopTimeoutMs: Long = 10_000,
     private val storeReachable: () -> Boolean = { true },
     private val endpointId: (Int) -> String = { "e$it" },
+    private val limits: CallerLimits = CallerLimits(),
 ) : AutoCloseable {
     /** Events that the gateway has logged. */
     val events = CopyOnWriteArrayList<Event>()
@@ -69,18 +70,31 @@
     }
 
     /** Sends a request on a new connection and returns the response as text; it may be truncated. */
-    fun request(path: String, deadlineMs: Long = 5_000, headers: String = "", attempt: String = "r1"): String =
-        open(path, deadlineMs, headers, attempt).use { socket ->
-            runCatching { socket.getInputStream().readAllBytes().decodeToString() }.getOrElse { "broken: $it" }
-        }
+    fun request(
+        path: String,
+        deadlineMs: Long = 5_000,
+        headers: String = "",
+        attempt: String = "r1",
+        body: List<String> = listOf("hi"),
+    ): String = open(path, deadlineMs, headers, attempt, body).use { socket ->
+        runCatching { socket.getInputStream().readAllBytes().decodeToString() }.getOrElse { "broken: $it" }
+    }
 
-    /** Sends a request on a new connection and returns the open connection. */
-    fun open(path: String, deadlineMs: Long = 5_000, headers: String = "", attempt: String = "r1"): Socket {
+    /** Sends a request on a new connection, each part of [body] in a write, and returns the open connection. */
+    fun open(
+        path: String,
+        deadlineMs: Long = 5_000,
+        headers: String = "",
+        attempt: String = "r1",
+        body: List<String> = listOf("hi"),
+    ): Socket {
         val socket = Socket(callerAddress.host, callerAddress.port)
         socket.soTimeout = READ_TIMEOUT_MS
         val text = "POST $path HTTP/1.1\r\nHost: h\r\nA: $attempt\r\nD: $deadlineMs\r\n$headers" +
-            "Connection: close\r\nContent-Length: 2\r\n\r\nhi"
-        socket.getOutputStream().write(text.encodeToByteArray())
+            "Connection: close\r\nContent-Length: ${body.sumOf { it.length }}\r\n\r\n"
+        socket.tcpNoDelay = true
+        socket.getOutputStream().write((text + body.first()).encodeToByteArray())
+        body.drop(1).forEach { socket.getOutputStream().write(it.encodeToByteArray()) }
         return socket
     }
 
@@ -108,7 +122,7 @@
             route("/events/", RouteKind.STREAMING),
         )
         val services = listOf(Service("s", "/", maxConnections, coldPerSecond = 0.0))
-        val config = ServingConfig(1, routes, services, CallerLimits(), organisations)
+        val config = ServingConfig(1, routes, services, limits, organisations)
         val records = endpoints.mapIndexed { i, endpoint ->
             EndpointRecord(
                 EndpointId(endpointId(i)),
--- a/gateway/src/test/kotlin/io/oriolehall/gateway/path/ScriptedEndpoint.kt
+++ b/gateway/src/test/kotlin/io/oriolehall/gateway/path/ScriptedEndpoint.kt
@@ -14,10 +14,17 @@
 /**
  * An endpoint on a loopback socket that runs [script] for each request, which can write any bytes, close the
  * connection, and end the endpoint. Counts the requests that it has read.
+ *
+ * @param readsBody false to run the script before the body of the request is read.
  */
-internal class ScriptedEndpoint(private val script: Exchange.() -> Unit) : AutoCloseable {
+internal class ScriptedEndpoint(
+    private val readsBody: Boolean,
+    private val script: Exchange.() -> Unit,
+) : AutoCloseable {
+    constructor(script: Exchange.() -> Unit) : this(readsBody = true, script)
+
     /** One request and the raw connection for its response. */
-    class Exchange(val socket: Socket, val head: List<String>, val number: Int) {
+    class Exchange(val socket: Socket, val head: List<String>, val number: Int, private val input: BufferedReader) {
         private val output: OutputStream = socket.getOutputStream()
 
         fun header(name: String): String? = head.firstOrNull { it.startsWith("$name: ", ignoreCase = true) }
@@ -33,6 +40,9 @@
             "HTTP/1.1 $status\r\nA: ${header("A")}\r\n${extra}Content-Length: ${body.length}\r\n\r\n$body",
         )
 
+        /** Reads the body of the request. */
+        fun readBody(): Int = input.skipBody(head)
+
         /** Resets the connection. */
         fun reset() {
             socket.setSoLinger(true, 0)
@@ -83,16 +93,12 @@
         while (true) {
             val head = generateSequence { input.readLine() }.takeWhile(String::isNotEmpty).toList()
             if (head.isEmpty()) return
-            input.skipBody(head)
-            Exchange(socket, head, requestCount.incrementAndGet()).script()
+            val exchange = Exchange(socket, head, requestCount.incrementAndGet(), input)
+            if (readsBody) exchange.readBody()
+            exchange.script()
         }
     }
 
-    private fun BufferedReader.skipBody(head: List<String>) {
-        val length = head.firstOrNull { it.startsWith("content-length: ", ignoreCase = true) }
-        repeat(length?.substringAfter(": ")?.toInt() ?: 0) { read() }
-    }
-
     override fun close() {
         server.close()
         sockets.forEach { it.close() }
@@ -100,5 +106,12 @@
 
     private companion object {
         const val BACKLOG = 50
+
+        fun BufferedReader.skipBody(head: List<String>): Int {
+            val length = head.firstOrNull { it.startsWith("content-length: ", ignoreCase = true) }
+            val size = length?.substringAfter(": ")?.toInt() ?: 0
+            repeat(size) { if (read() < 0) return it }
+            return size
+        }
     }
 }
--- a/gateway/src/test/kotlin/io/oriolehall/gateway/stages/StageWorkerClientTest.kt
+++ b/gateway/src/test/kotlin/io/oriolehall/gateway/stages/StageWorkerClientTest.kt
@@ -137,6 +137,17 @@
         expectThat(connections.size).isEqualTo(1)
     }
 
+    /** Guards against a malformed status that says that a call has not run, or that confirms a release. */
+    @Test
+    fun `an answer with a malformed status is a failure`() {
+        for (status in listOf("000 X", "099 X", "600 X", "1000 X", "0200 OK", "0421 X")) {
+            val worker = ScriptedEndpoint { write(answer("h1", header("A"), status, extra = "N: 1\r\n")) }
+            val client = client(worker)
+            expectThat(client.run(worker, "r1")).describedAs(status).isA<StageCallAnswer.Failed>()
+            expectThat(onTraffic { client.release(record(worker), listOf("h")) }).describedAs(status).isEqualTo(false)
+        }
+    }
+
     private companion object {
         const val LATE_MS = 100L
     }
--- a/runtime/src/main/kotlin/io/oriolehall/runtime/Event.kt
+++ b/runtime/src/main/kotlin/io/oriolehall/runtime/Event.kt
@@ -75,6 +75,7 @@
     ENDPOINT_ENDED(417, EventLevel.WARN, "endpoint ended while it ran a request"),
     REQUESTS_QUARANTINED(418, EventLevel.WARN, "requests that crash endpoints are refused"),
     QUARANTINE_ENDED(419, EventLevel.INFO, "requests that were held to crash endpoints are served again"),
+    RESPONSE_MALFORMED(420, EventLevel.WARN, "response of an endpoint is malformed"),
     KEY_HOLDER_SILENT(451, EventLevel.WARN, "holder of an idempotency key did not answer"),
     KEY_NOT_CLAIMED(452, EventLevel.WARN, "witnesses did not grant an idempotency key"),
 
