--- a/entry/src/main/kotlin/io/oriolehall/entry/EntryInstance.kt
+++ b/entry/src/main/kotlin/io/oriolehall/entry/EntryInstance.kt
@@ -18,6 +18,7 @@
 import io.oriolehall.entry.http.HttpListener
 import io.oriolehall.entry.http.OperatorRoutes
 import io.oriolehall.entry.http.RequestReader
+import io.oriolehall.entry.http.ResponseCheck
 import io.oriolehall.entry.keys.KeyService
 import io.oriolehall.entry.limits.ConcurrencyLimits
 import io.oriolehall.entry.limits.EqualSplitLimits
@@ -76,6 +77,7 @@
 
     private val http = HttpClient(CIO) {
         expectSuccess = false
+        install(ResponseCheck)
         engine {
             requestTimeout = 0
             maxConnectionsCount = MAX_CONNECTIONS
