Instances send configurations as compressed blocks

Cause: a configuration of 1,600 routes takes 340 kB. A reader of the platform sent each version whole to each follower over 10 Mbit/s; answers came too late, followers read the platform themselves, and probes waited behind the answers on the same connections, so that instances took each other for dead. Change: CompressedConfigSerializer encodes a configuration once per version as compressed CBOR. The exchanges have new names.

--- a/gateway/src/main/kotlin/io/oriolehall/gateway/feed/PlatformFeed.kt
+++ b/gateway/src/main/kotlin/io/oriolehall/gateway/feed/PlatformFeed.kt
@@ -13,7 +13,10 @@
 sealed interface PublishedChange {
     /** A new configuration. Configurations are ordered by [revision]. */
     @Serializable
-    data class ConfigPublished(val revision: Long, val config: ServingConfig) : PublishedChange
+    data class ConfigPublished(
+        val revision: Long,
+        @Serializable(with = CompressedConfigSerializer::class) val config: ServingConfig,
+    ) : PublishedChange
 
     @Serializable
     data class EndpointRegistered(val record: EndpointRecord) : PublishedChange
@@ -41,7 +44,7 @@
 data class FeedSnapshot(
     val asOf: Long,
     val configRevision: Long,
-    val config: ServingConfig?,
+    @Serializable(with = CompressedConfigSerializer::class) val config: ServingConfig?,
     val endpoints: List<EndpointRecord>,
     val evacuated: List<ZoneId>,
 )
--- a/gateway/src/main/kotlin/io/oriolehall/gateway/fleet/FleetMessages.kt
+++ b/gateway/src/main/kotlin/io/oriolehall/gateway/fleet/FleetMessages.kt
@@ -83,6 +83,6 @@
     val PROBE = PeerChannel.of<FleetGossip, FleetGossip>("fleet")
     val INDIRECT_PROBE = PeerChannel.of<ProbeRequest, ProbeAnswer>("fleet.help")
     val RECORDS = PeerChannel.of<StateQuery, FleetRecords>("fleet.records")
-    val FOLLOW = PeerChannel.of<FollowQuery, FollowAnswer>("state.follow")
-    val STATE = PeerChannel.of<StateQuery, StateAnswer>("state")
+    val FOLLOW = PeerChannel.of<FollowQuery, FollowAnswer>("state.follow.2")
+    val STATE = PeerChannel.of<StateQuery, StateAnswer>("state.2")
 }
