--- a/deploy/build.sh
+++ b/deploy/build.sh
@@ -2,7 +2,9 @@
 # Builds target/oriolehall.jar, its libraries, and an archive of the classes that a start needs.
 set -euo pipefail
 cd "$(dirname "$0")/.."
-mvn -B -q -ntp -T 4 -Dmaven.test.skip=true -pl platform -am package
-# The flags that shape the heap are those of deploy/system.toml: an archive fits only a like collector.
-java -Xmx96m -XX:+UseSerialGC -XX:TieredStopAtLevel=1 -XX:ArchiveClassesAtExit=target/oriolehall.jsa \
-    -Doriolehall.log=queued -Dio.netty.allocator.type=unpooled -jar target/oriolehall.jar self-check >target/self-check.log 2>&1
+mvn -B -q -ntp ${MAVEN_ARGS:-} -T 2 -Dmaven.test.skip=true -pl platform -am package
+# The archive is taken with the flags of the run line, because it fits only the same class path and a like collector.
+flags=$(sed -n 's/^run = "java \(.*\) -jar .*/\1/p' deploy/system.toml | tr ' ' '\n' | grep -v -e SharedArchiveFile -e Xshare)
+# shellcheck disable=SC2086 # One word per flag.
+timeout 120 java $flags -XX:ArchiveClassesAtExit=target/oriolehall.jsa -jar target/oriolehall.jar --metrics-port 9464 self-check \
+    >target/self-check.log 2>&1
--- a/gateway/src/main/kotlin/io/oriolehall/gateway/SelfCheck.kt
+++ b/gateway/src/main/kotlin/io/oriolehall/gateway/SelfCheck.kt
@@ -1,106 +1,80 @@
 package io.oriolehall.gateway
 
-import com.github.michaelbull.result.Err
-import com.github.michaelbull.result.Ok
-import com.github.michaelbull.result.Result
 import io.netty.handler.codec.http.DefaultHttpHeaders
-import io.oriolehall.dispatch.config.CallerLimits
-import io.oriolehall.dispatch.config.Route
-import io.oriolehall.dispatch.config.RouteKind
-import io.oriolehall.dispatch.config.RouteTarget
-import io.oriolehall.dispatch.config.Service
-import io.oriolehall.dispatch.config.ServingConfig
-import io.oriolehall.dispatch.endpoints.EndpointRecord
-import io.oriolehall.gateway.feed.FeedChanges
-import io.oriolehall.gateway.feed.FeedFailure
-import io.oriolehall.gateway.feed.FeedSnapshot
 import io.oriolehall.gateway.feed.PlatformFeed
 import io.oriolehall.gateway.http.CallerListener
 import io.oriolehall.gateway.http.CallerRequest
+import io.oriolehall.gateway.http.RequestHandler
 import io.oriolehall.gateway.http.Responder
 import io.oriolehall.gateway.upstream.Connector
 import io.oriolehall.gateway.upstream.UpstreamConnection
 import io.oriolehall.gateway.upstream.UpstreamEvent
 import io.oriolehall.gateway.wire.WireProtocol
-import io.oriolehall.model.EndpointId
-import io.oriolehall.model.Instance
-import io.oriolehall.model.InstanceId
 import io.oriolehall.model.NetworkAddress
-import io.oriolehall.model.ZoneId
 import io.oriolehall.runtime.EventLog
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.withContext
 import kotlinx.coroutines.withTimeoutOrNull
 
+/** The parts of a self-check that depend on the platform's protocol. */
+interface SelfCheckPlatform {
+    /** Answers the calls to the store, whose routes lead to [endpoint]. */
+    fun store(endpoint: NetworkAddress): RequestHandler
+
+    /** Answers a call to a stage worker; returns null if [request] is not one. */
+    fun stageAnswer(request: CallerRequest): String?
+
+    /** Settings of an instance, read as at a start. */
+    fun settings(name: String, seeds: List<NetworkAddress>): GatewaySettings
+
+    fun feed(store: NetworkAddress, loop: TrafficLoop): PlatformFeed
+}
+
 /**
- * Runs a gateway and an endpoint on the loopback interface, and sends a few requests of each kind. Checks that the
- * program works on a machine; the build also runs it to obtain the list of classes that are loaded during a start.
+ * Runs two instances, a store and an endpoint on the loopback interface, and sends a few requests of each kind through
+ * both instances. One instance reads the store, the other follows it. Checks that the program works on a machine; the
+ * build also runs it to obtain the classes that a start and the first requests need.
  */
-class SelfCheck(private val wire: WireProtocol, private val log: EventLog) {
+class SelfCheck(private val wire: WireProtocol, private val platform: SelfCheckPlatform, private val log: EventLog) {
     private val loop = TrafficLoop(log)
 
     /** Returns true if all requests succeeded. */
-    suspend fun run(): Boolean {
+    suspend fun run(): Boolean = try {
+        check()
+    } finally {
+        loop.close()
+    }
+
+    private suspend fun check(): Boolean {
         val endpoint = CallerListener(loop, ::respond).start(ANY_PORT)
-        val gateway = Gateway(settings(), wire, log) { FixedFeed(snapshot(endpoint)) }
-        val gatewayAddress = gateway.start()
+        val store = CallerListener(loop, platform.store(endpoint)).start(ANY_PORT)
+        val firstSettings = platform.settings("self-check-1", emptyList())
+        val first = instance(firstSettings, store)
+        val second = instance(platform.settings("self-check-2", listOf(firstSettings.instance.peerAddress)), store)
         val served = withTimeoutOrNull(TIMEOUT_MS) {
-            while (!send(gatewayAddress, "/plain/x")) delay(RETRY_MS)
-            (1..REQUESTS_PER_KIND).all { send(gatewayAddress, "/plain/x") && send(gatewayAddress, "/events/x") }
+            val addresses = listOf(first, second).map { it.start() }
+            addresses.forEach { address -> PATHS.forEach { path -> while (!send(address, path)) delay(RETRY_MS) } }
+            val metrics = checkNotNull(first.metricsAddress)
+            (1..REQUESTS_PER_KIND).all {
+                addresses.all { address -> PATHS.all { send(address, it) } } && send(metrics, "/metrics")
+            }
         }
-        gateway.close()
-        loop.close()
+        second.stop()
+        second.close()
+        first.close()
         return served == true
     }
 
-    private fun settings() = GatewaySettings(
-        instance = Instance(InstanceId("self-check"), ZONE, ANY_PORT),
-        callerAddress = ANY_PORT,
-        readinessAddress = ANY_PORT,
-        seeds = emptyList(),
-        bounds = DeploymentBounds(
-            stopTimeoutMs = TIMEOUT_MS,
-            keyRevocationMs = TIMEOUT_MS,
-            retryRatio = 0.0,
-            retryAllowance = 0.0,
-            retryWindowMs = TIMEOUT_MS,
-            coldFactor = 1.0,
-            coldSlack = 0.0,
-        ),
-    )
-
-    private fun snapshot(endpoint: NetworkAddress): FeedSnapshot {
-        val plain = route("/plain/", RouteKind.IDEMPOTENT)
-        val config = ServingConfig(
-            version = 1,
-            routes = listOf(plain, route("/events/", RouteKind.STREAMING)),
-            services = listOf(Service(SERVICE, healthPath = "/", maxConnections = 0, coldPerSecond = 0.0)),
-            limits = CallerLimits(),
-            organisations = emptyList(),
-        )
-        val record =
-            EndpointRecord(EndpointId("endpoint"), 1, SERVICE, endpoint, ZONE, 1, draining = false, coldRemainingMs = 0)
-        return FeedSnapshot(asOf = 1, configRevision = 1, config, listOf(record), emptyList())
-    }
-
-    private fun route(prefix: String, kind: RouteKind) = Route(
-        name = prefix,
-        host = HOST,
-        prefix = prefix,
-        kind = kind,
-        timeoutMs = TIMEOUT_MS,
-        objectiveMs = TIMEOUT_MS,
-        priority = 0,
-        targets = listOf(RouteTarget(SERVICE, 1)),
-        maxAttempts = 1,
-    )
+    private fun instance(settings: GatewaySettings, store: NetworkAddress) =
+        Gateway(settings.copy(metricsAddress = ANY_PORT), wire, log) { loop -> platform.feed(store, loop) }
 
     private suspend fun respond(request: CallerRequest, responder: Responder) {
         val headers = DefaultHttpHeaders()
             .set(wire.headers.attemptId, request.headers.get(wire.headers.attemptId))
             .set(wire.headers.signature, "self-check")
-        if (request.uri.startsWith("/plain/")) {
-            responder.respond(OK, headers, "answer".encodeToByteArray())
+        val stageAnswer = platform.stageAnswer(request)
+        if (stageAnswer != null || !request.uri.startsWith(STREAM)) {
+            responder.respond(OK, headers, (stageAnswer ?: "answer").encodeToByteArray())
             return
         }
         responder.startStreaming(OK, headers.set("Content-Type", "text/event-stream"))
@@ -112,7 +86,11 @@
         val connected = Connector(loop).connect(address)
         if (connected.isErr) return@withContext false
         val connection = connected.value
-        val headers = DefaultHttpHeaders().set("Host", HOST).set(wire.headers.attemptId, "1").set("Content-Length", 1)
+        val headers = DefaultHttpHeaders()
+            .set("Host", HOST)
+            .set(wire.headers.attemptId, "1")
+            .set("Content-Length", 1)
+        if (path.startsWith(STAGED)) headers.set(wire.headers.pieceCounts, "1").set(wire.headers.pieceKey, "key")
         connection.send("POST", path, headers, ByteArray(1))
         statusOf(connection).also { connection.close() } == OK
     }
@@ -129,24 +107,17 @@
         }
     }
 
-    /** Feed whose published state never changes. */
-    private class FixedFeed(private val snapshot: FeedSnapshot) : PlatformFeed {
-        override suspend fun snapshot(): Result<FeedSnapshot, FeedFailure> = Ok(snapshot)
-
-        override suspend fun changes(revision: Long, waitMs: Long): Result<FeedChanges, FeedFailure> {
-            delay(waitMs)
-            return Err(FeedFailure.Unavailable("nothing changes"))
-        }
-    }
-
-    private companion object {
-        const val OK = 200
+    companion object {
+        /** Host and path prefixes of the routes that the store publishes. */
         const val HOST = "self-check"
-        const val SERVICE = "service"
-        const val REQUESTS_PER_KIND = 20
-        const val TIMEOUT_MS = 20_000L
-        const val RETRY_MS = 20L
-        val ZONE = ZoneId("zone")
-        val ANY_PORT = NetworkAddress("127.0.0.1", 0)
+        const val PLAIN = "/plain/"
+        const val STREAM = "/events/"
+        const val STAGED = "/staged/"
+        private val PATHS = listOf(PLAIN, STREAM, STAGED)
+        private val ANY_PORT = NetworkAddress("127.0.0.1", 0)
+        private const val OK = 200
+        private const val REQUESTS_PER_KIND = 20
+        private const val TIMEOUT_MS = 20_000L
+        private const val RETRY_MS = 20L
     }
 }
