Log lines are encoded with kotlinx.serialization instead of Jackson

Cause: 391 classes of Jackson and 61 of logstash-logback-encoder were loaded at each start only to write log lines.

Change: the queued log uses JsonLineEncoder, whose lines have the fields, order and formats of LogstashEncoder.

--- a/runtime/src/main/kotlin/io/oriolehall/runtime/QueuedLogConfigurator.kt
+++ b/runtime/src/main/kotlin/io/oriolehall/runtime/QueuedLogConfigurator.kt
@@ -10,8 +10,6 @@
 import ch.qos.logback.classic.spi.ILoggingEvent
 import ch.qos.logback.core.ConsoleAppender
 import ch.qos.logback.core.spi.ContextAwareBase
-import net.logstash.logback.encoder.LogstashEncoder
-import net.logstash.logback.fieldnames.LogstashFieldNames
 
 /**
  * Configures Logback with `-Doriolehall.log=queued`: JSON lines on the standard output, written by a thread of their
@@ -34,12 +32,8 @@
     private fun console(context: LoggerContext) = ConsoleAppender<ILoggingEvent>().apply {
         this.context = context
         name = "console"
-        encoder = LogstashEncoder().apply {
+        encoder = JsonLineEncoder().apply {
             this.context = context
-            fieldNames = LogstashFieldNames().apply {
-                version = IGNORED
-                levelValue = IGNORED
-            }
             start()
         }
         start()
@@ -59,9 +53,6 @@
         const val MODE_PROPERTY = "oriolehall.log"
         const val QUEUED = "queued"
         const val LEVEL_VARIABLE = "ORIOLEHALL_LOG_LEVEL"
-
-        /** Name by which the encoder leaves a field out. */
-        const val IGNORED = "[ignore]"
         const val QUEUE_LINES = 2_048
     }
 }
