--- a/dispatch/src/main/kotlin/io/oriolehall/dispatch/endpoints/EndpointHealth.kt
+++ b/dispatch/src/main/kotlin/io/oriolehall/dispatch/endpoints/EndpointHealth.kt
@@ -22,10 +22,15 @@
     var failureRate = 0.0
         private set
 
+    /** True once the endpoint has responded to this instance. */
+    var hasResponded = false
+        private set
+
     fun isExcluded(nowMs: Long): Boolean = nowMs < excludedUntilMs
 
     fun onSuccess(elapsedMs: Double) {
         consecutiveFailures = 0
+        hasResponded = true
         failureRate *= 1 - FAILURE_SMOOTHING
         responseMs = if (responseMs == 0.0) elapsedMs else responseMs + (elapsedMs - responseMs) * RESPONSE_SMOOTHING
     }
@@ -35,6 +40,18 @@
         failureRate += (1 - failureRate) * FAILURE_SMOOTHING
     }
 
+    /**
+     * Records that this instance cancelled a request after [elapsedMs]. That is a lower bound of its response time, so
+     * it can only raise the average; it is no failure.
+     */
+    fun onCancelled(elapsedMs: Double) {
+        if (responseMs == 0.0) {
+            responseMs = elapsedMs
+        } else if (elapsedMs > responseMs) {
+            responseMs += (elapsedMs - responseMs) * RESPONSE_SMOOTHING
+        }
+    }
+
     /** Records that the connection was refused, was reset or timed out. */
     fun onConnectionFailure(nowMs: Long) {
         consecutiveFailures++
