Gateway: second attempts for slow repeatable requests, off by default

An attempt wrote its plain response to the caller itself, and whether a request may have run was one flag that a decline reset; neither works with two attempts at once.

Change: Attempt returns a complete plain response, and AttemptSequence writes it. AttemptRace runs the first attempt and, if SecondAttempts permits it, a second one; the first complete response wins, and the other connection is closed. An attempt whose response turns out to be a stream wins at its head. Events 422 and 423, counters by outcome and by the limit that refused, time of second attempts. Without limits in the settings, requests take the path that they took before.

While it was written, the test of a stream on a plain route failed with outcome "ended": the end of the stream was written before the race was decided, and the request counted as left by its caller. AttemptSequence now writes that end.

--- a/gateway/src/main/kotlin/io/oriolehall/gateway/Gateway.kt
+++ b/gateway/src/main/kotlin/io/oriolehall/gateway/Gateway.kt
@@ -7,6 +7,7 @@
 import io.oriolehall.dispatch.config.CallerLimits
 import io.oriolehall.dispatch.limits.RetryAllowances
 import io.oriolehall.dispatch.placement.AffinityPlacement
+import io.oriolehall.dispatch.retries.SecondAttempts
 import io.oriolehall.gateway.feed.FeedReader
 import io.oriolehall.gateway.feed.PlatformFeed
 import io.oriolehall.gateway.feed.PublishedState
@@ -141,6 +142,7 @@
             quarantine = quarantine,
             metrics = metrics,
             log = log,
+            secondAttempts = settings.secondAttempts?.takeIf { it.enabled }?.let(::SecondAttempts),
         ),
         shutdownAdmission = { shutdownAdmission },
     )
@@ -183,6 +185,9 @@
         metricsAddress = settings.metricsAddress?.let(metricsListener::start)
         val address = callerListener.start(settings.callerAddress)
         log.write(Event.INSTANCE_STARTED, "callers" to address, "incarnation" to incarnation)
+        settings.secondAttempts?.takeIf { it.enabled }?.let {
+            log.write(Event.SECOND_ATTEMPTS_ON, "requestShare" to it.requestShare, "workShare" to it.workShare)
+        }
         return address
     }
 
--- a/gateway/src/main/kotlin/io/oriolehall/gateway/GatewaySettings.kt
+++ b/gateway/src/main/kotlin/io/oriolehall/gateway/GatewaySettings.kt
@@ -1,5 +1,6 @@
 package io.oriolehall.gateway
 
+import io.oriolehall.dispatch.retries.SecondAttemptLimits
 import io.oriolehall.model.Instance
 import io.oriolehall.model.NetworkAddress
 
@@ -10,6 +11,7 @@
  * @property readinessAddress address for the readiness checks of the load balancer.
  * @property metricsAddress address of the metrics page, with counters and histograms as text; null to serve no metrics.
  * @property seeds addresses of other instances, for the first contacts.
+ * @property secondAttempts limits of second attempts for slow repeatable requests; null to send none.
  */
 data class GatewaySettings(
     val instance: Instance,
@@ -18,6 +20,7 @@
     val seeds: List<NetworkAddress>,
     val bounds: DeploymentBounds,
     val metricsAddress: NetworkAddress? = null,
+    val secondAttempts: SecondAttemptLimits? = null,
 )
 
 /**
--- a/gateway/src/main/kotlin/io/oriolehall/gateway/requests/Attempt.kt
+++ b/gateway/src/main/kotlin/io/oriolehall/gateway/requests/Attempt.kt
@@ -12,8 +12,11 @@
 import kotlinx.coroutines.withTimeoutOrNull
 
 /**
- * One attempt at one endpoint: sends the request and relays the response. A plain response is buffered completely
- * before a byte is sent to the caller; the events of a stream are forwarded as they arrive, complete events only.
+ * One attempt at one endpoint: sends the request and receives the response. A plain response is buffered completely and
+ * returned; the events of a stream are forwarded to the caller as they arrive, complete events only.
+ *
+ * @param onAnswerBegun is called before the first event of a stream is forwarded.
+ * @param onStream is called when the response turns out to be a stream, before anything of it is forwarded.
  */
 internal class Attempt(
     private val context: RequestContext,
@@ -22,17 +25,17 @@
     private val responder: Responder,
     private val splitter: EventSplitter,
     private val onAnswerBegun: () -> Unit,
+    private val onStream: (() -> Unit)? = null,
 ) {
     private val wire = environment.wire
     private val headerPolicy = environment.headerPolicy
     private val polls = environment.polls
     private var responseComplete = false
     private var startedAtMs = 0L
-    private var mayHaveRunBefore = false
     private var answerBegun = false
 
     /**
-     * Sends the request with [inputs] and relays the response to the caller.
+     * Sends the request with [inputs] and receives the response.
      *
      * @param headTimeoutMs timeout for the response head, milliseconds; null to wait until the deadline.
      */
@@ -54,9 +57,11 @@
             if (!connection.send(context.request.method, context.request.uri, headers, context.request.body)) {
                 return AttemptOutcome.NotRun("connection closed before the request", sent = false)
             }
-            mayHaveRunBefore = context.mayHaveRun
-            context.mayHaveRun = true
+            context.onSent()
             return relay(connection, headTimeoutMs)
+        } catch (e: AttemptSuperseded) {
+            if (startedAtMs > 0) pool.health.onCancelled((TrafficLoop.nowMs() - startedAtMs).toDouble())
+            throw e
         } finally {
             pool.outstanding--
             if (responseComplete) pool.release(connection) else pool.discard(connection)
@@ -94,7 +99,7 @@
             success && !head.headers.contains(wire.headers.signature) -> lost("answer not signed")
             success && isEventStream(head) -> relayEvents(connection, head)
             responder.started -> failWithinStream(connection, head)
-            else -> relayBuffered(connection, head)
+            else -> receiveBuffered(connection, head)
         }
     }
 
@@ -120,7 +125,7 @@
         head.headers.get("Content-Type").orEmpty().startsWith("text/event-stream")
 
     private suspend fun decline(connection: UpstreamConnection, head: UpstreamEvent.Head): AttemptOutcome {
-        context.mayHaveRun = mayHaveRunBefore
+        context.onDeclined()
         readBody(connection)
         if (head.status == UNAVAILABLE) pool.health.onOverload(TrafficLoop.nowMs())
         return AttemptOutcome.NotRun("endpoint declined with ${head.status}", sent = true)
@@ -130,7 +135,7 @@
     private suspend fun readBody(connection: UpstreamConnection): ResponseBody =
         connection.receiveBody(MAX_BUFFERED_BYTES).also { responseComplete = it is ResponseBody.Complete }
 
-    private suspend fun relayBuffered(connection: UpstreamConnection, head: UpstreamEvent.Head): AttemptOutcome {
+    private suspend fun receiveBuffered(connection: UpstreamConnection, head: UpstreamEvent.Head): AttemptOutcome {
         val received = readBody(connection)
         if (received is ResponseBody.Unusable) return lost("answer broke off: ${received.reason}")
         val body = (received as ResponseBody.Complete).bytes
@@ -140,13 +145,11 @@
             return AttemptOutcome.Failure(head.status, headers, body)
         }
         pool.health.onSuccess((TrafficLoop.nowMs() - startedAtMs).toDouble())
-        context.recordFirstByte()
-        onAnswerBegun()
-        responder.respond(head.status, headers, body)
-        return AttemptOutcome.Delivered(head.status)
+        return AttemptOutcome.Complete(head.status, headers, body)
     }
 
     private suspend fun relayEvents(connection: UpstreamConnection, head: UpstreamEvent.Head): AttemptOutcome {
+        onStream?.invoke()
         while (true) {
             when (val event = connection.receive()) {
                 is UpstreamEvent.Data -> {
@@ -170,7 +173,6 @@
         if (head.endsWithConnection && !answerBegun) return lost("stream ended before its first event")
         responseComplete = true
         if (!responder.started) responder.startStreaming(head.status, headerPolicy.responseHeaders(head.headers))
-        responder.completeStreaming()
         return AttemptOutcome.Delivered(head.status)
     }
 
--- a/gateway/src/main/kotlin/io/oriolehall/gateway/requests/EndpointChooser.kt
+++ b/gateway/src/main/kotlin/io/oriolehall/gateway/requests/EndpointChooser.kt
@@ -1,5 +1,6 @@
 package io.oriolehall.gateway.requests
 
+import io.oriolehall.dispatch.endpoints.EndpointCondition
 import io.oriolehall.dispatch.endpoints.EndpointIncarnation
 import io.oriolehall.dispatch.endpoints.SendDecision
 import io.oriolehall.dispatch.endpoints.SendPolicy
@@ -7,6 +8,7 @@
 import io.oriolehall.dispatch.placement.Placement
 import io.oriolehall.dispatch.placement.PlacementCandidate
 import io.oriolehall.dispatch.placement.PlacementRequest
+import io.oriolehall.dispatch.retries.SecondAttemptPolicy
 import io.oriolehall.gateway.TrafficLoop
 import io.oriolehall.gateway.upstream.EndpointPool
 import io.oriolehall.gateway.upstream.EndpointPools
@@ -45,7 +47,9 @@
         tried: Set<EndpointIncarnation>,
         sendAtMs: Long = TrafficLoop.nowMs(),
     ): EndpointChoice {
-        val decisions = decide(context, tried, sendAtMs)
+        val decisions = conditions(context, tried).map { (pool, condition) ->
+            pool to SendPolicy.decide(condition, sendAtMs)
+        }
         val allowed = decisions.mapNotNull { (pool, decision) ->
             (decision as? SendDecision.Allowed)?.let { pool to it }
         }
@@ -55,11 +59,28 @@
         return EndpointChoice.Chosen(place(context, best, inputZone))
     }
 
-    private fun decide(
+    /** Chooses an endpoint for a second attempt at [context] that is not in [tried]; null if none may get it. */
+    fun chooseForSecondAttempt(context: RequestContext, tried: Set<EndpointIncarnation>): EndpointPool? {
+        val nowMs = TrafficLoop.nowMs()
+        val hasColdLimit = (context.plan.service(context.service)?.coldPerSecond ?: 0.0) > 0
+        val permitted = conditions(context, tried).filter { (pool, condition) ->
+            SecondAttemptPolicy.permits(condition, pool.mayBeCold(nowMs, hasColdLimit), pool.endpoint.slots, nowMs)
+        }
+        return if (permitted.isEmpty()) null else place(context, permitted.map { (pool, _) -> pool }, inputZone = null)
+    }
+
+    /** Slots of the endpoints of [service], without those that pause. */
+    fun slots(service: String): Int {
+        val nowMs = TrafficLoop.nowMs()
+        return pools.access.endpoints(service)
+            .filter { (pools.access.condition(it).pause?.untilMs ?: Long.MIN_VALUE) <= nowMs }
+            .sumOf { it.slots }
+    }
+
+    private fun conditions(
         context: RequestContext,
         tried: Set<EndpointIncarnation>,
-        sendAtMs: Long,
-    ): List<Pair<EndpointPool, SendDecision>> {
+    ): List<Pair<EndpointPool, EndpointCondition>> {
         val nowMs = TrafficLoop.nowMs()
         val service = context.plan.service(context.service)
         val coldPerSecond = service?.coldPerSecond?.takeIf { it > 0 }?.let { it * coldFactor + coldSlack }
@@ -67,8 +88,7 @@
         val cutOff = unreachableZones()
         return pools.access.endpoints(context.service).filter { it.incarnation !in tried }.map(pools::poolOf).map {
             val withinColdLimit = coldPerSecond == null || it.coldLimit.allows(nowMs, coldShare(it, coldPerSecond))
-            val condition = it.condition(nowMs, it.endpoint.zone in cutOff, withinColdLimit, maxConnections)
-            it to SendPolicy.decide(condition, sendAtMs)
+            it to it.condition(nowMs, it.endpoint.zone in cutOff, withinColdLimit, maxConnections)
         }
     }
 
--- a/gateway/src/main/kotlin/io/oriolehall/gateway/requests/EndpointSelection.kt
+++ b/gateway/src/main/kotlin/io/oriolehall/gateway/requests/EndpointSelection.kt
@@ -1,12 +1,22 @@
 package io.oriolehall.gateway.requests
 
 import io.oriolehall.dispatch.endpoints.EndpointIncarnation
+import io.oriolehall.dispatch.retries.SecondAttempts
 import io.oriolehall.gateway.TrafficLoop
+import io.oriolehall.gateway.upstream.EndpointPool
 import io.oriolehall.model.ZoneId
 import kotlinx.coroutines.delay
 
-/** Chooses the endpoints of one request, each of them at most once. */
-internal class EndpointSelection(private val context: RequestContext, private val chooser: EndpointChooser) {
+/**
+ * Chooses the endpoints of one request, each of them at most once.
+ *
+ * @param secondAttempts is told when the request waits for an endpoint or none can be used; null if they are off.
+ */
+internal class EndpointSelection(
+    private val context: RequestContext,
+    private val chooser: EndpointChooser,
+    private val secondAttempts: SecondAttempts?,
+) {
     private val tried = mutableSetOf<EndpointIncarnation>()
 
     /**
@@ -18,6 +28,7 @@
         while (true) {
             val nowMs = TrafficLoop.nowMs()
             val choice = chooser.choose(context, inputZone, tried, nowMs + leadMs)
+            if (choice is EndpointChoice.None) secondAttempts?.onSaturated(context.service, nowMs)
             if (choice !is EndpointChoice.None || nowMs >= untilMs ||
                 !choice.mayEndUntil(untilMs + leadMs)
             ) {
@@ -27,9 +38,15 @@
         }
     }
 
-    /** Records that the endpoint of [choice] gets an attempt. */
-    fun onTried(choice: EndpointChoice.Chosen) {
-        tried += choice.pool.endpoint.incarnation
+    /** Chooses an endpoint for a second attempt beside one that is in progress; null if none may get it. */
+    fun forSecondAttempt(): EndpointPool? = chooser.chooseForSecondAttempt(context, tried)
+
+    /** Slots of the endpoints of the service, without those that pause. */
+    fun slots(): Int = chooser.slots(context.service)
+
+    /** Records that the endpoint of [pool] gets an attempt. */
+    fun onTried(pool: EndpointPool) {
+        tried += pool.endpoint.incarnation
     }
 
     /**
--- a/gateway/src/main/kotlin/io/oriolehall/gateway/requests/GatewayMetrics.kt
+++ b/gateway/src/main/kotlin/io/oriolehall/gateway/requests/GatewayMetrics.kt
@@ -6,6 +6,7 @@
 import io.micrometer.core.instrument.Timer
 import io.micrometer.prometheusmetrics.PrometheusConfig
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry
+import io.oriolehall.dispatch.retries.SecondAttemptObstacle
 import java.time.Duration
 import java.util.concurrent.TimeUnit
 
@@ -48,7 +49,8 @@
     /** Counts an attempt at an endpoint of [service]. */
     fun recordAttempt(service: String, outcome: AttemptOutcome) {
         val outcomeLabel = when (outcome) {
-            is AttemptOutcome.Delivered -> "delivered"
+            is AttemptOutcome.Delivered, is AttemptOutcome.Complete -> "delivered"
+            is AttemptOutcome.Superseded -> "cancelled"
             is AttemptOutcome.NotRun -> "not_run"
             is AttemptOutcome.Failure -> "failure"
             is AttemptOutcome.Lost -> "lost"
@@ -56,6 +58,18 @@
         count("oriolehall.attempts", Tags.of("service", service, "outcome", outcomeLabel))
     }
 
+    /** Counts a second attempt at [service] that ended with [outcome] and took [workMs] at its endpoint. */
+    fun recordSecondAttempt(service: String, outcome: String, workMs: Long) {
+        count("oriolehall.second.attempts", Tags.of("service", service, "outcome", outcome))
+        registry.counter("oriolehall.second.attempt.work.ms", Tags.of("service", service)).increment(workMs.toDouble())
+    }
+
+    /** Counts a slow request to [service] that [limit] refused a second attempt. */
+    fun recordSecondAttemptRefused(service: String, limit: SecondAttemptObstacle) {
+        val outcome = "refused_${limit.name.lowercase()}"
+        count("oriolehall.second.attempts", Tags.of("service", service, "outcome", outcome))
+    }
+
     /** Counts a request to an endpoint of [service] whose process ended, before or after the answer had begun. */
     fun recordEndpointLoss(service: String, answerBegun: Boolean) =
         count("oriolehall.endpoint.losses", Tags.of("service", service, "answer_begun", "$answerBegun"))
--- a/gateway/src/main/kotlin/io/oriolehall/gateway/requests/Outcome.kt
+++ b/gateway/src/main/kotlin/io/oriolehall/gateway/requests/Outcome.kt
@@ -4,9 +4,15 @@
 
 /** Outcome of an attempt at one endpoint. */
 internal sealed interface AttemptOutcome {
-    /** The complete response was written to the caller. */
+    /** All events of the stream were written to the caller; the end of the stream was not. */
     data class Delivered(val status: Int) : AttemptOutcome
 
+    /** The endpoint's complete plain response, which has not been forwarded to the caller yet. */
+    class Complete(val status: Int, val headers: HttpHeaders, val body: ByteArray) : AttemptOutcome
+
+    /** This instance closed the connection because another attempt at the request was answered. */
+    data object Superseded : AttemptOutcome
+
     /** The endpoint did not run the request; [sent] is false when no byte of it has left. */
     data class NotRun(val reason: String, val sent: Boolean) : AttemptOutcome
 
@@ -22,8 +28,13 @@
      */
     data class Lost(val reason: String, val answerBegun: Boolean, val connectionFailed: Boolean = true) : AttemptOutcome
 
+    /** True for the complete response of an endpoint that is no failure. */
+    val isResponse: Boolean get() = this is Delivered || this is Complete
+
     fun describe(): String = when (this) {
         is Delivered -> "delivered $status"
+        is Complete -> "complete $status"
+        is Superseded -> "cancelled for another attempt"
         is NotRun -> "not run: $reason"
         is Failure -> "failure $status"
         is Lost -> "lost: $reason"
--- a/gateway/src/main/kotlin/io/oriolehall/gateway/requests/RequestContext.kt
+++ b/gateway/src/main/kotlin/io/oriolehall/gateway/requests/RequestContext.kt
@@ -48,8 +48,21 @@
         )
     }
 
-    /** True once an endpoint may have started to run the request. */
-    var mayHaveRun = false
+    /** Number of attempts that an endpoint may have run: sent, and not declined. */
+    private var possibleRuns = 0
+
+    /** True while an endpoint may have started to run the request. */
+    val mayHaveRun: Boolean get() = possibleRuns > 0
+
+    /** Records that the request was sent to an endpoint. */
+    fun onSent() {
+        possibleRuns++
+    }
+
+    /** Records that an endpoint to which the request was sent has not run it. */
+    fun onDeclined() {
+        possibleRuns--
+    }
 
     /** Records the time at which the response to the caller starts. */
     fun recordFirstByte() {
--- a/gateway/src/main/kotlin/io/oriolehall/gateway/requests/RequestExecution.kt
+++ b/gateway/src/main/kotlin/io/oriolehall/gateway/requests/RequestExecution.kt
@@ -12,7 +12,7 @@
     private val responder: Responder,
     private val environment: RequestEnvironment,
 ) {
-    private val endpoints = EndpointSelection(context, environment.chooser)
+    private val endpoints = EndpointSelection(context, environment.chooser, environment.secondAttempts)
 
     /** Serves the request. Returns null when a response was written, else the rejection to send. */
     suspend fun serve(): Rejection? {
--- a/gateway/src/main/kotlin/io/oriolehall/gateway/upstream/EndpointPool.kt
+++ b/gateway/src/main/kotlin/io/oriolehall/gateway/upstream/EndpointPool.kt
@@ -35,6 +35,15 @@
     var connectionCount = 0
         private set
 
+    private val createdAtMs = TrafficLoop.nowMs()
+
+    /**
+     * True unless the endpoint is known to be warm: the time that its registration names has passed, and if endpoints
+     * of its service are cold after a start ([hasColdLimit]), it has responded to this instance.
+     */
+    fun mayBeCold(nowMs: Long, hasColdLimit: Boolean): Boolean =
+        nowMs < createdAtMs + endpoint.coldRemainingMs || (hasColdLimit && !health.hasResponded)
+
     /** True when a request can be sent without exceeding [maxConnections] connections. */
     private fun hasCapacity(maxConnections: Int): Boolean = idle.isNotEmpty() || connectionCount < maxConnections
 
--- a/gateway/src/test/kotlin/io/oriolehall/gateway/path/GatewayUnderTest.kt
+++ b/gateway/src/test/kotlin/io/oriolehall/gateway/path/GatewayUnderTest.kt
@@ -10,6 +10,7 @@
 import io.oriolehall.dispatch.config.Service
 import io.oriolehall.dispatch.config.ServingConfig
 import io.oriolehall.dispatch.endpoints.EndpointRecord
+import io.oriolehall.dispatch.retries.SecondAttemptLimits
 import io.oriolehall.dispatch.stages.PieceWork
 import io.oriolehall.gateway.DeploymentBounds
 import io.oriolehall.gateway.Gateway
@@ -47,11 +48,20 @@
     private val stopTimeoutMs: Long = 10_000,
     private val storeReachable: () -> Boolean = { true },
     private val endpointId: (Int) -> String = { "e$it" },
+    private val objectiveMs: Long = 1_000,
+    private val secondAttempts: SecondAttemptLimits? = null,
 ) : AutoCloseable {
     /** Events that the gateway has logged. */
     val events = CopyOnWriteArrayList<Event>()
 
-    private val gateway = Gateway(settings(), WIRE, EventLog { event, _ -> events += event }) { _ -> Feed() }
+    /** Fields of the events, in the same order. */
+    val eventFields = CopyOnWriteArrayList<Map<String, Any?>>()
+
+    private val eventLog = EventLog { event, fields ->
+        eventFields += fields.toMap()
+        events += event
+    }
+    private val gateway = Gateway(settings(), WIRE, eventLog) { _ -> Feed() }
     val callerAddress: NetworkAddress = runBlocking { gateway.start() }
 
     /** Stops the gateway in the background. */
@@ -99,6 +109,7 @@
             coldSlack = 0.0,
         ),
         metricsAddress = NetworkAddress("127.0.0.1", 0),
+        secondAttempts = secondAttempts,
     )
 
     private fun snapshot(): FeedSnapshot {
@@ -130,7 +141,7 @@
         prefix = prefix,
         kind = kind,
         timeoutMs = 30_000,
-        objectiveMs = 1_000,
+        objectiveMs = objectiveMs,
         priority = 0,
         targets = listOf(RouteTarget("s", 1)),
         maxAttempts = 2,
--- a/runtime/src/main/kotlin/io/oriolehall/runtime/Event.kt
+++ b/runtime/src/main/kotlin/io/oriolehall/runtime/Event.kt
@@ -75,6 +75,8 @@
     ENDPOINT_ENDED(417, EventLevel.WARN, "endpoint ended while it ran a request"),
     REQUESTS_QUARANTINED(418, EventLevel.WARN, "requests that crash endpoints are refused"),
     QUARANTINE_ENDED(419, EventLevel.INFO, "requests that were held to crash endpoints are served again"),
+    SECOND_ATTEMPT_ENDED(422, EventLevel.INFO, "second attempt for a slow request ended"),
+    SECOND_ATTEMPTS_ON(423, EventLevel.INFO, "slow requests may get a second attempt"),
     KEY_HOLDER_SILENT(451, EventLevel.WARN, "holder of an idempotency key did not answer"),
     KEY_NOT_CLAIMED(452, EventLevel.WARN, "witnesses did not grant an idempotency key"),
 
