--- a/model/src/main/kotlin/io/oriolehall/model/settings/SettingType.kt
+++ b/model/src/main/kotlin/io/oriolehall/model/settings/SettingType.kt
@@ -17,6 +17,7 @@
 
 private val NamePattern = Regex("[A-Za-z0-9][A-Za-z0-9._-]{0,62}")
 private val QuantityPattern = Regex("([0-9]{1,12})\\s*([A-Za-z]+)")
+private val FractionPattern = Regex("[0-9]{1,3}([.][0-9]{1,6})?")
 private const val MAX_PORT = 65_535
 
 private val MillisecondsByUnit = mapOf("ms" to 1L, "s" to 1_000L, "min" to 60_000L, "h" to 3_600_000L)
@@ -40,6 +41,11 @@
         text.toIntOrNull()?.takeIf { it in range }
     }
 
+/** A decimal fraction from 0 to [max]. */
+fun fractionSetting(example: String, max: Double) = SettingType("a fraction from 0 to $max", example) { text ->
+    text.takeIf(FractionPattern::matches)?.toDouble()?.takeIf { it <= max }
+}
+
 /** A duration with its unit, in milliseconds. */
 fun durationSetting(example: String) =
     SettingType("a duration with its unit (${MillisecondsByUnit.keys.joinToString()})", example) {
