--- a/dispatch/src/main/kotlin/io/oriolehall/dispatch/endpoints/EndpointDirectory.kt
+++ b/dispatch/src/main/kotlin/io/oriolehall/dispatch/endpoints/EndpointDirectory.kt
@@ -1,5 +1,6 @@
 package io.oriolehall.dispatch.endpoints
 
+import io.oriolehall.dispatch.store.RestorePeriod
 import io.oriolehall.model.EndpointId
 import io.oriolehall.model.ZoneId
 import kotlinx.collections.immutable.PersistentMap
@@ -39,14 +40,19 @@
 /**
  * Maintains the endpoint directory from the registrations in the platform's store. Registrations that are lost around
  * an outage of the store are kept for [reRegistrationGraceMs] after it recovers, because a live endpoint registers
- * again within that time.
+ * again within that time. A listing of a restored copy undoes nothing: an incarnation that drains or has been withdrawn
+ * stays so, and an earlier incarnation does not replace a later one.
  *
  * All times are monotonic milliseconds. Not thread-safe; [snapshot] is immutable.
  */
 class EndpointDirectory(private val reRegistrationGraceMs: Long = DEFAULT_RE_REGISTRATION_GRACE_MS) {
     private val removalTimesMs = mutableMapOf<EndpointId, Long>()
+    private val withdrawnAtMs = mutableMapOf<EndpointIncarnation, Long>()
     private var graceEndsAtMs = Long.MIN_VALUE
 
+    /** Incarnations whose registrations have been removed recently while the store was available. */
+    val withdrawn: Set<EndpointIncarnation> get() = withdrawnAtMs.keys
+
     var snapshot = EndpointSnapshot()
         private set
 
@@ -57,6 +63,7 @@
 
     fun register(record: EndpointRecord) {
         removalTimesMs.remove(record.id)
+        withdrawnAtMs.remove(record.incarnation)
         snapshot = snapshot.copy(endpoints = snapshot.endpoints.put(record.id, record))
     }
 
@@ -71,11 +78,18 @@
             removalTimesMs.putIfAbsent(id, maxOf(graceEndsAtMs, nowMs))
             return
         }
+        withdrawnAtMs[registered.incarnation] = nowMs
         remove(id)
     }
 
+    /** Notes that [incarnations] have been withdrawn, as another instance knows. */
+    fun addWithdrawn(incarnations: Collection<EndpointIncarnation>, nowMs: Long) =
+        incarnations.filter { snapshot.endpoints[it.id]?.incarnation != it }
+            .forEach { withdrawnAtMs.putIfAbsent(it, nowMs) }
+
     /** Removes endpoints whose grace period for registering again is over. Returns their ids. */
     fun expire(nowMs: Long): List<EndpointId> {
+        withdrawnAtMs.values.removeIf { nowMs - it > RestorePeriod.MAX_COPY_AGE_MS }
         val expired = removalTimesMs.filterValues { it <= nowMs }.keys.toList()
         expired.forEach(::remove)
         return expired
@@ -91,6 +105,27 @@
         snapshot.endpoints.keys.filter { it !in present }.forEach { withdraw(it, nowMs, storeUninterrupted) }
     }
 
+    /**
+     * Applies [records], all registrations in a restored copy, without undoing what is newer. Endpoints that are not
+     * among them are kept until they have had time to register again. Returns the endpoints whose entry is older than
+     * what is kept.
+     */
+    fun mergeCopy(records: Collection<EndpointRecord>, nowMs: Long): List<EndpointId> {
+        val (outdated, current) = records.partition(::isOutdated)
+        current.forEach(::register)
+        val draining = outdated.filter { snapshot.endpoints[it.id]?.incarnation == it.incarnation }
+        draining.forEach { removalTimesMs.remove(it.id) }
+        val present = (current + draining).mapTo(mutableSetOf(), EndpointRecord::id)
+        snapshot.endpoints.keys.filter { it !in present }.forEach { withdraw(it, nowMs, storeUninterrupted = false) }
+        return outdated.map(EndpointRecord::id)
+    }
+
+    private fun isOutdated(record: EndpointRecord): Boolean {
+        val known = snapshot.endpoints[record.id] ?: return record.incarnation in withdrawnAtMs
+        return record.startedAtMs < known.startedAtMs ||
+            (record.startedAtMs == known.startedAtMs && known.draining && !record.draining)
+    }
+
     fun setEvacuated(zones: Collection<ZoneId>) {
         snapshot = snapshot.copy(evacuated = persistentSetOf<ZoneId>().addAll(zones))
     }
--- a/dispatch/src/test/kotlin/io/oriolehall/dispatch/endpoints/EndpointDirectoryTest.kt
+++ b/dispatch/src/test/kotlin/io/oriolehall/dispatch/endpoints/EndpointDirectoryTest.kt
@@ -6,6 +6,7 @@
 import org.junit.jupiter.api.Test
 import strikt.api.expectThat
 import strikt.assertions.containsExactly
+import strikt.assertions.containsExactlyInAnyOrder
 import strikt.assertions.isEmpty
 import strikt.assertions.isEqualTo
 
@@ -70,4 +71,40 @@
         directory.register(endpoint("x", startedAtMs = 2))
         expectThat(directory.snapshot.obstacleFor(first)).isEqualTo(SendObstacle.NOT_REGISTERED)
     }
+
+    /** Guards against an endpoint that gets every request while it drains, because the copy shows it as ready. */
+    @Test
+    fun `a copy undoes neither the draining nor the withdrawal of an incarnation nor a later incarnation`() {
+        directory.register(endpoint("drains", draining = true))
+        directory.register(endpoint("gone"))
+        directory.withdraw(EndpointId("gone"), nowMs = 9_000, storeUninterrupted = true)
+        directory.register(endpoint("new", startedAtMs = 2))
+        directory.onStoreRecovered(nowMs = 10_000)
+        val copy = listOf(endpoint("drains"), endpoint("gone"), endpoint("new"), endpoint("other"))
+        directory.mergeCopy(copy, nowMs = 10_010)
+        expectThat(usableIds()).containsExactlyInAnyOrder("new", "other")
+        expectThat(directory.snapshot.endpoints[EndpointId("new")]?.startedAtMs).isEqualTo(2)
+        directory.register(endpoint("gone"))
+        directory.register(endpoint("drains"))
+        expectThat(usableIds()).containsExactlyInAnyOrder("drains", "gone", "new", "other")
+    }
+
+    @Test
+    fun `a later incarnation that the copy lost is withdrawn unless it registers again`() {
+        directory.register(endpoint("x", startedAtMs = 2))
+        directory.onStoreRecovered(nowMs = 10_000)
+        directory.mergeCopy(listOf(endpoint("x", startedAtMs = 1)), nowMs = 10_010)
+        directory.expire(nowMs = 11_999)
+        expectThat(usableIds()).containsExactly("x")
+        directory.expire(nowMs = 12_000)
+        expectThat(usableIds()).isEmpty()
+    }
+
+    @Test
+    fun `what the store shows when the protection is over is in force`() {
+        directory.register(endpoint("drains", draining = true))
+        directory.mergeCopy(listOf(endpoint("drains")), nowMs = 10_010)
+        directory.replaceAll(listOf(endpoint("drains")), nowMs = 15_010, storeUninterrupted = true)
+        expectThat(usableIds()).containsExactly("drains")
+    }
 }
--- a/gateway/src/main/kotlin/io/oriolehall/gateway/SelfCheck.kt
+++ b/gateway/src/main/kotlin/io/oriolehall/gateway/SelfCheck.kt
@@ -11,10 +11,13 @@
 import io.oriolehall.dispatch.config.Service
 import io.oriolehall.dispatch.config.ServingConfig
 import io.oriolehall.dispatch.endpoints.EndpointRecord
+import io.oriolehall.dispatch.store.StorePosition
+import io.oriolehall.gateway.feed.EndpointListing
 import io.oriolehall.gateway.feed.FeedChanges
 import io.oriolehall.gateway.feed.FeedFailure
-import io.oriolehall.gateway.feed.FeedSnapshot
+import io.oriolehall.gateway.feed.OperatorState
 import io.oriolehall.gateway.feed.PlatformFeed
+import io.oriolehall.gateway.feed.PublishedChange
 import io.oriolehall.gateway.http.CallerListener
 import io.oriolehall.gateway.http.CallerRequest
 import io.oriolehall.gateway.http.Responder
@@ -42,7 +45,7 @@
     /** Returns true if all requests succeeded. */
     suspend fun run(): Boolean {
         val endpoint = CallerListener(loop, ::respond).start(ANY_PORT)
-        val gateway = Gateway(settings(), wire, log) { FixedFeed(snapshot(endpoint)) }
+        val gateway = Gateway(settings(), wire, log) { FixedFeed(config(), record(endpoint)) }
         val gatewayAddress = gateway.start()
         val served = withTimeoutOrNull(TIMEOUT_MS) {
             while (!send(gatewayAddress, "/plain/x")) delay(RETRY_MS)
@@ -69,19 +72,16 @@
         ),
     )
 
-    private fun snapshot(endpoint: NetworkAddress): FeedSnapshot {
-        val plain = route("/plain/", RouteKind.IDEMPOTENT)
-        val config = ServingConfig(
-            version = 1,
-            routes = listOf(plain, route("/events/", RouteKind.STREAMING)),
-            services = listOf(Service(SERVICE, healthPath = "/", maxConnections = 0, coldPerSecond = 0.0)),
-            limits = CallerLimits(),
-            organisations = emptyList(),
-        )
-        val record =
-            EndpointRecord(EndpointId("endpoint"), 1, SERVICE, endpoint, ZONE, 1, draining = false, coldRemainingMs = 0)
-        return FeedSnapshot(asOf = 1, configRevision = 1, config, listOf(record), emptyList())
-    }
+    private fun config() = ServingConfig(
+        version = 1,
+        routes = listOf(route("/plain/", RouteKind.IDEMPOTENT), route("/events/", RouteKind.STREAMING)),
+        services = listOf(Service(SERVICE, healthPath = "/", maxConnections = 0, coldPerSecond = 0.0)),
+        limits = CallerLimits(),
+        organisations = emptyList(),
+    )
+
+    private fun record(endpoint: NetworkAddress) =
+        EndpointRecord(EndpointId("endpoint"), 1, SERVICE, endpoint, ZONE, 1, draining = false, coldRemainingMs = 0)
 
     private fun route(prefix: String, kind: RouteKind) = Route(
         name = prefix,
@@ -130,10 +130,16 @@
     }
 
     /** Feed whose published state never changes. */
-    private class FixedFeed(private val snapshot: FeedSnapshot) : PlatformFeed {
-        override suspend fun snapshot(): Result<FeedSnapshot, FeedFailure> = Ok(snapshot)
+    private class FixedFeed(private val config: ServingConfig, private val record: EndpointRecord) : PlatformFeed {
+        private val asOf = StorePosition(era = 0, revision = 1)
+
+        override suspend fun operatorState(): Result<OperatorState, FeedFailure> =
+            Ok(OperatorState(asOf, PublishedChange.ConfigPublished(asOf.revision, config), emptyList()))
+
+        override suspend fun endpoints(betweenPages: suspend () -> Unit): Result<EndpointListing, FeedFailure> =
+            Ok(EndpointListing(asOf, listOf(record)))
 
-        override suspend fun changes(revision: Long, waitMs: Long): Result<FeedChanges, FeedFailure> {
+        override suspend fun changes(after: StorePosition, waitMs: Long): Result<FeedChanges, FeedFailure> {
             delay(waitMs)
             return Err(FeedFailure.Unavailable("nothing changes"))
         }
--- a/gateway/src/main/kotlin/io/oriolehall/gateway/feed/FeedReader.kt
+++ b/gateway/src/main/kotlin/io/oriolehall/gateway/feed/FeedReader.kt
@@ -1,10 +1,20 @@
 package io.oriolehall.gateway.feed
 
+import com.github.michaelbull.result.Err
+import com.github.michaelbull.result.Result
+import io.oriolehall.dispatch.store.StorePosition
 import io.oriolehall.runtime.Event
 import io.oriolehall.runtime.EventLog
 import io.oriolehall.runtime.TimerService
 import kotlinx.coroutines.CancellationException
+import kotlinx.coroutines.Job
+import kotlinx.coroutines.async
+import kotlinx.coroutines.cancelAndJoin
+import kotlinx.coroutines.coroutineScope
+import kotlinx.coroutines.currentCoroutineContext
 import kotlinx.coroutines.delay
+import kotlinx.coroutines.selects.select
+import kotlinx.coroutines.withContext
 import kotlin.random.Random
 
 /**
@@ -33,6 +43,13 @@
     private var unreachableSinceMs = 0L
     private var lastWatchAtMs = Long.MIN_VALUE / 2
 
+    /** True since the platform failed to answer; a listing that cannot be used is an answer. */
+    private var silent = false
+
+    /** Listings in succession that were read because the store refused the watch after the one before. */
+    private var historyLosses = 0
+    private var askedPeers = false
+
     /** Reads and watches the platform until cancelled. After an unexpected error, reads everything again. */
     suspend fun run() {
         while (true) {
@@ -51,15 +68,17 @@
         var snapshotNeeded = true
         while (true) {
             if (!snapshotNeeded && reachable && peers.follow()) continue
+            if (state.listingDue || isBehindEra()) snapshotNeeded = true
             val failure = if (snapshotNeeded) readSnapshot() else watch()
+            state.learnEra(feed.era, SOURCE)
             if (failure == null) {
                 snapshotNeeded = false
                 continue
             }
-            val changesUnavailable = failure is FeedFailure.HistoryGone || failure is FeedFailure.TooLong
-            if (changesUnavailable && !snapshotNeeded) {
+            if (!snapshotNeeded && needsSnapshot(failure)) {
                 log.write(Event.FEED_HISTORY_GONE, "after" to state.asOf, "error" to failure.message)
                 snapshotNeeded = true
+                delay(listingPauseMs())
                 continue
             }
             recordFailure(failure)
@@ -68,30 +87,103 @@
         }
     }
 
+    private fun needsSnapshot(failure: FeedFailure) =
+        failure is FeedFailure.HistoryGone || failure is FeedFailure.TooLong || failure is FeedFailure.Restored
+
+    private fun isBehindEra() = state.asOf?.let { it.era < state.era } ?: false
+
+    /** A store that refuses every watch gets its listings at intervals, because they cost many calls. */
+    private fun listingPauseMs(): Long {
+        val losses = historyLosses++
+        if (losses == 0) return 0
+        return minOf(UNUSABLE_LISTING_RETRY_MS, FIRST_LISTING_PAUSE_MS shl minOf(losses, MAX_DOUBLINGS))
+    }
+
+    /**
+     * Reads everything. The configuration is read first, and again at intervals while the endpoints are listed, so that
+     * it depends neither on the length of that listing nor on its success.
+     */
     private suspend fun readSnapshot(): FeedFailure? {
-        val sentAt = state.now()
         val storeUninterrupted = reachable
-        val answer = feed.snapshot()
-        if (answer.isErr) return answer.error
+        val first = readOperator()
+        if (first.isErr) return first.error
+        var operator = first.value
+        var operatorReadAtMs = timers.nowMs()
+        val control = currentCoroutineContext().minusKey(Job)
+        val listing = feed.endpoints {
+            withContext(control) {
+                if (timers.nowMs() - operatorReadAtMs >= pace.maxWaitMs) {
+                    val again = readOperator()
+                    if (again.isOk) operator = again.value
+                    operatorReadAtMs = timers.nowMs()
+                }
+            }
+        }
+        if (listing.isErr) return listing.error
+        if (listing.value.asOf.era != operator.asOf.era || listing.value.asOf.era < state.era) {
+            return FeedFailure.Restored("the store was restored while it was listed")
+        }
         recordSuccess()
-        state.replace(answer.value, sentAt, storeUninterrupted, "platform")
+        state.replaceEndpoints(listing.value, operator, storeUninterrupted)
         return null
     }
 
+    private suspend fun readOperator(): Result<OperatorState, FeedFailure> {
+        val sentAt = state.now()
+        val answer = feed.operatorState()
+        if (answer.isErr) return answer
+        val operator = answer.value
+        state.learnEra(operator.asOf.era, SOURCE)
+        if (operator.asOf.era < state.era) {
+            return Err(FeedFailure.Unavailable("the answer is of era ${operator.asOf.era}, before ${state.era}"))
+        }
+        state.recordPlatformAnswer(interrupted = silent)
+        silent = false
+        if (state.asOf == null && state.era > 0) askPeers()
+        state.applyOperator(operator, sentAt)
+        return answer
+    }
+
+    /** An instance that starts after a restore asks others for what the copy may lack, before it uses the copy. */
+    private suspend fun askPeers() {
+        if (askedPeers) return
+        askedPeers = true
+        val untilMs = timers.nowMs() + MAX_PEER_QUESTION_MS
+        while (!peers.refresh(state) && timers.nowMs() < untilMs) delay(PEER_QUESTION_RETRY_MS)
+    }
+
     private suspend fun watch(): FeedFailure? {
         delay(lastWatchAtMs + pace.minIntervalMs - timers.nowMs())
         lastWatchAtMs = timers.nowMs()
         val sentAt = state.now()
-        val answer = feed.changes(state.asOf ?: 0, watchMs())
+        val after = state.asOf ?: StorePosition.START
+        val answer = unlessEraRises(after.era) { feed.changes(after, state.watchMs(watchMs())) }
+        state.learnEra(feed.era, SOURCE)
+        if (answer == null || state.era > after.era) return FeedFailure.Restored("the store is in era ${state.era}")
         if (answer.isErr) return answer.error
+        historyLosses = 0
         recordSuccess()
         state.apply(answer.value, sentAt)
         return null
     }
 
+    /** Returns null, and ends [call], as soon as an era after [era] is known, for example from another instance. */
+    private suspend fun <T : Any> unlessEraRises(era: Long, call: suspend () -> T): T? = coroutineScope {
+        val answer = async { call() }
+        val rise = async { state.awaitEraAfter(era) }
+        select {
+            answer.onAwait { it }
+            rise.onAwait { null }
+        }.also {
+            answer.cancelAndJoin()
+            rise.cancelAndJoin()
+        }
+    }
+
     private fun recordSuccess() {
         consecutiveFailures = 0
-        state.recordPlatformAnswer()
+        state.recordPlatformAnswer(interrupted = silent)
+        silent = false
         if (reachable) return
         reachable = true
         state.onStoreRecovered()
@@ -100,6 +192,7 @@
 
     private fun recordFailure(failure: FeedFailure) {
         consecutiveFailures++
+        if (failure !is FeedFailure.UnusableListing) silent = true
         if (failure is FeedFailure.UnusableListing) {
             log.write(Event.FEED_LISTING_UNUSABLE, "error" to failure.message, "retryMs" to UNUSABLE_LISTING_RETRY_MS)
         }
@@ -121,6 +214,12 @@
 
         /** A listing costs many calls, and it stays unusable until items are removed. */
         const val UNUSABLE_LISTING_RETRY_MS = 2_000L
+        const val FIRST_LISTING_PAUSE_MS = 250L
+
+        /** Time for the first contacts with other instances after a start. */
+        const val MAX_PEER_QUESTION_MS = 1_000L
+        const val PEER_QUESTION_RETRY_MS = 50L
+        const val SOURCE = "platform"
     }
 }
 
--- a/gateway/src/main/kotlin/io/oriolehall/gateway/feed/PlatformFeed.kt
+++ b/gateway/src/main/kotlin/io/oriolehall/gateway/feed/PlatformFeed.kt
@@ -2,7 +2,9 @@
 
 import com.github.michaelbull.result.Result
 import io.oriolehall.dispatch.config.ServingConfig
+import io.oriolehall.dispatch.endpoints.EndpointIncarnation
 import io.oriolehall.dispatch.endpoints.EndpointRecord
+import io.oriolehall.dispatch.store.StorePosition
 import io.oriolehall.model.EndpointId
 import io.oriolehall.model.ZoneId
 import kotlinx.serialization.SerialName
@@ -11,9 +13,11 @@
 /** A decoded change to the state that the platform publishes. */
 @Serializable
 sealed interface PublishedChange {
-    /** A new configuration. Configurations are ordered by [revision]. */
+    /** A configuration and the [era] and [revision] of its item. Configurations are ordered by their own version. */
     @Serializable
-    data class ConfigPublished(val revision: Long, val config: ServingConfig) : PublishedChange
+    data class ConfigPublished(val revision: Long, val config: ServingConfig, val era: Long = 0) : PublishedChange {
+        val position: StorePosition get() = StorePosition(era, revision)
+    }
 
     @Serializable
     data class EndpointRegistered(val record: EndpointRecord) : PublishedChange
@@ -36,7 +40,12 @@
     ) : PublishedChange
 }
 
-/** The complete published state at revision [asOf]. */
+/**
+ * The complete published state at revision [asOf] of [era], as one instance passes it to another.
+ *
+ * @property withdrawn incarnations of endpoints whose registration was removed recently.
+ * @property restored zones whose evacuation has ended recently.
+ */
 @Serializable
 data class FeedSnapshot(
     val asOf: Long,
@@ -44,10 +53,26 @@
     val config: ServingConfig?,
     val endpoints: List<EndpointRecord>,
     val evacuated: List<ZoneId>,
+    val era: Long = 0,
+    val configEra: Long = 0,
+    val withdrawn: List<EndpointIncarnation> = emptyList(),
+    val restored: List<ZoneId> = emptyList(),
+) {
+    val position: StorePosition get() = StorePosition(era, asOf)
+}
+
+/** What the operator has published, at position [asOf]; [config] is null if there is no usable configuration. */
+data class OperatorState(
+    val asOf: StorePosition,
+    val config: PublishedChange.ConfigPublished?,
+    val evacuated: List<ZoneId>,
 )
 
-/** Changes up to revision [asOf]. */
-data class FeedChanges(val asOf: Long, val changes: List<PublishedChange>)
+/** All registrations of endpoints at position [asOf]. */
+data class EndpointListing(val asOf: StorePosition, val endpoints: List<EndpointRecord>)
+
+/** Changes up to position [asOf]. */
+data class FeedChanges(val asOf: StorePosition, val changes: List<PublishedChange>)
 
 /** The reason why a call to the feed failed. */
 sealed interface FeedFailure {
@@ -62,6 +87,9 @@
      */
     data class TooLong(override val message: String) : FeedFailure
 
+    /** The store has been restored from an older copy; a full snapshot is needed. */
+    data class Restored(override val message: String) : FeedFailure
+
     /** The platform answers, but a listing of its items makes no progress or is larger than an instance can hold. */
     data class UnusableListing(override val message: String) : FeedFailure
 
@@ -71,9 +99,18 @@
 
 /** Read-only access to the platform's published state. */
 interface PlatformFeed {
-    /** Reads the complete state, which is at least as recent as the start of the call. */
-    suspend fun snapshot(): Result<FeedSnapshot, FeedFailure>
+    /** Newest era that an answer of the store has named, whatever its status. */
+    val era: Long get() = 0
+
+    /** Number of calls to the store so far; each one is billed. */
+    val calls: Long get() = 0
+
+    /** Reads what the operator has published, which is at least as recent as the start of the call. */
+    suspend fun operatorState(): Result<OperatorState, FeedFailure>
+
+    /** Reads all endpoints; calls [betweenPages] after each page, because a listing may be long. */
+    suspend fun endpoints(betweenPages: suspend () -> Unit): Result<EndpointListing, FeedFailure>
 
-    /** Waits up to [waitMs] milliseconds for changes after [revision]. */
-    suspend fun changes(revision: Long, waitMs: Long): Result<FeedChanges, FeedFailure>
+    /** Waits up to [waitMs] milliseconds for changes after the position [after]. */
+    suspend fun changes(after: StorePosition, waitMs: Long): Result<FeedChanges, FeedFailure>
 }
--- a/gateway/src/main/kotlin/io/oriolehall/gateway/feed/PublishedState.kt
+++ b/gateway/src/main/kotlin/io/oriolehall/gateway/feed/PublishedState.kt
@@ -2,9 +2,14 @@
 
 import io.oriolehall.dispatch.config.ClockReading
 import io.oriolehall.dispatch.config.ConfigHolder
+import io.oriolehall.dispatch.config.ConfigStamp
 import io.oriolehall.dispatch.config.ServingConfig
 import io.oriolehall.dispatch.endpoints.EndpointDirectory
+import io.oriolehall.dispatch.endpoints.EndpointRecord
 import io.oriolehall.dispatch.endpoints.EndpointSnapshot
+import io.oriolehall.dispatch.endpoints.EvacuatedZones
+import io.oriolehall.dispatch.store.RestorePeriod
+import io.oriolehall.dispatch.store.StorePosition
 import io.oriolehall.gateway.feed.PublishedChange.ConfigPublished
 import io.oriolehall.gateway.feed.PublishedChange.EndpointRegistered
 import io.oriolehall.gateway.feed.PublishedChange.EndpointWithdrawn
@@ -16,14 +21,23 @@
 import io.oriolehall.runtime.Event
 import io.oriolehall.runtime.EventLog
 import io.oriolehall.runtime.TimerService
+import kotlinx.coroutines.flow.MutableStateFlow
+import kotlinx.coroutines.flow.first
 
 /**
  * This instance's copy of the published state: the configuration in force, the endpoints and the evacuated zones. It is
- * changed on the control thread only; [configHolder] and [endpoints] may be read by any thread.
+ * changed on the control thread only; [configHolder], [endpoints] and [era] may be read by any thread.
+ *
+ * The configuration is ordered by its own version, everything else by the position in the store. After a restore of the
+ * store, the copy undoes nothing until its writers have had time to write again (see [RestorePeriod]).
  */
 class PublishedState(private val timers: TimerService, private val log: EventLog) {
     private val directory = EndpointDirectory()
-    private val evacuated = mutableSetOf<ZoneId>()
+    private val evacuations = EvacuatedZones()
+    private val restore = RestorePeriod()
+    private val mutableEra = MutableStateFlow(0L)
+    private val configRevisions = mutableSetOf<Long>()
+    private var ignoredConfig: ConfigStamp? = null
 
     val configHolder = ConfigHolder()
 
@@ -34,10 +48,19 @@
     var endpoints = EndpointSnapshot()
         private set
 
-    /** Revision up to which changes have been applied; null before the first snapshot. */
-    var asOf: Long? = null
+    /** Position up to which changes have been applied; null before the first snapshot. */
+    var asOf: StorePosition? = null
         private set
 
+    /** Newest known era of the store, which may be later than that of [asOf]. */
+    val era: Long get() = mutableEra.value
+
+    /** Milliseconds since the store came back in the current era; negative if it has not answered this instance. */
+    val eraAgeMs: Long get() = restore.ageMs(timers.nowMs())
+
+    /** True when a complete listing is needed, because the time for writing again after a restore is over. */
+    val listingDue: Boolean get() = restore.listingDue(timers.nowMs())
+
     /** Monotonic time in milliseconds at which the platform last answered this instance; null if it has not yet. */
     var platformAnsweredAtMs: Long? = null
         private set
@@ -45,49 +68,167 @@
     /** True once a snapshot with a configuration has been applied. */
     val complete: Boolean get() = asOf != null && configHolder.current != null
 
-    /** Records that the platform has just answered this instance. */
-    fun recordPlatformAnswer() {
-        platformAnsweredAtMs = timers.nowMs()
+    /**
+     * Records that the platform has just answered a read of its current era. [interrupted] is true if it had not
+     * answered before.
+     */
+    fun recordPlatformAnswer(interrupted: Boolean = false) {
+        val nowMs = timers.nowMs()
+        platformAnsweredAtMs = nowMs
+        val firstOfEra = era > 0 && restore.ageMs(nowMs) < 0
+        restore.onStoreAnswer(nowMs, interrupted)
+        if (firstOfEra) directory.onStoreRecovered(nowMs)
+    }
+
+    /** Records that the store is in [newEra], as [source] has told. */
+    fun learnEra(newEra: Long, source: String) {
+        val nowMs = timers.nowMs()
+        val before = era
+        if (!restore.learn(newEra, nowMs, hasState = asOf != null)) return
+        mutableEra.value = newEra
+        if (asOf == null) return
+        directory.onStoreRecovered(nowMs)
+        log.write(Event.STORE_RESTORED, "before" to before, "era" to newEra, "asOf" to asOf, "source" to source)
+    }
+
+    /** Takes over from another instance that the store came back in [ofEra] [ageMs] milliseconds ago. */
+    fun adoptEraAge(ofEra: Long, ageMs: Long) {
+        if (ofEra == era) restore.adoptAge(ageMs, timers.nowMs())
+    }
+
+    /** Waits until an era after [known] is known. */
+    suspend fun awaitEraAfter(known: Long) {
+        mutableEra.first { it > known }
     }
 
+    /** The wait of the next watch in milliseconds: [defaultMs], or less so that a limit of a restore is met. */
+    fun watchMs(defaultMs: Long): Long =
+        restore.nextLimitInMs(timers.nowMs())?.let { minOf(it, defaultMs) } ?: defaultMs
+
     fun now() = ClockReading(timers.nowMs(), timers.wallClockMs())
 
     /**
-     * Replaces the state by [snapshot], unless the state is newer. [readAt] is when the read was sent.
+     * Replaces the state by [snapshot], unless the state is newer; the configuration of an older one is used if its
+     * version is newer. Returns true if the state was replaced. [readAt] is when the read was sent.
      *
      * @param storeUninterrupted true if the store has been available without interruption since the last update.
      */
-    fun replace(snapshot: FeedSnapshot, readAt: ClockReading, storeUninterrupted: Boolean, source: String) {
-        if ((asOf ?: -1) > snapshot.asOf) return
+    fun replace(snapshot: FeedSnapshot, readAt: ClockReading, storeUninterrupted: Boolean, source: String): Boolean {
+        learnEra(snapshot.era, source)
         val config = snapshot.config
-        if (config != null) activateConfig(config, snapshot.configRevision, readAt, source)
-        directory.replaceAll(snapshot.endpoints, timers.nowMs(), storeUninterrupted)
-        evacuated.clear()
-        evacuated += snapshot.evacuated
-        asOf = snapshot.asOf
+        if (config != null) {
+            activateConfig(ConfigPublished(snapshot.configRevision, config, snapshot.configEra), readAt, source)
+        }
+        val position = snapshot.position
+        if (asOf != null && (position.era < era || asOf.orStart() > position)) return false
+        replaceAll(snapshot.endpoints, snapshot.evacuated, position, storeUninterrupted)
+        directory.addWithdrawn(snapshot.withdrawn, timers.nowMs())
+        evacuations.addEnded(snapshot.restored, timers.nowMs())
+        if (position.era < era) restore.protect()
+        return true
+    }
+
+    /** Applies [operator], the result of a read that was sent at [sentAt]. It need not come with the endpoints. */
+    fun applyOperator(operator: OperatorState, sentAt: ClockReading) {
+        val config = operator.config
+        if (config != null) {
+            if (isWrittenAgain(config)) restore.onConfigWritten()
+            val mayConfirm = restore.mayConfirmConfig(sentAt.ms)
+            activateConfig(config, sentAt.takeIf { mayConfirm }, "platform")
+        }
+        if (era > 0 && config != null) confirmConfig(sentAt)
+        if (asOf == null || asOf.orStart() > operator.asOf) return
+        replaceEvacuations(operator.evacuated, isCopy = restore.protecting && !listingDue)
+        publish()
+    }
+
+    /** Replaces the endpoints by [listing], and the evacuated zones by those of [operator], unless they are older. */
+    fun replaceEndpoints(listing: EndpointListing, operator: OperatorState, storeUninterrupted: Boolean) {
+        val position = minOf(listing.asOf, operator.asOf)
+        if (asOf.orStart() > position) {
+            // A store that shows less than before within an era would otherwise be listed without a pause.
+            if (listingDue) restore.endProtection()
+            return
+        }
+        replaceAll(listing.endpoints, operator.evacuated, position, storeUninterrupted)
+    }
+
+    private fun replaceAll(
+        records: List<EndpointRecord>,
+        evacuated: List<ZoneId>,
+        position: StorePosition,
+        storeUninterrupted: Boolean,
+    ) {
+        val nowMs = timers.nowMs()
+        val isCopy = restore.protecting && !restore.listingDue(nowMs)
+        replaceEvacuations(evacuated, isCopy)
+        if (isCopy) {
+            val outdated = directory.mergeCopy(records, nowMs)
+            if (outdated.isNotEmpty()) log.write(Event.LOST_CHANGE_KEPT, "endpoints" to outdated)
+        } else {
+            directory.replaceAll(records, nowMs, storeUninterrupted || restore.protecting)
+            if (restore.protecting) log.write(Event.STORE_RESTORE_ENDED, "era" to era, "asOf" to position)
+            restore.endProtection()
+        }
+        asOf = position
         publish()
     }
 
+    private fun replaceEvacuations(listed: List<ZoneId>, isCopy: Boolean) {
+        val nowMs = timers.nowMs()
+        if (!isCopy) {
+            evacuations.replaceAll(listed, nowMs)
+            return
+        }
+        val kept = evacuations.addFromCopy(listed, nowMs)
+        if (kept.isNotEmpty()) log.write(Event.LOST_CHANGE_KEPT, "evacuations" to kept)
+    }
+
     /** Applies [update], the result of a watch that was sent at [sentAt]. */
     fun apply(update: FeedChanges, sentAt: ClockReading) {
+        if (update.asOf.era < era) return
         update.changes.forEach { applyChange(it, sentAt, "platform") }
-        asOf = maxOf(asOf ?: 0, update.asOf)
-        configHolder.current?.let { configHolder.confirm(it.revision, sentAt) }
+        asOf = maxOf(asOf.orStart(), update.asOf)
+        if (era == 0L) configHolder.current?.let { configHolder.confirm(it.stamp, sentAt) } else confirmConfig(sentAt)
         publish()
     }
 
     /**
-     * Applies changes up to [revision] from an instance that this one follows. They are already in force there: for a
+     * Applies changes up to [position] from an instance that this one follows. They are already in force there: for a
      * withdrawn endpoint, that instance has already waited for it to register again.
      */
-    fun applyFollowed(changes: List<PublishedChange>, revision: Long, at: ClockReading, source: String) {
-        changes.forEach { applyChange(it, at, source) }
-        asOf = maxOf(asOf ?: 0, revision)
+    fun applyFollowed(changes: List<PublishedChange>, position: StorePosition, at: ClockReading, source: String) {
+        for (change in changes) {
+            if (change is ConfigPublished) activateConfig(change, at, source) else applyChange(change, at, source)
+        }
+        asOf = maxOf(asOf.orStart(), position)
         publish()
     }
 
+    /**
+     * Confirms the configuration in force by a read or watch of the current era that showed no newer one. It may show
+     * an older one: then the newer one is lost, and its writer has had time to write a still newer one.
+     */
+    private fun confirmConfig(sentAt: ClockReading) {
+        if (!restore.mayConfirmConfig(sentAt.ms)) return
+        configHolder.current?.let { configHolder.confirm(it.stamp, sentAt) }
+        restore.onConfigConfirmed()
+    }
+
+    /**
+     * True if the operator must have written [config] after the restore: its item has a revision at which this instance
+     * knows that it was not written before. Such a write states the operator's newest version.
+     */
+    private fun isWrittenAgain(config: ConfigPublished): Boolean {
+        val known = configHolder.current?.stamp ?: return false
+        val position = asOf ?: return false
+        if (config.era == 0L || config.revision in configRevisions) return false
+        val unused = position.era == known.position.era && config.revision in known.position.revision..position.revision
+        return config.config.version == known.version || (config.config.version > known.version && unused)
+    }
+
     private fun applyChange(change: PublishedChange, sentAt: ClockReading, source: String) = when (change) {
-        is ConfigPublished -> activateConfig(change.config, change.revision, sentAt, source)
+        is ConfigPublished -> applyConfigWrite(change, sentAt, source)
         is EndpointRegistered -> register(change)
         is EndpointWithdrawn -> withdraw(change.id)
         is ZoneEvacuated -> setEvacuated(change.zone, true)
@@ -101,13 +242,38 @@
         change.endpoint?.takeIf { it in directory.snapshot.endpoints }?.let(::withdraw)
     }
 
-    private fun activateConfig(config: ServingConfig, revision: Long, at: ClockReading, source: String) {
-        if (!configHolder.activateIfNewer(config, revision, at)) return
-        journal.add(listOf(ConfigPublished(revision, config)))
+    private fun StorePosition?.orStart(): StorePosition = this ?: StorePosition.START
+
+    /** A change of the configuration in the current era is a write of the operator, not part of a restored copy. */
+    private fun applyConfigWrite(change: ConfigPublished, at: ClockReading, source: String) {
+        val version = configHolder.current?.stamp?.version
+        if (change.era == era && (version == null || change.config.version >= version)) restore.onConfigWritten()
+        activateConfig(change, at, source)
+    }
+
+    private fun activateConfig(change: ConfigPublished, at: ClockReading?, source: String) {
+        val config = change.config
+        val before = configHolder.current?.stamp?.version
+        val stamp = ConfigStamp(config.version, change.position)
+        val changed = configHolder.activateIfNewer(config, change.position, at)
+        if (before != null && config.version < before && stamp != ignoredConfig) {
+            ignoredConfig = stamp
+            log.write(
+                Event.OLDER_CONFIG_IGNORED,
+                "version" to config.version,
+                "inForce" to before,
+                "asOf" to change.position,
+                "source" to source,
+            )
+        }
+        if (before == null || config.version > before) configRevisions.clear()
+        if (configHolder.current?.stamp?.version == config.version) configRevisions += change.revision
+        if (!changed) return
+        journal.add(listOf(change))
         log.write(
             Event.CONFIG_IN_FORCE,
             "version" to config.version,
-            "revision" to revision,
+            "revision" to change.position,
             "source" to source,
             "routes" to config.routes.size,
         )
@@ -134,35 +300,42 @@
     }
 
     private fun setEvacuated(zone: ZoneId, on: Boolean) {
-        if (on) evacuated += zone else evacuated -= zone
+        evacuations.set(zone, on, timers.nowMs())
         log.write(if (on) Event.ZONE_EVACUATED else Event.ZONE_RESTORED, "zone" to zone)
     }
 
     fun onStoreRecovered() = directory.onStoreRecovered(timers.nowMs())
 
-    /** Removes lapsed endpoints that have not registered again within their grace period. */
+    /** Applies what was put off: endpoints that have not registered again, and evacuations that a copy shows. */
     fun expire() {
-        val expired = directory.expire(timers.nowMs())
-        if (expired.isEmpty()) return
+        val nowMs = timers.nowMs()
+        val expired = directory.expire(nowMs)
         expired.forEach { log.write(Event.ENDPOINT_WITHDRAWN, "endpoint" to it, "cause" to "lapsed") }
-        publish()
+        val evacuated = evacuations.applyDue(nowMs)
+        evacuated.forEach { log.write(Event.ZONE_EVACUATED, "zone" to it) }
+        if (expired.isNotEmpty() || evacuated.isNotEmpty()) publish()
     }
 
     /** Returns the complete state for another instance, or null if it is not complete yet. */
     fun snapshot(): FeedSnapshot? {
         val confirmed = configHolder.current ?: return null
+        val position = asOf ?: return null
         return FeedSnapshot(
-            asOf = asOf ?: return null,
+            asOf = position.revision,
             configRevision = confirmed.revision,
             config = confirmed.table.config,
             endpoints = directory.snapshot.endpoints.values.toList(),
-            evacuated = evacuated.toList(),
+            evacuated = evacuations.zones.toList(),
+            era = position.era,
+            configEra = confirmed.stamp.position.era,
+            withdrawn = if (position.era > 0) directory.withdrawn.toList() else emptyList(),
+            restored = if (position.era > 0) evacuations.ended.toList() else emptyList(),
         )
     }
 
     private fun publish() {
         val before = endpoints
-        directory.setEvacuated(evacuated)
+        directory.setEvacuated(evacuations.zones)
         endpoints = directory.snapshot
         val changes = changesBetween(before, endpoints)
         if (changes.isNotEmpty()) journal.add(changes)
--- a/gateway/src/main/kotlin/io/oriolehall/gateway/fleet/FleetService.kt
+++ b/gateway/src/main/kotlin/io/oriolehall/gateway/fleet/FleetService.kt
@@ -31,10 +31,10 @@
 import kotlin.random.Random
 
 /**
- * Tracks the members of the fleet: finds them through the seeds, probes them, and receives the revision of their
- * configuration with each answer. A newer configuration is fetched immediately; if the revisions are equal, a later
- * confirmation at the other instance also confirms the configuration of this one. All state is confined to the control
- * thread.
+ * Tracks the members of the fleet: finds them through the seeds, probes them, and receives the version of their
+ * configuration and the era of the store with each answer. A newer configuration is fetched immediately; if the
+ * versions are equal, a later confirmation at the other instance also confirms the configuration of this one. All state
+ * is confined to the control thread.
  *
  * @param seeds addresses for the first contacts; they may be outdated or unreachable.
  */
@@ -71,7 +71,7 @@
         server.answer(FleetChannels.INDIRECT_PROBE) { ProbeAnswer(withContext(control) { exchange(it.address, null) }) }
         server.answer(FleetChannels.RECORDS) { withContext(control) { FleetRecords(membership.allRecords()) } }
         server.answer(FleetChannels.STATE) {
-            withContext(control) { StateAnswer(state.snapshot(), stateExchange.confirmedAgoMs()) }
+            withContext(control) { StateAnswer(state.snapshot(), stateExchange.confirmedAgoMs(), state.eraAgeMs) }
         }
         server.serve(FleetChannels.FOLLOW) { query, emit ->
             withContext(control) { follower.answer(query) }?.let { emit(it) }
@@ -225,6 +225,9 @@
         fleetDigest = membership.digest(),
         configRevision = state.configHolder.current?.revision ?: 0,
         confirmedAgoMs = stateExchange.confirmedAgoMs(),
+        era = state.era,
+        configVersion = state.configHolder.current?.stamp?.version ?: NO_VERSION,
+        configEra = state.configHolder.current?.stamp?.position?.era ?: 0,
     )
 
     private fun mergeGossip(gossip: FleetGossip) {
@@ -232,9 +235,10 @@
         if (changed.isNotEmpty()) publish()
         val address = gossip.sender.instance.peerAddress
         if (gossip.fleetDigest != membership.digest() && mayFetchRecords()) fetchUnlessRunning { fetchRecords(address) }
-        if (gossip.configRevision > (state.configHolder.current?.revision ?: 0)) {
-            fetchUnlessRunning { stateExchange.fetchFrom(address) }
-        }
+        state.learnEra(gossip.era, "instance ${gossip.sender.id}")
+        val theirs = gossip.configStamp ?: return
+        val own = state.configHolder.current?.stamp
+        if (own == null || theirs.replaces(own)) fetchUnlessRunning { stateExchange.fetchFrom(address) }
     }
 
     /**
--- a/gateway/src/main/kotlin/io/oriolehall/gateway/fleet/StateExchange.kt
+++ b/gateway/src/main/kotlin/io/oriolehall/gateway/fleet/StateExchange.kt
@@ -23,10 +23,13 @@
     /** Confirms the configuration if [answer], to a message sent at [sentAt], does. */
     fun confirmFrom(answer: FleetGossip, sentAt: ClockReading) {
         if (answer.confirmedAgoMs < 0) return
-        state.configHolder.confirm(answer.configRevision, sentAt.before(answer.confirmedAgoMs))
+        answer.configStamp?.let { state.configHolder.confirm(it, sentAt.before(answer.confirmedAgoMs)) }
     }
 
-    /** Takes the state of the instance at [address] unless it is older. Returns true if it was taken. */
+    /**
+     * Takes the state of the instance at [address] unless it is older; of an older one, only a newer configuration.
+     * Returns true if the state was taken.
+     */
     suspend fun fetchFrom(address: NetworkAddress): Boolean {
         val sentAt = state.now()
         val answer = client.call(address, FleetChannels.STATE, StateQuery(), FETCH_TIMEOUT_MS)
@@ -34,9 +37,9 @@
         val agoMs = answer.value.confirmedAgoMs
         val readAt = if (agoMs < 0) sentAt.before(MAX_CONFIRMATION_AGE_MS) else sentAt.before(agoMs)
         val snapshot = answer.value.snapshot ?: return false
-        if (snapshot.asOf < (state.asOf ?: 0)) return false
-        state.replace(snapshot, readAt, storeUninterrupted = true, source = "instance at $address")
-        return true
+        val taken = state.replace(snapshot, readAt, storeUninterrupted = true, source = "instance at $address")
+        if (taken) state.adoptEraAge(snapshot.era, answer.value.eraAgeMs)
+        return taken
     }
 
     private companion object {
--- a/gateway/src/main/kotlin/io/oriolehall/gateway/fleet/StateFollower.kt
+++ b/gateway/src/main/kotlin/io/oriolehall/gateway/fleet/StateFollower.kt
@@ -1,6 +1,7 @@
 package io.oriolehall.gateway.fleet
 
 import io.oriolehall.dispatch.config.ClockReading
+import io.oriolehall.dispatch.store.StorePosition
 import io.oriolehall.gateway.feed.PublishedState
 import io.oriolehall.gateway.feed.ReadingPace
 import io.oriolehall.model.Incarnation
@@ -53,23 +54,27 @@
         return FollowAnswer(
             incarnation = incarnation,
             position = journal.position,
-            asOf = asOf,
+            asOf = asOf.revision,
             configRevision = config.revision,
             confirmedAgoMs = if (agoMs < 0) agoMs else maxOf(0, agoMs - (timers.nowMs() - arrivedAtMs)),
             platformAnsweredAgoMs = timers.nowMs() - platformAnsweredAtMs,
             changes = changes.orEmpty(),
             snapshot = if (changes == null) state.snapshot() else null,
+            era = asOf.era,
+            configVersion = config.stamp.version,
+            configEra = config.stamp.position.era,
         )
     }
 
     /**
      * Waits for changes at [member] and applies them. Returns false if it does not answer, has had no answer from the
-     * platform or no confirmation of its configuration for too long, or has an older revision than this instance; this
+     * platform or no confirmation of its configuration for too long, or has an older state than this instance; this
      * instance then has to read the platform itself.
      */
     suspend fun follow(member: Member): Boolean {
         val sentAt = state.now()
-        val query = FollowQuery(readerIncarnation.takeIf { reader == member.id }, position, pace.maxWaitMs)
+        val known = readerIncarnation.takeIf { reader == member.id && !state.listingDue }
+        val query = FollowQuery(known, position, pace.maxWaitMs)
         val answer = client.call(member.address, FleetChannels.FOLLOW, query, pace.maxWaitMs + ANSWER_MARGIN_MS)
         val failure = if (answer.isErr) answer.error.message else rejectionReason(answer.value)
         if (failure != null) {
@@ -88,21 +93,29 @@
 
         answer.confirmedAgoMs < 0 -> "it suspends keys"
 
-        answer.asOf < (state.asOf ?: 0) -> "it knows revision ${answer.asOf}, this instance ${state.asOf}"
+        answer.configVersion == NO_VERSION -> "it does not state the version of its configuration"
+
+        answer.era < state.era -> "it knows era ${answer.era} of the store, this instance ${state.era}"
+
+        answer.storePosition < (state.asOf ?: StorePosition.START) ->
+            "it knows position ${answer.storePosition}, this instance ${state.asOf}"
 
         else -> null
     }
 
     private fun applyAnswer(member: Member, answer: FollowAnswer, sentAt: ClockReading) {
         val confirmedAt = sentAt.before(answer.confirmedAgoMs)
+        state.learnEra(answer.era, "instance ${member.id}")
         val snapshot = answer.snapshot
         if (snapshot != null) {
             state.replace(snapshot, confirmedAt, storeUninterrupted = true, source = "instance ${member.id}")
         } else {
-            state.applyFollowed(answer.changes, answer.asOf, confirmedAt, source = "instance ${member.id}")
+            state.applyFollowed(answer.changes, answer.storePosition, confirmedAt, source = "instance ${member.id}")
+        }
+        state.configHolder.confirm(answer.configStamp, confirmedAt)
+        if (reader != member.id) {
+            log.write(Event.STATE_FOLLOWED, "reader" to member.id, "asOf" to answer.storePosition)
         }
-        state.configHolder.confirm(answer.configRevision, confirmedAt)
-        if (reader != member.id) log.write(Event.STATE_FOLLOWED, "reader" to member.id, "asOf" to answer.asOf)
         reader = member.id
         readerIncarnation = answer.incarnation
         position = answer.position
--- a/gateway/src/test/kotlin/io/oriolehall/gateway/feed/FeedReaderTest.kt
+++ b/gateway/src/test/kotlin/io/oriolehall/gateway/feed/FeedReaderTest.kt
@@ -6,6 +6,7 @@
 import io.oriolehall.dispatch.config.CallerLimits
 import io.oriolehall.dispatch.config.ServingConfig
 import io.oriolehall.dispatch.endpoints.EndpointRecord
+import io.oriolehall.dispatch.store.StorePosition
 import io.oriolehall.model.EndpointId
 import io.oriolehall.model.NetworkAddress
 import io.oriolehall.model.ZoneId
@@ -46,21 +47,28 @@
     private fun endpoint(id: String) =
         EndpointRecord(EndpointId(id), 1, "s", NetworkAddress("10.0.0.1", 1), ZoneId("z"), 1, false, 0)
 
-    private fun snapshot() = FeedSnapshot(
-        asOf = 1,
-        configRevision = 1,
-        config = ServingConfig(1, emptyList(), emptyList(), CallerLimits(), emptyList()),
-        endpoints = listOf(endpoint("e1"), endpoint("e2")),
+    private fun at(revision: Long) = StorePosition(era = 0, revision)
+
+    private fun operatorState(version: Long = 1) = OperatorState(
+        asOf = at(version),
+        config = PublishedChange.ConfigPublished(
+            version,
+            ServingConfig(version, emptyList(), emptyList(), CallerLimits(), emptyList()),
+        ),
         evacuated = emptyList(),
     )
 
+    private fun listing() = EndpointListing(at(1), listOf(endpoint("e1"), endpoint("e2")))
+
     /** Runs a reader on a platform whose watches are answered by [watch], which is given the number of the watch. */
     private fun read(watch: suspend (Int) -> Result<FeedChanges, FeedFailure>) {
         var watches = 0
         val feed = object : PlatformFeed {
-            override suspend fun snapshot() = Ok(this@FeedReaderTest.snapshot())
+            override suspend fun operatorState() = Ok(this@FeedReaderTest.operatorState())
 
-            override suspend fun changes(revision: Long, waitMs: Long) = watch(++watches)
+            override suspend fun endpoints(betweenPages: suspend () -> Unit) = Ok(listing())
+
+            override suspend fun changes(after: StorePosition, waitMs: Long) = watch(++watches)
         }
         scope.launch { FeedReader(feed, state, { false }, { 20 }, pace, timers, log).run() }
     }
@@ -85,7 +93,7 @@
                 watchedAgain.complete(Unit)
                 awaitCancellation()
             }
-            state.apply(FeedChanges(1, listOf(PublishedChange.EndpointWithdrawn(EndpointId("e1")))), state.now())
+            state.apply(FeedChanges(at(1), listOf(PublishedChange.EndpointWithdrawn(EndpointId("e1")))), state.now())
             Err(FeedFailure.TooLong("answer is longer than 10 bytes"))
         }
         withTimeout(5_000) { watchedAgain.await() }
@@ -100,7 +108,7 @@
                 applied.complete(Unit)
                 awaitCancellation()
             }
-            Ok(FeedChanges(2, listOf(PublishedChange.Unreadable("entry of e1", "not JSON", EndpointId("e1")))))
+            Ok(FeedChanges(at(2), listOf(PublishedChange.Unreadable("entry of e1", "not JSON", EndpointId("e1")))))
         }
         withTimeout(5_000) { applied.await() }
         expectThat(state.endpoints.usable("s").map { it.id.value }).containsExactly("e2")
@@ -114,13 +122,15 @@
         val startMs = timers.nowMs()
         var listings = 0
         val feed = object : PlatformFeed {
-            override suspend fun snapshot(): Result<FeedSnapshot, FeedFailure> {
+            override suspend fun operatorState() = Ok(this@FeedReaderTest.operatorState())
+
+            override suspend fun endpoints(betweenPages: suspend () -> Unit): Result<EndpointListing, FeedFailure> {
                 if (++listings == 1) return Err(FeedFailure.UnusableListing("a page is repeated"))
                 readAgain.complete(timers.nowMs() - startMs)
-                return Ok(this@FeedReaderTest.snapshot())
+                return Ok(listing())
             }
 
-            override suspend fun changes(revision: Long, waitMs: Long) = awaitCancellation()
+            override suspend fun changes(after: StorePosition, waitMs: Long) = awaitCancellation()
         }
         val reader = FeedReader(feed, state, { false }, { 20 }, pace, timers, { event, _ -> events += event })
         scope.launch { reader.run() }
@@ -137,7 +147,7 @@
                 done.complete(timers.nowMs() - startMs)
                 awaitCancellation()
             }
-            Ok(FeedChanges(number + 1L, listOf(PublishedChange.EndpointRegistered(endpoint("e$number")))))
+            Ok(FeedChanges(at(number + 1L), listOf(PublishedChange.EndpointRegistered(endpoint("e$number")))))
         }
         expectThat(withTimeout(5_000) { done.await() }).isGreaterThanOrEqualTo(5 * pace.minIntervalMs)
         expectThat(state.endpoints.usable("s").size).isEqualTo(5)
--- a/gateway/src/test/kotlin/io/oriolehall/gateway/feed/PublishedStateTest.kt
+++ b/gateway/src/test/kotlin/io/oriolehall/gateway/feed/PublishedStateTest.kt
@@ -4,6 +4,7 @@
 import io.oriolehall.dispatch.config.Organisation
 import io.oriolehall.dispatch.config.ServingConfig
 import io.oriolehall.dispatch.endpoints.EndpointRecord
+import io.oriolehall.dispatch.store.StorePosition
 import io.oriolehall.model.EndpointId
 import io.oriolehall.model.NetworkAddress
 import io.oriolehall.model.OrganisationId
@@ -60,7 +61,10 @@
     fun `only the configuration in force stays in memory when versions come in quick succession`() {
         val versions = (1L..300L).map { version ->
             val config = ServingConfig(version, emptyList(), emptyList(), CallerLimits(), emptyList())
-            state.apply(FeedChanges(version, listOf(PublishedChange.ConfigPublished(version, config))), state.now())
+            state.apply(
+                FeedChanges(StorePosition(0, version), listOf(PublishedChange.ConfigPublished(version, config))),
+                state.now(),
+            )
             WeakReference(config)
         }
         val waitUntilMs = System.currentTimeMillis() + MAX_COLLECTION_MS
--- a/gateway/src/test/kotlin/io/oriolehall/gateway/fleet/StateFollowerTest.kt
+++ b/gateway/src/test/kotlin/io/oriolehall/gateway/fleet/StateFollowerTest.kt
@@ -4,8 +4,11 @@
 import io.oriolehall.dispatch.config.CallerLimits
 import io.oriolehall.dispatch.config.ServingConfig
 import io.oriolehall.dispatch.endpoints.EndpointRecord
+import io.oriolehall.dispatch.store.StorePosition
+import io.oriolehall.gateway.feed.EndpointListing
 import io.oriolehall.gateway.feed.FeedChanges
 import io.oriolehall.gateway.feed.FeedSnapshot
+import io.oriolehall.gateway.feed.OperatorState
 import io.oriolehall.gateway.feed.PublishedChange
 import io.oriolehall.gateway.feed.PublishedState
 import io.oriolehall.gateway.feed.ReadingPace
@@ -37,6 +40,7 @@
 import strikt.assertions.isFalse
 import strikt.assertions.isGreaterThanOrEqualTo
 import strikt.assertions.isLessThanOrEqualTo
+import strikt.assertions.isNull
 import strikt.assertions.isTrue
 
 /** Runs a reader and a follower on the loopback interface; the tests apply the platform's changes to the reader. */
@@ -93,7 +97,7 @@
 
     private fun publish(revision: Long, vararg changes: PublishedChange) {
         readerState.recordPlatformAnswer()
-        readerState.apply(FeedChanges(revision, changes.toList()), readerState.now())
+        readerState.apply(FeedChanges(StorePosition(0, revision), changes.toList()), readerState.now())
     }
 
     @Test
@@ -115,7 +119,7 @@
         expectThat(state.endpoints.usable("s")).isEmpty()
         expectThat(state.endpoints.evacuated).isEmpty()
         expectThat(state.configHolder.current?.table?.config?.version) isEqualTo 3
-        expectThat(state.asOf) isEqualTo 12
+        expectThat(state.asOf) isEqualTo StorePosition(0, 12)
     }
 
     @Test
@@ -159,13 +163,52 @@
     fun `nothing goes back where the follower knows more than its reader`() = withReader { member ->
         follower.follow(member)
         state.apply(
-            FeedChanges(20, listOf(PublishedChange.EndpointRegistered(record("a", draining = true)))),
+            FeedChanges(StorePosition(0, 20), listOf(PublishedChange.EndpointRegistered(record("a", draining = true)))),
             state.now(),
         )
         publish(15, PublishedChange.EndpointRegistered(record("c")))
         expectThat(follower.follow(member)).isFalse()
         expectThat(state.endpoints.endpoints[EndpointId("a")]?.draining) isEqualTo true
-        expectThat(state.asOf) isEqualTo 20
+        expectThat(state.asOf) isEqualTo StorePosition(0, 20)
+    }
+
+    @Test
+    fun `a reader that knows only an earlier era of the store is not followed`() = withReader { member ->
+        expectThat(follower.follow(member)).isTrue()
+        state.learnEra(1, "test")
+        publish(99, PublishedChange.EndpointRegistered(record("c")))
+        expectThat(follower.follow(member)).isFalse()
+        expectThat(state.endpoints.endpoints[EndpointId("c")]).isNull()
+    }
+
+    /** Guards against a follower that loses what it knows when its reader has read the copy and did not know it. */
+    @Test
+    fun `a follower takes over the new era and keeps what only it had learnt`() = withReader { member ->
+        follower.follow(member)
+        state.apply(
+            FeedChanges(
+                StorePosition(0, 20),
+                listOf(
+                    PublishedChange.EndpointRegistered(record("a", draining = true)),
+                    PublishedChange.ConfigPublished(20, config.copy(version = 3)),
+                ),
+            ),
+            state.now(),
+        )
+        readerState.learnEra(1, "test")
+        readerState.recordPlatformAnswer()
+        val operator = OperatorState(
+            StorePosition(1, 12),
+            PublishedChange.ConfigPublished(7, config, era = 1),
+            listOf(ZoneId("y")),
+        )
+        readerState.applyOperator(operator, readerState.now())
+        val listing = EndpointListing(StorePosition(1, 12), listOf(record("a"), record("b")))
+        readerState.replaceEndpoints(listing, operator, storeUninterrupted = false)
+        expectThat(follower.follow(member)).isTrue()
+        expectThat(state.asOf) isEqualTo StorePosition(1, 12)
+        expectThat(state.endpoints.endpoints[EndpointId("a")]?.draining) isEqualTo true
+        expectThat(state.configHolder.current?.stamp?.version) isEqualTo 3
     }
 
     @Test
--- a/gateway/src/test/kotlin/io/oriolehall/gateway/path/GatewayUnderTest.kt
+++ b/gateway/src/test/kotlin/io/oriolehall/gateway/path/GatewayUnderTest.kt
@@ -11,13 +11,16 @@
 import io.oriolehall.dispatch.config.ServingConfig
 import io.oriolehall.dispatch.endpoints.EndpointRecord
 import io.oriolehall.dispatch.stages.PieceWork
+import io.oriolehall.dispatch.store.StorePosition
 import io.oriolehall.gateway.DeploymentBounds
 import io.oriolehall.gateway.Gateway
 import io.oriolehall.gateway.GatewaySettings
+import io.oriolehall.gateway.feed.EndpointListing
 import io.oriolehall.gateway.feed.FeedChanges
 import io.oriolehall.gateway.feed.FeedFailure
-import io.oriolehall.gateway.feed.FeedSnapshot
+import io.oriolehall.gateway.feed.OperatorState
 import io.oriolehall.gateway.feed.PlatformFeed
+import io.oriolehall.gateway.feed.PublishedChange
 import io.oriolehall.gateway.wire.HeaderNames
 import io.oriolehall.gateway.wire.PieceOutcome
 import io.oriolehall.gateway.wire.StageCallCodec
@@ -101,7 +104,7 @@
         metricsAddress = NetworkAddress("127.0.0.1", 0),
     )
 
-    private fun snapshot(): FeedSnapshot {
+    private fun operatorState(): OperatorState {
         val routes = listOf(
             route("/plain/", RouteKind.IDEMPOTENT),
             route("/once/", RouteKind.AT_MOST_ONCE),
@@ -109,19 +112,20 @@
         )
         val services = listOf(Service("s", "/", maxConnections, coldPerSecond = 0.0))
         val config = ServingConfig(1, routes, services, CallerLimits(), organisations)
-        val records = endpoints.mapIndexed { i, endpoint ->
-            EndpointRecord(
-                EndpointId(endpointId(i)),
-                1,
-                "s",
-                endpoint.address,
-                ZoneId("z"),
-                1,
-                draining = endpointId(i) in draining,
-                coldRemainingMs = 0,
-            )
-        }
-        return FeedSnapshot(1, 1, config, records, emptyList())
+        return OperatorState(StorePosition(0, 1), PublishedChange.ConfigPublished(1, config), emptyList())
+    }
+
+    private fun records() = endpoints.mapIndexed { i, endpoint ->
+        EndpointRecord(
+            EndpointId(endpointId(i)),
+            1,
+            "s",
+            endpoint.address,
+            ZoneId("z"),
+            1,
+            draining = endpointId(i) in draining,
+            coldRemainingMs = 0,
+        )
     }
 
     private fun route(prefix: String, kind: RouteKind) = Route(
@@ -138,11 +142,14 @@
     )
 
     private inner class Feed : PlatformFeed {
-        override suspend fun snapshot() = Ok(this@GatewayUnderTest.snapshot())
+        override suspend fun operatorState() = Ok(this@GatewayUnderTest.operatorState())
+
+        override suspend fun endpoints(betweenPages: suspend () -> Unit) =
+            Ok(EndpointListing(StorePosition(0, 1), records()))
 
-        override suspend fun changes(revision: Long, waitMs: Long) = if (storeReachable()) {
+        override suspend fun changes(after: StorePosition, waitMs: Long) = if (storeReachable()) {
             delay(waitMs)
-            Ok(FeedChanges(revision, emptyList()))
+            Ok(FeedChanges(after, emptyList()))
         } else {
             delay(RETRY_MS)
             Err(FeedFailure.Unavailable("store unreachable"))
--- a/runtime/src/main/kotlin/io/oriolehall/runtime/Event.kt
+++ b/runtime/src/main/kotlin/io/oriolehall/runtime/Event.kt
@@ -44,6 +44,10 @@
     ENDPOINT_PAUSE_ENDED(221, EventLevel.INFO, "pause of an endpoint has ended"),
     PAUSE_UNREADABLE(222, EventLevel.WARN, "pause that an endpoint asks for cannot be read"),
     FEED_LISTING_UNUSABLE(223, EventLevel.ERROR, "listing of the platform cannot be used"),
+    STORE_RESTORED(224, EventLevel.WARN, "store of the platform was restored from an older copy"),
+    STORE_RESTORE_ENDED(225, EventLevel.INFO, "state of the restored store is in force"),
+    LOST_CHANGE_KEPT(226, EventLevel.INFO, "changes that the restored copy lacks are kept"),
+    OLDER_CONFIG_IGNORED(227, EventLevel.WARN, "older configuration of the store ignored"),
 
     PEER_FRAME_REJECTED(301, EventLevel.WARN, "frame from a peer rejected"),
     PEER_CONNECTION_LOST(302, EventLevel.DEBUG, "connection to a peer lost"),
