--- a/gateway/src/main/kotlin/io/oriolehall/gateway/Gateway.kt
+++ b/gateway/src/main/kotlin/io/oriolehall/gateway/Gateway.kt
@@ -86,9 +86,10 @@
         pace = pace,
     )
     private val watchMs = pace.confirmationMs
-    private val reader = FeedReader(feed(traffic), state, fleet, { fleet.watchMs(watchMs) }, pace, timers, log)
+    private val platformFeed = feed(traffic)
+    private val reader = FeedReader(platformFeed, state, fleet, { fleet.watchMs(watchMs) }, pace, timers, log)
 
-    private val metrics = GatewayMetrics()
+    private val metrics = GatewayMetrics().also { it.observeStore(state, platformFeed) }
     private val access =
         EndpointAccess({ state.endpoints }, wire.headers.leaving, log, onSignal = metrics::recordEndpointSignal)
     private val answerMemory = AnswerMemory().also { metrics.observeAnswerMemory(it::takenBytes) }
--- a/gateway/src/main/kotlin/io/oriolehall/gateway/feed/FeedReader.kt
+++ b/gateway/src/main/kotlin/io/oriolehall/gateway/feed/FeedReader.kt
@@ -70,7 +70,7 @@
             if (!snapshotNeeded && reachable && peers.follow()) continue
             if (state.listingDue || isBehindEra()) snapshotNeeded = true
             val failure = if (snapshotNeeded) readSnapshot() else watch()
-            state.learnEra(feed.era, SOURCE)
+            state.learnEra(feed.era, PublishedState.PLATFORM)
             if (failure == null) {
                 snapshotNeeded = false
                 continue
@@ -133,7 +133,7 @@
         val answer = feed.operatorState()
         if (answer.isErr) return answer
         val operator = answer.value
-        state.learnEra(operator.asOf.era, SOURCE)
+        state.learnEra(operator.asOf.era, PublishedState.PLATFORM)
         if (operator.asOf.era < state.era) {
             return Err(FeedFailure.Unavailable("the answer is of era ${operator.asOf.era}, before ${state.era}"))
         }
@@ -158,7 +158,7 @@
         val sentAt = state.now()
         val after = state.asOf ?: StorePosition.START
         val answer = unlessEraRises(after.era) { feed.changes(after, state.watchMs(watchMs())) }
-        state.learnEra(feed.era, SOURCE)
+        state.learnEra(feed.era, PublishedState.PLATFORM)
         if (answer == null || state.era > after.era) return FeedFailure.Restored("the store is in era ${state.era}")
         if (answer.isErr) return answer.error
         historyLosses = 0
@@ -219,7 +219,6 @@
         /** Time for the first contacts with other instances after a start. */
         const val MAX_PEER_QUESTION_MS = 1_000L
         const val PEER_QUESTION_RETRY_MS = 50L
-        const val SOURCE = "platform"
     }
 }
 
--- a/gateway/src/main/kotlin/io/oriolehall/gateway/feed/PublishedState.kt
+++ b/gateway/src/main/kotlin/io/oriolehall/gateway/feed/PublishedState.kt
@@ -134,7 +134,7 @@
         if (config != null) {
             if (isWrittenAgain(config)) restore.onConfigWritten()
             val mayConfirm = restore.mayConfirmConfig(sentAt.ms)
-            activateConfig(config, sentAt.takeIf { mayConfirm }, "platform")
+            activateConfig(config, sentAt.takeIf { mayConfirm }, PLATFORM)
         }
         if (era > 0 && config != null) confirmConfig(sentAt)
         if (asOf == null || asOf.orStart() > operator.asOf) return
@@ -187,7 +187,7 @@
     /** Applies [update], the result of a watch that was sent at [sentAt]. */
     fun apply(update: FeedChanges, sentAt: ClockReading) {
         if (update.asOf.era < era) return
-        update.changes.forEach { applyChange(it, sentAt, "platform") }
+        update.changes.forEach { applyChange(it, sentAt, PLATFORM) }
         asOf = maxOf(asOf.orStart(), update.asOf)
         if (era == 0L) configHolder.current?.let { configHolder.confirm(it.stamp, sentAt) } else confirmConfig(sentAt)
         publish()
@@ -256,14 +256,13 @@
         val before = configHolder.current?.stamp?.version
         val stamp = ConfigStamp(config.version, change.position)
         val changed = configHolder.activateIfNewer(config, change.position, at)
-        if (before != null && config.version < before && stamp != ignoredConfig) {
+        if (source == PLATFORM && before != null && config.version < before && stamp != ignoredConfig) {
             ignoredConfig = stamp
             log.write(
                 Event.OLDER_CONFIG_IGNORED,
                 "version" to config.version,
                 "inForce" to before,
                 "asOf" to change.position,
-                "source" to source,
             )
         }
         if (before == null || config.version > before) configRevisions.clear()
@@ -349,4 +348,9 @@
         val restorations = (before.evacuated - after.evacuated).map(::ZoneRestored)
         return registrations + withdrawals + evacuations + restorations
     }
+
+    companion object {
+        /** Source of what was read at the platform's store itself, in log lines. */
+        const val PLATFORM = "platform"
+    }
 }
--- a/gateway/src/main/kotlin/io/oriolehall/gateway/requests/GatewayMetrics.kt
+++ b/gateway/src/main/kotlin/io/oriolehall/gateway/requests/GatewayMetrics.kt
@@ -1,11 +1,14 @@
 package io.oriolehall.gateway.requests
 
 import io.micrometer.core.instrument.DistributionSummary
+import io.micrometer.core.instrument.FunctionCounter
 import io.micrometer.core.instrument.Gauge
 import io.micrometer.core.instrument.Tags
 import io.micrometer.core.instrument.Timer
 import io.micrometer.prometheusmetrics.PrometheusConfig
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry
+import io.oriolehall.gateway.feed.PlatformFeed
+import io.oriolehall.gateway.feed.PublishedState
 import java.time.Duration
 import java.util.concurrent.TimeUnit
 
@@ -24,6 +27,15 @@
         Gauge.builder("oriolehall.answer.memory", takenBytes) { it().toDouble() }.baseUnit("bytes").register(registry)
     }
 
+    /**
+     * Shows the era of the platform's store that this instance knows, and counts its calls to the store. The registry
+     * refers to [state] and [feed] weakly.
+     */
+    fun observeStore(state: PublishedState, feed: PlatformFeed) {
+        Gauge.builder("oriolehall.store.era", state) { it.era.toDouble() }.register(registry)
+        FunctionCounter.builder("oriolehall.store.calls", feed) { it.calls.toDouble() }.register(registry)
+    }
+
     /** Records a completed request whose first byte was sent to the caller after [firstByteMs] milliseconds. */
     fun recordCompleted(context: RequestContext, outcome: String, firstByteMs: Long) {
         recordEnded(context, outcome)
--- a/gateway/src/test/kotlin/io/oriolehall/gateway/feed/RestoredStoreTest.kt
+++ b/gateway/src/test/kotlin/io/oriolehall/gateway/feed/RestoredStoreTest.kt
@@ -2,6 +2,7 @@
 
 import io.oriolehall.dispatch.config.ClockReading
 import io.oriolehall.gateway.feed.FakeStore.Companion.endpoint
+import io.oriolehall.model.EndpointId
 import io.oriolehall.model.ZoneId
 import io.oriolehall.runtime.Event
 import io.oriolehall.runtime.EventLog
@@ -26,7 +27,7 @@
 
 /** Instances that read a store which is restored from older copies; they exchange their states. In virtual time. */
 class RestoredStoreTest {
-    private val store = FakeStore()
+    private var store = FakeStore()
     private val pace = ReadingPace.within(configApplyMs = 3_000, keyRevocationMs = 5_000)
 
     /** An instance; [others] are the ones that it reaches. A restart forgets its state. */
@@ -277,54 +278,57 @@
         for (seed in 1L..SEEDS) runTest { runRandom(this, seed) }
     }
 
+    /** Checks at all times that no instance goes back or uses an endpoint that the store says is draining or gone. */
+    private inner class Checker(private val test: TestScope, val instances: List<Instance>, val ids: List<String>) {
+        private val accepted = LongArray(instances.size)
+        private val undisturbedSinceMs = LongArray(instances.size)
+        private val unusableSinceMs = mutableMapOf<String, Long>()
+
+        fun onRestore() = undisturbedSinceMs.fill(test.testScheduler.currentTime)
+
+        fun onRestart(i: Int) {
+            accepted[i] = 0
+            undisturbedSinceMs[i] = test.testScheduler.currentTime
+        }
+
+        fun check(label: String) {
+            val nowMs = test.testScheduler.currentTime
+            val usable = store.endpoints.filterNot { it.draining }.map { it.id.value }.toSet()
+            unusableSinceMs.keys.removeAll(usable)
+            ids.filter { it !in usable }.forEach { unusableSinceMs.putIfAbsent(it, nowMs) }
+            instances.forEachIndexed { i, instance ->
+                expectThat(instance.version).describedAs("version of $i, $label").isGreaterThanOrEqualTo(accepted[i])
+                accepted[i] = instance.version
+                if (!store.available || !instance.feed.connected) undisturbedSinceMs[i] = nowMs
+                val late = instance.usable.filter { id ->
+                    val sinceMs = unusableSinceMs[id]
+                    sinceMs != null && nowMs - maxOf(sinceMs, undisturbedSinceMs[i]) > NOTICE_MS
+                }
+                expectThat(late).describedAs("draining or gone, used by $i, $label").isEmpty()
+            }
+        }
+    }
+
     private suspend fun runRandom(test: TestScope, seed: Long) {
+        store = FakeStore()
+        copy = store.copy()
         val random = Random(seed)
         val writers = RandomWriters(store, random)
         writers.writeAll()
         val instances = List(3) { Instance(test, seed + it) }
-        val accepted = LongArray(instances.size)
-        val checker = test.backgroundScope.launch {
+        val checker = Checker(test, instances, writers.ids)
+        val checks = test.backgroundScope.launch {
             while (true) {
                 delay(CHECK_MS)
-                instances.forEachIndexed { i, instance ->
-                    expectThat(instance.version).describedAs("version of $i, seed $seed")
-                        .isGreaterThanOrEqualTo(accepted[i])
-                    accepted[i] = instance.version
-                }
+                checker.check("seed $seed")
             }
         }
-        var copy = store.copy()
         connectAll(instances)
         val startMs = test.testScheduler.currentTime
         repeat(STEPS) {
             delay(random.nextLong(MAX_STEP_MS))
-            when (random.nextInt(8)) {
-                0 -> copy = store.copy()
-
-                1 -> {
-                    store.available = false
-                    delay(random.nextLong(1_000))
-                    store.restore(copy)
-                    store.available = true
-                    test.backgroundScope.launch {
-                        delay(random.nextLong(REWRITE_MS))
-                        writers.writeAll()
-                    }
-                }
-
-                2 -> instances.random(random).feed.let { it.connected = !it.connected }
-
-                3 -> instances.random(random).others = instances.filter { random.nextBoolean() }
-
-                4 -> instances.indices.random(random).let {
-                    accepted[it] = 0
-                    instances[it].start()
-                }
-
-                else -> writers.writeOne()
-            }
+            runRandomStep(test, random, writers, checker)
         }
-        store.available = true
         connectAll(instances)
         delay(SETTLE_MS)
         writers.writeAll()
@@ -335,10 +339,41 @@
                 .isEqualTo(store.endpoints.filterNot { it.draining }.map { it.id.value }.sorted())
             expectThat(instance.acceptsKeys).describedAs("keys at $i, seed $seed").isTrue()
         }
-        val elapsedMs = test.testScheduler.currentTime - startMs
-        val maxCalls = elapsedMs / MIN_MS_PER_CALL
+        val maxCalls = (test.testScheduler.currentTime - startMs) / MIN_MS_PER_CALL
         expectThat(instances.maxOf { it.feed.calls }).describedAs("calls, seed $seed").isLessThan(maxCalls)
-        checker.cancel()
+        checks.cancel()
+    }
+
+    private var copy = store.copy()
+
+    private suspend fun runRandomStep(test: TestScope, random: Random, writers: RandomWriters, checker: Checker) {
+        val instances = checker.instances
+        when (random.nextInt(8)) {
+            0 -> copy = store.copy()
+
+            1 -> {
+                store.available = false
+                delay(random.nextLong(1_000))
+                store.restore(copy)
+                checker.onRestore()
+                store.available = true
+                test.backgroundScope.launch {
+                    delay(random.nextLong(REWRITE_MS))
+                    writers.writeAll()
+                }
+            }
+
+            2 -> instances.random(random).feed.let { it.connected = !it.connected }
+
+            3 -> instances.random(random).others = instances.filter { random.nextBoolean() }
+
+            4 -> instances.indices.random(random).let {
+                checker.onRestart(it)
+                instances[it].start()
+            }
+
+            else -> writers.writeOne()
+        }
     }
 
     private fun connectAll(instances: List<Instance>) = instances.forEach { instance ->
@@ -350,11 +385,16 @@
     private class RandomWriters(private val store: FakeStore, private val random: Random) {
         var version = 1L
             private set
+        private var births = 1L
         private val records = List(5) { endpoint("e$it") }.associateBy { it.id }.toMutableMap()
+        val ids = records.keys.map { it.value }
 
+        /** Writes again what is missing; the entries of endpoints that have left lapse. */
         fun writeAll() {
+            if (!store.available) return
             if (store.version != version) store.putConfig(version)
             records.values.forEach { if (it !in store.endpoints) store.put(it) }
+            store.endpoints.filter { it.id !in records }.forEach { store.remove(it.id.value) }
         }
 
         fun writeOne() {
@@ -363,17 +403,13 @@
                 store.putConfig(++version)
                 return
             }
-            val old = records.values.random(random)
-            val new = if (old.draining) {
-                endpoint(
-                    old.id.value,
-                    startedAtMs = old.startedAtMs + 1,
-                )
-            } else {
-                old.copy(draining = true)
+            val id = EndpointId(ids.random(random))
+            val old = records.remove(id)
+            when {
+                old == null -> records[id] = endpoint(id.value, startedAtMs = ++births)
+                !old.draining -> records[id] = old.copy(draining = true)
             }
-            records[new.id] = new
-            store.put(new)
+            records[id]?.let(store::put) ?: store.remove(id.value)
         }
     }
 
@@ -389,6 +425,9 @@
         const val CHECK_MS = 50L
         const val SETTLE_MS = 8_000L
         const val BOUND_MS = 3_000L
+
+        /** Time for writing again, and the bound after an instance has learnt that an endpoint drains or is gone. */
+        const val NOTICE_MS = 5_000L
         const val MIN_MS_PER_CALL = 150L
     }
 }
