--- a/gateway/src/main/kotlin/io/oriolehall/gateway/Gateway.kt
+++ b/gateway/src/main/kotlin/io/oriolehall/gateway/Gateway.kt
@@ -87,9 +87,10 @@
         pace = pace,
     )
     private val watchMs = pace.confirmationMs
-    private val reader = FeedReader(feed(traffic), state, fleet, { fleet.watchMs(watchMs) }, pace, timers, log)
+    private val platformFeed = feed(traffic)
+    private val reader = FeedReader(platformFeed, state, fleet, { fleet.watchMs(watchMs) }, pace, timers, log)
 
-    private val metrics = GatewayMetrics()
+    private val metrics = GatewayMetrics().also { it.observeStore(state, platformFeed) }
     private val access = EndpointAccess(
         { state.endpoints },
         wire.headers.leaving,
@@ -164,7 +165,7 @@
         shuttingDown = { shuttingDown },
     )
     private val readinessListener = CallerListener(traffic, { _, responder ->
-        responder.respond(if (ready()) OK else UNAVAILABLE, DefaultHttpHeaders(), ByteArray(0))
+        responder.respond(if (isReady) OK else UNAVAILABLE, DefaultHttpHeaders(), ByteArray(0))
     })
 
     /** Address of the metrics page after the start; null if metrics are not served. */
@@ -196,7 +197,9 @@
         return address
     }
 
-    private fun ready(): Boolean = !shuttingDown && state.complete && state.endpoints.endpoints.isNotEmpty()
+    /** True while the instance can serve requests and does not stop. */
+    internal val isReady: Boolean
+        get() = !shuttingDown && state.complete && state.endpoints.endpoints.isNotEmpty()
 
     /**
      * Shuts down gracefully. The instance first reports that it is not ready, while it continues to serve requests that
--- a/gateway/src/test/kotlin/io/oriolehall/gateway/path/EarlyResponseTest.kt
+++ b/gateway/src/test/kotlin/io/oriolehall/gateway/path/EarlyResponseTest.kt
@@ -65,7 +65,7 @@
 
     private fun withGateway(endpoint: ScriptedEndpoint, test: GatewayUnderTest.() -> Unit) = endpoint.use {
         GatewayUnderTest(listOf(endpoint), limits = CallerLimits(maxBodyBytes = LONG_BYTES)).use { gateway ->
-            while (!gateway.request("/none/").startsWith("HTTP/1.1 404")) Thread.sleep(POLL_MS)
+            gateway.awaitReady()
             gateway.test()
         }
     }
--- a/gateway/src/test/kotlin/io/oriolehall/gateway/path/FaultyAnswerTest.kt
+++ b/gateway/src/test/kotlin/io/oriolehall/gateway/path/FaultyAnswerTest.kt
@@ -15,7 +15,7 @@
 class FaultyAnswerTest {
     private fun withGateway(vararg endpoints: ScriptedEndpoint, test: GatewayUnderTest.() -> Unit) {
         GatewayUnderTest(endpoints.toList()).use { gateway ->
-            while (!gateway.request("/none/").startsWith("HTTP/1.1 404")) Thread.sleep(POLL_MS)
+            gateway.awaitReady()
             gateway.test()
         }
         endpoints.forEach(ScriptedEndpoint::close)
@@ -133,6 +133,5 @@
         const val MAX_FLOOD_MS = 2_500L
 
         const val EVENT_STREAM = "Content-Type: text/event-stream\r\n"
-        const val POLL_MS = 5L
     }
 }
--- a/gateway/src/test/kotlin/io/oriolehall/gateway/path/GatewayPathTest.kt
+++ b/gateway/src/test/kotlin/io/oriolehall/gateway/path/GatewayPathTest.kt
@@ -26,7 +26,7 @@
     }
 
     private fun GatewayUnderTest.ready(): GatewayUnderTest = apply {
-        waitUntil { request("/none/").startsWith("HTTP/1.1 404") }
+        awaitReady()
     }
 
     private fun withGateway(vararg endpoints: ScriptedEndpoint, test: GatewayUnderTest.() -> Unit) {
--- a/gateway/src/test/kotlin/io/oriolehall/gateway/path/GatewayUnderTest.kt
+++ b/gateway/src/test/kotlin/io/oriolehall/gateway/path/GatewayUnderTest.kt
@@ -12,13 +12,16 @@
 import io.oriolehall.dispatch.endpoints.EndpointRecord
 import io.oriolehall.dispatch.retries.SecondAttemptLimits
 import io.oriolehall.dispatch.stages.PieceWork
+import io.oriolehall.dispatch.store.StorePosition
 import io.oriolehall.gateway.DeploymentBounds
 import io.oriolehall.gateway.Gateway
 import io.oriolehall.gateway.GatewaySettings
+import io.oriolehall.gateway.feed.EndpointListing
 import io.oriolehall.gateway.feed.FeedChanges
 import io.oriolehall.gateway.feed.FeedFailure
-import io.oriolehall.gateway.feed.FeedSnapshot
+import io.oriolehall.gateway.feed.OperatorState
 import io.oriolehall.gateway.feed.PlatformFeed
+import io.oriolehall.gateway.feed.PublishedChange
 import io.oriolehall.gateway.wire.HeaderNames
 import io.oriolehall.gateway.wire.PieceOutcome
 import io.oriolehall.gateway.wire.StageCallCodec
@@ -36,6 +39,7 @@
 import java.net.Socket
 import java.net.URI
 import java.util.concurrent.CopyOnWriteArrayList
+import java.util.concurrent.TimeUnit
 import kotlin.concurrent.thread
 
 /** A gateway on the loopback interface with routes `/plain/`, `/once/` and `/events/` to [endpoints]. */
@@ -65,6 +69,15 @@
     private val gateway = Gateway(settings(), WIRE, eventLog) { _ -> Feed() }
     val callerAddress: NetworkAddress = runBlocking { gateway.start() }
 
+    /** Waits until the gateway knows its configuration and, if there are any, its endpoints. */
+    fun awaitReady() {
+        val endNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(READ_TIMEOUT_MS.toLong())
+        while (!request("/none/").startsWith("HTTP/1.1 404") || (endpoints.isNotEmpty() && !gateway.isReady)) {
+            check(System.nanoTime() < endNanos) { "not ready in $READ_TIMEOUT_MS ms" }
+            Thread.sleep(READY_POLL_MS)
+        }
+    }
+
     /** Stops the gateway in the background. */
     fun stopInBackground() {
         thread(isDaemon = true) { runBlocking { gateway.stop() } }
@@ -126,7 +139,7 @@
         secondAttempts = secondAttempts,
     )
 
-    private fun snapshot(): FeedSnapshot {
+    private fun operatorState(): OperatorState {
         val routes = listOf(
             route("/plain/", RouteKind.IDEMPOTENT),
             route("/once/", RouteKind.AT_MOST_ONCE),
@@ -134,19 +147,20 @@
         )
         val services = listOf(Service("s", "/", maxConnections, coldPerSecond = 0.0))
         val config = ServingConfig(1, routes, services, limits, organisations)
-        val records = endpoints.mapIndexed { i, endpoint ->
-            EndpointRecord(
-                EndpointId(endpointId(i)),
-                1,
-                "s",
-                endpoint.address,
-                ZoneId("z"),
-                1,
-                draining = endpointId(i) in draining,
-                coldRemainingMs = 0,
-            )
-        }
-        return FeedSnapshot(1, 1, config, records, emptyList())
+        return OperatorState(StorePosition(0, 1), PublishedChange.ConfigPublished(1, config), emptyList())
+    }
+
+    private fun records() = endpoints.mapIndexed { i, endpoint ->
+        EndpointRecord(
+            EndpointId(endpointId(i)),
+            1,
+            "s",
+            endpoint.address,
+            ZoneId("z"),
+            1,
+            draining = endpointId(i) in draining,
+            coldRemainingMs = 0,
+        )
     }
 
     private fun route(prefix: String, kind: RouteKind) = Route(
@@ -163,11 +177,14 @@
     )
 
     private inner class Feed : PlatformFeed {
-        override suspend fun snapshot() = Ok(this@GatewayUnderTest.snapshot())
+        override suspend fun operatorState() = Ok(this@GatewayUnderTest.operatorState())
+
+        override suspend fun endpoints(betweenPages: suspend () -> Unit) =
+            Ok(EndpointListing(StorePosition(0, 1), records()))
 
-        override suspend fun changes(revision: Long, waitMs: Long) = if (storeReachable()) {
+        override suspend fun changes(after: StorePosition, waitMs: Long) = if (storeReachable()) {
             delay(waitMs)
-            Ok(FeedChanges(revision, emptyList()))
+            Ok(FeedChanges(after, emptyList()))
         } else {
             delay(RETRY_MS)
             Err(FeedFailure.Unavailable("store unreachable"))
@@ -178,6 +195,7 @@
 
     companion object {
         const val READ_TIMEOUT_MS = 8_000
+        const val READY_POLL_MS = 5L
         const val RETRY_MS = 20L
         val KEYED_ORGANISATIONS = listOf(Organisation(OrganisationId("o"), listOf("k")))
 
--- a/gateway/src/test/kotlin/io/oriolehall/gateway/path/LeavingAndPauseTest.kt
+++ b/gateway/src/test/kotlin/io/oriolehall/gateway/path/LeavingAndPauseTest.kt
@@ -20,7 +20,7 @@
         test: GatewayUnderTest.() -> Unit,
     ) {
         GatewayUnderTest(endpoints.toList(), storeReachable = storeReachable).use { gateway ->
-            while (!gateway.request("/none/").startsWith("HTTP/1.1 404")) Thread.sleep(POLL_MS)
+            gateway.awaitReady()
             gateway.test()
         }
         endpoints.forEach(ScriptedEndpoint::close)
--- a/gateway/src/test/kotlin/io/oriolehall/gateway/path/ResponseStatusTest.kt
+++ b/gateway/src/test/kotlin/io/oriolehall/gateway/path/ResponseStatusTest.kt
@@ -11,7 +11,7 @@
 class ResponseStatusTest {
     private fun withGateway(vararg endpoints: ScriptedEndpoint, test: GatewayUnderTest.() -> Unit) {
         GatewayUnderTest(endpoints.toList()).use { gateway ->
-            while (!gateway.request("/none/").startsWith("HTTP/1.1 404")) Thread.sleep(POLL_MS)
+            gateway.awaitReady()
             gateway.test()
         }
         endpoints.forEach(ScriptedEndpoint::close)
@@ -81,7 +81,6 @@
     }
 
     private companion object {
-        const val POLL_MS = 5L
         const val STATUS_END = 12
         val MALFORMED = listOf(
             "000 X", "099 X", "600 X", "999 X", "1000 X", "0200 OK", "2000 OK", "20x OK", "+200 OK", "-200 OK",
--- a/gateway/src/test/kotlin/io/oriolehall/gateway/path/SecondAttemptTest.kt
+++ b/gateway/src/test/kotlin/io/oriolehall/gateway/path/SecondAttemptTest.kt
@@ -52,7 +52,7 @@
             objectiveMs = 20_000,
             secondAttempts = secondAttempts,
         ).use { gateway ->
-            waitUntil { gateway.request("/none/").startsWith("HTTP/1.1 404") }
+            gateway.awaitReady()
             repeat(warmUps) { expectThat(gateway.request(warmUpPath)).startsWith("HTTP/1.1 200") }
             Slow(gateway, endpoints).test()
         }
--- a/gateway/src/test/kotlin/io/oriolehall/gateway/path/SentTextTest.kt
+++ b/gateway/src/test/kotlin/io/oriolehall/gateway/path/SentTextTest.kt
@@ -23,7 +23,7 @@
     private fun organisation(name: String) = Organisation(OrganisationId(name), listOf("k"))
 
     private fun GatewayUnderTest.awaitConfiguration() {
-        while (!request("/none/").startsWith("HTTP/1.1 404")) Thread.sleep(POLL_MS)
+        awaitReady()
     }
 
     /** Guards against paths that were changed on the way: each octet above 0x7F became two. */
@@ -112,8 +112,4 @@
             expectThat(received).containsExactly("none")
         }
     }
-
-    private companion object {
-        const val POLL_MS = 20L
-    }
 }
--- a/gateway/src/test/kotlin/io/oriolehall/gateway/path/ShutdownTest.kt
+++ b/gateway/src/test/kotlin/io/oriolehall/gateway/path/ShutdownTest.kt
@@ -13,7 +13,7 @@
 class ShutdownTest {
     private fun withGateway(endpoint: ScriptedEndpoint, test: GatewayUnderTest.() -> Unit) {
         GatewayUnderTest(listOf(endpoint), stopTimeoutMs = STOP_TIMEOUT_MS).use { gateway ->
-            while (!gateway.request("/none/").startsWith("HTTP/1.1 404")) Thread.sleep(POLL_MS)
+            gateway.awaitReady()
             gateway.test()
         }
         endpoint.close()
--- a/gateway/src/test/kotlin/io/oriolehall/gateway/path/UnreachableEndpointTest.kt
+++ b/gateway/src/test/kotlin/io/oriolehall/gateway/path/UnreachableEndpointTest.kt
@@ -11,15 +11,11 @@
         val down = List(4) { ScriptedEndpoint { respond() } }
         val up = ScriptedEndpoint { respond() }
         GatewayUnderTest(down + up).use { gateway ->
-            while (!gateway.request("/none/").startsWith("HTTP/1.1 404")) Thread.sleep(POLL_MS)
+            gateway.awaitReady()
             down.forEach(ScriptedEndpoint::close)
             expectThat(gateway.request("/once/x")).startsWith("HTTP/1.1 200")
             expectThat(up.requests).isEqualTo(1)
         }
         up.close()
     }
-
-    private companion object {
-        const val POLL_MS = 5L
-    }
 }
