--- a/runtime/src/main/kotlin/io/oriolehall/runtime/JsonLineEncoder.kt
+++ b/runtime/src/main/kotlin/io/oriolehall/runtime/JsonLineEncoder.kt
@@ -11,10 +11,10 @@
 import java.time.format.DateTimeFormatter
 
 /**
- * Encodes each event as one line of JSON, with the names, order and formats of the fields of `LogstashEncoder` in
- * `logback.xml`. That encoder is based on Jackson, whose 391 classes a start would load only for the log.
+ * Encodes each event as one line of JSON, with the names, order and formats of the fields of `LogstashEncoder` of
+ * logstash-logback-encoder. That one is based on Jackson, whose 391 classes a start would load only for the log.
  */
-internal class JsonLineEncoder : EncoderBase<ILoggingEvent>() {
+class JsonLineEncoder : EncoderBase<ILoggingEvent>() {
     private val timestamps = DateTimeFormatter.ISO_OFFSET_DATE_TIME.withZone(ZoneId.systemDefault())
     private val stackTraces by lazy { ExtendedThrowableProxyConverter().apply { start() } }
 
--- a/runtime/src/test/kotlin/io/oriolehall/runtime/JsonLineEncoderTest.kt
+++ b/runtime/src/test/kotlin/io/oriolehall/runtime/JsonLineEncoderTest.kt
@@ -19,7 +19,7 @@
 import java.io.IOException
 import java.time.Instant
 
-/** Guards against lines that differ from those of LogstashEncoder, which `logback.xml` uses. */
+/** Guards against lines that differ from those of LogstashEncoder, whose format readers of the log rely on. */
 class JsonLineEncoderTest {
     private val context = LoggerContext().apply { mdcAdapter = LogbackMDCAdapter() }
     private val reference = LogstashEncoder().apply {
