Queries beside the decisions about requests, which change nothing

Cause: choosing an endpoint, asking for a retry and asking for a stage owner change state, so an operator's tool cannot ask the same code what would be decided. ColdRateLimit dropped old requests only in allows(), which is not asked for services without a limit for cold endpoints: the times of all requests to such endpoints were kept as long as their pool.

Change: EndpointChooser.evaluate decides about each endpoint and chooses; choose() uses it. ColdRateLimit drops old requests when it records one. No decision changes; StageAdmission draws random numbers in the same cases as before.

--- a/dispatch/src/main/kotlin/io/oriolehall/dispatch/admission/StageAdmission.kt
+++ b/dispatch/src/main/kotlin/io/oriolehall/dispatch/admission/StageAdmission.kt
@@ -37,13 +37,41 @@
         priority: Int,
         othersAreShedFirst: Boolean,
     ): Decision {
-        if (expectedMs > deadlineMs * MAX_DEADLINE_SHARE) return refuse(expectedMs, objectiveMs)
-        if (objectiveMs <= 0) return Decision.Admitted
-        if (othersAreShedFirst && !isShedFirst(priority)) return Decision.Admitted
-        val probability = BANDS[minOf(priority, BANDS.lastIndex)].refusalProbability(expectedMs / objectiveMs)
-        return if (random.nextDouble() < probability) refuse(expectedMs, objectiveMs) else Decision.Admitted
+        val certain = certainRefusal(expectedMs, objectiveMs, deadlineMs, priority, othersAreShedFirst)
+        val refused = certain ?: (random.nextDouble() < bandProbability(expectedMs, objectiveMs, priority))
+        return if (refused) refuse(expectedMs, objectiveMs) else Decision.Admitted
     }
 
+    /** Probability, 0 to 1, with which [decide] refuses a request; the parameters are the same. */
+    fun refusalProbability(
+        expectedMs: Double,
+        objectiveMs: Long,
+        deadlineMs: Long,
+        priority: Int,
+        othersAreShedFirst: Boolean,
+    ): Double = when (certainRefusal(expectedMs, objectiveMs, deadlineMs, priority, othersAreShedFirst)) {
+        true -> 1.0
+        false -> 0.0
+        null -> bandProbability(expectedMs, objectiveMs, priority)
+    }
+
+    /** True or false when the request is refused or admitted in any case, null when a random number decides. */
+    private fun certainRefusal(
+        expectedMs: Double,
+        objectiveMs: Long,
+        deadlineMs: Long,
+        priority: Int,
+        othersAreShedFirst: Boolean,
+    ): Boolean? = when {
+        expectedMs > maxExpectedMs(deadlineMs) -> true
+        objectiveMs <= 0 -> false
+        othersAreShedFirst && !isShedFirst(priority) -> false
+        else -> null
+    }
+
+    private fun bandProbability(expectedMs: Double, objectiveMs: Long, priority: Int): Double =
+        BANDS[minOf(priority, BANDS.lastIndex)].refusalProbability(expectedMs / objectiveMs)
+
     private fun refuse(expectedMs: Double, objectiveMs: Long): Decision {
         val excessMs = (expectedMs - objectiveMs).coerceIn(MIN_RETRY_AFTER_MS, MAX_RETRY_AFTER_MS)
         return Decision.Refused((excessMs * (1 + random.nextDouble())).toLong())
@@ -53,7 +81,8 @@
      * Range of the ratio of expected time to objective over which the probability of refusal rises from 0 to 1.
      */
     private class Band(val startRatio: Double, val endRatio: Double) {
-        fun refusalProbability(ratio: Double): Double = (ratio - startRatio) / (endRatio - startRatio)
+        fun refusalProbability(ratio: Double): Double =
+            ((ratio - startRatio) / (endRatio - startRatio)).coerceIn(0.0, 1.0)
     }
 
     companion object {
@@ -65,6 +94,9 @@
         private const val MIN_RETRY_AFTER_MS = 200.0
         private const val MAX_RETRY_AFTER_MS = 2_000.0
 
+        /** Longest expected time with which a request may be admitted that has [deadlineMs] left, milliseconds. */
+        fun maxExpectedMs(deadlineMs: Long): Double = deadlineMs * MAX_DEADLINE_SHARE
+
         /** True when requests of [priority] are shed first, before they delay others. */
         fun isShedFirst(priority: Int): Boolean = priority >= BANDS.lastIndex
     }
--- a/dispatch/src/main/kotlin/io/oriolehall/dispatch/limits/ColdRateLimit.kt
+++ b/dispatch/src/main/kotlin/io/oriolehall/dispatch/limits/ColdRateLimit.kt
@@ -9,12 +9,14 @@
     private val sentAtMs = ArrayDeque<Long>()
 
     /** True when one more request may be sent at [nowMs], with at most [share] requests in any second. */
-    fun allows(nowMs: Long, share: Int): Boolean {
-        while (sentAtMs.isNotEmpty() && sentAtMs.first() <= nowMs - WINDOW_MS) sentAtMs.removeFirst()
-        return sentAtMs.size < share
-    }
+    fun allows(nowMs: Long, share: Int): Boolean = sentInWindow(nowMs) < share
 
+    /** Requests of this instance that count towards the limit at [nowMs]. */
+    fun sentInWindow(nowMs: Long): Int = sentAtMs.count { it > nowMs - WINDOW_MS }
+
+    /** Records a sent request. Forgets old ones here, because services without a limit never ask [allows]. */
     fun onSent(nowMs: Long) {
+        while (sentAtMs.isNotEmpty() && sentAtMs.first() <= nowMs - WINDOW_MS) sentAtMs.removeFirst()
         sentAtMs.addLast(nowMs)
     }
 
--- a/dispatch/src/main/kotlin/io/oriolehall/dispatch/limits/RetryAllowance.kt
+++ b/dispatch/src/main/kotlin/io/oriolehall/dispatch/limits/RetryAllowance.kt
@@ -28,13 +28,26 @@
     /** Takes one retry from the budget if the window has one left for this instance, one of [instances]. */
     fun tryAcquire(nowMs: Long, instances: Int): Boolean {
         trim(nowMs)
-        val startupShare = ((nowMs - startedAtMs).toDouble() / windowMs).coerceIn(0.0, 1.0)
-        val share = allowance / maxOf(1, instances) * startupShare
-        if (retries.size + 1 > USED_SHARE * (ratio * firstAttempts.size + share)) return false
+        if (retries.size + 1 > limit(nowMs, instances)) return false
         retries.addLast(nowMs)
         return true
     }
 
+    /** Retries that this instance, one of [instances], may still send in the window that ends at [nowMs]. */
+    fun available(nowMs: Long, instances: Int): Int =
+        maxOf(0, (limit(nowMs, instances) - countInWindow(retries, nowMs)).toInt())
+
+    private fun limit(nowMs: Long, instances: Int): Double {
+        val startupShare = ((nowMs - startedAtMs).toDouble() / windowMs).coerceIn(0.0, 1.0)
+        val share = allowance / maxOf(1, instances) * startupShare
+        return USED_SHARE * (ratio * countInWindow(firstAttempts, nowMs) + share)
+    }
+
+    private fun countInWindow(timesMs: ArrayDeque<Long>, nowMs: Long): Int {
+        val firstInWindow = timesMs.indexOfFirst { it > nowMs - windowMs }
+        return if (firstInWindow < 0) 0 else timesMs.size - firstInWindow
+    }
+
     private fun trim(nowMs: Long) {
         while (firstAttempts.isNotEmpty() && firstAttempts.first() <= nowMs - windowMs) firstAttempts.removeFirst()
         while (retries.isNotEmpty() && retries.first() <= nowMs - windowMs) retries.removeFirst()
--- a/dispatch/src/main/kotlin/io/oriolehall/dispatch/limits/RetryAllowances.kt
+++ b/dispatch/src/main/kotlin/io/oriolehall/dispatch/limits/RetryAllowances.kt
@@ -15,5 +15,11 @@
     private val byService = HashMap<String, RetryAllowance>()
 
     fun of(service: String): RetryAllowance =
-        byService.getOrPut(service) { RetryAllowance(ratio, allowance, windowMs, startedAtMs) }
+        byService.getOrPut(service) { newAllowance() }
+
+    /** Retries to [service] that this instance, one of [instances], may still send in the current window. */
+    fun available(service: String, nowMs: Long, instances: Int): Int =
+        (byService[service] ?: newAllowance()).available(nowMs, instances)
+
+    private fun newAllowance() = RetryAllowance(ratio, allowance, windowMs, startedAtMs)
 }
--- a/dispatch/src/main/kotlin/io/oriolehall/dispatch/stages/SilentOwners.kt
+++ b/dispatch/src/main/kotlin/io/oriolehall/dispatch/stages/SilentOwners.kt
@@ -14,12 +14,14 @@
 
     /** True if a request may be sent to [owner]. If it was silent, this request is the one that tries it again. */
     fun mayAsk(owner: InstanceId, nowMs: Long): Boolean {
-        val untilMs = silentUntilMs[owner] ?: return true
-        if (nowMs < untilMs) return false
-        silentUntilMs[owner] = nowMs + retryAfterMs
+        if (isSilent(owner, nowMs)) return false
+        if (owner in silentUntilMs) silentUntilMs[owner] = nowMs + retryAfterMs
         return true
     }
 
+    /** True while no request may be sent to [owner]; unlike [mayAsk], takes no turn at trying it again. */
+    fun isSilent(owner: InstanceId, nowMs: Long): Boolean = silentUntilMs[owner]?.let { nowMs < it } ?: false
+
     /** Records that [owner] did not acknowledge a request. */
     fun onSilence(owner: InstanceId, nowMs: Long) {
         silentUntilMs[owner] = nowMs + retryAfterMs
--- a/dispatch/src/test/kotlin/io/oriolehall/dispatch/admission/StageAdmissionTest.kt
+++ b/dispatch/src/test/kotlin/io/oriolehall/dispatch/admission/StageAdmissionTest.kt
@@ -6,6 +6,7 @@
 import strikt.assertions.isA
 import strikt.assertions.isEqualTo
 import strikt.assertions.isGreaterThan
+import strikt.assertions.isIn
 import strikt.assertions.isLessThan
 import kotlin.random.Random
 
@@ -42,6 +43,17 @@
         expectThat(decide(13_000.0, priority = 0)).isA<Decision.Refused>()
     }
 
+    /** Guards against an explanation that states another probability than the one that decides. */
+    @Test
+    fun `the stated probability is the share of requests that are refused`() {
+        val cases = listOf(1_700.0 to 0, 2_300.0 to 0, 2_300.0 to 2, 2_500.0 to 1, 4_000.0 to 0, 13_000.0 to 0)
+        for ((expectedMs, priority) in cases) {
+            val probability = admission.refusalProbability(expectedMs, 2_000, 15_000, priority, false)
+            expectThat(probability).isIn(0.0..1.0)
+            expectThat(refusedCount(expectedMs, priority) / 1_000.0).isIn(probability - 0.06..probability + 0.06)
+        }
+    }
+
     @Test
     fun `callers are told to come back at different times`() {
         val refusals = (1..50).map { decide(13_000.0, priority = 0) as Decision.Refused }
--- a/dispatch/src/test/kotlin/io/oriolehall/dispatch/limits/SharedLimitsTest.kt
+++ b/dispatch/src/test/kotlin/io/oriolehall/dispatch/limits/SharedLimitsTest.kt
@@ -52,6 +52,31 @@
         expectThat(allowances.of("s")).isEqualTo(allowances.of("s"))
     }
 
+    /** Guards against a query that takes a retry, or that states another number than can be taken. */
+    @Test
+    fun `the stated number of retries can be taken, and asking for it takes none`() {
+        val allowances = RetryAllowances(0.2, 54.0, windowMs = 10_000, startedAtMs = 0)
+        repeat(7) { allowances.of("s").onFirstAttempt(12_000) }
+        for (nowMs in listOf(12_000L, 18_000L, 22_000L, 22_001L)) {
+            repeat(3) { allowances.available("s", nowMs, instances = 7) }
+            val available = allowances.available("s", nowMs, instances = 7)
+            expectThat((1..100).count { allowances.of("s").tryAcquire(nowMs, instances = 7) }).isEqualTo(available)
+        }
+        expectThat(allowances.available("unused", 12_000, instances = 7)).isEqualTo(6)
+    }
+
+    /** Guards against a query that forgets requests which still count. */
+    @Test
+    fun `asking for the limit of a cold endpoint changes nothing`() {
+        val limit = ColdRateLimit()
+        limit.onSent(0)
+        expectThat(limit.allows(2_000, share = 1)).isTrue()
+        expectThat(limit.sentInWindow(1_049)).isEqualTo(1)
+        limit.onSent(2_000)
+        expectThat(limit.sentInWindow(2_500)).isEqualTo(1)
+        expectThat(limit.allows(2_500, share = 1)).isFalse()
+    }
+
     private fun instances(count: Int) = List(count) { InstanceId("i-$it") }.toSet()
 
     /** Sends whenever the limits allow it. Returns the maximum number of requests sent in any second. */
--- a/dispatch/src/test/kotlin/io/oriolehall/dispatch/stages/SilentOwnersTest.kt
+++ b/dispatch/src/test/kotlin/io/oriolehall/dispatch/stages/SilentOwnersTest.kt
@@ -27,6 +27,15 @@
         expectThat(owners.mayAsk(owner, nowMs = 2)).isTrue()
     }
 
+    /** Guards against a query that takes the turn of the request that tries a silent owner again. */
+    @Test
+    fun `asking whether an owner is silent leaves the next request its turn`() {
+        owners.onSilence(owner, nowMs = 0)
+        expectThat(owners.isSilent(owner, nowMs = 999)).isTrue()
+        expectThat(owners.isSilent(owner, nowMs = 1_000)).isFalse()
+        expectThat(owners.mayAsk(owner, nowMs = 1_000)).isTrue()
+    }
+
     @Test
     fun `the silence of one owner does not hold for another`() {
         owners.onSilence(owner, nowMs = 0)
--- a/gateway/src/main/kotlin/io/oriolehall/gateway/requests/EndpointChooser.kt
+++ b/gateway/src/main/kotlin/io/oriolehall/gateway/requests/EndpointChooser.kt
@@ -45,42 +45,57 @@
         tried: Set<EndpointIncarnation>,
         sendAtMs: Long = TrafficLoop.nowMs(),
     ): EndpointChoice {
-        val decisions = decide(context, tried, sendAtMs)
-        val allowed = decisions.mapNotNull { (pool, decision) ->
-            (decision as? SendDecision.Allowed)?.let { pool to it }
-        }
-        val bestRank = allowed.minOfOrNull { (_, decision) -> decision.rank }
-            ?: return EndpointChoice.None(decisions.mapNotNull { (_, decision) -> decision as? SendDecision.Denied })
-        val best = allowed.filter { (_, decision) -> decision.rank == bestRank }.map { (pool, _) -> pool }
-        return EndpointChoice.Chosen(place(context, best, inputZone))
+        val usable = pools.access.endpoints(context.service).filter { it.incarnation !in tried }.map(pools::poolOf)
+        val evaluation = evaluate(context, usable, inputZone, sendAtMs)
+        evaluation.chosen?.let { return EndpointChoice.Chosen(it) }
+        return EndpointChoice.None(evaluation.decisions.mapNotNull { it.decision as? SendDecision.Denied })
+    }
+
+    /**
+     * Decides for each of [endpoints], pools of the service of [context], whether it may receive the request, and which
+     * of them receives it. Changes nothing.
+     *
+     * @param sendAtMs when the request will be sent, monotonic milliseconds.
+     */
+    fun evaluate(
+        context: RequestContext,
+        endpoints: List<EndpointPool>,
+        inputZone: ZoneId?,
+        sendAtMs: Long,
+    ): EndpointEvaluation {
+        val decisions = decide(context, endpoints, sendAtMs)
+        val bestRank = decisions.minOfOrNull { (it.decision as? SendDecision.Allowed)?.rank ?: Int.MAX_VALUE }
+        val best = decisions.filter { (it.decision as? SendDecision.Allowed)?.rank == bestRank }.map { it.pool }
+        if (best.isEmpty()) return EndpointEvaluation(decisions, emptyList(), chosen = null)
+        val candidates = candidates(best)
+        // Requests that share all parts of the prompt but the last one can use the same cached prefix.
+        val request = PlacementRequest(context.sharedPromptParts.lastOrNull(), inputZone, self.zone)
+        val chosen = checkNotNull(placement.choose(candidates, request)).endpoint.incarnation
+        return EndpointEvaluation(decisions, candidates, best.first { it.endpoint.incarnation == chosen })
     }
 
     private fun decide(
         context: RequestContext,
-        tried: Set<EndpointIncarnation>,
+        endpoints: List<EndpointPool>,
         sendAtMs: Long,
-    ): List<Pair<EndpointPool, SendDecision>> {
+    ): List<EndpointEvaluation.Entry> {
         val nowMs = TrafficLoop.nowMs()
         val service = context.plan.service(context.service)
         val coldPerSecond = service?.coldPerSecond?.takeIf { it > 0 }?.let { it * coldFactor + coldSlack }
         val maxConnections = service?.maxConnections?.takeIf { it > 0 }?.let(::connectionShare)
         val cutOff = unreachableZones()
-        return pools.access.endpoints(context.service).filter { it.incarnation !in tried }.map(pools::poolOf).map {
-            val withinColdLimit = coldPerSecond == null || it.coldLimit.allows(nowMs, coldShare(it, coldPerSecond))
+        return endpoints.map {
+            val coldShare = coldPerSecond?.let { perSecond -> coldShare(it, perSecond) }
+            val withinColdLimit = coldShare == null || it.coldLimit.allows(nowMs, coldShare)
             val condition = it.condition(nowMs, it.endpoint.zone in cutOff, withinColdLimit, maxConnections)
-            it to SendPolicy.decide(condition, sendAtMs)
+            EndpointEvaluation.Entry(it, SendPolicy.decide(condition, sendAtMs), coldShare)
         }
     }
 
-    private fun place(context: RequestContext, usable: List<EndpointPool>, inputZone: ZoneId?): EndpointPool {
+    private fun candidates(usable: List<EndpointPool>): List<PlacementCandidate> {
         val responseTimes = usable.map { it.health.responseMs }.filter { it > 0 }.sorted()
         val medianMs = responseTimes.getOrNull(responseTimes.size / 2)
-        val candidates = usable.map {
-            PlacementCandidate(it.endpoint, it.outstanding, slowness(it, medianMs), it.hash)
-        }
-        // Requests that share all parts of the prompt but the last one can use the same cached prefix.
-        val request = PlacementRequest(context.sharedPromptParts.lastOrNull(), inputZone, self.zone)
-        return pools.poolOf(checkNotNull(placement.choose(candidates, request)).endpoint)
+        return usable.map { PlacementCandidate(it.endpoint, it.outstanding, slowness(it, medianMs), it.hash) }
     }
 
     private fun coldShare(pool: EndpointPool, coldPerSecond: Double): Int {
--- a/gateway/src/main/kotlin/io/oriolehall/gateway/requests/EndpointSelection.kt
+++ b/gateway/src/main/kotlin/io/oriolehall/gateway/requests/EndpointSelection.kt
@@ -1,5 +1,6 @@
 package io.oriolehall.gateway.requests
 
+import io.oriolehall.dispatch.config.Route
 import io.oriolehall.dispatch.endpoints.EndpointIncarnation
 import io.oriolehall.gateway.TrafficLoop
 import io.oriolehall.model.ZoneId
@@ -14,7 +15,7 @@
      * for a small share of the objective.
      */
     suspend fun await(inputZone: ZoneId?, leadMs: Long = 0): EndpointChoice {
-        val untilMs = TrafficLoop.nowMs() + (context.route.objectiveMs * SLOT_WAIT_SHARE).toLong()
+        val untilMs = TrafficLoop.nowMs() + maxWaitMs(context.route)
         while (true) {
             val nowMs = TrafficLoop.nowMs()
             val choice = chooser.choose(context, inputZone, tried, nowMs + leadMs)
@@ -43,10 +44,13 @@
         return if (waitMs < context.remainingMs()) waitMs else 0
     }
 
-    private companion object {
+    companion object {
+        /** Longest wait of a request on [route] for an endpoint that may become free, milliseconds. */
+        fun maxWaitMs(route: Route): Long = (route.objectiveMs * SLOT_WAIT_SHARE).toLong()
+
         /** Share of the objective that a request waits for an endpoint within its limits before it is rejected. */
-        const val SLOT_WAIT_SHARE = 0.125
-        const val SLOT_POLL_MS = 5L
-        const val DEFAULT_RETRY_AFTER_MS = 250L
+        private const val SLOT_WAIT_SHARE = 0.125
+        private const val SLOT_POLL_MS = 5L
+        private const val DEFAULT_RETRY_AFTER_MS = 250L
     }
 }
--- a/gateway/src/main/kotlin/io/oriolehall/gateway/requests/RequestAdmission.kt
+++ b/gateway/src/main/kotlin/io/oriolehall/gateway/requests/RequestAdmission.kt
@@ -27,19 +27,26 @@
 ) {
     fun admit(request: CallerRequest): Result<RequestContext, Rejection> {
         val currentConfig = state.configHolder.current
-            ?: return Err(
-                Rejection.NotExecuted(RefusalCause.NO_CONFIGURATION, "no configuration yet", NO_CONFIG_RETRY_MS),
-            )
+            ?: return Err(noConfiguration())
         val table = currentConfig.table
         val attemptId = request.headers.get(wire.headers.attemptId)
             ?: return Err(Rejection.Malformed("header ${wire.headers.attemptId} is missing"))
         val route = table.route(request.host, request.uri)
             ?: return Err(Rejection.UnknownRoute("no route for this host and path"))
         val organisation = authenticate(table, request)
-        val keyRejection = if (table.keysRequired && !route.anonymous) checkKey(currentConfig, organisation) else null
-        val rejection = keyRejection ?: organisation?.let(::checkName)
+        val rejection = check(currentConfig, route, organisation)
         if (rejection != null) return Err(rejection)
-        return Ok(context(request, attemptId, table, route, organisation))
+        return Ok(context(request, attemptId, table, route, organisation, chooseService(route)))
+    }
+
+    /** The rejection of all requests while there is no configuration. */
+    fun noConfiguration(): Rejection =
+        Rejection.NotExecuted(RefusalCause.NO_CONFIGURATION, "no configuration yet", NO_CONFIG_RETRY_MS)
+
+    /** Why a request of [organisation] on [route] is rejected by [config] now; null if it is not. */
+    fun check(config: ConfirmedConfig, route: Route, organisation: Organisation?): Rejection? {
+        val keyRejection = if (config.table.keysRequired && !route.anonymous) checkKey(config, organisation) else null
+        return keyRejection ?: organisation?.let(::checkName)
     }
 
     private fun checkKey(currentConfig: ConfirmedConfig, organisation: Organisation?): Rejection? = when {
@@ -64,12 +71,14 @@
         return table.organisation(value.substringAfter(' ').trim())
     }
 
-    private fun context(
+    /** The context of an admitted [request] that goes to [service], one of the targets of [route]. */
+    fun context(
         request: CallerRequest,
         attemptId: String,
         table: RouteTable,
         route: Route,
         organisation: Organisation?,
+        service: String,
     ): RequestContext {
         val callerTimeoutMs = request.headers.get(wire.headers.deadlineMs)?.toLongOrNull()?.takeIf { it > 0 }
         val timeoutMs = minOf(callerTimeoutMs ?: route.timeoutMs, route.timeoutMs)
@@ -77,7 +86,7 @@
             request = request,
             attemptId = attemptId,
             plan = table.plan(route),
-            service = chooseService(route),
+            service = service,
             organisation = organisation,
             deadlineAtMs = request.receivedAtMs + timeoutMs,
             objectiveAtMs = request.receivedAtMs + route.objectiveMs,
--- a/gateway/src/main/kotlin/io/oriolehall/gateway/requests/RequestExecution.kt
+++ b/gateway/src/main/kotlin/io/oriolehall/gateway/requests/RequestExecution.kt
@@ -21,7 +21,7 @@
             context.request.headers.get(header),
             context.route.stages.size,
         ) ?: return Rejection.Malformed("header $header does not name the pieces of each stage")
-        val choice = endpoints.await(inputZone = null, minStageMs(pieceCounts))
+        val choice = endpoints.await(inputZone = null, minStageMs(context, pieceCounts))
         if (choice !is EndpointChoice.Chosen) return noEndpoint()
         val zone = choice.pool.endpoint.zone
         val execution = StageExecution(context, pieceCounts, environment.stages, environment.wire, zone)
@@ -35,12 +35,6 @@
         }
     }
 
-    /** Least time that the stages take, milliseconds; a pause that ends before does not matter. */
-    private fun minStageMs(pieceCounts: List<Int>): Long = context.route.stages
-        .filterIndexed { stage, _ -> pieceCounts[stage] > 0 }
-        .maxOfOrNull { context.plan.service(it.service)?.pieces?.callMs ?: 0.0 }
-        ?.toLong() ?: 0
-
     private fun logAdmitted() = environment.log.write(
         Event.REQUEST_ADMITTED,
         "request" to context.attemptId,
@@ -63,10 +57,22 @@
             objectiveMs = context.objectiveAtMs - nowMs,
             deadlineMs = context.remainingMs(nowMs),
             priority = context.priority,
-            othersAreShedFirst = StageAdmission.isShedFirst(context.plan.lowestSharedPriority),
+            othersAreShedFirst = othersAreShedFirst(context),
         )
         if (decision !is StageAdmission.Decision.Refused) return null
         val reason = "stages take ${expectedMs.toLong()} ms now"
         return Rejection.NotExecuted(RefusalCause.OVERLOADED, reason, decision.retryAfterMs)
     }
+
+    companion object {
+        /** Least time that the stages take, milliseconds; a pause that ends before does not matter. */
+        fun minStageMs(context: RequestContext, pieceCounts: List<Int>): Long = context.route.stages
+            .filterIndexed { stage, _ -> pieceCounts[stage] > 0 }
+            .maxOfOrNull { context.plan.service(it.service)?.pieces?.callMs ?: 0.0 }
+            ?.toLong() ?: 0
+
+        /** True when requests that are shed before [context] use the same stages. */
+        fun othersAreShedFirst(context: RequestContext): Boolean =
+            StageAdmission.isShedFirst(context.plan.lowestSharedPriority)
+    }
 }
--- a/gateway/src/main/kotlin/io/oriolehall/gateway/requests/StageExecution.kt
+++ b/gateway/src/main/kotlin/io/oriolehall/gateway/requests/StageExecution.kt
@@ -150,13 +150,17 @@
     fun expectedMs(): Double {
         val stageEndMs = DoubleArray(specs.size)
         for (stage in specs.indices) {
-            val limits = context.plan.service(specs[stage].service)?.pieces
-            val stageMs = if (counts[stage] == 0 || limits == null) 0.0 else expectedMs(stage, limits)
-            stageEndMs[stage] = stageMs + (specs[stage].after.maxOfOrNull { stageEndMs[it] } ?: 0.0)
+            stageEndMs[stage] = expectedStageMs(stage) + (specs[stage].after.maxOfOrNull { stageEndMs[it] } ?: 0.0)
         }
         return (stageEndMs.maxOrNull() ?: 0.0) + FIRST_EVENT_MS
     }
 
+    /** Expected time of [stage] alone at the current load, milliseconds; 0 if it has no pieces. */
+    fun expectedStageMs(stage: Int): Double {
+        val limits = context.plan.service(specs[stage].service)?.pieces
+        return if (counts[stage] == 0 || limits == null) 0.0 else expectedMs(stage, limits)
+    }
+
     private fun expectedMs(stage: Int, limits: PieceLimits) =
         stageService.timeEstimates.expectedMs(specs[stage].service, limits, TrafficLoop.nowMs())
 
@@ -221,7 +225,7 @@
         }
 
         /** Maximum number of pieces of a stage of one request. */
-        private const val MAX_PIECES = 1_000
+        const val MAX_PIECES = 1_000
 
         /** The rejection for a failed stage. */
         fun rejection(answer: StageAnswer): Rejection = Rejection.NotExecuted(
--- a/gateway/src/main/kotlin/io/oriolehall/gateway/stages/StageService.kt
+++ b/gateway/src/main/kotlin/io/oriolehall/gateway/stages/StageService.kt
@@ -95,6 +95,12 @@
         return next?.takeIf { it.id != self || ownsQueue(service) }
     }
 
+    /** The owner of the queue of [service] and its deputy in the order in which they are asked, and whether each is. */
+    internal fun queueOwners(service: String): List<StageQueueOwner> {
+        val nowMs = TrafficLoop.nowMs()
+        return ownersOf(service).map { StageQueueOwner(it.id, it.zone, silentOwners.isSilent(it.id, nowMs)) }
+    }
+
     /** Runs [request] as the owner of the queue. Returns null if another instance has become the owner. */
     private suspend fun runAsOwner(request: StageRequest, onInputsFetched: () -> Unit): StageAnswer? {
         backlogMs(request.service)?.let { timeEstimates.record(request.service, it, TrafficLoop.nowMs()) }
--- a/gateway/src/main/kotlin/io/oriolehall/gateway/upstream/EndpointPools.kt
+++ b/gateway/src/main/kotlin/io/oriolehall/gateway/upstream/EndpointPools.kt
@@ -11,6 +11,10 @@
     fun poolOf(endpoint: EndpointRecord): EndpointPool =
         pools.getOrPut(endpoint.incarnation) { EndpointPool(endpoint, connector, access) }
 
+    /** The pool of [endpoint], or a new one that is not kept if there is none: a query must not add state. */
+    internal fun viewOf(endpoint: EndpointRecord): EndpointPool =
+        pools[endpoint.incarnation] ?: EndpointPool(endpoint, connector, access)
+
     /**
      * Removes pools of unregistered or restarted endpoints without requests in flight, closes stale connections, and
      * forgets pauses that have ended.
