GET /explain on the metrics listener tells where a request would go

Cause: operators see from metrics and logs where requests went, but not where one would go now, or why it would be refused.

Change: RequestExplainer asks the code that decides about requests and returns what it says: configuration, admission with the probability of a refusal, each endpoint's decision and the chosen one, stage owners and times, and the retries left. It sends nothing and keeps nothing. Unknown names are 404, unusable parameters 400, both with the remedy.

--- a/gateway/src/main/kotlin/io/oriolehall/gateway/Gateway.kt
+++ b/gateway/src/main/kotlin/io/oriolehall/gateway/Gateway.kt
@@ -7,6 +7,8 @@
 import io.oriolehall.dispatch.config.CallerLimits
 import io.oriolehall.dispatch.limits.RetryAllowances
 import io.oriolehall.dispatch.placement.AffinityPlacement
+import io.oriolehall.gateway.explain.ExplainHandler
+import io.oriolehall.gateway.explain.RequestExplainer
 import io.oriolehall.gateway.feed.FeedReader
 import io.oriolehall.gateway.feed.PlatformFeed
 import io.oriolehall.gateway.feed.PublishedState
@@ -115,35 +117,33 @@
     private val crashExchange = PeerCrashExchange(peerClient, fleet::otherAddresses, traffic.scope)
     private val quarantine =
         QuarantineService(CrashQuarantine(crashExchange, log), crashExchange, traffic, metrics, log)
-    private val requests = RequestService(
-        requestAdmission = RequestAdmission(
-            state,
-            wire,
-            settings.bounds.keyRevocationMs?.minus(KEY_CHECK_MARGIN_MS),
-            Random.Default,
-        ),
-        environment = RequestEnvironment(
-            stages = stages,
-            chooser = EndpointChooser(
-                self = self,
-                pools = pools,
-                instances = fleet::liveInstances,
-                unreachableZones = fleet::unreachableZones,
-                placement = AffinityPlacement(),
-                coldFactor = settings.bounds.coldFactor,
-                coldSlack = settings.bounds.coldSlack,
-            ),
-            stageAdmission = StageAdmission(),
-            retryAllowance = retryAllowances::of,
-            instanceCount = { fleet.liveInstances.size },
-            wire = wire,
-            polls = traffic.polls,
-            quarantine = quarantine,
-            metrics = metrics,
-            log = log,
+    private val requestAdmission = RequestAdmission(
+        state,
+        wire,
+        settings.bounds.keyRevocationMs?.minus(KEY_CHECK_MARGIN_MS),
+        Random.Default,
+    )
+    private val environment = RequestEnvironment(
+        stages = stages,
+        chooser = EndpointChooser(
+            self = self,
+            pools = pools,
+            instances = fleet::liveInstances,
+            unreachableZones = fleet::unreachableZones,
+            placement = AffinityPlacement(),
+            coldFactor = settings.bounds.coldFactor,
+            coldSlack = settings.bounds.coldSlack,
         ),
-        shutdownAdmission = { shutdownAdmission },
+        stageAdmission = StageAdmission(),
+        retryAllowance = retryAllowances::of,
+        instanceCount = { fleet.liveInstances.size },
+        wire = wire,
+        polls = traffic.polls,
+        quarantine = quarantine,
+        metrics = metrics,
+        log = log,
     )
+    private val requests = RequestService(requestAdmission, environment, { shutdownAdmission })
 
     @Volatile
     private var shuttingDown = false
@@ -163,10 +163,22 @@
     /** Address of the metrics page after the start; null if metrics are not served. */
     var metricsAddress: NetworkAddress? = null
         private set
-    private val metricsListener = CallerListener(traffic, { _, responder ->
-        val headers = DefaultHttpHeaders().set("Content-Type", "text/plain; version=0.0.4")
-        responder.respond(OK, headers, metrics.scrape().encodeToByteArray())
-    })
+    private val explainer = RequestExplainer(
+        self,
+        state,
+        pools,
+        retryAllowances,
+        requestAdmission,
+        environment,
+        { shutdownAdmission },
+    )
+    private val metricsListener = CallerListener(
+        traffic,
+        ExplainHandler(explainer) { _, responder ->
+            val headers = DefaultHttpHeaders().set("Content-Type", "text/plain; version=0.0.4")
+            responder.respond(OK, headers, metrics.scrape().encodeToByteArray())
+        },
+    )
 
     /** Starts all components and listeners. Returns the address for callers. */
     suspend fun start(): NetworkAddress {
--- a/gateway/src/test/kotlin/io/oriolehall/gateway/path/GatewayUnderTest.kt
+++ b/gateway/src/test/kotlin/io/oriolehall/gateway/path/GatewayUnderTest.kt
@@ -48,6 +48,11 @@
     private val storeReachable: () -> Boolean = { true },
     private val endpointId: (Int) -> String = { "e$it" },
     private val limits: CallerLimits = CallerLimits(),
+    private val coldPerSecond: Double = 0.0,
+    private val retryAllowance: Double = 100.0,
+    private val otherRoutes: List<Route> = emptyList(),
+    private val otherServices: List<Service> = emptyList(),
+    private val configured: Boolean = true,
 ) : AutoCloseable {
     /** Events that the gateway has logged. */
     val events = CopyOnWriteArrayList<Event>()
@@ -63,11 +68,10 @@
     /** Stops the gateway and waits until it has stopped. */
     fun stopAndWait() = runBlocking { gateway.stop() }
 
+    val metricsAddress: NetworkAddress get() = checkNotNull(gateway.metricsAddress)
+
     /** The metrics page. */
-    fun metrics(): String {
-        val address = checkNotNull(gateway.metricsAddress)
-        return URI("http://$address/metrics").toURL().readText()
-    }
+    fun metrics(): String = URI("http://$metricsAddress/metrics").toURL().readText()
 
     /** Sends a request on a new connection and returns the response as text; it may be truncated. */
     fun request(
@@ -107,7 +111,7 @@
             stopTimeoutMs = stopTimeoutMs,
             keyRevocationMs = keyRevocationMs,
             retryRatio = 10.0,
-            retryAllowance = 100.0,
+            retryAllowance = retryAllowance,
             retryWindowMs = 10_000,
             coldFactor = 1.0,
             coldSlack = 0.0,
@@ -120,9 +124,9 @@
             route("/plain/", RouteKind.IDEMPOTENT),
             route("/once/", RouteKind.AT_MOST_ONCE),
             route("/events/", RouteKind.STREAMING),
-        )
-        val services = listOf(Service("s", "/", maxConnections, coldPerSecond = 0.0))
-        val config = ServingConfig(1, routes, services, limits, organisations)
+        ) + otherRoutes
+        val services = listOf(Service("s", "/", maxConnections, coldPerSecond)) + otherServices
+        val config = ServingConfig(1, routes, services, limits, organisations).takeIf { configured }
         val records = endpoints.mapIndexed { i, endpoint ->
             EndpointRecord(
                 EndpointId(endpointId(i)),
