--- a/gateway/src/main/kotlin/io/oriolehall/gateway/requests/EndpointChooser.kt
+++ b/gateway/src/main/kotlin/io/oriolehall/gateway/requests/EndpointChooser.kt
@@ -47,26 +47,58 @@
         tried: Set<EndpointIncarnation>,
         sendAtMs: Long = TrafficLoop.nowMs(),
     ): EndpointChoice {
-        val decisions = conditions(context, tried).map { (pool, condition) ->
-            pool to SendPolicy.decide(condition, sendAtMs)
-        }
-        val allowed = decisions.mapNotNull { (pool, decision) ->
-            (decision as? SendDecision.Allowed)?.let { pool to it }
+        val usable = untried(context, tried)
+        val evaluation = evaluate(context, usable, inputZone, sendAtMs)
+        evaluation.chosen?.let { return EndpointChoice.Chosen(it) }
+        return EndpointChoice.None(evaluation.decisions.mapNotNull { it.decision as? SendDecision.Denied })
+    }
+
+    /**
+     * Decides for each of [endpoints], pools of the service of [context], whether it may receive the request, and which
+     * of them receives it. Changes nothing.
+     *
+     * @param sendAtMs when the request will be sent, monotonic milliseconds.
+     */
+    fun evaluate(
+        context: RequestContext,
+        endpoints: List<EndpointPool>,
+        inputZone: ZoneId?,
+        sendAtMs: Long,
+    ): EndpointEvaluation {
+        val decisions = conditions(context, endpoints).map {
+            EndpointEvaluation.Entry(it.pool, SendPolicy.decide(it.condition, sendAtMs), it.coldShare)
         }
-        val bestRank = allowed.minOfOrNull { (_, decision) -> decision.rank }
-            ?: return EndpointChoice.None(decisions.mapNotNull { (_, decision) -> decision as? SendDecision.Denied })
-        val best = allowed.filter { (_, decision) -> decision.rank == bestRank }.map { (pool, _) -> pool }
-        return EndpointChoice.Chosen(place(context, best, inputZone))
+        val bestRank = decisions.minOfOrNull { (it.decision as? SendDecision.Allowed)?.rank ?: Int.MAX_VALUE }
+        val best = decisions.filter { (it.decision as? SendDecision.Allowed)?.rank == bestRank }.map { it.pool }
+        if (best.isEmpty()) return EndpointEvaluation(decisions, emptyList(), chosen = null)
+        val candidates = candidates(best)
+        return EndpointEvaluation(decisions, candidates, place(context, best, candidates, inputZone))
+    }
+
+    private fun untried(context: RequestContext, tried: Set<EndpointIncarnation>): List<EndpointPool> =
+        pools.access.endpoints(context.service).filter { it.incarnation !in tried }.map(pools::poolOf)
+
+    private fun place(
+        context: RequestContext,
+        usable: List<EndpointPool>,
+        candidates: List<PlacementCandidate>,
+        inputZone: ZoneId?,
+    ): EndpointPool {
+        // Requests that share all parts of the prompt but the last one can use the same cached prefix.
+        val request = PlacementRequest(context.sharedPromptParts.lastOrNull(), inputZone, self.zone)
+        val chosen = checkNotNull(placement.choose(candidates, request)).endpoint.incarnation
+        return usable.first { it.endpoint.incarnation == chosen }
     }
 
     /** Chooses an endpoint for a second attempt at [context] that is not in [tried]; null if none may get it. */
     fun chooseForSecondAttempt(context: RequestContext, tried: Set<EndpointIncarnation>): EndpointPool? {
         val nowMs = TrafficLoop.nowMs()
         val hasColdLimit = (context.plan.service(context.service)?.coldPerSecond ?: 0.0) > 0
-        val permitted = conditions(context, tried).filter { (pool, condition) ->
-            SecondAttemptPolicy.permits(condition, pool.mayBeCold(nowMs, hasColdLimit), pool.endpoint.slots, nowMs)
-        }
-        return if (permitted.isEmpty()) null else place(context, permitted.map { (pool, _) -> pool }, inputZone = null)
+        val permitted = conditions(context, untried(context, tried)).filter {
+            val slots = it.pool.endpoint.slots
+            SecondAttemptPolicy.permits(it.condition, it.pool.mayBeCold(nowMs, hasColdLimit), slots, nowMs)
+        }.map { it.pool }
+        return if (permitted.isEmpty()) null else place(context, permitted, candidates(permitted), inputZone = null)
     }
 
     /** Slots of the endpoints of [service], without those that pause. */
@@ -77,30 +109,29 @@
             .sumOf { it.slots }
     }
 
+    private class KnownCondition(val pool: EndpointPool, val condition: EndpointCondition, val coldShare: Int?)
+
     private fun conditions(
         context: RequestContext,
-        tried: Set<EndpointIncarnation>,
-    ): List<Pair<EndpointPool, EndpointCondition>> {
+        endpoints: List<EndpointPool>,
+    ): List<KnownCondition> {
         val nowMs = TrafficLoop.nowMs()
         val service = context.plan.service(context.service)
         val coldPerSecond = service?.coldPerSecond?.takeIf { it > 0 }?.let { it * coldFactor + coldSlack }
         val maxConnections = service?.maxConnections?.takeIf { it > 0 }?.let(::connectionShare)
         val cutOff = unreachableZones()
-        return pools.access.endpoints(context.service).filter { it.incarnation !in tried }.map(pools::poolOf).map {
-            val withinColdLimit = coldPerSecond == null || it.coldLimit.allows(nowMs, coldShare(it, coldPerSecond))
-            it to it.condition(nowMs, it.endpoint.zone in cutOff, withinColdLimit, maxConnections)
+        return endpoints.map {
+            val coldShare = coldPerSecond?.let { perSecond -> coldShare(it, perSecond) }
+            val withinColdLimit = coldShare == null || it.coldLimit.allows(nowMs, coldShare)
+            val condition = it.condition(nowMs, it.endpoint.zone in cutOff, withinColdLimit, maxConnections)
+            KnownCondition(it, condition, coldShare)
         }
     }
 
-    private fun place(context: RequestContext, usable: List<EndpointPool>, inputZone: ZoneId?): EndpointPool {
+    private fun candidates(usable: List<EndpointPool>): List<PlacementCandidate> {
         val responseTimes = usable.map { it.health.responseMs }.filter { it > 0 }.sorted()
         val medianMs = responseTimes.getOrNull(responseTimes.size / 2)
-        val candidates = usable.map {
-            PlacementCandidate(it.endpoint, it.outstanding, slowness(it, medianMs), it.hash)
-        }
-        // Requests that share all parts of the prompt but the last one can use the same cached prefix.
-        val request = PlacementRequest(context.sharedPromptParts.lastOrNull(), inputZone, self.zone)
-        return pools.poolOf(checkNotNull(placement.choose(candidates, request)).endpoint)
+        return usable.map { PlacementCandidate(it.endpoint, it.outstanding, slowness(it, medianMs), it.hash) }
     }
 
     private fun coldShare(pool: EndpointPool, coldPerSecond: Double): Int {
--- a/gateway/src/test/kotlin/io/oriolehall/gateway/path/GatewayUnderTest.kt
+++ b/gateway/src/test/kotlin/io/oriolehall/gateway/path/GatewayUnderTest.kt
@@ -55,6 +55,11 @@
     private val limits: CallerLimits = CallerLimits(),
     private val objectiveMs: Long = 1_000,
     private val secondAttempts: SecondAttemptLimits? = null,
+    private val coldPerSecond: Double = 0.0,
+    private val retryAllowance: Double = 100.0,
+    private val otherRoutes: List<Route> = emptyList(),
+    private val otherServices: List<Service> = emptyList(),
+    private val configured: Boolean = true,
 ) : AutoCloseable {
     /** Events that the gateway has logged. */
     val events = CopyOnWriteArrayList<Event>()
@@ -86,11 +91,10 @@
     /** Stops the gateway and waits until it has stopped. */
     fun stopAndWait() = runBlocking { gateway.stop() }
 
+    val metricsAddress: NetworkAddress get() = checkNotNull(gateway.metricsAddress)
+
     /** The metrics page. */
-    fun metrics(): String {
-        val address = checkNotNull(gateway.metricsAddress)
-        return URI("http://$address/metrics").toURL().readText()
-    }
+    fun metrics(): String = URI("http://$metricsAddress/metrics").toURL().readText()
 
     /** Sends a request on a new connection and returns the response as text; it may be truncated. */
     fun request(
@@ -130,7 +134,7 @@
             stopTimeoutMs = stopTimeoutMs,
             keyRevocationMs = keyRevocationMs,
             retryRatio = 10.0,
-            retryAllowance = 100.0,
+            retryAllowance = retryAllowance,
             retryWindowMs = 10_000,
             coldFactor = 1.0,
             coldSlack = 0.0,
@@ -144,10 +148,11 @@
             route("/plain/", RouteKind.IDEMPOTENT),
             route("/once/", RouteKind.AT_MOST_ONCE),
             route("/events/", RouteKind.STREAMING),
-        )
-        val services = listOf(Service("s", "/", maxConnections, coldPerSecond = 0.0))
+        ) + otherRoutes
+        val services = listOf(Service("s", "/", maxConnections, coldPerSecond)) + otherServices
         val config = ServingConfig(1, routes, services, limits, organisations)
-        return OperatorState(StorePosition(0, 1), PublishedChange.ConfigPublished(1, config), emptyList())
+        val published = PublishedChange.ConfigPublished(1, config).takeIf { configured }
+        return OperatorState(StorePosition(0, 1), published, emptyList())
     }
 
     private fun records() = endpoints.mapIndexed { i, endpoint ->
