The gauge of answer memory keeps its source

Cause: Micrometer holds the source of a gauge weakly. Nothing else held it, so that `oriolehall_answer_memory_bytes` read NaN after the first garbage collection (seen on a running instance: 0.0, then NaN after jcmd GC.run).

Change: a strong reference. GatewayMetricsTest fails without it and passes with it.

--- a/gateway/src/main/kotlin/io/oriolehall/gateway/requests/GatewayMetrics.kt
+++ b/gateway/src/main/kotlin/io/oriolehall/gateway/requests/GatewayMetrics.kt
@@ -21,7 +21,10 @@
 
     /** Shows the memory of answers that are being collected, in bytes, as a gauge. */
     fun observeAnswerMemory(takenBytes: () -> Long) {
-        Gauge.builder("oriolehall.answer.memory", takenBytes) { it().toDouble() }.baseUnit("bytes").register(registry)
+        Gauge.builder("oriolehall.answer.memory", takenBytes) { it().toDouble() }
+            .baseUnit("bytes")
+            .strongReference(true)
+            .register(registry)
     }
 
     /** Records a completed request whose first byte was sent to the caller after [firstByteMs] milliseconds. */
