--- a/gateway/src/main/kotlin/io/oriolehall/gateway/SelfCheck.kt
+++ b/gateway/src/main/kotlin/io/oriolehall/gateway/SelfCheck.kt
@@ -51,18 +51,23 @@
         val firstSettings = platform.settings("self-check-1", emptyList())
         val first = instance(firstSettings, store)
         val second = instance(platform.settings("self-check-2", listOf(firstSettings.instance.peerAddress)), store)
-        val served = withTimeoutOrNull(TIMEOUT_MS) {
-            val addresses = listOf(first, second).map { it.start() }
-            addresses.forEach { address -> PATHS.forEach { path -> while (!send(address, path)) delay(RETRY_MS) } }
-            val metrics = checkNotNull(first.metricsAddress)
-            (1..REQUESTS_PER_KIND).all {
-                addresses.all { address -> PATHS.all { send(address, it) } } && send(metrics, "/metrics")
-            }
+        try {
+            val served = withTimeoutOrNull(TIMEOUT_MS) { serve(first, second) }
+            second.stop()
+            return served == true
+        } finally {
+            second.close()
+            first.close()
+        }
+    }
+
+    private suspend fun serve(first: Gateway, second: Gateway): Boolean {
+        val addresses = listOf(first, second).map { it.start() }
+        addresses.forEach { address -> PATHS.forEach { path -> while (!send(address, path)) delay(RETRY_MS) } }
+        val metrics = checkNotNull(first.metricsAddress)
+        return (1..REQUESTS_PER_KIND).all {
+            addresses.all { address -> PATHS.all { send(address, it) } } && send(metrics, "/metrics")
         }
-        second.stop()
-        second.close()
-        first.close()
-        return served == true
     }
 
     private fun instance(settings: GatewaySettings, store: NetworkAddress) =
