Second attempts: an attempt wins inside its own coroutine, and a busy service is told apart from one without endpoints

Change: the first response claims the request before it returns, so that both attempts cannot be relayed. A wait for an endpoint marks the service as saturated, not a service that has no endpoint.

--- a/dispatch/src/main/kotlin/io/oriolehall/dispatch/retries/SecondAttemptPolicy.kt
+++ b/dispatch/src/main/kotlin/io/oriolehall/dispatch/retries/SecondAttemptPolicy.kt
@@ -52,8 +52,8 @@
     fun obstacle(request: SlowRequest): SecondAttemptObstacle? = when {
         request.sentAttempts >= request.maxAttempts -> SecondAttemptObstacle.ROUTE_ATTEMPTS
         request.remainingMs < request.neededMs -> SecondAttemptObstacle.TIME_LEFT
-        !request.idleCapacity -> SecondAttemptObstacle.NO_CAPACITY
         !request.endpointFree -> SecondAttemptObstacle.NO_ENDPOINT
+        !request.idleCapacity -> SecondAttemptObstacle.NO_CAPACITY
         else -> null
     }
 
--- a/gateway/src/main/kotlin/io/oriolehall/gateway/requests/AttemptRace.kt
+++ b/gateway/src/main/kotlin/io/oriolehall/gateway/requests/AttemptRace.kt
@@ -14,7 +14,6 @@
 import kotlinx.coroutines.Deferred
 import kotlinx.coroutines.async
 import kotlinx.coroutines.coroutineScope
-import kotlinx.coroutines.selects.select
 import kotlinx.coroutines.withTimeoutOrNull
 
 /** Cancels an attempt because another one at the same request was answered. */
@@ -39,7 +38,9 @@
 ) {
     private val service = context.service
     private val running = mutableListOf<RunningAttempt>()
-    private var streaming = false
+
+    /** The attempt with the first complete response, or whose stream is being forwarded. */
+    private var winner: RunningAttempt? = null
 
     private class RunningAttempt(val pool: EndpointPool, val startedAtMs: Long) {
         lateinit var result: Deferred<AttemptOutcome>
@@ -57,31 +58,29 @@
             return@coroutineScope listOf(first.result.await()).also { recordFirst(first, it.single()) }
         }
         val second = startSecondIfSlow(first, plan)
-        if (second ==
-            null
-        ) {
-            listOf(first.result.await()).also { recordFirst(first, it.single()) }
-        } else {
-            race(plan, second)
-        }
+        if (second != null) return@coroutineScope race(plan, first, second)
+        listOf(first.result.await()).also { recordFirst(first, it.single()) }
     }
 
     private fun CoroutineScope.start(pool: EndpointPool, attemptsBefore: Int): RunningAttempt {
         val attempt = RunningAttempt(pool, TrafficLoop.nowMs())
-        attempt.result = async(start = CoroutineStart.LAZY) { attemptAt(pool, attemptsBefore) { onStream(attempt) } }
+        attempt.result = async(start = CoroutineStart.LAZY) {
+            val outcome = attemptAt(pool, attemptsBefore) { claim(attempt) }
+            if (outcome.isResponse) claim(attempt)
+            outcome
+        }
         attempt.result.invokeOnCompletion { attempt.endedAtMs = TrafficLoop.nowMs() }
         running += attempt
         attempt.result.start()
         return attempt
     }
 
-    private fun onStream(attempt: RunningAttempt) {
-        streaming = true
-        supersedeOthers(attempt)
-    }
-
-    private fun supersedeOthers(attempt: RunningAttempt) =
+    /** Makes [attempt] the winner and cancels the other one, or ends [attempt] if the other one has won. */
+    private fun claim(attempt: RunningAttempt) {
+        if (winner == null) winner = attempt
+        if (winner !== attempt) throw AttemptSuperseded()
         running.filter { it !== attempt }.forEach { it.result.cancel(AttemptSuperseded()) }
+    }
 
     private suspend fun CoroutineScope.startSecondIfSlow(
         first: RunningAttempt,
@@ -90,7 +89,7 @@
         withTimeoutOrNull(plan.delayMs) { first.result.join() }
         // If the event loop is behind, a response may have arrived without having been read.
         if (environment.polls.ageMs >= MAX_POLL_AGE_MS) withTimeoutOrNull(POLL_MS) { first.result.join() }
-        if (first.result.isCompleted || streaming || environment.quarantine.refusal(context) != null) return null
+        if (first.result.isCompleted || winner != null || environment.quarantine.refusal(context) != null) return null
         val pool = endpoints.forSecondAttempt()
         val obstacle = reserve(plan, endpointFree = pool != null)
         if (obstacle != null) environment.metrics.recordSecondAttemptRefused(service, obstacle)
@@ -113,33 +112,25 @@
         }
     }
 
-    private suspend fun race(plan: SecondAttemptPlan, second: RunningAttempt): List<AttemptOutcome> {
-        val first = running.first()
+    /** Waits until both attempts have ended: the first response ends the other attempt. */
+    private suspend fun race(
+        plan: SecondAttemptPlan,
+        first: RunningAttempt,
+        second: RunningAttempt,
+    ): List<AttemptOutcome> {
         var result = "ended"
         try {
-            val earlier = select {
-                running.forEach { attempt -> attempt.result.onJoin { attempt } }
-            }
-            val later = if (earlier === first) second else first
-            var winner = earlier
-            var outcomes = listOf(outcomeOf(earlier))
-            if (outcomes.last().isResponse) {
-                supersedeOthers(earlier)
-                outcomes = listOf(outcomeOf(later), outcomes.last())
-            } else {
-                winner = later
-                outcomes = outcomes + outcomeOf(later)
-            }
-            recordFirst(first, if (winner === first) outcomes.last() else outcomes.first())
-            context.trace.endpoint = winner.pool.endpoint.id
-            context.trace.endpointZone = winner.pool.endpoint.zone
+            val outcomes = running.associateWith { outcomeOf(it) }
+            recordFirst(first, outcomes.getValue(first))
+            val last = winner ?: running.maxBy { it.endedAtMs ?: 0 }
+            context.trace.endpoint = last.pool.endpoint.id
+            context.trace.endpointZone = last.pool.endpoint.zone
             result = when {
-                !outcomes.last().isResponse -> "failed"
-                winner === second -> "won"
-                outcomes.first() == AttemptOutcome.Superseded -> "lost"
+                winner === second && outcomes.getValue(second).isResponse -> "won"
+                winner === first && outcomes.getValue(second) == AttemptOutcome.Superseded -> "lost"
                 else -> "failed"
             }
-            return outcomes
+            return running.sortedBy { it === last }.map(outcomes::getValue)
         } finally {
             onSecondEnded(second, plan, result)
         }
--- a/gateway/src/main/kotlin/io/oriolehall/gateway/requests/EndpointSelection.kt
+++ b/gateway/src/main/kotlin/io/oriolehall/gateway/requests/EndpointSelection.kt
@@ -11,7 +11,7 @@
 /**
  * Chooses the endpoints of one request, each of them at most once.
  *
- * @param secondAttempts is told when the request waits for an endpoint or none can be used; null if they are off.
+ * @param secondAttempts is told when the request waits for an endpoint; null if they are off.
  */
 internal class EndpointSelection(
     private val context: RequestContext,
@@ -29,12 +29,12 @@
         while (true) {
             val nowMs = TrafficLoop.nowMs()
             val choice = chooser.choose(context, inputZone, tried, nowMs + leadMs)
-            if (choice is EndpointChoice.None) secondAttempts?.onSaturated(context.service, nowMs)
             if (choice !is EndpointChoice.None || nowMs >= untilMs ||
                 !choice.mayEndUntil(untilMs + leadMs)
             ) {
                 return choice
             }
+            secondAttempts?.onSaturated(context.service, nowMs)
             delay(SLOT_POLL_MS)
         }
     }
--- a/gateway/src/test/kotlin/io/oriolehall/gateway/path/GatewayUnderTest.kt
+++ b/gateway/src/test/kotlin/io/oriolehall/gateway/path/GatewayUnderTest.kt
@@ -16,12 +16,14 @@
 import io.oriolehall.gateway.DeploymentBounds
 import io.oriolehall.gateway.Gateway
 import io.oriolehall.gateway.GatewaySettings
+import io.oriolehall.gateway.TrafficLoop
 import io.oriolehall.gateway.feed.EndpointListing
 import io.oriolehall.gateway.feed.FeedChanges
 import io.oriolehall.gateway.feed.FeedFailure
 import io.oriolehall.gateway.feed.OperatorState
 import io.oriolehall.gateway.feed.PlatformFeed
 import io.oriolehall.gateway.feed.PublishedChange
+import io.oriolehall.gateway.feed.PublishedChange.EndpointRegistered
 import io.oriolehall.gateway.wire.HeaderNames
 import io.oriolehall.gateway.wire.PieceOutcome
 import io.oriolehall.gateway.wire.StageCallCodec
@@ -38,6 +40,7 @@
 import kotlinx.coroutines.runBlocking
 import java.net.Socket
 import java.net.URI
+import java.util.concurrent.ConcurrentLinkedQueue
 import java.util.concurrent.CopyOnWriteArrayList
 import java.util.concurrent.TimeUnit
 import kotlin.concurrent.thread
@@ -64,11 +67,13 @@
     /** Events that the gateway has logged. */
     val events = CopyOnWriteArrayList<Event>()
 
-    /** Fields of the events, in the same order. */
-    val eventFields = CopyOnWriteArrayList<Map<String, Any?>>()
+    private val published = ConcurrentLinkedQueue<PublishedChange>()
+
+    /** Fields of the events of second attempts. */
+    val secondAttemptFields = CopyOnWriteArrayList<Map<String, Any?>>()
 
     private val eventLog = EventLog { event, fields ->
-        eventFields += fields.toMap()
+        if (event == Event.SECOND_ATTEMPT_ENDED) secondAttemptFields += fields.toMap()
         events += event
     }
     private val gateway = Gateway(settings(), WIRE, eventLog) { _ -> Feed() }
@@ -93,6 +98,9 @@
 
     val metricsAddress: NetworkAddress get() = checkNotNull(gateway.metricsAddress)
 
+    /** Publishes that all endpoints drain. */
+    fun drainAll() = records().forEach { published += EndpointRegistered(it.copy(draining = true)) }
+
     /** The metrics page. */
     fun metrics(): String = URI("http://$metricsAddress/metrics").toURL().readText()
 
@@ -188,8 +196,10 @@
             Ok(EndpointListing(StorePosition(0, 1), records()))
 
         override suspend fun changes(after: StorePosition, waitMs: Long) = if (storeReachable()) {
-            delay(waitMs)
-            Ok(FeedChanges(after, emptyList()))
+            val endMs = TrafficLoop.nowMs() + waitMs
+            while (published.isEmpty() && TrafficLoop.nowMs() < endMs) delay(PUBLISH_POLL_MS)
+            val changes = generateSequence(published::poll).toList()
+            Ok(FeedChanges(after.copy(revision = after.revision + changes.size), changes))
         } else {
             delay(RETRY_MS)
             Err(FeedFailure.Unavailable("store unreachable"))
@@ -202,6 +212,7 @@
         const val READ_TIMEOUT_MS = 8_000
         const val READY_POLL_MS = 5L
         const val RETRY_MS = 20L
+        const val PUBLISH_POLL_MS = 5L
         val KEYED_ORGANISATIONS = listOf(Organisation(OrganisationId("o"), listOf("k")))
 
         val HEADERS = HeaderNames(
--- a/gateway/src/test/kotlin/io/oriolehall/gateway/path/SecondAttemptTest.kt
+++ b/gateway/src/test/kotlin/io/oriolehall/gateway/path/SecondAttemptTest.kt
@@ -1,5 +1,6 @@
 package io.oriolehall.gateway.path
 
+import io.oriolehall.dispatch.retries.ResponseTimes
 import io.oriolehall.dispatch.retries.SecondAttemptLimits
 import io.oriolehall.runtime.Event
 import org.junit.jupiter.api.Test
@@ -15,8 +16,9 @@
 import java.util.concurrent.atomic.AtomicInteger
 
 /**
- * Slow requests at two endpoints that answer at once until the response times are known. The attempts at a request
- * whose path ends in `slow` run the scripts of a test in their order, whichever endpoint gets them.
+ * Slow requests at two endpoints that answer at once until the response times are known, which are so few that none of
+ * these requests gets a second attempt. The attempts at a request whose path ends in `slow` run the scripts of a test
+ * in their order, whichever endpoint gets them.
  */
 class SecondAttemptTest {
     private val limits = SecondAttemptLimits(requestShare = 0.2, workShare = 0.2)
@@ -37,12 +39,18 @@
         secondAttempts: SecondAttemptLimits? = limits,
         draining: Set<String> = emptySet(),
         warmUpPath: String = "/plain/x",
-        warmUps: Int = 20,
+        warmUps: Int = ResponseTimes.MIN_OBSERVATIONS,
+        warmUpMs: Long = 0,
         test: Slow.() -> Unit,
     ) {
         val endpoints = List(2) {
             ScriptedEndpoint {
-                if ("slow " in head.first()) scripts[slowAttempts.getAndIncrement()]() else respond()
+                if ("slow " in head.first()) {
+                    scripts[slowAttempts.getAndIncrement()]()
+                } else {
+                    Thread.sleep(warmUpMs)
+                    respond()
+                }
             }
         }
         GatewayUnderTest(
@@ -52,8 +60,8 @@
             objectiveMs = 20_000,
             secondAttempts = secondAttempts,
         ).use { gateway ->
-            gateway.awaitReady()
-            repeat(warmUps) { expectThat(gateway.request(warmUpPath)).startsWith("HTTP/1.1 200") }
+            waitUntil { gateway.request(warmUpPath).startsWith("HTTP/1.1 200") }
+            repeat(warmUps - 1) { expectThat(gateway.request(warmUpPath)).startsWith("HTTP/1.1 200") }
             Slow(gateway, endpoints).test()
         }
         endpoints.forEach(ScriptedEndpoint::close)
@@ -72,7 +80,7 @@
     /** Waits until the one second attempt has ended, and expects that it ended with [outcome]. */
     private fun Slow.awaitOutcome(outcome: String) {
         waitUntil { Event.SECOND_ATTEMPT_ENDED in gateway.events }
-        expectThat(gateway.eventFields.filter { "workMs" in it }.map { it["outcome"] }).isEqualTo(listOf(outcome))
+        expectThat(gateway.secondAttemptFields.map { it["outcome"] }).isEqualTo(listOf(outcome))
     }
 
     @Test
@@ -262,12 +270,13 @@
     fun `an attempt whose response turns out to be a stream wins at its head`() {
         val secondStarted = CountDownLatch(1)
         val secondClosed = CountDownLatch(1)
+        var closedBeforeEnd = false
         val head = "S: 1\r\nContent-Type: text/event-stream\r\n"
         withScripts(
             {
                 secondStarted.await()
                 write("HTTP/1.1 200 OK\r\nA: ${header("A")}\r\n${head}Content-Length: 30\r\n\r\nid: 1\ndata: a\n\n")
-                secondClosed.awaitSoon()
+                closedBeforeEnd = secondClosed.awaitSoon()
                 write("id: 2\ndata: b\n\n")
             },
             {
@@ -278,8 +287,8 @@
             val answer = gateway.request("/plain/slow")
             expectThat(Regex("data: (\\w+)").findAll(answer).map { it.groupValues[1] }.toList())
                 .isEqualTo(listOf("a", "b"))
-            expectThat(secondClosed.count).isEqualTo(0)
-            waitUntil { "outcome=\"on_time\",route=\"/plain/\"} 21.0" in gateway.metrics() }
+            expectThat(closedBeforeEnd).isEqualTo(true)
+            waitUntil { "outcome=\"on_time\",route=\"/plain/\"} 10.0" in gateway.metrics() }
             awaitOutcome("lost")
         }
     }
@@ -293,9 +302,28 @@
         }
     }
 
+    /** Guards against a second endpoint that is chosen from the state at the start of the request. */
+    @Test
+    fun `no second attempt is sent to an endpoint that begins to drain while the first attempt is in progress`() {
+        lateinit var gatewayUnderTest: GatewayUnderTest
+        withScripts(
+            {
+                gatewayUnderTest.drainAll()
+                Thread.sleep(4 * WARM_UP_MS)
+                respond(body = "only")
+            },
+            warmUpMs = WARM_UP_MS,
+        ) {
+            gatewayUnderTest = gateway
+            expectThat(gateway.request("/plain/slow")).endsWith("only")
+            expectThat(slowAttempts.get()).isEqualTo(1)
+            expectThat(gateway.metrics()).contains("outcome=\"refused_no_endpoint\"")
+        }
+    }
+
     @Test
     fun `no second attempt is sent with too few observations or without limits`() {
-        withScripts(slowResponse, warmUps = 8) {
+        withScripts(slowResponse, warmUps = ResponseTimes.MIN_OBSERVATIONS - 1) {
             expectThat(gateway.request("/plain/slow")).endsWith("only")
             expectThat(slowAttempts.get()).isEqualTo(1)
         }
@@ -306,4 +334,9 @@
             expectThat("oriolehall_second" in gateway.metrics()).isEqualTo(false)
         }
     }
+
+    private companion object {
+        /** Longer than the publication of a change takes on a busy machine. */
+        const val WARM_UP_MS = 300L
+    }
 }
