Endpoints that have to register again keep their time limit between instances; listings are paced

Cause: an instance that takes the state of another one while that waits for endpoints to register again took them for registered.

Change: states of a store with eras carry the endpoints that lapse and their remaining time. Two listings are at least `minIntervalMs` apart, whatever leads to them. The random histories also check that keys are accepted only by a configuration that was replaced less than 5 s ago. History 898 always runs.

--- a/dispatch/src/main/kotlin/io/oriolehall/dispatch/endpoints/EndpointDirectory.kt
+++ b/dispatch/src/main/kotlin/io/oriolehall/dispatch/endpoints/EndpointDirectory.kt
@@ -82,6 +82,14 @@
         remove(id)
     }
 
+    /** Milliseconds until endpoints are removed that have to register again. */
+    fun lapsing(nowMs: Long): Map<EndpointId, Long> = removalTimesMs.mapValues { maxOf(0, it.value - nowMs) }
+
+    /** Takes over from another instance that [id] has to register again within [remainingMs]. */
+    fun addLapsing(id: EndpointId, remainingMs: Long, nowMs: Long) {
+        if (id in snapshot.endpoints) removalTimesMs.putIfAbsent(id, nowMs + remainingMs)
+    }
+
     /** Notes that [incarnations] have been withdrawn, as another instance knows. */
     fun addWithdrawn(incarnations: Collection<EndpointIncarnation>, nowMs: Long) =
         incarnations.filter { snapshot.endpoints[it.id]?.incarnation != it }
--- a/gateway/src/main/kotlin/io/oriolehall/gateway/feed/FeedReader.kt
+++ b/gateway/src/main/kotlin/io/oriolehall/gateway/feed/FeedReader.kt
@@ -42,6 +42,7 @@
     private var consecutiveFailures = 0
     private var unreachableSinceMs = 0L
     private var lastWatchAtMs = Long.MIN_VALUE / 2
+    private var lastListingAtMs = Long.MIN_VALUE / 2
 
     /** True since the platform failed to answer; a listing that cannot be used is an answer. */
     private var silent = false
@@ -104,6 +105,8 @@
      * it depends neither on the length of that listing nor on its success.
      */
     private suspend fun readSnapshot(): FeedFailure? {
+        delay(lastListingAtMs + pace.minIntervalMs - timers.nowMs())
+        lastListingAtMs = timers.nowMs()
         val storeUninterrupted = reachable
         val first = readOperator()
         if (first.isErr) return first.error
--- a/gateway/src/main/kotlin/io/oriolehall/gateway/feed/PlatformFeed.kt
+++ b/gateway/src/main/kotlin/io/oriolehall/gateway/feed/PlatformFeed.kt
@@ -45,6 +45,7 @@
  *
  * @property withdrawn incarnations of endpoints whose registration was removed recently.
  * @property restored zones whose evacuation has ended recently.
+ * @property lapsing those of [endpoints] that are removed unless they register again.
  */
 @Serializable
 data class FeedSnapshot(
@@ -57,10 +58,15 @@
     val configEra: Long = 0,
     val withdrawn: List<EndpointIncarnation> = emptyList(),
     val restored: List<ZoneId> = emptyList(),
+    val lapsing: List<LapsingEndpoint> = emptyList(),
 ) {
     val position: StorePosition get() = StorePosition(era, asOf)
 }
 
+/** An endpoint that is missing from the store, and the time that it has left to register again. */
+@Serializable
+data class LapsingEndpoint(val id: EndpointId, val remainingMs: Long)
+
 /** What the operator has published, at position [asOf]; [config] is null if there is no usable configuration. */
 data class OperatorState(
     val asOf: StorePosition,
--- a/gateway/src/main/kotlin/io/oriolehall/gateway/feed/PublishedState.kt
+++ b/gateway/src/main/kotlin/io/oriolehall/gateway/feed/PublishedState.kt
@@ -124,6 +124,7 @@
         replaceAll(snapshot.endpoints, snapshot.evacuated, position, storeUninterrupted)
         directory.addWithdrawn(snapshot.withdrawn, timers.nowMs())
         evacuations.addEnded(snapshot.restored, timers.nowMs())
+        snapshot.lapsing.forEach { directory.addLapsing(it.id, it.remainingMs, timers.nowMs()) }
         if (position.era < era) restore.protect()
         return true
     }
@@ -328,10 +329,15 @@
             era = position.era,
             configEra = confirmed.stamp.position.era,
             withdrawn = if (position.era > 0) directory.withdrawn.toList() else emptyList(),
+            lapsing = if (position.era > 0) lapsing() else emptyList(),
             restored = if (position.era > 0) evacuations.ended.toList() else emptyList(),
         )
     }
 
+    private fun lapsing() = directory.lapsing(timers.nowMs()).map { (id, remainingMs) ->
+        LapsingEndpoint(id, remainingMs)
+    }
+
     private fun publish() {
         val before = endpoints
         directory.setEvacuated(evacuations.zones)
--- a/gateway/src/test/kotlin/io/oriolehall/gateway/feed/RestoredStoreTest.kt
+++ b/gateway/src/test/kotlin/io/oriolehall/gateway/feed/RestoredStoreTest.kt
@@ -275,11 +275,19 @@
     /** Copies, restores, cuts between instances and from the store, and restarts, in a random order. */
     @Test
     fun `no instance goes back, and all are equal after random restores`() {
-        for (seed in 1L..SEEDS) runTest { runRandom(this, seed) }
+        for (seed in (1L..SEEDS) + REGRESSION_SEEDS) runTest { runRandom(this, seed) }
     }
 
-    /** Checks at all times that no instance goes back or uses an endpoint that the store says is draining or gone. */
-    private inner class Checker(private val test: TestScope, val instances: List<Instance>, val ids: List<String>) {
+    /**
+     * Checks at all times that no instance goes back, uses an endpoint that the store says is draining or gone, or
+     * accepts keys by a configuration that was replaced too long ago.
+     */
+    private inner class Checker(
+        private val test: TestScope,
+        val instances: List<Instance>,
+        private val writers: RandomWriters,
+    ) {
+        private val versionSinceMs = mutableMapOf<Long, Long>()
         private val accepted = LongArray(instances.size)
         private val undisturbedSinceMs = LongArray(instances.size)
         private val unusableSinceMs = mutableMapOf<String, Long>()
@@ -293,12 +301,18 @@
 
         fun check(label: String) {
             val nowMs = test.testScheduler.currentTime
+            versionSinceMs.putIfAbsent(writers.version, nowMs)
+            val revoked = versionSinceMs.filterValues { nowMs - it > REVOKE_MS }.keys.maxOrNull() ?: 0
             val usable = store.endpoints.filterNot { it.draining }.map { it.id.value }.toSet()
             unusableSinceMs.keys.removeAll(usable)
-            ids.filter { it !in usable }.forEach { unusableSinceMs.putIfAbsent(it, nowMs) }
+            writers.ids.filter { it !in usable }.forEach { unusableSinceMs.putIfAbsent(it, nowMs) }
             instances.forEachIndexed { i, instance ->
                 expectThat(instance.version).describedAs("version of $i, $label").isGreaterThanOrEqualTo(accepted[i])
                 accepted[i] = instance.version
+                if (instance.acceptsKeys) {
+                    expectThat(instance.version).describedAs("version of accepted keys of $i, $label")
+                        .isGreaterThanOrEqualTo(revoked)
+                }
                 if (!store.available || !instance.feed.connected) undisturbedSinceMs[i] = nowMs
                 val late = instance.usable.filter { id ->
                     val sinceMs = unusableSinceMs[id]
@@ -316,7 +330,7 @@
         val writers = RandomWriters(store, random)
         writers.writeAll()
         val instances = List(3) { Instance(test, seed + it) }
-        val checker = Checker(test, instances, writers.ids)
+        val checker = Checker(test, instances, writers)
         val checks = test.backgroundScope.launch {
             while (true) {
                 delay(CHECK_MS)
@@ -419,12 +433,16 @@
         const val GOSSIP_MS = 250L
         const val MAX_CONFIRMATION_AGE_MS = 4_600L
         const val SEEDS = 60L
+
+        /** 898: an instance took over an endpoint that had to register again without its time limit, and kept it. */
+        val REGRESSION_SEEDS = listOf(898L)
         const val STEPS = 30
         const val MAX_STEP_MS = 1_500L
         const val REWRITE_MS = 1_900L
         const val CHECK_MS = 50L
         const val SETTLE_MS = 8_000L
         const val BOUND_MS = 3_000L
+        const val REVOKE_MS = 5_000L
 
         /** Time for writing again, and the bound after an instance has learnt that an endpoint drains or is gone. */
         const val NOTICE_MS = 5_000L
