--- a/gateway/src/main/kotlin/io/oriolehall/gateway/feed/PublishedState.kt
+++ b/gateway/src/main/kotlin/io/oriolehall/gateway/feed/PublishedState.kt
@@ -36,7 +36,6 @@
     private val evacuations = EvacuatedZones()
     private val restore = RestorePeriod()
     private val mutableEra = MutableStateFlow(0L)
-    private val configRevisions = mutableSetOf<Long>()
     private var ignoredConfig: ConfigStamp? = null
 
     val configHolder = ConfigHolder()
@@ -124,6 +123,7 @@
         replaceAll(snapshot.endpoints, snapshot.evacuated, position, storeUninterrupted)
         directory.addWithdrawn(snapshot.withdrawn, timers.nowMs())
         evacuations.addEnded(snapshot.restored, timers.nowMs())
+        snapshot.lapsing.forEach { directory.addLapsing(it.id, it.remainingMs, timers.nowMs()) }
         if (position.era < era) restore.protect()
         return true
     }
@@ -222,9 +222,16 @@
     private fun isWrittenAgain(config: ConfigPublished): Boolean {
         val known = configHolder.current?.stamp ?: return false
         val position = asOf ?: return false
-        if (config.era == 0L || config.revision in configRevisions) return false
-        val unused = position.era == known.position.era && config.revision in known.position.revision..position.revision
-        return config.config.version == known.version || (config.config.version > known.version && unused)
+        if (config.era == 0L || known.position.era != position.era ||
+            config.config.version < known.version
+        ) {
+            return false
+        }
+        return when (position.era) {
+            config.era -> config.revision > known.position.revision
+            config.era - 1 -> config.revision > known.position.revision && config.revision <= position.revision
+            else -> false // A copy may hold what was written again in an era that this instance has missed.
+        }
     }
 
     private fun applyChange(change: PublishedChange, sentAt: ClockReading, source: String) = when (change) {
@@ -265,8 +272,6 @@
                 "asOf" to change.position,
             )
         }
-        if (before == null || config.version > before) configRevisions.clear()
-        if (configHolder.current?.stamp?.version == config.version) configRevisions += change.revision
         if (!changed) return
         journal.add(listOf(change))
         log.write(
@@ -328,10 +333,15 @@
             era = position.era,
             configEra = confirmed.stamp.position.era,
             withdrawn = if (position.era > 0) directory.withdrawn.toList() else emptyList(),
+            lapsing = if (position.era > 0) lapsing() else emptyList(),
             restored = if (position.era > 0) evacuations.ended.toList() else emptyList(),
         )
     }
 
+    private fun lapsing() = directory.lapsing(timers.nowMs()).map { (id, remainingMs) ->
+        LapsingEndpoint(id, remainingMs)
+    }
+
     private fun publish() {
         val before = endpoints
         directory.setEvacuated(evacuations.zones)
