Second attempts work where each instance sees few requests, and count all plain requests as load

Cause: with 80 instances each sees a handful of requests of a route in a minute. The capacity rule counted repeatable requests only, although most requests of such a service may not be repeated: a busy service looked idle. Change: the credit starts with a random part of an attempt, so that the shares hold over all instances on average. A route with few observations uses the response times of its service, which now include those of all plain requests; their work counts as load.

--- a/dispatch/src/main/kotlin/io/oriolehall/dispatch/retries/SecondAttemptBudget.kt
+++ b/dispatch/src/main/kotlin/io/oriolehall/dispatch/retries/SecondAttemptBudget.kt
@@ -3,12 +3,15 @@
 /**
  * What second attempts at one service may cost on this instance. Each request adds its share to a credit from which
  * second attempts are paid, so that the shares of all instances add up to that of the deployment without messages, and
- * an instance with few requests saves until it can afford a second attempt. The credit starts empty, also after a
- * restart. The time of a second attempt is not known in advance: the expected time is reserved, and a longer one leaves
- * a debt that later requests pay. Not thread-safe.
+ * an instance with few requests saves until it can afford a second attempt. The time of a second attempt is not known
+ * in advance: the expected time is reserved, and a longer one leaves a debt that later requests pay. Not thread-safe.
+ *
+ * @param initialShare part of a second attempt that the credit holds at the start, 0 to 1. If each instance draws it at
+ *   random, many instances with few requests together send the share of second attempts on average; starting at 0,
+ *   an instance with less than a whole attempt in its lifetime would never send one.
  */
-class SecondAttemptBudget(private val limits: SecondAttemptLimits) {
-    private var attemptCredit = 0.0
+class SecondAttemptBudget(private val limits: SecondAttemptLimits, private val initialShare: Double = 0.0) {
+    private var attemptCredit = initialShare
     private var workCreditMs = 0.0
 
     fun onFirstAttempt() {
@@ -23,7 +26,7 @@
     /** Why a second attempt that is expected to take [expectedMs] cannot be paid now; null if it can. */
     fun obstacle(expectedMs: Long): SecondAttemptObstacle? = when {
         attemptCredit < 1 - ROUNDING -> SecondAttemptObstacle.REQUEST_SHARE
-        workCreditMs < expectedMs - ROUNDING -> SecondAttemptObstacle.WORK_SHARE
+        workCreditMs < expectedMs * (1 - initialShare) - ROUNDING -> SecondAttemptObstacle.WORK_SHARE
         else -> null
     }
 
--- a/dispatch/src/main/kotlin/io/oriolehall/dispatch/retries/SecondAttempts.kt
+++ b/dispatch/src/main/kotlin/io/oriolehall/dispatch/retries/SecondAttempts.kt
@@ -1,5 +1,7 @@
 package io.oriolehall.dispatch.retries
 
+import kotlin.random.Random
+
 /**
  * When a slow request gets a second attempt.
  *
@@ -10,14 +12,18 @@
 
 /**
  * Second attempts of this instance: the observed response times by route and service, and the budget and the load by
- * service. Times are monotonic milliseconds. Not thread-safe.
+ * service. A route with few requests uses the response times of all plain requests of its service. Times are monotonic
+ * milliseconds. Not thread-safe.
+ *
+ * @param random draws the initial credit of each budget.
  */
-class SecondAttempts(private val limits: SecondAttemptLimits) {
+class SecondAttempts(private val limits: SecondAttemptLimits, private val random: Random = Random.Default) {
     private data class RouteKey(val route: String, val service: String)
 
-    private class ServiceState(limits: SecondAttemptLimits) {
-        val budget = SecondAttemptBudget(limits)
+    private class ServiceState(limits: SecondAttemptLimits, initialShare: Double) {
+        val budget = SecondAttemptBudget(limits, initialShare)
         val load = ServiceLoad()
+        val responseTimes = ResponseTimes()
     }
 
     private val responseTimes = RecentlyUsed<RouteKey, ResponseTimes>()
@@ -25,8 +31,12 @@
 
     /** Records the start of a first attempt. Returns when a second one is due; null with too few observations. */
     fun onFirstAttempt(route: String, service: String, nowMs: Long): SecondAttemptPlan? {
-        stateOf(service).budget.onFirstAttempt()
-        val times = timesOf(route, service)
+        val state = stateOf(service)
+        state.budget.onFirstAttempt()
+        return planFrom(timesOf(route, service), nowMs) ?: planFrom(state.responseTimes, nowMs)
+    }
+
+    private fun planFrom(times: ResponseTimes, nowMs: Long): SecondAttemptPlan? {
         val delayMs = times.quantile(limits.quantile, nowMs) ?: return null
         val expectedMs = times.quantile(MEDIAN, nowMs) ?: return null
         return SecondAttemptPlan(maxOf(delayMs, MIN_DELAY_MS), expectedMs)
@@ -36,7 +46,14 @@
     fun onFirstAttemptEnded(route: String, service: String, elapsedMs: Long, nowMs: Long) {
         timesOf(route, service).record(elapsedMs, nowMs)
         stateOf(service).budget.onFirstAttemptEnded(elapsedMs)
-        stateOf(service).load.onWork(elapsedMs, nowMs)
+        onPlainResponse(service, elapsedMs, nowMs)
+    }
+
+    /** Records that [service] answered a plain request, which may be one that gets no second attempt. */
+    fun onPlainResponse(service: String, elapsedMs: Long, nowMs: Long) {
+        val state = stateOf(service)
+        state.responseTimes.record(elapsedMs, nowMs)
+        state.load.onWork(elapsedMs, nowMs)
     }
 
     /** Records that [service] lacked capacity for a request. */
@@ -72,7 +89,7 @@
     private fun timesOf(route: String, service: String) =
         responseTimes.getOrPut(RouteKey(route, service), ::ResponseTimes)
 
-    private fun stateOf(service: String) = services.getOrPut(service) { ServiceState(limits) }
+    private fun stateOf(service: String) = services.getOrPut(service) { ServiceState(limits, random.nextDouble()) }
 
     /** Bounds the memory when configurations with ever new routes or services come. */
     private class RecentlyUsed<K, V> : LinkedHashMap<K, V>(INITIAL_CAPACITY, LOAD_FACTOR, true) {
--- a/gateway/src/main/kotlin/io/oriolehall/gateway/requests/AttemptSequence.kt
+++ b/gateway/src/main/kotlin/io/oriolehall/gateway/requests/AttemptSequence.kt
@@ -112,7 +112,7 @@
             raced = true
             AttemptRace(context, environment, endpoints, secondAttempts, ::attemptAt).run(choice.pool)
         } else {
-            listOf(attemptAt(choice.pool, attemptsBefore = sentAttempts, onStream = null))
+            listOf(singleAttemptAt(choice.pool))
         }
         if (context.route.retryable && outcomes.none { it.isResponse }) {
             examinations.forEach { it.join() }
@@ -121,6 +121,16 @@
         return outcomes
     }
 
+    private suspend fun singleAttemptAt(pool: EndpointPool): AttemptOutcome {
+        val startedAtMs = TrafficLoop.nowMs()
+        val outcome = attemptAt(pool, attemptsBefore = sentAttempts, onStream = null)
+        if (outcome is AttemptOutcome.Complete && context.route.stages.isEmpty()) {
+            val nowMs = TrafficLoop.nowMs()
+            environment.secondAttempts?.onPlainResponse(context.service, nowMs - startedAtMs, nowMs)
+        }
+        return outcome
+    }
+
     private fun mayRace(): Boolean =
         sentAttempts == 0 && !raced && SecondAttemptPolicy.isInScope(context.route)
 
