ExplainTest waits until the gateway under test is ready

Cause: it had a copy of the wait for the configuration alone, after which the endpoints may not be known yet.

--- a/gateway/src/test/kotlin/io/oriolehall/gateway/explain/ExplainTest.kt
+++ b/gateway/src/test/kotlin/io/oriolehall/gateway/explain/ExplainTest.kt
@@ -63,10 +63,6 @@
         return WireJson.decodeFromString(Explanation.serializer(), body)
     }
 
-    private fun GatewayUnderTest.awaitConfiguration() {
-        while (!request("/none/").startsWith("HTTP/1.1 404")) Thread.sleep(POLL_MS)
-    }
-
     /** Everything in an explanation but the age of the configuration, which changes by itself. */
     private fun GatewayUnderTest.state(query: String) = explain(query).copy(configuration = null)
 
@@ -87,7 +83,7 @@
     fun `the explained endpoint is the one that the request then gets`() =
         withEndpoints(5, { respond(body = "e$it") }) { endpoints ->
             GatewayUnderTest(endpoints).use { gateway ->
-                gateway.awaitConfiguration()
+                gateway.awaitReady()
                 val explained = (1..30).map { i ->
                     val chosen = gateway.explain(
                         "?route=/once/&prompt-parts=p$i:10,q:1",
@@ -116,7 +112,7 @@
             otherRoutes = listOf(STAGED),
         )
             .use { gateway ->
-                gateway.awaitConfiguration()
+                gateway.awaitReady()
                 val queries = listOf("?route=/plain/", "?route=staged&pieces=2,1")
                 val unused = queries.map { gateway.state(it) }
                 val metrics = gateway.metrics()
@@ -144,7 +140,7 @@
         if (i == 1) respond("503 Service Unavailable", "", "N: 1\r\nRetry-After: 30\r\n") else respond(body = "e$i")
     }) { endpoints ->
         GatewayUnderTest(endpoints, draining = setOf("e0")).use { gateway ->
-            gateway.awaitConfiguration()
+            gateway.awaitReady()
             var sent = 0
             while (endpoints[1].requests == 0) gateway.request("/plain/x", headers = "P: p${sent++}:1,q:1\r\n")
             val explained = gateway.explain("?route=/plain/").services.single()
@@ -163,7 +159,7 @@
     fun `when no endpoint can be used, the request is explained as refused`() =
         withEndpoints(1, { respond() }) { endpoints ->
             GatewayUnderTest(endpoints, draining = setOf("e0")).use { gateway ->
-                gateway.awaitConfiguration()
+                gateway.awaitReady()
                 val explained = gateway.explain("?route=/once/")
                 expectThat(explained.admission.admitted).isFalse()
                 expectThat(explained.admission.refusals.single().kind).isEqualTo("no_endpoint")
@@ -181,7 +177,7 @@
                 targets = listOf(RouteTarget("s", 3), RouteTarget("w", 1)),
             )
             GatewayUnderTest(endpoints, otherServices = listOf(WORKER), otherRoutes = listOf(split)).use { gateway ->
-                gateway.awaitConfiguration()
+                gateway.awaitReady()
                 val explained = gateway.explain("?route=split")
                 expectThat(explained.services.map { it.share }).containsExactly(0.75, 0.25)
                 expectThat(explained.admission.admitted).isTrue()
@@ -195,7 +191,7 @@
         withEndpoints(1, { respond() }) { endpoints ->
             val routes = listOf(STAGED, STAGED.copy(name = "tight", prefix = "/tight/", objectiveMs = 800))
             GatewayUnderTest(endpoints, otherServices = listOf(WORKER), otherRoutes = routes).use { gateway ->
-                gateway.awaitConfiguration()
+                gateway.awaitReady()
                 val explained = gateway.explain("?route=staged&pieces=2,1")
                 expectThat(explained.stages.map { it.pieces }).containsExactly(2, 1)
                 expectThat(explained.stages.map { it.expectedMs }).containsExactly(410L, 410L)
@@ -216,7 +212,7 @@
     fun `an unknown name or a missing parameter is an error that names the remedy`() =
         withEndpoints(1, { respond() }) { endpoints ->
             GatewayUnderTest(endpoints, otherServices = listOf(WORKER), otherRoutes = listOf(STAGED)).use { gateway ->
-                gateway.awaitConfiguration()
+                gateway.awaitReady()
                 val unknownRoute = gateway.fetch("?route=nowhere")
                 expectThat(unknownRoute.first).isEqualTo(404)
                 expectThat(unknownRoute.second).contains("\"nowhere\"").contains("/plain/").contains("staged")
@@ -237,7 +233,7 @@
         withEndpoints(1, { respond() }) { endpoints ->
             val organisations = listOf(Organisation(OrganisationId("o"), listOf("secret-key"), priority = 2))
             GatewayUnderTest(endpoints, organisations = organisations).use { gateway ->
-                gateway.awaitConfiguration()
+                gateway.awaitReady()
                 val anonymous = gateway.explain("?route=/plain/").admission
                 expectThat(anonymous.admitted).isFalse()
                 expectThat(anonymous.refusals.map { it.status }).containsExactly(401)
@@ -274,7 +270,7 @@
             organisations = GatewayUnderTest.KEYED_ORGANISATIONS,
             storeReachable = { reachable },
         ).use { gateway ->
-            gateway.awaitConfiguration()
+            gateway.awaitReady()
             val confirmed = gateway.explain("?route=/plain/&organisation=o")
             expectThat(confirmed.admission.admitted).isTrue()
             expectThat(confirmed.configuration?.confirmedMsAgo ?: -1).isIn(0L..800L)
@@ -286,8 +282,6 @@
     }
 
     private companion object {
-        const val POLL_MS = 5L
-
         val WORKER = Service(
             "w",
             "/",
