--- a/review/stand-ins-2/Json.java
+++ b/review/stand-ins-2/Json.java
@@ -78,5 +78,12 @@
         return out.toString();
     }
 
-    static String quote(String s) { return "\"" + s.replace("\\", "\\\\").replace("\"", "\\\"") + "\""; }
+    static String quote(String s) {
+        StringBuilder out = new StringBuilder("\"");
+        for (char c : s.toCharArray()) {
+            if (c < 0x20 || c == 0x7f) out.append(String.format("\\u%04x", (int) c));
+            else out.append(c == 0x22 || c == 0x5c ? "\\" + c : String.valueOf(c));
+        }
+        return out.append((char) 0x22).toString();
+    }
 }
