Review case 10: a late heartbeat puts a draining worker in use again; case 7 with more requesters

Cause: entries are not ordered by sequence, so an older one takes back that the worker drains. Case 7: with 70 requesters that come at once, gateways also hang.

--- a/review/stand-ins-2/SlowBurst.java
+++ b/review/stand-ins-2/SlowBurst.java
@@ -6,13 +6,14 @@
 import java.util.concurrent.atomic.AtomicInteger;
 
 /**
- * Case 7. Eighty requesters of two gateways read answers of 3.5 MB over links of 5 Mbit/s. A request that a gateway has
- * passed on to a sound worker is answered, and no process hangs: short requests are answered afterwards.
+ * Case 7. Many requesters come at once, 70 at each of two gateways, and read answers of 3.5 MB over links of 5 Mbit/s. A
+ * request that a gateway has passed on to a sound worker is answered, and no process hangs: short requests are answered
+ * afterwards.
  */
 final class SlowBurst {
     private static final int ANSWER_BYTES = 3_500_000;
     private static final int LINK_BYTES_PER_S = 600_000;
-    private static final int REQUESTERS_PER_GATEWAY = 40;
+    private static final int REQUESTERS_PER_GATEWAY = 70;
     private static final int BURST_MS = 30_000;
     private static final int ALLOWED = 3;
 
@@ -74,7 +75,6 @@
             String id = Case.newId();
             record.line("sent request=" + id + " to " + gateway.name);
             try {
-                Thread.sleep(ThreadLocalRandom.current().nextInt(1_000));
                 Process requester = new ProcessBuilder("perl", "review/stand-ins-2/slow-requester.pl", gateway.ip, "" + gateway.frontend,
                     id, "" + (trouble ? LINK_BYTES_PER_S : 0)).redirectError(ProcessBuilder.Redirect.INHERIT).start();
                 if (!requester.waitFor(16, TimeUnit.SECONDS)) requester.destroyForcibly();
@@ -85,7 +85,7 @@
                     words[0].equals("0") && words[3].equals("closed") && run.contains(id) ?
                         "run at a worker, channel closed without an answer" : "status " + words[0] + " " + words[3];
                 results.computeIfAbsent(what, it -> new AtomicInteger()).incrementAndGet();
-                Thread.sleep(1_000);
+                Thread.sleep(300);
             } catch (IOException | InterruptedException e) {
                 record.line("request=" + id + " " + e);
                 return;
--- a/review/stand-ins-2/Worker.java
+++ b/review/stand-ins-2/Worker.java
@@ -39,6 +39,7 @@
     private long sequence;
     private final long born = System.currentTimeMillis();
     volatile long coldUntilMs;
+    volatile boolean leaving;
 
     Worker(String ip, int port, Service service, String zone, Store store, Listener listener) throws IOException {
         super(ip, port);
@@ -65,11 +66,27 @@
     }
 
     synchronized void register() {
-        if (ended) return;
+        if (!ended) store.put("servers/" + id, nextEntry());
+    }
+
+    /** What the next heartbeat writes. */
+    synchronized String nextEntry() {
         sequence++;
-        store.put("servers/" + id, ("{\"service\":\"%s\",\"address\":\"%s\",\"zone\":\"%s\",\"version\":\"v1\",\"slots\":%d," +
-            "\"phase\":\"ready\",\"cold_remaining_ms\":%d,\"sequence\":%d,\"born\":%d}").formatted(service.name, hostPort(),
-            zone, service.slots, Math.max(0, coldUntilMs - nowMs()), sequence, born));
+        return ("{\"service\":\"%s\",\"address\":\"%s\",\"zone\":\"%s\",\"version\":\"v1\",\"slots\":%d," +
+            "\"phase\":\"%s\",\"cold_remaining_ms\":%d,\"sequence\":%d,\"born\":%d}").formatted(service.name, hostPort(), zone,
+            service.slots, leaving ? "draining" : "ready", Math.max(0, coldUntilMs - nowMs()), sequence, born);
+    }
+
+    /** Reports that it is draining; its answers say so from then on. */
+    void drain() {
+        leaving = true;
+        register();
+    }
+
+    /** Ends as planned: the entry is removed. */
+    void leave() {
+        end();
+        store.remove("servers/" + id);
     }
 
     /** Ends without a word. The entry is removed after three heartbeat intervals of silence. */
@@ -179,6 +196,7 @@
         work(service.callMs);
         byte[] body = listener.answer(request);
         if (body == null) body = ("answer to " + attempt).getBytes(StandardCharsets.UTF_8);
-        Http.respond(out, 200, body, "X-Attempt-Id", attempt, "X-Server-Stamp", "stamp-" + attempt);
+        Http.respond(out, 200, body, "X-Attempt-Id", attempt, "X-Server-Stamp", "stamp-" + attempt, "Server-Leaving",
+            leaving ? "1" : null);
     }
 }
