--- a/review/stand-ins-2/LateWrite.java
+++ b/review/stand-ins-2/LateWrite.java
@@ -10,8 +10,8 @@
  * drains. No request may reach it later than drain_ms after that report was accepted.
  */
 final class LateWrite {
-    private static final int ROUNDS = 8;
-    private static final int CALLERS = 10;
+    private static final int ROUNDS = 6;
+    private static final int CALLERS = 16;
     private static final long DRAIN_MS = 2_000;
 
     public static void main(String[] args) {
@@ -26,7 +26,7 @@
         Set<String> late = ConcurrentHashMap.newKeySet();
         AtomicInteger runs = new AtomicInteger(), lost = new AtomicInteger();
         Map<Integer, AtomicInteger> statuses = new ConcurrentSkipListMap<>();
-        try (Record record = new Record(file); Fleet fleet = new Fleet(2)) {
+        try (Record record = new Record(file); Fleet fleet = new Fleet(4)) {
             Worker.Listener listener = new Worker.Listener() {
                 @Override
                 public void onRun(Worker worker, Http.Request request) {
@@ -54,7 +54,7 @@
             long endMs = record.ms() + ROUNDS * 10_000;
             List<Thread> callers = new ArrayList<>();
             for (int i = 0; i < CALLERS; i++) {
-                Gateway gateway = fleet.gateways.get(i % 2);
+                Gateway gateway = fleet.gateways.get(i % 4);
                 callers.add(Http.daemon("caller", () -> call(gateway, endMs, record, sentAtMs, late, lost, statuses)));
             }
             for (int round = 0; round < ROUNDS; round++) {
@@ -72,7 +72,7 @@
                 worker.drain();
                 drainingAtMs.put(worker, record.ms());
                 record.say(worker.id + " is accepted as draining");
-                Thread.sleep(DRAIN_MS + 1_300);
+                Thread.sleep(DRAIN_MS + 1_150);
                 worker.leave();
                 record.say(worker.id + " has left");
                 workers.set(round % 4, new Worker(worker.address.getAddress().getHostAddress(), 0, orders, worker.zone, fleet.store, listener)
