Entries of endpoints are ordered by when they were written, not by when the store applied them

Cause: the store can apply a heartbeat seconds late, after the announcement. The directory took the order of arrival for the order of writing; the adapter did not read `sequence`. Evidence: the late requests were sent 2 to 3 ms before they arrived, all after the late heartbeat, to instances that had had no answer with Server-Leaving. Change: a registration carries its sequence number, and an entry that was written before the known one changes nothing, on all ways to an instance: watch, listing, changes and states of other instances. What was removed is remembered with its last number and always passed on; an entry that appears within the longest delay of a write after the removal, or one of an earlier process, takes effect only if it outlasts the lifetime of an entry that nobody writes again. An instance that starts asks another one once for what drains or has left. The shared position does not pass a deferred entry. An entry that another writer has replaced is no removal. Why it works: numbers of one process order its writes wherever they are read; where they cannot (heartbeats that change only the number are not reported), the store itself removes what no live process writes again. EndpointDirectoryTest: `register` takes the time now; its checks are unchanged.

--- a/dispatch/src/main/kotlin/io/oriolehall/dispatch/endpoints/EndpointDirectory.kt
+++ b/dispatch/src/main/kotlin/io/oriolehall/dispatch/endpoints/EndpointDirectory.kt
@@ -38,47 +38,104 @@
 }
 
 /**
- * Maintains the endpoint directory from the registrations in the platform's store. Registrations that are lost around
- * an outage of the store are kept for [reRegistrationGraceMs] after it recovers, because a live endpoint registers
- * again within that time. A listing of a restored copy undoes nothing: an incarnation that drains or has been withdrawn
- * stays so, and an earlier incarnation does not replace a later one.
+ * Maintains the endpoint directory from the registrations in the platform's store.
+ *
+ * Registrations that are lost around an outage of the store are kept for [reRegistrationGraceMs] after it recovers,
+ * because a live endpoint registers again within that time. A listing of a restored copy undoes nothing: an incarnation
+ * that drains or has been withdrawn stays so, and an earlier incarnation does not replace a later one.
+ *
+ * The store may apply a write some seconds after the endpoint sent it, and after later ones. Writes of one incarnation
+ * are ordered by their sequence numbers. An entry of an earlier incarnation, or of one that has just been withdrawn,
+ * takes effect only if it outlasts [registrationLifetimeMs]: if nobody writes it again, the store has removed it then.
  *
  * All times are monotonic milliseconds. Not thread-safe; [snapshot] is immutable.
  */
-class EndpointDirectory(private val reRegistrationGraceMs: Long = DEFAULT_RE_REGISTRATION_GRACE_MS) {
+class EndpointDirectory(
+    private val reRegistrationGraceMs: Long = DEFAULT_RE_REGISTRATION_GRACE_MS,
+    private val registrationLifetimeMs: Long = DEFAULT_REGISTRATION_LIFETIME_MS,
+) {
+    private class Deferral(val record: EndpointRecord, val untilMs: Long)
+
     private val removalTimesMs = mutableMapOf<EndpointId, Long>()
-    private val withdrawnAtMs = mutableMapOf<EndpointIncarnation, Long>()
+    private val withdrawals = Withdrawals()
+    private val deferrals = mutableMapOf<EndpointId, Deferral>()
     private var graceEndsAtMs = Long.MIN_VALUE
 
-    /** Incarnations whose registrations have been removed recently while the store was available. */
-    val withdrawn: Set<EndpointIncarnation> get() = withdrawnAtMs.keys
+    /** True while an entry is deferred. */
+    val hasDeferred: Boolean get() = deferrals.isNotEmpty()
 
     var snapshot = EndpointSnapshot()
         private set
 
+    /** Incarnations whose registrations have been removed recently while the store was available. */
+    fun withdrawn(nowMs: Long): List<WithdrawnEndpoint> = withdrawals.all(nowMs)
+
     /** Starts the grace period for registrations after the store has recovered from an outage. */
     fun onStoreRecovered(nowMs: Long) {
         graceEndsAtMs = nowMs + reRegistrationGraceMs
     }
 
-    fun register(record: EndpointRecord) {
+    /** Applies [record], an entry that the store shows, unless it was or may have been written before what is known. */
+    fun register(record: EndpointRecord, nowMs: Long): RegistrationResult {
+        val known = snapshot.endpoints[record.id]
+        return when {
+            known != null && record.wasWrittenBefore(known) -> RegistrationResult.OUTDATED
+
+            withdrawals.supersede(record) -> RegistrationResult.OUTDATED
+
+            isDoubtful(record, known, nowMs) -> {
+                val untilMs = deferrals[record.id]?.untilMs ?: (nowMs + registrationLifetimeMs + LAPSE_MARGIN_MS)
+                deferrals[record.id] = Deferral(record, untilMs)
+                RegistrationResult.DEFERRED
+            }
+
+            else -> {
+                put(record, nowMs)
+                RegistrationResult.REGISTERED
+            }
+        }
+    }
+
+    private fun isDoubtful(record: EndpointRecord, known: EndpointRecord?, nowMs: Long): Boolean {
+        val ofEarlierIncarnation = known != null && record.sequence != null && record.startedAtMs < known.startedAtMs
+        return ofEarlierIncarnation || withdrawals.maySupersede(record, nowMs)
+    }
+
+    private fun put(record: EndpointRecord, nowMs: Long) {
+        val known = snapshot.endpoints[record.id]
+        if (known != null && known.startedAtMs < record.startedAtMs) withdrawals.add(known, nowMs)
         removalTimesMs.remove(record.id)
-        withdrawnAtMs.remove(record.incarnation)
+        deferrals.remove(record.id)
+        withdrawals.remove(record.incarnation)
         snapshot = snapshot.copy(endpoints = snapshot.endpoints.put(record.id, record))
     }
 
+    /** Registers the deferred entries that have outlasted the lifetime of one that nobody writes again. */
+    fun registerDeferred(nowMs: Long): List<EndpointRecord> {
+        val due = deferrals.values.filter { it.untilMs <= nowMs }.map(Deferral::record)
+        due.forEach { put(it, nowMs) }
+        return due
+    }
+
     /**
      * Handles the removal of the registration of [id] from the store. [storeUninterrupted] is true when the store was
      * available throughout, so that the removal is not a result of an outage.
      */
     fun withdraw(id: EndpointId, nowMs: Long, storeUninterrupted: Boolean) {
+        deferrals.remove(id)
         val registered = snapshot.endpoints[id] ?: return
         val mayRegisterAgain = !storeUninterrupted || nowMs < graceEndsAtMs
         if (mayRegisterAgain && !registered.draining) {
             removalTimesMs.putIfAbsent(id, maxOf(graceEndsAtMs, nowMs))
             return
         }
-        withdrawnAtMs[registered.incarnation] = nowMs
+        withdrawals.add(registered, nowMs)
+        remove(id)
+    }
+
+    /** Removes the endpoint [id], whose entry another writer has replaced; it may register again at any time. */
+    fun discard(id: EndpointId) {
+        deferrals.remove(id)
         remove(id)
     }
 
@@ -90,14 +147,38 @@
         if (id in snapshot.endpoints) removalTimesMs.putIfAbsent(id, nowMs + remainingMs)
     }
 
-    /** Notes that [incarnations] have been withdrawn, as another instance knows. */
-    fun addWithdrawn(incarnations: Collection<EndpointIncarnation>, nowMs: Long) =
-        incarnations.filter { snapshot.endpoints[it.id]?.incarnation != it }
-            .forEach { withdrawnAtMs.putIfAbsent(it, nowMs) }
+    /** Notes that the incarnations of [withdrawn] have been withdrawn, as another instance knows. */
+    fun addWithdrawn(withdrawn: Collection<WithdrawnEndpoint>, nowMs: Long) =
+        withdrawn.filter { snapshot.endpoints[it.id]?.incarnation != it.incarnation }
+            .forEach { withdrawals.add(it, nowMs) }
+
+    /**
+     * Takes over from another instance, whose state may be older in other respects, that the endpoints of [draining]
+     * drain and that those of [withdrawn] have left, where this is later than what is known here.
+     */
+    fun addDepartures(
+        draining: Collection<EndpointRecord>,
+        withdrawn: Collection<WithdrawnEndpoint>,
+        nowMs: Long,
+    ) {
+        draining.filter { snapshot.endpoints[it.id]?.wasWrittenBefore(it) == true }.forEach { put(it, nowMs) }
+        addWithdrawn(withdrawn, nowMs)
+        for (departure in withdrawn.filter(::isNews)) {
+            withdrawals.add(departure, nowMs)
+            remove(departure.id)
+        }
+    }
+
+    /** True if [departure] followed all writes of an endpoint that is registered here. */
+    private fun isNews(departure: WithdrawnEndpoint): Boolean {
+        val known = snapshot.endpoints[departure.id]?.takeIf { it.incarnation == departure.incarnation }
+        val written = known?.sequence ?: return false
+        return departure.sequence != null && written <= departure.sequence
+    }
 
     /** Removes endpoints whose grace period for registering again is over. Returns their ids. */
     fun expire(nowMs: Long): List<EndpointId> {
-        withdrawnAtMs.values.removeIf { nowMs - it > RestorePeriod.MAX_COPY_AGE_MS }
+        withdrawals.removeOlderThan(RestorePeriod.MAX_COPY_AGE_MS, nowMs)
         val expired = removalTimesMs.filterValues { it <= nowMs }.keys.toList()
         expired.forEach(::remove)
         return expired
@@ -105,12 +186,14 @@
 
     /**
      * Replaces the directory by [records], all registrations in the store; endpoints that are not among them are
-     * withdrawn.
+     * withdrawn. Returns the endpoints whose entry does not take effect, or not yet.
      */
-    fun replaceAll(records: Collection<EndpointRecord>, nowMs: Long, storeUninterrupted: Boolean) {
-        records.forEach(::register)
+    fun replaceAll(records: Collection<EndpointRecord>, nowMs: Long, storeUninterrupted: Boolean): List<EndpointId> {
+        val held = records.filter { register(it, nowMs) != RegistrationResult.REGISTERED }.map(EndpointRecord::id)
         val present = records.mapTo(mutableSetOf(), EndpointRecord::id)
-        snapshot.endpoints.keys.filter { it !in present }.forEach { withdraw(it, nowMs, storeUninterrupted) }
+        val missing = (snapshot.endpoints.keys + deferrals.keys).filter { it !in present }
+        missing.forEach { withdraw(it, nowMs, storeUninterrupted) }
+        return held
     }
 
     /**
@@ -120,17 +203,18 @@
      */
     fun mergeCopy(records: Collection<EndpointRecord>, nowMs: Long): List<EndpointId> {
         val (outdated, current) = records.partition(::isOutdated)
-        current.forEach(::register)
-        val draining = outdated.filter { snapshot.endpoints[it.id]?.incarnation == it.incarnation }
-        draining.forEach { removalTimesMs.remove(it.id) }
-        val present = (current + draining).mapTo(mutableSetOf(), EndpointRecord::id)
+        current.forEach { put(it, nowMs) }
+        val kept = outdated.filter { snapshot.endpoints[it.id]?.incarnation == it.incarnation }
+        kept.forEach { removalTimesMs.remove(it.id) }
+        val present = (current + kept).mapTo(mutableSetOf(), EndpointRecord::id)
+        deferrals.keys.retainAll(present)
         snapshot.endpoints.keys.filter { it !in present }.forEach { withdraw(it, nowMs, storeUninterrupted = false) }
         return outdated.map(EndpointRecord::id)
     }
 
     private fun isOutdated(record: EndpointRecord): Boolean {
-        val known = snapshot.endpoints[record.id] ?: return record.incarnation in withdrawnAtMs
-        return record.startedAtMs < known.startedAtMs ||
+        val known = snapshot.endpoints[record.id] ?: return record.incarnation in withdrawals
+        return record.startedAtMs < known.startedAtMs || record.wasWrittenBefore(known) ||
             (record.startedAtMs == known.startedAtMs && known.draining && !record.draining)
     }
 
@@ -143,8 +227,14 @@
         snapshot = snapshot.copy(endpoints = snapshot.endpoints.remove(id))
     }
 
-    private companion object {
+    companion object {
         /** Bound set by the operators: a live endpoint registers again within two seconds after the store recovers. */
-        const val DEFAULT_RE_REGISTRATION_GRACE_MS = 2_000L
+        private const val DEFAULT_RE_REGISTRATION_GRACE_MS = 2_000L
+
+        /** Three heartbeat intervals of 1.2 s. */
+        const val DEFAULT_REGISTRATION_LIFETIME_MS = 3_600L
+
+        /** Time in which the removal of an entry reaches this instance. */
+        private const val LAPSE_MARGIN_MS = 500L
     }
 }
--- a/dispatch/src/main/kotlin/io/oriolehall/dispatch/endpoints/EndpointRecord.kt
+++ b/dispatch/src/main/kotlin/io/oriolehall/dispatch/endpoints/EndpointRecord.kt
@@ -13,6 +13,8 @@
  * @property startedAtMs start of its process, milliseconds since the epoch; differs after a restart under the same id.
  * @property draining true when it has announced that it will stop.
  * @property coldRemainingMs time that it stays cold, counted from its registration, milliseconds.
+ * @property sequence number of this write among those of its incarnation, which may reach the store in another order;
+ *   null if it is not known, so that the order of arrival counts.
  */
 @Serializable
 data class EndpointRecord(
@@ -26,6 +28,8 @@
     val draining: Boolean,
     @SerialName("coldForMs")
     val coldRemainingMs: Long,
+    @SerialName("seq")
+    val sequence: Long? = null,
 ) {
     init {
         require(FieldText.isSendable(id.value)) {
@@ -35,6 +39,13 @@
 
     /** Identifies this incarnation of the endpoint. */
     val incarnation: EndpointIncarnation get() = EndpointIncarnation(id, startedAtMs)
+
+    /** True if both were written by the same incarnation, and this one before [other]. */
+    fun wasWrittenBefore(other: EndpointRecord): Boolean =
+        incarnation == other.incarnation && sequence != null && other.sequence != null && sequence < other.sequence
+
+    /** True if the two differ at most in [sequence], which changes with each heartbeat. */
+    fun sameContentAs(other: EndpointRecord?): Boolean = other != null && this == other.copy(sequence = sequence)
 }
 
 /** Id of an endpoint and the start of its process. State about one incarnation does not apply to the next. */
--- a/dispatch/src/test/kotlin/io/oriolehall/dispatch/endpoints/EndpointDirectoryTest.kt
+++ b/dispatch/src/test/kotlin/io/oriolehall/dispatch/endpoints/EndpointDirectoryTest.kt
@@ -16,6 +16,8 @@
     private fun endpoint(name: String, startedAtMs: Long = 1, draining: Boolean = false, zone: String = "a") =
         EndpointRecord(EndpointId(name), startedAtMs, "s", NetworkAddress("10.0.0.1", 1), ZoneId(zone), 1, draining, 0)
 
+    private fun EndpointDirectory.register(record: EndpointRecord) = register(record, nowMs = 10_000)
+
     private fun usableIds() = directory.snapshot.usable("s").map { it.id.value }
 
     @Test
--- a/gateway/src/main/kotlin/io/oriolehall/gateway/Gateway.kt
+++ b/gateway/src/main/kotlin/io/oriolehall/gateway/Gateway.kt
@@ -5,6 +5,7 @@
 import io.oriolehall.dispatch.admission.ShutdownAdmission
 import io.oriolehall.dispatch.admission.StageAdmission
 import io.oriolehall.dispatch.config.CallerLimits
+import io.oriolehall.dispatch.endpoints.EndpointDirectory
 import io.oriolehall.dispatch.limits.RetryAllowances
 import io.oriolehall.dispatch.placement.AffinityPlacement
 import io.oriolehall.dispatch.retries.SecondAttempts
@@ -75,7 +76,8 @@
     private val peerServer = PeerServer(selector, peerScope, log)
 
     private val pace = ReadingPace.within(settings.bounds.configApplyMs, settings.bounds.keyRevocationMs)
-    private val state = PublishedState(timers, log)
+    private val directory = EndpointDirectory(registrationLifetimeMs = settings.bounds.registrationLifetimeMs)
+    private val state = PublishedState(timers, log, directory)
     private val fleet = FleetService(
         self = self,
         incarnation = incarnation,
--- a/gateway/src/main/kotlin/io/oriolehall/gateway/GatewaySettings.kt
+++ b/gateway/src/main/kotlin/io/oriolehall/gateway/GatewaySettings.kt
@@ -1,5 +1,6 @@
 package io.oriolehall.gateway
 
+import io.oriolehall.dispatch.endpoints.EndpointDirectory
 import io.oriolehall.dispatch.retries.SecondAttemptLimits
 import io.oriolehall.model.Instance
 import io.oriolehall.model.NetworkAddress
@@ -35,6 +36,8 @@
  * @property coldFactor factor on the request rate that a cold endpoint can handle.
  * @property coldSlack requests per second that a cold endpoint can handle in addition.
  * @property configApplyMs time within which a new configuration has to be in force, in milliseconds.
+ * @property registrationLifetimeMs time after which the store removes the registration of an endpoint that does not
+ *   write it again, in milliseconds.
  */
 data class DeploymentBounds(
     val stopTimeoutMs: Long,
@@ -45,6 +48,7 @@
     val coldFactor: Double,
     val coldSlack: Double,
     val configApplyMs: Long = DEFAULT_CONFIG_APPLY_MS,
+    val registrationLifetimeMs: Long = EndpointDirectory.DEFAULT_REGISTRATION_LIFETIME_MS,
 ) {
     private companion object {
         const val DEFAULT_CONFIG_APPLY_MS = 2_000L
--- a/gateway/src/main/kotlin/io/oriolehall/gateway/feed/FeedReader.kt
+++ b/gateway/src/main/kotlin/io/oriolehall/gateway/feed/FeedReader.kt
@@ -50,6 +50,8 @@
     /** Listings in succession that were read because the store refused the watch after the one before. */
     private var historyLosses = 0
     private var askedPeers = false
+    private var departuresKnown = false
+    private val startedAtMs = timers.nowMs()
 
     /** Reads and watches the platform until cancelled. After an unexpected error, reads everything again. */
     suspend fun run() {
@@ -69,6 +71,7 @@
         var snapshotNeeded = true
         while (true) {
             if (!snapshotNeeded && reachable && peers.follow()) continue
+            if (!snapshotNeeded) learnDepartures()
             if (state.listingDue || isBehindEra()) snapshotNeeded = true
             val failure = if (snapshotNeeded) readSnapshot() else watch()
             state.learnEra(feed.era, PublishedState.PLATFORM)
@@ -88,6 +91,15 @@
         }
     }
 
+    /**
+     * The store may show an endpoint as ready that has announced its end to the instances that were running then. An
+     * instance that starts asks others, until one has answered.
+     */
+    private suspend fun learnDepartures() {
+        if (departuresKnown) return
+        departuresKnown = peers.learnDepartures(state) || timers.nowMs() - startedAtMs >= DEPARTURES_LIMIT_MS
+    }
+
     private fun needsSnapshot(failure: FeedFailure) =
         failure is FeedFailure.HistoryGone || failure is FeedFailure.TooLong || failure is FeedFailure.Restored
 
@@ -219,6 +231,9 @@
         const val UNUSABLE_LISTING_RETRY_MS = 2_000L
         const val FIRST_LISTING_PAUSE_MS = 250L
 
+        /** Departures of before the start are no longer contradicted by the store after this time. */
+        const val DEPARTURES_LIMIT_MS = 10_000L
+
         /** Time for the first contacts with other instances after a start. */
         const val MAX_PEER_QUESTION_MS = 1_000L
         const val PEER_QUESTION_RETRY_MS = 50L
@@ -230,6 +245,11 @@
     /** Updates [state] from a reachable instance that has a newer one. Returns true if a snapshot was applied. */
     suspend fun refresh(state: PublishedState): Boolean
 
+    /**
+     * Takes over from other instances which endpoints drain or have left. Returns true once one of them has answered.
+     */
+    suspend fun learnDepartures(state: PublishedState): Boolean = true
+
     /**
      * Receives the next changes from another instance that reads the platform. Returns false if this instance has to
      * read the platform itself.
--- a/gateway/src/main/kotlin/io/oriolehall/gateway/feed/PlatformFeed.kt
+++ b/gateway/src/main/kotlin/io/oriolehall/gateway/feed/PlatformFeed.kt
@@ -2,8 +2,8 @@
 
 import com.github.michaelbull.result.Result
 import io.oriolehall.dispatch.config.ServingConfig
-import io.oriolehall.dispatch.endpoints.EndpointIncarnation
 import io.oriolehall.dispatch.endpoints.EndpointRecord
+import io.oriolehall.dispatch.endpoints.WithdrawnEndpoint
 import io.oriolehall.dispatch.store.StorePosition
 import io.oriolehall.model.EndpointId
 import io.oriolehall.model.ZoneId
@@ -60,7 +60,7 @@
     val evacuated: List<ZoneId>,
     val era: Long = 0,
     val configEra: Long = 0,
-    val withdrawn: List<EndpointIncarnation> = emptyList(),
+    val withdrawn: List<WithdrawnEndpoint> = emptyList(),
     val restored: List<ZoneId> = emptyList(),
     val lapsing: List<LapsingEndpoint> = emptyList(),
 ) {
--- a/gateway/src/main/kotlin/io/oriolehall/gateway/feed/PublishedState.kt
+++ b/gateway/src/main/kotlin/io/oriolehall/gateway/feed/PublishedState.kt
@@ -8,6 +8,7 @@
 import io.oriolehall.dispatch.endpoints.EndpointRecord
 import io.oriolehall.dispatch.endpoints.EndpointSnapshot
 import io.oriolehall.dispatch.endpoints.EvacuatedZones
+import io.oriolehall.dispatch.endpoints.RegistrationResult
 import io.oriolehall.dispatch.store.RestorePeriod
 import io.oriolehall.dispatch.store.StorePosition
 import io.oriolehall.gateway.feed.PublishedChange.ConfigPublished
@@ -31,8 +32,11 @@
  * The configuration is ordered by its own version, everything else by the position in the store. After a restore of the
  * store, the copy undoes nothing until its writers have had time to write again (see [RestorePeriod]).
  */
-class PublishedState(private val timers: TimerService, private val log: EventLog) {
-    private val directory = EndpointDirectory()
+class PublishedState(
+    private val timers: TimerService,
+    private val log: EventLog,
+    private val directory: EndpointDirectory = EndpointDirectory(),
+) {
     private val evacuations = EvacuatedZones()
     private val restore = RestorePeriod()
     private val mutableEra = MutableStateFlow(0L)
@@ -51,6 +55,15 @@
     var asOf: StorePosition? = null
         private set
 
+    /** The position before the first change that holds a deferred entry; null if no entry is deferred. */
+    private var deferredAfter: StorePosition? = null
+
+    /**
+     * Position up to which the state that others get is complete. They have to receive a deferred entry from the store,
+     * which does not report it again.
+     */
+    val sharedAsOf: StorePosition? get() = deferredAfter ?: asOf
+
     /** Newest known era of the store, which may be later than that of [asOf]. */
     val era: Long get() = mutableEra.value
 
@@ -119,7 +132,10 @@
             activateConfig(ConfigPublished(snapshot.configRevision, config, snapshot.configEra), readAt, source)
         }
         val position = snapshot.position
-        if (asOf != null && (position.era < era || asOf.orStart() > position)) return false
+        if (asOf != null && (position.era < era || asOf.orStart() > position)) {
+            learnDepartures(snapshot)
+            return false
+        }
         replaceAll(snapshot.endpoints, snapshot.evacuated, position, storeUninterrupted)
         directory.addWithdrawn(snapshot.withdrawn, timers.nowMs())
         evacuations.addEnded(snapshot.restored, timers.nowMs())
@@ -128,6 +144,13 @@
         return true
     }
 
+    /** Takes over which endpoints drain or have left; the numbers of their writes show what is newer in any state. */
+    private fun learnDepartures(snapshot: FeedSnapshot) {
+        val draining = snapshot.endpoints.filter(EndpointRecord::draining)
+        directory.addDepartures(draining, snapshot.withdrawn, timers.nowMs())
+        publish()
+    }
+
     /** Applies [operator], the result of a read that was sent at [sentAt]. It need not come with the endpoints. */
     fun applyOperator(operator: OperatorState, sentAt: ClockReading) {
         val config = operator.config
@@ -166,14 +189,20 @@
             val outdated = directory.mergeCopy(records, nowMs)
             if (outdated.isNotEmpty()) log.write(Event.LOST_CHANGE_KEPT, "endpoints" to outdated)
         } else {
-            directory.replaceAll(records, nowMs, storeUninterrupted || restore.protecting)
+            val held = directory.replaceAll(records, nowMs, storeUninterrupted || restore.protecting)
+            if (held.isNotEmpty()) log.write(Event.REGISTRATION_NOT_APPLIED, "endpoints" to held)
             if (restore.protecting) log.write(Event.STORE_RESTORE_ENDED, "era" to era, "asOf" to position)
             restore.endProtection()
         }
-        asOf = position
+        advanceTo(position)
         publish()
     }
 
+    private fun advanceTo(position: StorePosition) {
+        deferredAfter = if (directory.hasDeferred) sharedAsOf.orStart() else null
+        asOf = position
+    }
+
     private fun replaceEvacuations(listed: List<ZoneId>, isCopy: Boolean) {
         val nowMs = timers.nowMs()
         if (!isCopy) {
@@ -188,7 +217,7 @@
     fun apply(update: FeedChanges, sentAt: ClockReading) {
         if (update.asOf.era < era) return
         update.changes.forEach { applyChange(it, sentAt, PLATFORM) }
-        asOf = maxOf(asOf.orStart(), update.asOf)
+        advanceTo(maxOf(asOf.orStart(), update.asOf))
         if (era == 0L) configHolder.current?.let { configHolder.confirm(it.stamp, sentAt) } else confirmConfig(sentAt)
         publish()
     }
@@ -201,7 +230,7 @@
         for (change in changes) {
             if (change is ConfigPublished) activateConfig(change, at, source) else applyChange(change, at, source)
         }
-        asOf = maxOf(asOf.orStart(), position)
+        advanceTo(maxOf(asOf.orStart(), position))
         publish()
     }
 
@@ -246,7 +275,9 @@
     /** The entry of an endpoint that another writer has replaced names no endpoint any more. */
     private fun ignore(change: Unreadable) {
         log.write(Event.PUBLISHED_ITEM_UNREADABLE, "key" to change.key, "error" to change.reason)
-        change.endpoint?.takeIf { it in directory.snapshot.endpoints }?.let(::withdraw)
+        val id = change.endpoint ?: return
+        if (id in directory.snapshot.endpoints) log.write(Event.ENDPOINT_WITHDRAWN, "endpoint" to id)
+        directory.discard(id)
     }
 
     private fun StorePosition?.orStart(): StorePosition = this ?: StorePosition.START
@@ -286,7 +317,17 @@
     private fun register(change: EndpointRegistered) {
         val record = change.record
         val old = directory.snapshot.endpoints[record.id]
-        directory.register(record)
+        val result = directory.register(record, timers.nowMs())
+        if (result != RegistrationResult.REGISTERED) {
+            log.write(
+                Event.REGISTRATION_NOT_APPLIED,
+                "endpoints" to listOf(record.id),
+                "sequence" to record.sequence,
+                "known" to old?.sequence,
+                "result" to result.name.lowercase(),
+            )
+            return
+        }
         if (old == null || old.startedAtMs != record.startedAtMs || old.draining != record.draining) {
             log.write(
                 if (record.draining) Event.ENDPOINT_DRAINING else Event.ENDPOINT_REGISTERED,
@@ -317,13 +358,16 @@
         expired.forEach { log.write(Event.ENDPOINT_WITHDRAWN, "endpoint" to it, "cause" to "lapsed") }
         val evacuated = evacuations.applyDue(nowMs)
         evacuated.forEach { log.write(Event.ZONE_EVACUATED, "zone" to it) }
-        if (expired.isNotEmpty() || evacuated.isNotEmpty()) publish()
+        val registered = directory.registerDeferred(nowMs)
+        registered.forEach { log.write(Event.ENDPOINT_REGISTERED, "endpoint" to it.id, "cause" to "deferred") }
+        if (!directory.hasDeferred) deferredAfter = null
+        if (expired.isNotEmpty() || evacuated.isNotEmpty() || registered.isNotEmpty()) publish()
     }
 
     /** Returns the complete state for another instance, or null if it is not complete yet. */
     fun snapshot(): FeedSnapshot? {
         val confirmed = configHolder.current ?: return null
-        val position = asOf ?: return null
+        val position = sharedAsOf ?: return null
         return FeedSnapshot(
             asOf = position.revision,
             configRevision = confirmed.revision,
@@ -332,7 +376,7 @@
             evacuated = evacuations.zones.toList(),
             era = position.era,
             configEra = confirmed.stamp.position.era,
-            withdrawn = if (position.era > 0) directory.withdrawn.toList() else emptyList(),
+            withdrawn = directory.withdrawn(timers.nowMs()),
             lapsing = if (position.era > 0) lapsing() else emptyList(),
             restored = if (position.era > 0) evacuations.ended.toList() else emptyList(),
         )
@@ -352,7 +396,8 @@
 
     private fun changesBetween(before: EndpointSnapshot, after: EndpointSnapshot): List<PublishedChange> {
         if (before == after) return emptyList()
-        val registrations = after.endpoints.values.filter { before.endpoints[it.id] != it }.map(::EndpointRegistered)
+        val registrations = after.endpoints.values.filterNot { it.sameContentAs(before.endpoints[it.id]) }
+            .map(::EndpointRegistered)
         val withdrawals = before.endpoints.keys.filter { it !in after.endpoints }.map(::EndpointWithdrawn)
         val evacuations = (after.evacuated - before.evacuated).map(::ZoneEvacuated)
         val restorations = (before.evacuated - after.evacuated).map(::ZoneRestored)
--- a/gateway/src/main/kotlin/io/oriolehall/gateway/fleet/FleetService.kt
+++ b/gateway/src/main/kotlin/io/oriolehall/gateway/fleet/FleetService.kt
@@ -281,6 +281,12 @@
         return coroutineScope { sources.map { async { stateExchange.fetchFrom(it) } }.awaitAll() }.any { it }
     }
 
+    override suspend fun learnDepartures(state: PublishedState): Boolean {
+        val answersBefore = stateExchange.answers
+        refresh(state)
+        return stateExchange.answers > answersBefore
+    }
+
     /** Gossips with a few random members immediately instead of waiting for the next round. */
     private suspend fun gossipNow() {
         val others = view.members.values.filter { it.reachable && it.id != self.id }.shuffled(random)
--- a/gateway/src/main/kotlin/io/oriolehall/gateway/fleet/StateExchange.kt
+++ b/gateway/src/main/kotlin/io/oriolehall/gateway/fleet/StateExchange.kt
@@ -10,6 +10,10 @@
  * on as an age, so that clocks need not agree. Used on the control thread only.
  */
 internal class StateExchange(private val state: PublishedState, private val client: PeerClient) {
+    /** Number of states that other instances have sent to this one. */
+    var answers = 0L
+        private set
+
     /**
      * Milliseconds since the configuration was last confirmed to be the newest; negative if it has not been, or too
      * long ago to be passed on.
@@ -37,6 +41,7 @@
         val agoMs = answer.value.confirmedAgoMs
         val readAt = if (agoMs < 0) sentAt.before(MAX_CONFIRMATION_AGE_MS) else sentAt.before(agoMs)
         val snapshot = answer.value.snapshot ?: return false
+        answers++
         val taken = state.replace(snapshot, readAt, storeUninterrupted = true, source = "instance at $address")
         if (taken) state.adoptEraAge(snapshot.era, answer.value.eraAgeMs)
         return taken
--- a/gateway/src/main/kotlin/io/oriolehall/gateway/fleet/StateFollower.kt
+++ b/gateway/src/main/kotlin/io/oriolehall/gateway/fleet/StateFollower.kt
@@ -46,7 +46,7 @@
         ) {
             journal.awaitChange(query.position, query.waitMs.coerceIn(0, pace.maxWaitMs))
         }
-        val asOf = state.asOf ?: return null
+        val asOf = state.sharedAsOf ?: return null
         val platformAnsweredAtMs = state.platformAnsweredAtMs ?: return null
         val config = state.configHolder.current ?: return null
         val changes = if (query.incarnation == incarnation) journal.changesAfter(query.position) else null
--- a/runtime/src/main/kotlin/io/oriolehall/runtime/Event.kt
+++ b/runtime/src/main/kotlin/io/oriolehall/runtime/Event.kt
@@ -50,6 +50,7 @@
     OLDER_CONFIG_IGNORED(227, EventLevel.WARN, "older configuration of the store ignored"),
     LOAD_UNREADABLE(228, EventLevel.WARN, "load that an endpoint reports cannot be read"),
     SPEED_REPORTED(229, EventLevel.INFO, "endpoint reports how long work takes"),
+    REGISTRATION_NOT_APPLIED(230, EventLevel.INFO, "entry of an endpoint is older than what is known"),
 
     PEER_FRAME_REJECTED(301, EventLevel.WARN, "frame from a peer rejected"),
     PEER_CONNECTION_LOST(302, EventLevel.DEBUG, "connection to a peer lost"),
