A stage is sent with all results of its predecessors or not at all

Cause: while a stage has lost results computed again, they are missing from the request's state. A stage that begins meanwhile built its inputs from what was there and took missing results for a stage without any. Change: StageResults has all results of a stage or none; a stage asks for each predecessor's, the first one that finds them missing has them computed, the others wait. Results that were replaced since a stage was sent are not computed once more, and inputs are kept while a stage that needs them is computed again. StageRunner lets a test set the order of events. Why it works: a missing entry is no longer a valid state; there is no way to inputs but through StageResults.

--- a/gateway/src/main/kotlin/io/oriolehall/gateway/requests/StageExecution.kt
+++ b/gateway/src/main/kotlin/io/oriolehall/gateway/requests/StageExecution.kt
@@ -1,5 +1,9 @@
 package io.oriolehall.gateway.requests
 
+import com.github.michaelbull.result.Err
+import com.github.michaelbull.result.Ok
+import com.github.michaelbull.result.Result
+import com.github.michaelbull.result.getOrElse
 import io.oriolehall.dispatch.config.PieceLimits
 import io.oriolehall.dispatch.config.StageSpec
 import io.oriolehall.gateway.TrafficLoop
@@ -7,7 +11,7 @@
 import io.oriolehall.gateway.stages.StageFailure
 import io.oriolehall.gateway.stages.StageRequest
 import io.oriolehall.gateway.stages.StageResult
-import io.oriolehall.gateway.stages.StageService
+import io.oriolehall.gateway.stages.StageRunner
 import io.oriolehall.gateway.wire.WireProtocol
 import io.oriolehall.model.ZoneId
 import kotlinx.coroutines.CompletableDeferred
@@ -26,13 +30,13 @@
 internal class StageExecution(
     private val context: RequestContext,
     private val counts: List<Int>,
-    private val stageService: StageService,
+    private val runner: StageRunner,
     private val wire: WireProtocol,
     private val serviceZone: ZoneId?,
 ) {
     private val specs = context.route.stages
     private val answers = List(specs.size) { CompletableDeferred<StageAnswer>() }
-    private val resultsByStage = HashMap<Int, List<StageResult>>()
+    private val results = StageResults()
     private val stageJobs = mutableListOf<Job>()
     private var recomputations = 0
 
@@ -42,7 +46,7 @@
 
     /** Results that the request's own service takes as inputs, in the order of stages and pieces. */
     val inputs: List<StageResult>
-        get() = context.route.finalStages.filter { counts[it] > 0 }.flatMap { resultsByStage[it].orEmpty() }
+        get() = context.route.finalStages.filter { counts[it] > 0 }.flatMap { results[it].orEmpty() }
 
     /** Runs all stages and stops at the first failure. Returns true when all stages have results. */
     suspend fun run(): Boolean {
@@ -64,7 +68,7 @@
             }
         }
         if (answer.failure == null) {
-            resultsByStage[stage] = answer.results
+            results[stage] = answer.results
             if (counts[stage] > 0) context.trace.stageEndsMs[stage] = TrafficLoop.nowMs() - context.request.receivedAtMs
         } else if (failure == null) {
             failure = answer
@@ -74,34 +78,37 @@
         answers[stage].complete(answer)
     }
 
-    /** Computes [stage]. If inputs were lost with their worker or have expired, recomputes them and tries again. */
+    /** Computes [stage]. If inputs were lost with their worker or have expired, gets them again and repeats. */
     private suspend fun compute(stage: Int): StageAnswer {
-        var answer = runOnce(stage)
-        while (answer.failure == StageFailure.INPUT_GONE && canRecompute()) {
+        while (true) {
+            val inputs = inputsOf(stage).getOrElse { return it }
+            val request = request(stage, inputs.values.flatten())
+            val answer = runner.run(request) { releaseInputsOf(stage, scarceOnly = true) }
+            if (answer.failure != StageFailure.INPUT_GONE) return answer
+            if (inputs.any { (predecessor, used) -> results.areReplaced(predecessor, used) }) continue
+            if (!canRecompute()) return answer
             recomputations++
-            val failedInput = specs[stage].after.map { recompute(it) }.firstOrNull { it.failure != null }
-            answer = failedInput ?: runOnce(stage)
+            inputs.keys.forEach(::release)
         }
-        return answer
     }
 
-    private suspend fun runOnce(stage: Int): StageAnswer =
-        stageService.run(request(stage)) { releaseInputsOf(stage, scarceOnly = true) }
+    /** All results of each predecessor of [stage], or the failure of one that had to be computed again. */
+    private suspend fun inputsOf(stage: Int): Result<Map<Int, List<StageResult>>, StageAnswer> {
+        val inputs = LinkedHashMap<Int, List<StageResult>>()
+        for (predecessor in specs[stage].after.filter { counts[it] > 0 }) {
+            val answer = results.getOrCompute(predecessor) { recompute(predecessor) }
+            if (answer.failure != null) return Err(answer)
+            inputs[predecessor] = answer.results
+        }
+        return Ok(inputs)
+    }
 
     private fun canRecompute(): Boolean = recomputations < MAX_RECOMPUTATIONS && context.remainingMs() > expectedMs()
 
-    private suspend fun recompute(stage: Int): StageAnswer {
-        if (counts[stage] == 0) return StageAnswer()
-        release(stage)
-        val inputAnswers = specs[stage].after.filter { it !in resultsByStage }.map { recompute(it) }
-        val answer = inputAnswers.firstOrNull { it.failure != null } ?: compute(stage)
-        if (answer.failure == null) resultsByStage[stage] = answer.results
-        return answer
-    }
+    private suspend fun recompute(stage: Int): StageAnswer = compute(stage).also { releaseInputsOf(stage) }
 
-    private fun request(stage: Int): StageRequest {
+    private fun request(stage: Int, inputs: List<StageResult>): StageRequest {
         val spec = specs[stage]
-        val inputs = spec.after.flatMap { resultsByStage[it].orEmpty() }
         val nowMs = TrafficLoop.nowMs()
         val key = context.request.headers.get(wire.headers.pieceKey).takeIf { spec.after.isEmpty() }
         return StageRequest(
@@ -162,7 +169,7 @@
     }
 
     private fun expectedMs(stage: Int, limits: PieceLimits) =
-        stageService.timeEstimates.expectedMs(specs[stage].service, limits, TrafficLoop.nowMs())
+        runner.timeEstimates.expectedMs(specs[stage].service, limits, TrafficLoop.nowMs())
 
     /** Divides the time until the objective equally among [stage] and the longest chain of stages that depend on it. */
     private fun stageObjectiveMs(stage: Int, nowMs: Long): Long {
@@ -183,22 +190,23 @@
     private fun releaseInputsOf(stage: Int, scarceOnly: Boolean = false) {
         val finalStages = context.route.finalStages
         for (input in specs[stage].after.filter { it !in finalStages && (!scarceOnly || isScarce(it)) }) {
-            val waiting = specs.indices.filter { input in specs[it].after && it != stage && !answers[it].isCompleted }
+            val waiting = specs.indices.filter { input in specs[it].after && it != stage && isUnfinished(it) }
             if (waiting.isEmpty()) release(input)
         }
     }
 
+    private fun isUnfinished(stage: Int): Boolean = !answers[stage].isCompleted || results.isComputing(stage)
+
     private fun isScarce(stage: Int): Boolean {
         val limits = context.plan.service(specs[stage].service)?.pieces ?: return false
         return limits.resultMemoryBytes < SCARCE_BELOW_CALLS * limits.batch * specs[stage].resultBytes
     }
 
     /** Releases all results. */
-    fun releaseAll() = resultsByStage.keys.toList().forEach(::release)
+    fun releaseAll() = results.stages.forEach(::release)
 
     private fun release(stage: Int) {
-        val results = resultsByStage.remove(stage) ?: return
-        stageService.release(specs[stage].service, results)
+        results.remove(stage)?.let { runner.release(specs[stage].service, it) }
     }
 
     companion object {
--- a/gateway/src/main/kotlin/io/oriolehall/gateway/stages/StageService.kt
+++ b/gateway/src/main/kotlin/io/oriolehall/gateway/stages/StageService.kt
@@ -38,15 +38,14 @@
     private val scope: CoroutineScope,
     private val log: EventLog,
     private val observer: StageCallObserver,
-) {
+) : StageRunner {
     private val stageOwners = HashMap<String, StageOwner>()
     private val silentOwners = SilentOwners()
 
     /** Exchanges with owners that have not ended, and the owner of each. */
     private val exchanges = HashMap<Job, InstanceId>()
 
-    /** Current estimates of stage durations. */
-    internal val timeEstimates = StageTimeEstimates()
+    override val timeEstimates = StageTimeEstimates()
 
     /** Registers the handlers for requests of other instances. */
     fun start(server: PeerServer) {
@@ -66,11 +65,8 @@
         }
     }
 
-    /**
-     * Computes the pieces of [request] at the owner of the queue, or at the new owner if the queue moves meanwhile.
-     * [onInputsFetched] is called when the inputs are no longer needed.
-     */
-    suspend fun run(request: StageRequest, onInputsFetched: () -> Unit): StageAnswer {
+    /** Computes the pieces of [request] at the owner of the queue, or at the new owner if the queue moves meanwhile. */
+    override suspend fun run(request: StageRequest, onInputsFetched: () -> Unit): StageAnswer {
         val startMs = TrafficLoop.nowMs()
         val triedOwners = mutableSetOf<InstanceId>()
         repeat(MAX_OWNER_ATTEMPTS) {
@@ -172,8 +168,7 @@
         exchanges.filterValues { !isReachable(it) }.keys.toList().forEach(Job::cancel)
     }
 
-    /** Frees [results] of [service] in the background. */
-    fun release(service: String, results: List<StageResult>) {
+    override fun release(service: String, results: List<StageResult>) {
         if (results.isEmpty()) return
         val release = StageRelease(service, results)
         val owner = ownersOf(service).firstOrNull()
