--- a/dispatch/src/main/kotlin/io/oriolehall/dispatch/endpoints/EndpointRecord.kt
+++ b/dispatch/src/main/kotlin/io/oriolehall/dispatch/endpoints/EndpointRecord.kt
@@ -45,7 +45,8 @@
         incarnation == other.incarnation && sequence != null && other.sequence != null && sequence < other.sequence
 
     /** True if the two differ at most in [sequence], which changes with each heartbeat. */
-    fun sameContentAs(other: EndpointRecord?): Boolean = other != null && this == other.copy(sequence = sequence)
+    fun sameContentAs(other: EndpointRecord?): Boolean =
+        this === other || (other != null && this == other.copy(sequence = sequence))
 }
 
 /** Id of an endpoint and the start of its process. State about one incarnation does not apply to the next. */
