Endpoints of a zone that was cut off are used as soon as they register again

Cause: since entries are ordered, an endpoint that registers again within 6 s of its removal waits until a late entry would have lapsed. Change: an endpoint that was removed while its zone could not be reached was cut off from the store as well, so that no write of before its removal can arrive late. Such a removal defers nothing.

--- a/dispatch/src/main/kotlin/io/oriolehall/dispatch/endpoints/EndpointDirectory.kt
+++ b/dispatch/src/main/kotlin/io/oriolehall/dispatch/endpoints/EndpointDirectory.kt
@@ -47,12 +47,15 @@
  * The store may apply a write some seconds after the endpoint sent it, and after later ones. Writes of one incarnation
  * are ordered by their sequence numbers. An entry of an earlier incarnation, or of one that has just been withdrawn,
  * takes effect only if it outlasts [registrationLifetimeMs]: if nobody writes it again, the store has removed it then.
+ * An endpoint that was withdrawn while its zone could not be reached has been cut off from the store, and is used as
+ * soon as it registers again.
  *
  * All times are monotonic milliseconds. Not thread-safe; [snapshot] is immutable.
  */
 class EndpointDirectory(
     private val reRegistrationGraceMs: Long = DEFAULT_RE_REGISTRATION_GRACE_MS,
     private val registrationLifetimeMs: Long = DEFAULT_REGISTRATION_LIFETIME_MS,
+    private val isUnreachable: (ZoneId) -> Boolean = { false },
 ) {
     private class Deferral(val record: EndpointRecord, val untilMs: Long)
 
@@ -103,7 +106,7 @@
 
     private fun put(record: EndpointRecord, nowMs: Long) {
         val known = snapshot.endpoints[record.id]
-        if (known != null && known.startedAtMs < record.startedAtMs) withdrawals.add(known, nowMs)
+        if (known != null && known.startedAtMs < record.startedAtMs) withdrawals.add(known, nowMs, cutOff = false)
         removalTimesMs.remove(record.id)
         deferrals.remove(record.id)
         withdrawals.remove(record.incarnation)
@@ -129,7 +132,7 @@
             removalTimesMs.putIfAbsent(id, maxOf(graceEndsAtMs, nowMs))
             return
         }
-        withdrawals.add(registered, nowMs)
+        withdrawals.add(registered, nowMs, cutOff = isUnreachable(registered.zone))
         remove(id)
     }
 
--- a/dispatch/src/main/kotlin/io/oriolehall/dispatch/endpoints/Withdrawals.kt
+++ b/dispatch/src/main/kotlin/io/oriolehall/dispatch/endpoints/Withdrawals.kt
@@ -9,6 +9,7 @@
  *
  * @property sequence number of its last write that is known; null if there is none.
  * @property agoMs time since the removal, milliseconds.
+ * @property cutOff true if its zone could not be reached at the time.
  */
 @Serializable
 data class WithdrawnEndpoint(
@@ -16,6 +17,7 @@
     @SerialName("bornAtMs") val startedAtMs: Long,
     @SerialName("seq") val sequence: Long? = null,
     val agoMs: Long = 0,
+    val cutOff: Boolean = false,
 ) {
     val incarnation: EndpointIncarnation get() = EndpointIncarnation(id, startedAtMs)
 }
@@ -27,19 +29,21 @@
  * All times are monotonic milliseconds. Not thread-safe.
  */
 internal class Withdrawals {
-    private class Removal(val atMs: Long, val sequence: Long?)
+    private class Removal(val atMs: Long, val sequence: Long?, val cutOff: Boolean)
 
     private val removals = HashMap<EndpointIncarnation, Removal>()
 
     operator fun contains(incarnation: EndpointIncarnation): Boolean = incarnation in removals
 
-    fun add(record: EndpointRecord, nowMs: Long) {
-        removals[record.incarnation] = Removal(nowMs, record.sequence)
+    /** Adds the incarnation of [record]. [cutOff] is true if its zone cannot be reached. */
+    fun add(record: EndpointRecord, nowMs: Long, cutOff: Boolean) {
+        removals[record.incarnation] = Removal(nowMs, record.sequence, cutOff)
     }
 
     /** Adds [withdrawn], which another instance knows. */
     fun add(withdrawn: WithdrawnEndpoint, nowMs: Long) {
-        removals.putIfAbsent(withdrawn.incarnation, Removal(nowMs - withdrawn.agoMs, withdrawn.sequence))
+        val removal = Removal(nowMs - withdrawn.agoMs, withdrawn.sequence, withdrawn.cutOff)
+        removals.putIfAbsent(withdrawn.incarnation, removal)
     }
 
     fun remove(incarnation: EndpointIncarnation) {
@@ -56,14 +60,18 @@
         return record.sequence != null && record.sequence <= last
     }
 
-    /** True if [record] may have been written before its incarnation was withdrawn, and reached the store later. */
+    /**
+     * True if [record] may have been written before its incarnation was withdrawn, and reached the store later. A write
+     * from a zone that is cut off does not reach the store at all.
+     */
     fun maySupersede(record: EndpointRecord, nowMs: Long): Boolean {
         val removal = removals[record.incarnation] ?: return false
-        return record.sequence != null && nowMs - removal.atMs <= MAX_WRITE_DELAY_MS
+        return !removal.cutOff && record.sequence != null && nowMs - removal.atMs <= MAX_WRITE_DELAY_MS
     }
 
     fun all(nowMs: Long): List<WithdrawnEndpoint> = removals.map { (incarnation, removal) ->
-        WithdrawnEndpoint(incarnation.id, incarnation.startedAtMs, removal.sequence, nowMs - removal.atMs)
+        val agoMs = nowMs - removal.atMs
+        WithdrawnEndpoint(incarnation.id, incarnation.startedAtMs, removal.sequence, agoMs, removal.cutOff)
     }
 
     private companion object {
--- a/gateway/src/main/kotlin/io/oriolehall/gateway/Gateway.kt
+++ b/gateway/src/main/kotlin/io/oriolehall/gateway/Gateway.kt
@@ -34,6 +34,7 @@
 import io.oriolehall.gateway.wire.WireProtocol
 import io.oriolehall.model.Incarnation
 import io.oriolehall.model.NetworkAddress
+import io.oriolehall.model.ZoneId
 import io.oriolehall.peer.PeerClient
 import io.oriolehall.peer.PeerServer
 import io.oriolehall.runtime.BoundedEventLog
@@ -76,7 +77,10 @@
     private val peerServer = PeerServer(selector, peerScope, log)
 
     private val pace = ReadingPace.within(settings.bounds.configApplyMs, settings.bounds.keyRevocationMs)
-    private val directory = EndpointDirectory(registrationLifetimeMs = settings.bounds.registrationLifetimeMs)
+    private val directory = EndpointDirectory(
+        registrationLifetimeMs = settings.bounds.registrationLifetimeMs,
+        isUnreachable = ::isUnreachable,
+    )
     private val state = PublishedState(timers, log, directory)
     private val fleet = FleetService(
         self = self,
@@ -242,6 +246,8 @@
         log.write(Event.INSTANCE_STOPPED)
     }
 
+    private fun isUnreachable(zone: ZoneId): Boolean = zone in fleet.unreachableZones
+
     /** Closes callers' connections as they become idle, until none is open or [stopDeadlineMs] is reached. */
     private suspend fun closeConnections(stopDeadlineMs: Long) {
         while (TrafficLoop.nowMs() < stopDeadlineMs) {
